--- /dev/null
+++ b/crates/events/src/catalogue.rs
@@ -0,0 +1,38 @@
+//! The catalogue of events: 1xxx life cycle, 2xxx published lists, 3xxx once, 4xxx peers,
+//! 5xxx targets, 6xxx platform, 7xxx callers, 8xxx operators.
+
+use crate::{Event, Level};
+
+macro_rules! events {
+    ($($name:ident = $code:literal $level:ident $text:literal;)*) => {
+        $(
+            #[doc = $text]
+            pub const $name: Event = Event { code: $code, level: Level::$level, text: $text };
+        )*
+
+        /// Every event, in order of its number.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    STARTED = 1001 Info "process started";
+    SERVING = 1002 Info "serving callers";
+    LEAVING = 1003 Info "leaving: no new work is taken on";
+    STOPPED = 1004 Info "stopped";
+    LIST_ACCEPTED = 2001 Info "published list in force";
+    LIST_INVALID = 2002 Error "published list refused: it is not valid";
+    LIST_LOWER = 2003 Warning "published list refused: a higher revision is in force";
+    LIST_CONFLICT = 2004 Error "two contents under one revision";
+    LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
+    LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
+    PEER_UP = 4001 Info "peer connected";
+    PEER_DOWN = 4002 Warning "peer lost";
+    PEER_REFUSED = 4003 Warning "peer refused: it did not prove the shared key";
+    TARGET_EJECTED = 5001 Warning "target ejected";
+    TARGET_RETURNED = 5002 Info "target returned";
+    PLATFORM_LOST = 6001 Warning "platform unreachable";
+    PLATFORM_BACK = 6002 Info "platform reachable again";
+    CALLER_REFUSED = 7001 Info "request refused";
+    OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
+}
--- /dev/null
+++ b/crates/events/tests/catalogue.rs
@@ -0,0 +1,30 @@
+//! Code and `docs/EVENTS.md` list the same events.
+
+use shallotfork_events::{ALL, Event};
+
+fn row(event: &Event) -> String {
+    format!("| {} | {:?} | {} |", event.code, event.level, event.text)
+}
+
+#[test]
+fn docs_list_every_event_once() {
+    let expected: Vec<String> = ALL.iter().map(row).collect();
+    let page = include_str!("../../../docs/EVENTS.md");
+    let actual: Vec<String> = page
+        .lines()
+        .filter(|line| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit())
+        .map(cut_meaning)
+        .collect();
+    assert_eq!(expected, actual);
+}
+
+/// Drops the last column, which explains the event to operators.
+fn cut_meaning(line: &str) -> String {
+    let columns: Vec<&str> = line.split(" | ").take(3).collect();
+    format!("{} |", columns.join(" | "))
+}
+
+#[test]
+fn numbers_rise() {
+    assert!(ALL.windows(2).all(|pair| pair[0].code < pair[1].code));
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not built yet.
--- /dev/null
+++ b/crates/shallotd/src/main.rs
@@ -0,0 +1,2 @@
+//! Not built yet.
+fn main() {}
--- /dev/null
+++ b/crates/timer/src/lib.rs
@@ -0,0 +1,7 @@
+//! A monotonic clock and a timer service that parts of a process subscribe to.
+
+mod clock;
+mod service;
+
+pub use clock::Clock;
+pub use service::{Schedule, Subscription, Tick, TimerService};
--- /dev/null
+++ b/crates/types/src/address.rs
@@ -0,0 +1,41 @@
+//! Where a process listens.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+/// An IP address and port; never a host name, since machines are reached by IP number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Endpoint(SocketAddr);
+
+impl Endpoint {
+    /// Wraps a socket address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self(address)
+    }
+
+    /// The socket address.
+    pub fn address(self) -> SocketAddr {
+        self.0
+    }
+}
+
+impl fmt::Display for Endpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Endpoint {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let address = text.parse().map_err(|_| ParseError::new("an IP address and port", text))?;
+        Ok(Self(address))
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Value types shared by every crate: identifiers, sizes, rates, monotonic time and the verdict.
+//!
+//! Nothing here does I/O or reads a clock.
+
+mod address;
+mod id;
+mod key;
+mod mono;
+mod parse;
+mod rate;
+mod revision;
+mod size;
+mod verdict;
+
+pub use address::Endpoint;
+pub use id::{CallerName, FailureDomain, Region, ServiceName, TargetId, VmId};
+pub use key::{IdempotencyKey, Incarnation};
+pub use mono::Mono;
+pub use parse::ParseError;
+pub use rate::{Millicores, PerSecond, Permille};
+pub use revision::Revision;
+pub use size::Bytes;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/types/src/rate.rs
@@ -0,0 +1,78 @@
+//! Rates and shares.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u32);
+
+        impl $name {
+            /// Wraps a number of this unit.
+            pub const fn new(value: u32) -> Self {
+                Self(value)
+            }
+
+            /// The number itself.
+            pub const fn value(self) -> u32 {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                let digits = text.strip_suffix($unit).unwrap_or(text);
+                let value = digits.parse().map_err(|_| ParseError::new("a whole number", text))?;
+                Ok(Self(value))
+            }
+        }
+    };
+}
+
+number_type! {
+    /// Thousandths of a whole.
+    Permille, "‰"
+}
+number_type! {
+    /// Events in a second.
+    PerSecond, "/s"
+}
+number_type! {
+    /// Thousandths of a processor core.
+    Millicores, "m"
+}
+
+impl Permille {
+    /// This share of `whole`, rounded down.
+    pub fn of(self, whole: u64) -> u64 {
+        whole.saturating_mul(u64::from(self.0)) / 1000
+    }
+}
+
+impl PerSecond {
+    /// Time between two events at this rate; `None` when the rate is zero.
+    pub fn spacing(self) -> Option<Duration> {
+        if self.0 == 0 {
+            return None;
+        }
+        Some(Duration::from_secs(1) / self.0)
+    }
+}
--- /dev/null
+++ b/crates/types/src/size.rs
@@ -0,0 +1,74 @@
+//! Sizes in bytes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
+
+/// A number of bytes; its text form takes the suffixes `KiB` and `MiB`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Bytes(u64);
+
+impl Bytes {
+    /// Wraps a number of bytes.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// Wraps a number of kibibytes.
+    pub const fn from_kib(value: u64) -> Self {
+        Self(value * KIB)
+    }
+
+    /// Wraps a number of mebibytes.
+    pub const fn from_mib(value: u64) -> Self {
+        Self(value * MIB)
+    }
+
+    /// The number of bytes.
+    pub const fn value(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n >= MIB && n % MIB == 0 => write!(f, "{}MiB", n / MIB),
+            n if n >= KIB && n % KIB == 0 => write!(f, "{}KiB", n / KIB),
+            n => write!(f, "{n}"),
+        }
+    }
+}
+
+impl FromStr for Bytes {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let (digits, unit) = split_unit(text);
+        let count: u64 = digits.parse().map_err(|_| expected(text))?;
+        count.checked_mul(unit).map(Self).ok_or_else(|| expected(text))
+    }
+}
+
+fn split_unit(text: &str) -> (&str, u64) {
+    if let Some(digits) = text.strip_suffix("KiB") {
+        return (digits, KIB);
+    }
+    if let Some(digits) = text.strip_suffix("MiB") {
+        return (digits, MIB);
+    }
+    (text, 1)
+}
+
+fn expected(found: &str) -> ParseError {
+    ParseError::new("a size such as 4096, 64KiB or 8MiB", found)
+}
--- /dev/null
+++ b/crates/types/tests/text.rs
@@ -0,0 +1,59 @@
+//! Every type's text form reads back as the same value, and bad text is refused.
+
+use quickcheck::{Gen, QuickCheck};
+use shallotfork_types::{
+    Bytes, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Revision, ServiceName, Verdict,
+};
+
+const SEED: u64 = 0x5e1f;
+
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(64, SEED)).tests(500)
+}
+
+#[test]
+fn numbers_round_trip() {
+    fn property(value: u64) -> bool {
+        let small = value as u32;
+        let bytes = Bytes::new(value);
+        let incarnation = Incarnation::new(value);
+        bytes.to_string().parse() == Ok(bytes)
+            && incarnation.to_string().parse() == Ok(incarnation)
+            && Revision::new(value).to_string().parse() == Ok(Revision::new(value))
+            && Permille::new(small).to_string().parse() == Ok(Permille::new(small))
+            && PerSecond::new(small).to_string().parse() == Ok(PerSecond::new(small))
+    }
+    checker().quickcheck(property as fn(u64) -> bool);
+}
+
+#[test]
+fn names_take_what_they_print_and_nothing_else() {
+    fn property(text: String) -> bool {
+        let plain = !text.is_empty()
+            && text.len() <= 128
+            && text.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        match text.parse::<ServiceName>() {
+            Ok(name) => plain && name.to_string() == text,
+            Err(_) => !plain,
+        }
+    }
+    checker().quickcheck(property as fn(String) -> bool);
+}
+
+#[test]
+fn bad_text_is_refused_with_a_reason() {
+    let expected = "expected 1 to 128 visible ASCII characters, found \"a b\"";
+    let actual = "a b".parse::<IdempotencyKey>().expect_err("a space is refused").to_string();
+    assert_eq!(expected, actual);
+    assert!("9999999999999999MiB".parse::<Bytes>().is_err());
+    assert!("+123456789abcdef".parse::<Incarnation>().is_err());
+    assert!("maybe".parse::<Verdict>().is_err());
+}
+
+#[test]
+fn monotonic_time_never_goes_below_zero() {
+    let early = Mono::from_millis(1);
+    let late = Mono::from_millis(3);
+    assert_eq!(2, late.since(early).as_millis());
+    assert_eq!(0, early.since(late).as_millis());
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness.
