feat(settings,revisions): typed settings and the order of published lists

The daemon needs its settings checked with every error at once and a rule for which version of a published list is in force.

- settings: one table per section holds keys, defaults and examples.
- revisions: the version in force is the greatest valid one by (revision, digest).
Tracking the greatest one *seen*, valid or not, was ruled out: a VM that starts while a bad list is published could then not take the last good one from a peer.

--- /dev/null
+++ b/crates/revisions/src/tracker.rs
@@ -0,0 +1,101 @@
+//! The version in force of each list.
+
+use std::collections::BTreeMap;
+
+use shallotfork_types::{ListName, Revision};
+
+use crate::{Kept, Offer, Offered, Version};
+
+/// Remembers the version in force of each list and the last one refused.
+#[derive(Debug, Default)]
+pub struct Tracker {
+    lists: BTreeMap<ListName, Versions>,
+}
+
+#[derive(Debug, Default)]
+struct Versions {
+    in_force: Option<Version>,
+    refused: Option<Version>,
+}
+
+impl Tracker {
+    /// A tracker with no list in force.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether offering this version would change nothing, so that it need not be validated.
+    pub fn is_known(&self, name: &ListName, version: &Version) -> bool {
+        self.lists.get(name).is_some_and(|versions| versions.knows(version))
+    }
+
+    /// Decides what becomes of an offered version.
+    pub fn offer(&mut self, offered: &Offered) -> Offer {
+        let versions = self.lists.entry(offered.name.clone()).or_default();
+        versions.offer(offered.version, offered.valid)
+    }
+
+    /// The version in force of one list.
+    pub fn in_force(&self, name: &ListName) -> Option<Version> {
+        self.lists.get(name).and_then(|versions| versions.in_force)
+    }
+
+    /// The last version of one list that was refused as invalid or lost a conflict, if it is not
+    /// older than the one in force.
+    pub fn refused(&self, name: &ListName) -> Option<Version> {
+        let versions = self.lists.get(name)?;
+        versions.refused.filter(|refused| Some(refused.revision) >= versions.revision())
+    }
+
+    /// Every list with a version in force, ordered by name.
+    pub fn all_in_force(&self) -> impl Iterator<Item = (&ListName, Version)> {
+        self.lists.iter().filter_map(|(name, versions)| Some((name, versions.in_force?)))
+    }
+}
+
+impl Versions {
+    fn revision(&self) -> Option<Revision> {
+        self.in_force.map(|version| version.revision)
+    }
+
+    fn knows(&self, version: &Version) -> bool {
+        self.in_force.as_ref() == Some(version) || self.refused.as_ref() == Some(version)
+    }
+
+    fn offer(&mut self, version: Version, valid: bool) -> Offer {
+        if self.knows(&version) {
+            return Offer::Same;
+        }
+        // A replica that lags, or a platform restored from a backup, offers what was in force
+        // earlier; taking it would undo a change that operators have seen take effect.
+        if let Some(in_force) = self.revision().filter(|revision| version.revision < *revision) {
+            return Offer::Lower { in_force };
+        }
+        let conflict = self.has_other_content(&version);
+        let outranked = self.in_force.is_some_and(|in_force| version < in_force);
+        if !valid || outranked {
+            return self.refuse(version, conflict);
+        }
+        let from = self.revision();
+        self.in_force = Some(version);
+        if conflict { Offer::Conflict { kept: Kept::Offered } } else { Offer::Accept { from } }
+    }
+
+    fn refuse(&mut self, version: Version, conflict: bool) -> Offer {
+        self.refused = Some(version);
+        if conflict && self.revision() == Some(version.revision) {
+            return Offer::Conflict { kept: Kept::InForce };
+        }
+        Offer::Invalid { in_force: self.revision() }
+    }
+
+    /// Two operators publishing at once through replicas that do not agree can put two contents
+    /// under one revision. Entries that saw different ones would differ for good; ordering by
+    /// digest makes every entry settle on the same one, whichever it saw first.
+    fn has_other_content(&self, version: &Version) -> bool {
+        [self.in_force, self.refused]
+            .into_iter()
+            .flatten()
+            .any(|known| known.revision == version.revision && known.digest != version.digest)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/sections/leaving.rs
@@ -0,0 +1,13 @@
+//! `[leaving]`
+
+use std::time::Duration;
+
+use crate::Presence::Default;
+
+section! {
+    /// Graceful shutdown.
+    LeavingSettings = "leaving" {
+        /// Longest wait for requests in flight after a stop was asked for.
+        grace_max: Duration = "grace_max_ms", Default("30000"), "30000";
+    }
+}
--- /dev/null
+++ b/crates/settings/src/sections/vm.rs
@@ -0,0 +1,29 @@
+//! `[vm]`
+
+use shallotfork_types::{FailureDomain, Region, VmId};
+
+use crate::Presence::{Default, Required};
+use crate::reader::Reader;
+
+section! {
+    /// This VM and its place in the fleet.
+    VmSettings = "vm" {
+        /// Name of the VM, unique in the fleet.
+        id: VmId = "id", Required, "entry-1";
+        /// Failure domain of the VM.
+        failure_domain: FailureDomain = "failure_domain", Required, "kalgoorlie";
+        /// Region of the VM.
+        region: Region = "region", Default("main"), "goldfields";
+        /// Which share of the probe budget this VM uses, from 0; unique in the fleet.
+        probe_share: u32 = "probe_share", Default("0"), "3";
+        /// Into how many shares the probe budget is split: the largest size of the fleet.
+        probe_shares: u32 = "probe_shares", Default("16"), "16";
+    }
+}
+
+impl VmSettings {
+    pub(crate) fn check(&self, reader: &mut Reader<'_>) {
+        let known = self.probe_share < self.probe_shares;
+        reader.require(known, Self::SECTION, "probe_share", "a number below probe_shares");
+    }
+}
