feat(exchange): whole bodies in and out, verdicts, a bounded port

Adds the API that shallotd needs: read_whole, Exchange::send with Attempt<Unsent>/Attempt<Sent>, Problem, WholeAnswer, BodyBudget, ConnectionGate and serve.

reqwest says neither which request an error belongs to nor whether a byte of it has left. MarkedBody finds out at the moment when hyper takes the request to write it, and holds it back when its deadline has passed by then. poem's own server has no header timeout and no header limit; its endpoints run on hyper's server here.

Tests: an answer cut at every byte, plain and chunked, and a request cut at every byte by close and by reset, are asked once and judged may-have-run.

--- /dev/null
+++ b/crates/exchange/src/exchange_config.rs
@@ -0,0 +1,34 @@
+//! Settings of [`Exchange`](crate::Exchange).
+
+use std::time::Duration;
+
+use shallotfork_types::Bytes;
+
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const DEFAULT_POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const DEFAULT_POOL_IDLE_MAX: usize = 16;
+const DEFAULT_ANSWER_MAX: Bytes = Bytes::from_mib(32);
+
+/// How connections to targets are made and kept, and how large an answer may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExchangeConfig {
+    /// The longest time to open a connection; 500 ms by default.
+    pub connect_timeout: Duration,
+    /// An idle connection is closed after this time; 30 s by default.
+    pub pool_idle_timeout: Duration,
+    /// Idle connections kept to one target; 16 by default.
+    pub pool_idle_max: usize,
+    /// The largest body of an answer; 32 MiB by default.
+    pub answer_max: Bytes,
+}
+
+impl Default for ExchangeConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            pool_idle_timeout: DEFAULT_POOL_IDLE_TIMEOUT,
+            pool_idle_max: DEFAULT_POOL_IDLE_MAX,
+            answer_max: DEFAULT_ANSWER_MAX,
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/read_whole.rs
@@ -0,0 +1,155 @@
+//! Takes a caller's request in, whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Uri};
+use shallotfork_types::{Bytes as Size, ServiceName};
+
+use crate::body_budget::BodyBudget;
+use crate::digest::{DigestCheck, check_digest};
+use crate::gather::{Gather, GatherError};
+use crate::headers::{ControlHeaders, strip_hop_by_hop};
+use crate::refusal::Refusal;
+
+const ROOT: &str = "/";
+
+/// What one caller's body may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// The largest body, in bytes.
+    pub body_max: Size,
+    /// The longest time between the end of the headers and the end of the body.
+    pub body_timeout: Duration,
+}
+
+/// A caller's request with its complete body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WholeRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query as asked.
+    pub path_and_query: PathAndQuery,
+    /// The service, from `Host` or `:authority`.
+    pub service: ServiceName,
+    /// All headers but the hop-by-hop ones and those meant for the system alone.
+    pub headers: HeaderMap,
+    /// What the caller asks of the system itself.
+    pub control: ControlHeaders,
+    /// The body, decoded from its chunks.
+    pub body: Bytes,
+}
+
+/// Reads `request` to its end, within `limits` and what `budget` has left.
+///
+/// # Errors
+/// The refusal to answer with, when the request is malformed, too large, too slow or incomplete.
+/// No target has seen any of it then.
+pub async fn read_whole(
+    request: poem::Request,
+    limits: &BodyLimits,
+    budget: &BodyBudget,
+) -> Result<WholeRequest, Refusal> {
+    let (parts, body) = request.into_parts();
+    let mut headers = parts.headers;
+    check_method(&parts.method)?;
+    check_framing(&headers, limits)?;
+    let service = service_of(&parts.uri, &headers)?;
+    let control = ControlHeaders::take(&mut headers)?;
+    let gathering = gather(body, limits, budget);
+    let body = tokio::time::timeout(limits.body_timeout, gathering)
+        .await
+        .map_err(|_| Refusal::BodyTimeout { limit: limits.body_timeout })??;
+    check_body(&headers, &body)?;
+    strip_hop_by_hop(&mut headers);
+    headers.remove(EXPECT);
+    headers.remove(CONTENT_LENGTH);
+    let path_and_query = parts.uri.into_parts().path_and_query;
+    Ok(WholeRequest {
+        method: parts.method,
+        path_and_query: path_and_query.unwrap_or(PathAndQuery::from_static(ROOT)),
+        service,
+        headers,
+        control,
+        body,
+    })
+}
+
+fn check_method(method: &Method) -> Result<(), Refusal> {
+    if method == Method::CONNECT {
+        return Err(Refusal::BadMethod { method: method.to_string() });
+    }
+    Ok(())
+}
+
+/// Refuses a message with two lengths (RFC 9112, 6.1), by which a request can be hidden inside
+/// another one: the next hop might go by the other length.
+fn check_framing(headers: &HeaderMap, limits: &BodyLimits) -> Result<(), Refusal> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let Some(length) = lengths.next() else {
+        return Ok(());
+    };
+    if headers.contains_key(TRANSFER_ENCODING) || lengths.next().is_some() {
+        return Err(Refusal::bad_header(&CONTENT_LENGTH, "the body's length is given twice"));
+    }
+    let declared: Option<u64> = length.to_str().ok().and_then(|text| text.parse().ok());
+    let Some(declared) = declared else {
+        return Err(Refusal::bad_header(&CONTENT_LENGTH, "expected a whole number"));
+    };
+    if declared > limits.body_max.value() {
+        return Err(Refusal::BodyTooLarge { limit: limits.body_max });
+    }
+    Ok(())
+}
+
+/// RFC 9112, 3.2.2: the authority of an absolute request target goes before `Host`.
+fn service_of(uri: &Uri, headers: &HeaderMap) -> Result<ServiceName, Refusal> {
+    if let Some(authority) = uri.authority() {
+        return service_named(authority.host());
+    }
+    let mut hosts = headers.get_all(HOST).iter();
+    let Some(host) = hosts.next() else {
+        return Err(Refusal::BadHost { reason: "no Host header".to_owned() });
+    };
+    if hosts.next().is_some() {
+        return Err(Refusal::BadHost { reason: "more than one Host header".to_owned() });
+    }
+    let text = host.to_str().unwrap_or_default();
+    let name = text.rsplit_once(':').map_or(text, |(name, _port)| name);
+    service_named(name)
+}
+
+fn service_named(name: &str) -> Result<ServiceName, Refusal> {
+    name.parse().map_err(|error| Refusal::BadHost { reason: format!("{error}") })
+}
+
+async fn gather(
+    body: poem::Body,
+    limits: &BodyLimits,
+    budget: &BodyBudget,
+) -> Result<Bytes, Refusal> {
+    let mut gather = Gather::new(limits.body_max.value(), budget.permit());
+    let mut pieces = std::pin::pin!(body.into_bytes_stream());
+    while let Some(piece) = pieces.next().await {
+        let piece = piece.map_err(|_| Refusal::BodyIncomplete)?;
+        gather.push(piece).map_err(|error| match error {
+            GatherError::TooLarge => Refusal::BodyTooLarge { limit: limits.body_max },
+            GatherError::BudgetFull => Refusal::BudgetFull,
+        })?;
+    }
+    Ok(gather.finish())
+}
+
+fn check_body(headers: &HeaderMap, body: &Bytes) -> Result<(), Refusal> {
+    match check_digest(headers, body) {
+        DigestCheck::Absent | DigestCheck::Matches => Ok(()),
+        DigestCheck::Differs => Err(Refusal::DigestDiffers),
+        DigestCheck::Malformed => Err(Refusal::BadHeader {
+            name: "content-digest".to_owned(),
+            reason: "expected sha-256=:BASE64:".to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/serve.rs
@@ -0,0 +1,241 @@
+//! One HTTP port: bounded connections, bounded waits, and a stop that cuts off no answer.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Version;
+use http::header::{CONNECTION, HeaderValue};
+use http::uri::Scheme;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use poem::endpoint::{DynEndpoint, ToDynEndpoint};
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Addr, Endpoint, EndpointExt, IntoEndpoint};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::activity::{Activity, TrackedStream};
+use crate::serve_config::ServeConfig;
+
+/// Wait after a failed accept, which mostly means that the process is out of descriptors; without
+/// it the loop would spin until one is free.
+const ACCEPT_RETRY_WAIT: Duration = Duration::from_millis(20);
+
+type AnyEndpoint = Arc<dyn DynEndpoint<Output = poem::Response>>;
+
+/// When a port can't be served.
+#[derive(Debug, Error)]
+#[error("can't serve the port")]
+pub struct ServeError(#[from] io::Error);
+
+/// Watches and stops a port that is being served; clones act on the same port.
+#[derive(Debug, Clone, Default)]
+pub struct ServeControl {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    closing: AtomicBool,
+    stop: CancellationToken,
+    connections: AtomicUsize,
+    in_flight: AtomicUsize,
+}
+
+impl ServeControl {
+    /// Control of a port that is not served yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// From now on each HTTP/1 answer says `Connection: close`, so that callers which keep a
+    /// connection open turn to another entry before this one stops.
+    pub fn announce_close(&self) {
+        self.shared.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes no further connection or request, and lets those in flight end.
+    pub fn stop(&self) {
+        self.announce_close();
+        self.shared.stop.cancel();
+    }
+
+    /// Connections open now.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Requests whose answer is not made yet.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Relaxed)
+    }
+
+    fn is_closing(&self) -> bool {
+        self.shared.closing.load(Ordering::Relaxed)
+    }
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until stopped and all connections have ended.
+///
+/// poem's own server sets no limit on the time in which headers arrive, nor on their size, so
+/// that slow senders could hold connections for ever; its endpoints run here on hyper directly.
+///
+/// # Errors
+/// When the listener's address can't be read.
+pub async fn serve<E>(
+    listener: TcpListener,
+    endpoint: E,
+    config: ServeConfig,
+    control: ServeControl,
+) -> Result<(), ServeError>
+where
+    E: IntoEndpoint,
+    E::Endpoint: 'static,
+{
+    let local = LocalAddr(Addr::SocketAddr(listener.local_addr()?));
+    let endpoint: AnyEndpoint = Arc::new(ToDynEndpoint(endpoint.into_endpoint().map_to_response()));
+    let slots = Arc::new(Semaphore::new(config.connections_max));
+    let tasks = TaskTracker::new();
+    let stop = control.shared.stop.clone();
+    while let Some((stream, remote, slot)) = accept(&listener, &slots, &stop).await {
+        let connection = Connection {
+            endpoint: Arc::clone(&endpoint),
+            local: local.clone(),
+            remote,
+            config,
+            control: control.clone(),
+        };
+        tasks.spawn(connection.run(stream, slot));
+    }
+    drop(listener);
+    tasks.close();
+    tasks.wait().await;
+    Ok(())
+}
+
+/// The next connection, once there is a slot for it; `None` after a stop.
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, RemoteAddr, OwnedSemaphorePermit)> {
+    let accepting = async {
+        let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => {
+                    return Some((stream, RemoteAddr(Addr::SocketAddr(address)), slot));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_WAIT).await,
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        () = stop.cancelled() => None,
+        accepted = accepting => accepted,
+    }
+}
+
+struct Connection {
+    endpoint: AnyEndpoint,
+    local: LocalAddr,
+    remote: RemoteAddr,
+    config: ServeConfig,
+    control: ServeControl,
+}
+
+impl Connection {
+    async fn run(self, stream: TcpStream, _slot: OwnedSemaphorePermit) {
+        let _open = Counted::new(&self.control.shared, |shared| &shared.connections);
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let activity = Arc::new(Activity::new());
+        let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&activity)));
+        let service = service_fn(|request| self.answer(request, &activity));
+        let builder = builder(&self.config);
+        let mut connection = pin!(builder.serve_connection(io, service));
+        let idle = pin!(activity.idle_for(self.config.idle_timeout));
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = idle => return,
+            () = self.control.shared.stop.cancelled() => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        let idle = pin!(activity.idle_for(self.config.idle_timeout));
+        tokio::select! {
+            _ = connection => {}
+            () = idle => {}
+        }
+    }
+
+    fn answer(
+        &self,
+        request: http::Request<Incoming>,
+        activity: &Arc<Activity>,
+    ) -> impl Future<Output = Result<http::Response<BoxBody<Bytes, io::Error>>, Infallible>> + Send + use<>
+    {
+        let endpoint = Arc::clone(&self.endpoint);
+        let control = self.control.clone();
+        let in_flight = Counted::new(&control.shared, |shared| &shared.in_flight);
+        let busy = activity.begin();
+        let version = request.version();
+        let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
+        async move {
+            let mut response = endpoint.get_response(request).await;
+            if control.is_closing() && version < Version::HTTP_2 {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            drop((in_flight, busy));
+            Ok(response.into())
+        }
+    }
+}
+
+fn builder(config: &ServeConfig) -> auto::Builder<TokioExecutor> {
+    let header_max = usize::try_from(config.header_max.value()).unwrap_or(usize::MAX);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(config.header_timeout)
+        .max_buf_size(header_max);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(config.streams_max)
+        .max_header_list_size(u32::try_from(header_max).unwrap_or(u32::MAX));
+    builder
+}
+
+/// Counts one more as long as it lives.
+struct Counted {
+    shared: Arc<Shared>,
+    counter: fn(&Shared) -> &AtomicUsize,
+}
+
+impl Counted {
+    fn new(shared: &Arc<Shared>, counter: fn(&Shared) -> &AtomicUsize) -> Self {
+        counter(shared).fetch_add(1, Ordering::Relaxed);
+        Self { shared: Arc::clone(shared), counter }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        (self.counter)(&self.shared).fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/exchange/tests/support/mod.rs
@@ -0,0 +1,191 @@
+//! Raw TCP targets and request builders.
+
+#![allow(dead_code, missing_docs, reason = "each test file uses its part")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method};
+use shallotfork_exchange::{
+    Attempt, BodyBudget, ControlHeaders, Exchange, ExchangeConfig, NowFn, OpenGate, TargetAddress,
+    Unsent, WholeRequest,
+};
+use shallotfork_types::{Bytes, Endpoint, Mono};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+pub const DEADLINE: Duration = Duration::from_secs(20);
+pub const BUDGET: Bytes = Bytes::from_mib(64);
+
+/// A clock that stands at zero, so that no test depends on the speed of the machine.
+pub fn standing_clock() -> NowFn {
+    Arc::new(|| Mono::ZERO)
+}
+
+pub fn exchange() -> Exchange {
+    exchange_with(ExchangeConfig::default(), standing_clock())
+}
+
+pub fn exchange_with(config: ExchangeConfig, now: NowFn) -> Exchange {
+    Exchange::new(config, BodyBudget::new(BUDGET), Arc::new(OpenGate), now).expect("client")
+}
+
+/// Builds a request for the service `orders`.
+#[derive(Debug, Clone)]
+pub struct RequestBuilder {
+    request: WholeRequest,
+}
+
+impl RequestBuilder {
+    pub fn new(method: Method) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert("host", HeaderValue::from_static("orders"));
+        let request = WholeRequest {
+            method,
+            path_and_query: PathAndQuery::from_static("/orders?mill=2"),
+            service: "orders".parse().expect("name"),
+            headers,
+            control: ControlHeaders::default(),
+            body: bytes::Bytes::new(),
+        };
+        Self { request }
+    }
+
+    pub fn with_body(mut self, body: &'static [u8]) -> Self {
+        self.request.body = bytes::Bytes::from_static(body);
+        self
+    }
+
+    pub fn with_header(mut self, name: &'static str, value: &'static str) -> Self {
+        self.request.headers.insert(name, HeaderValue::from_static(value));
+        self
+    }
+
+    pub fn attempt(&self, target: TargetAddress) -> Attempt<Unsent> {
+        Attempt::new(target, Arc::new(self.request.clone()), Mono::ZERO.plus(DEADLINE))
+    }
+}
+
+/// What a target has seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub connections: AtomicUsize,
+    pub request_bytes: AtomicUsize,
+    pub requests: AtomicUsize,
+}
+
+impl Seen {
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    pub fn request_bytes(&self) -> usize {
+        self.request_bytes.load(Ordering::SeqCst)
+    }
+
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+/// A target that runs one script for each connection.
+#[derive(Debug)]
+pub struct RawTarget {
+    pub address: SocketAddr,
+    pub seen: Arc<Seen>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl RawTarget {
+    pub async fn start<F, Fut>(script: F) -> Self
+    where
+        F: Fn(usize, Wire) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let seen = Arc::new(Seen::default());
+        let counted = Arc::clone(&seen);
+        let task = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("accept");
+                let index = counted.connections.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(script(index, Wire { stream, seen: Arc::clone(&counted) }));
+            }
+        });
+        Self { address, seen, task }
+    }
+
+    pub fn target(&self) -> TargetAddress {
+        TargetAddress::new(Endpoint::new(self.address))
+    }
+}
+
+impl Drop for RawTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// One connection as its target sees it.
+#[derive(Debug)]
+pub struct Wire {
+    pub stream: TcpStream,
+    seen: Arc<Seen>,
+}
+
+impl Wire {
+    /// Reads one byte; `None` at the end.
+    pub async fn byte(&mut self) -> Option<u8> {
+        let byte = self.stream.read_u8().await.ok()?;
+        self.seen.request_bytes.fetch_add(1, Ordering::SeqCst);
+        Some(byte)
+    }
+
+    /// Reads `size` bytes, or as many as come.
+    pub async fn bytes(&mut self, size: usize) -> Vec<u8> {
+        let mut read = Vec::new();
+        while read.len() < size {
+            let Some(byte) = self.byte().await else {
+                break;
+            };
+            read.push(byte);
+        }
+        read
+    }
+
+    /// Reads one request with a `Content-Length`, or none; counts it when it is whole.
+    pub async fn request(&mut self) -> Option<String> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.byte().await?);
+        }
+        let text = String::from_utf8(head).expect("ASCII").to_ascii_lowercase();
+        let length =
+            text.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+        let size = length.map_or(0, |digits| digits.parse().expect("length"));
+        if self.bytes(size).await.len() < size {
+            return None;
+        }
+        self.seen.requests.fetch_add(1, Ordering::SeqCst);
+        Some(text)
+    }
+
+    pub async fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+
+    /// Ends the connection with a reset in place of an orderly close.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().expect("linger");
+    }
+
+    /// Reads on until the other side closes, counting what still comes.
+    pub async fn drain(mut self) {
+        while self.byte().await.is_some() {}
+    }
+}
