feat(balance,measure): target choice, queue, budgets; probe and connection budgets

API of the two pure crates, with the simplest correct core.

balance: Pool (admit, retry, hedge, finish, expire), five policies, a gate per target with a queue before it, hedge and retry budgets, ejection, ramp, service groups with home targets. measure: probe plan and connection budget by static shares, ORCA load reports. types: rendezvous_weight, needed by both and by the readers of the platform.

The probe budget counts spacing from the end of a probe, not from the decision: a process may be paused between the two.

--- /dev/null
+++ b/crates/balance/src/target.rs
@@ -0,0 +1,288 @@
+//! What a pool knows of one target.
+
+use std::time::Duration;
+
+use shallotfork_measure::LoadReport;
+use shallotfork_types::{FailureDomain, Mono, TargetId};
+
+use crate::TargetConfig;
+
+/// Weight of a new latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.15;
+/// Weight of a new outcome in the moving share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Expected cost of a failure, as a multiple of the usual latency.
+const FAILURE_COST: f64 = 10.0;
+/// Part of its share that a target gets at the start of its ramp.
+const RAMP_START: f64 = 0.1;
+/// Occupancy that a refusal for overload stands for, as a multiple of the target's slots.
+const SHED_OCCUPANCY: f64 = 2.0;
+const EJECTION_DOUBLINGS_MAX: u32 = 16;
+
+/// Whether a target takes new work, as published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    /// It takes new work.
+    Serving,
+    /// It ends what runs and takes nothing new.
+    Draining,
+}
+
+/// A target as published, with this process's part of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolTarget {
+    /// The target.
+    pub id: TargetId,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// How many connections this process may hold to it, which bounds requests in flight.
+    pub connections_share: u32,
+    /// Whether it takes new work.
+    pub state: TargetState,
+    /// Whether this process sends it most of its work (see `ServiceGroup::home_targets`).
+    pub home: bool,
+}
+
+impl PoolTarget {
+    /// A serving home target with any number of connections.
+    pub fn new(id: TargetId, failure_domain: FailureDomain, slots: u32) -> Self {
+        let (connections_share, state) = (u32::MAX, TargetState::Serving);
+        Self { id, failure_domain, slots, connections_share, state, home: true }
+    }
+
+    /// Sets how many connections this process may hold to it.
+    #[must_use]
+    pub fn with_connections_share(mut self, connections: u32) -> Self {
+        self.connections_share = connections;
+        self
+    }
+
+    /// Sets whether it takes new work.
+    #[must_use]
+    pub fn with_state(mut self, state: TargetState) -> Self {
+        self.state = state;
+        self
+    }
+
+    /// Sets whether this process sends it most of its work.
+    #[must_use]
+    pub fn with_home(mut self, home: bool) -> Self {
+        self.home = home;
+        self
+    }
+}
+
+/// What a pool thinks of a target, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetStatus {
+    /// The target.
+    pub id: TargetId,
+    /// Whether it takes new work, as published.
+    pub state: TargetState,
+    /// Requests in flight to it from this process.
+    pub running: u32,
+    /// Usual latency without waiting; `None` before the first answer.
+    pub latency: Option<Duration>,
+    /// Whether it is left out for failures.
+    pub ejected: bool,
+    /// Age of its last load report.
+    pub report_age: Option<Duration>,
+}
+
+/// The pool's averages, against which one target is judged.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PoolView {
+    /// Median of the targets' latencies, in microseconds.
+    pub(crate) median_us: f64,
+    /// Mean number of requests of other processes at a target, per slot.
+    pub(crate) others_per_slot: f64,
+}
+
+#[derive(Debug)]
+struct Reported {
+    /// Requests of other processes.
+    others: f64,
+    at: Mono,
+}
+
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) published: PoolTarget,
+    pub(crate) running: u32,
+    latency_us: Option<f64>,
+    latency_at: Mono,
+    failure_share: f64,
+    failures_in_row: u32,
+    ejected_until: Option<Mono>,
+    ejections: u32,
+    /// Start of the ramp; `None` when it gets its whole share.
+    ramp_from: Option<Mono>,
+    reported: Option<Reported>,
+}
+
+impl Target {
+    pub(crate) fn new(published: PoolTarget, running: u32, ramp_from: Option<Mono>) -> Self {
+        Self {
+            published,
+            running,
+            latency_us: None,
+            latency_at: Mono::ZERO,
+            failure_share: 0.0,
+            failures_in_row: 0,
+            ejected_until: None,
+            ejections: 0,
+            ramp_from,
+            reported: None,
+        }
+    }
+
+    /// Takes a newly published form; a target that returns from drain ramps up.
+    pub(crate) fn with_published(mut self, published: PoolTarget, now: Mono) -> Self {
+        let returns = !self.is_serving() && published.state == TargetState::Serving;
+        if returns {
+            self.ramp_from = Some(now);
+        }
+        self.published = published;
+        self
+    }
+
+    pub(crate) fn is_serving(&self) -> bool {
+        self.published.state == TargetState::Serving
+    }
+
+    pub(crate) fn is_ejected(&self, now: Mono) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    pub(crate) fn ejected_until(&self) -> Option<Mono> {
+        self.ejected_until
+    }
+
+    pub(crate) fn latency_us(&self) -> Option<f64> {
+        self.latency_us
+    }
+
+    pub(crate) fn status(&self, now: Mono) -> TargetStatus {
+        TargetStatus {
+            id: self.published.id.clone(),
+            state: self.published.state,
+            running: self.running,
+            latency: self.latency_us.map(|us| Duration::from_micros(us as u64)),
+            ejected: self.is_ejected(now),
+            report_age: self.reported.as_ref().map(|reported| now.since(reported.at)),
+        }
+    }
+
+    /// Requests in flight that this process may have at the target.
+    pub(crate) fn gate(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> u32 {
+        let whole = self.published.slots.saturating_add(config.gate_extra).max(1);
+        let slow = self.slowness(now, view, config) > 1.0;
+        let ramped = (f64::from(whole) * self.ramp(now, config)).ceil() as u32;
+        let gate = if slow { 1 } else { ramped };
+        gate.min(self.published.connections_share).max(1)
+    }
+
+    /// Expected time of one more request, in microseconds.
+    pub(crate) fn cost_us(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
+        let service_us = view.median_us * self.slowness(now, view, config);
+        let wait = self.crowding(now, view, config);
+        let failure_us = self.failure_share * FAILURE_COST * view.median_us;
+        service_us * wait / self.ramp(now, config) + failure_us
+    }
+
+    /// How many times the service time one more request takes, for the requests before it.
+    pub(crate) fn crowding(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
+        let occupancy = f64::from(self.running) + self.others(now, view, config) + 1.0;
+        (occupancy / self.slots()).max(1.0)
+    }
+
+    /// Requests of other processes: the report as far as it is fresh, else the pool's mean.
+    pub(crate) fn others(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
+        let usual = if self.published.home { 0.0 } else { view.others_per_slot * self.slots() };
+        let Some(reported) = &self.reported else { return usual };
+        let age = now.since(reported.at).as_secs_f64() / config.report_fade.as_secs_f64();
+        let weight = (-age).exp();
+        reported.others * weight + usual * (1.0 - weight)
+    }
+
+    /// The target's latency as a multiple of the pool's median; 1 when it isn't clearly slower.
+    ///
+    /// Evidence fades, so that a target that once was slow is tried again.
+    fn slowness(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
+        let Some(latency_us) = self.latency_us else { return 1.0 };
+        let ratio = latency_us / view.median_us.max(1.0);
+        let age = now.since(self.latency_at).as_secs_f64() / config.forget.as_secs_f64();
+        let faded = 1.0 + (ratio - 1.0) * (-age).exp2();
+        if faded < config.slow_factor { 1.0 } else { faded }
+    }
+
+    fn ramp(&self, now: Mono, config: &TargetConfig) -> f64 {
+        let Some(from) = self.ramp_from else { return 1.0 };
+        let part = now.since(from).as_secs_f64() / config.ramp.as_secs_f64().max(f64::MIN_POSITIVE);
+        part.clamp(RAMP_START, 1.0)
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.published.slots.max(1))
+    }
+
+    /// Takes a load report; returns the requests of other processes per slot that it shows.
+    pub(crate) fn report(&mut self, report: LoadReport, now: Mono) -> Option<f64> {
+        let slots = self.slots();
+        let by_use = report.utilisation.map(|used| f64::from(used.value()) / 1000.0 * slots);
+        let all = report.in_flight.map(f64::from).or(by_use)?;
+        let others = (all - f64::from(self.running)).max(0.0);
+        self.reported = Some(Reported { others, at: now });
+        Some(others / slots)
+    }
+
+    pub(crate) fn answered(&mut self, service_us: f64, now: Mono) {
+        self.failures_in_row = 0;
+        self.ejections = 0;
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        self.observe_latency(service_us, now);
+    }
+
+    /// Notes a latency; one that is only known to be at least `service_us` may raise the average
+    /// but not lower it.
+    pub(crate) fn at_least(&mut self, service_us: f64, now: Mono) {
+        if self.latency_us.is_some_and(|known| service_us > known) {
+            self.observe_latency(service_us, now);
+        }
+    }
+
+    fn observe_latency(&mut self, service_us: f64, now: Mono) {
+        let known = self.latency_us.unwrap_or(service_us);
+        self.latency_us = Some(known + (service_us - known) * LATENCY_WEIGHT);
+        self.latency_at = now;
+    }
+
+    /// Notes a failure. Fast failures never improve the latency: a target that fails at once
+    /// would look like the best one and draw all requests to it.
+    pub(crate) fn failed(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
+        self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        if self.failures_in_row >= config.failures_max {
+            self.eject(now, spread, config);
+        }
+    }
+
+    pub(crate) fn shed(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
+        let others = SHED_OCCUPANCY * self.slots();
+        self.reported = Some(Reported { others, at: now });
+        self.failed(now, spread, config);
+    }
+
+    /// Leaves the target out for a time that doubles each time and differs between processes, so
+    /// that they don't all return at once.
+    fn eject(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
+        let doublings = self.ejections.min(EJECTION_DOUBLINGS_MAX);
+        let wait = config.ejection_first.saturating_mul(1 << doublings).min(config.ejection_max);
+        let until = now.plus(wait.mul_f64(1.0 + spread / 2.0));
+        self.ejections = self.ejections.saturating_add(1);
+        self.ejected_until = Some(until);
+        self.ramp_from = Some(until);
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,17 @@
-//! Not built yet.
+//! How much measuring a target may cost, and what a target says of its own load.
+//!
+//! Pure decisions: time is handed in, nothing here does I/O. The budgets hold in every window of
+//! a second over the whole fleet because each process spends only a share that its settings fix;
+//! no view of peers enters, so views that differ can't break the sum.
+
+mod connection_budget;
+mod load_report;
+mod probe_budget;
+mod probe_plan;
+mod share;
+
+pub use connection_budget::{ConnectionBudget, ConnectionLimits, ConnectionPermit};
+pub use load_report::{BadLoadReport, LoadReport};
+pub use probe_budget::{MeasuredTarget, ProbeBudget};
+pub use probe_plan::{ProbePermit, ProbePlan};
+pub use share::{BadShare, FleetShare};
--- /dev/null
+++ b/crates/measure/src/load_report.rs
@@ -0,0 +1,127 @@
+//! What a target says of its own load, from the `endpoint-load-metrics` header of its answers.
+//!
+//! The header is that of the Open Request Cost Aggregation format (ORCA), in its text form
+//! (`TEXT cpu_utilization=0.3, named_metrics.in_flight=2`) or its JSON form
+//! (`JSON {"cpu_utilization": 0.3, "named_metrics": {"in_flight": 2}}`).
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt;
+
+use serde::Deserialize;
+use shallotfork_types::Permille;
+
+/// Longer headers are refused unread.
+const MAX_HEADER_BYTES: usize = 4096;
+/// A target that claims more than this utilisation is taken to claim this.
+const MAX_UTILISATION: f64 = 10.0;
+/// Largest number of requests that a report may claim.
+const MAX_IN_FLIGHT: f64 = 1_000_000.0;
+
+const TEXT_PREFIX: &str = "TEXT ";
+const JSON_PREFIX: &str = "JSON ";
+const IN_FLIGHT: &str = "in_flight";
+
+/// A target's own account of its load at the time of one answer; every part may be missing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadReport {
+    /// Use of the target's processor or of its application's capacity; over 1000 when overloaded.
+    pub utilisation: Option<Permille>,
+    /// Requests that the target runs or holds in its queue.
+    pub in_flight: Option<u32>,
+}
+
+/// When a header is not a load report; it is then ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadLoadReport {
+    /// Longer than 4096 bytes.
+    TooLong,
+    /// Neither the text form nor the JSON form.
+    UnknownForm,
+    /// The JSON form does not parse.
+    BadJson,
+    /// A pair of the text form has no `=` or no number.
+    BadPair,
+}
+
+impl fmt::Display for BadLoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooLong => "load report over 4096 bytes",
+            Self::UnknownForm => "load report is neither TEXT nor JSON",
+            Self::BadJson => "load report is not valid JSON",
+            Self::BadPair => "load report has a part that is not name=number",
+        })
+    }
+}
+
+impl Error for BadLoadReport {}
+
+#[derive(Debug, Default, Deserialize)]
+struct Orca {
+    #[serde(default)]
+    cpu_utilization: Option<f64>,
+    #[serde(default)]
+    application_utilization: Option<f64>,
+    #[serde(default)]
+    named_metrics: BTreeMap<String, f64>,
+}
+
+impl LoadReport {
+    /// Reads a header's value.
+    ///
+    /// # Errors
+    /// When the value is too long or has neither form. Unknown names are ignored; negative
+    /// numbers, infinities and NaN count as missing.
+    pub fn from_header(text: &str) -> Result<Self, BadLoadReport> {
+        if text.len() > MAX_HEADER_BYTES {
+            return Err(BadLoadReport::TooLong);
+        }
+        if let Some(pairs) = text.strip_prefix(TEXT_PREFIX) {
+            return parse_pairs(pairs).map(Self::from);
+        }
+        let json = text.strip_prefix(JSON_PREFIX).ok_or(BadLoadReport::UnknownForm)?;
+        let orca: Orca = serde_json::from_str(json).map_err(|_| BadLoadReport::BadJson)?;
+        Ok(Self::from(orca))
+    }
+}
+
+impl From<Orca> for LoadReport {
+    fn from(orca: Orca) -> Self {
+        let application = orca.application_utilization.and_then(utilisation);
+        let cpu = orca.cpu_utilization.and_then(utilisation);
+        let in_flight = orca.named_metrics.get(IN_FLIGHT).copied().and_then(count);
+        Self { utilisation: application.or(cpu), in_flight }
+    }
+}
+
+fn parse_pairs(pairs: &str) -> Result<Orca, BadLoadReport> {
+    let mut orca = Orca::default();
+    for pair in pairs.split(',') {
+        let (name, number) = pair.split_once('=').ok_or(BadLoadReport::BadPair)?;
+        let number: f64 = number.trim().parse().map_err(|_| BadLoadReport::BadPair)?;
+        set(&mut orca, name.trim(), number);
+    }
+    Ok(orca)
+}
+
+fn set(orca: &mut Orca, name: &str, number: f64) {
+    match name {
+        "cpu_utilization" | "cpu" => orca.cpu_utilization = Some(number),
+        "application_utilization" => orca.application_utilization = Some(number),
+        _ => {
+            let Some(metric) = name.strip_prefix("named_metrics.") else { return };
+            orca.named_metrics.insert(metric.to_owned(), number);
+        }
+    }
+}
+
+fn utilisation(number: f64) -> Option<Permille> {
+    let known = number.is_finite() && number >= 0.0;
+    known.then(|| Permille::new((number.min(MAX_UTILISATION) * 1000.0) as u32))
+}
+
+fn count(number: f64) -> Option<u32> {
+    let known = number.is_finite() && number >= 0.0;
+    known.then(|| number.min(MAX_IN_FLIGHT) as u32)
+}
--- /dev/null
+++ b/crates/measure/src/probe_plan.rs
@@ -0,0 +1,161 @@
+//! When this process may probe which target.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use shallotfork_types::{Mono, TargetId, rendezvous_weight};
+
+use crate::{FleetShare, MeasuredTarget, ProbeBudget};
+
+/// The second that the budget is counted over, and a margin for clocks of different speeds.
+pub(crate) const WINDOW: Duration = Duration::from_millis(1050);
+
+/// Leave to send one probe now; give it back with `ProbePlan::finished`.
+///
+/// While it is out, the target gets no other probe from this process. A permit that is dropped
+/// ends probing of its target, so a lost task can't break the budget.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ProbePermit {
+    target: TargetId,
+}
+
+impl ProbePermit {
+    /// The target that may be probed.
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+}
+
+#[derive(Debug)]
+struct Planned {
+    slots: u32,
+    spacing: Duration,
+    /// No probe before this time.
+    next: Mono,
+    outstanding: bool,
+    /// When an answer last carried a load report.
+    reported: Option<Mono>,
+}
+
+/// Spaces this process's probes so that the fleet's sum keeps the budget in every second.
+///
+/// - A process probes at its share's rate whatever it believes about its peers, so neither a
+///   partition nor a lagging VM list changes the sum.
+/// - A process that starts waits one whole spacing first: the process it replaces may have
+///   probed just before it died.
+/// - A process may be paused between `take` and the first byte, so the spacing to the next probe
+///   counts from the end of the probe, when the target has surely received it. Probes missed
+///   while paused are not caught up.
+///
+/// Two live processes with the same share break the budget; settings must prevent that.
+#[derive(Debug)]
+pub struct ProbePlan {
+    budget: ProbeBudget,
+    share: FleetShare,
+    fresh_for: Duration,
+    targets: BTreeMap<TargetId, Planned>,
+}
+
+impl ProbePlan {
+    /// A plan without targets. A target is not probed while its last report is younger than
+    /// `fresh_for`.
+    pub fn new(budget: ProbeBudget, share: FleetShare, fresh_for: Duration) -> Self {
+        Self { budget, share, fresh_for, targets: BTreeMap::new() }
+    }
+
+    /// Takes the list of targets. New and changed ones are first due one whole spacing from
+    /// `now`, so that a list that flaps can't shorten a spacing.
+    pub fn set_targets(&mut self, targets: &[MeasuredTarget], now: Mono) {
+        let mut kept = BTreeMap::new();
+        for target in targets {
+            let Some(spacing) = self.spacing(target) else { continue };
+            let planned = match self.targets.remove(&target.id) {
+                Some(old) if old.slots == target.slots => old,
+                _ => Planned::new(target.slots, spacing, now),
+            };
+            kept.insert(target.id.clone(), planned);
+        }
+        self.targets = kept;
+    }
+
+    /// Notes that an answer of the target carried a load report, so that no probe is needed soon.
+    pub fn reported(&mut self, target: &TargetId, now: Mono) {
+        if let Some(planned) = self.targets.get_mut(target) {
+            planned.reported = Some(now);
+        }
+    }
+
+    /// Targets that may be probed now and whose load is not known from traffic.
+    pub fn due(&self, now: Mono) -> Vec<TargetId> {
+        let due = self.targets.iter().filter(|(_, planned)| self.is_due(planned, now));
+        due.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// When to look for due targets again; `None` while there is nothing to wait for.
+    pub fn next_due(&self) -> Option<Mono> {
+        let waiting = self.targets.values().filter(|planned| !planned.outstanding);
+        waiting.map(|planned| self.due_at(planned)).min()
+    }
+
+    /// Leave to probe the target at this moment, or `None`.
+    ///
+    /// Call it right before sending: the process may have been paused since `due`, and another
+    /// task may have sent a probe meanwhile.
+    pub fn take(&mut self, target: &TargetId, now: Mono) -> Option<ProbePermit> {
+        let planned = self.targets.get(target)?;
+        if !self.is_due(planned, now) {
+            return None;
+        }
+        self.targets.get_mut(target)?.outstanding = true;
+        Some(ProbePermit { target: target.clone() })
+    }
+
+    /// Notes that a probe was answered, failed or was given up and its connection closed.
+    pub fn finished(&mut self, permit: ProbePermit, now: Mono) {
+        if let Some(planned) = self.targets.get_mut(&permit.target) {
+            planned.outstanding = false;
+            planned.next = now.plus(planned.spacing);
+        }
+    }
+
+    fn is_due(&self, planned: &Planned, now: Mono) -> bool {
+        !planned.outstanding && now >= self.due_at(planned)
+    }
+
+    fn due_at(&self, planned: &Planned) -> Mono {
+        let stale_at = planned.reported.map_or(Mono::ZERO, |at| at.plus(self.fresh_for));
+        planned.next.max(stale_at)
+    }
+
+    /// Time between two probes of this process, or `None` when its share gives it none.
+    fn spacing(&self, target: &MeasuredTarget) -> Option<Duration> {
+        let rate_milli = self.budget.milli_probes_a_second(target.slots);
+        let whole = rate_milli / 1000;
+        let shares = u64::from(self.share.count());
+        if whole >= shares {
+            let each = u32::try_from(whole / shares).unwrap_or(u32::MAX);
+            return Some(WINDOW / each);
+        }
+        if rate_milli == 0 || self.rank(&target.id) >= whole.max(1) {
+            return None;
+        }
+        if whole == 0 {
+            return Some(WINDOW.mul_f64(1000.0 / rate_milli as f64));
+        }
+        Some(WINDOW)
+    }
+
+    /// How many shares come before this one for the target.
+    fn rank(&self, target: &TargetId) -> u64 {
+        let weight = |index: u32| (rendezvous_weight(target.as_str(), &index.to_string()), index);
+        let own = weight(self.share.index());
+        let before = (0..self.share.count()).filter(|index| weight(*index) > own);
+        before.count() as u64
+    }
+}
+
+impl Planned {
+    fn new(slots: u32, spacing: Duration, now: Mono) -> Self {
+        Self { slots, spacing, next: now.plus(spacing), outstanding: false, reported: None }
+    }
+}
