--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -1,8 +1,11 @@
 //! Which entries serve a service, and in which order a caller should try them.
 
-use shallotfork_types::{FailureDomain, ServiceName, rendezvous};
+use std::cmp::Reverse;
 
-use crate::{EntryState, EntryVm, GroupConfig};
+use shallotfork_balance::{GroupEntry, GroupSize, ServiceGroup};
+use shallotfork_types::{FailureDomain, ServiceName};
+
+use crate::{EntryState, EntryVm};
 
 /// What is known of the caller who asks.
 #[derive(Debug, Clone)]
@@ -13,70 +16,48 @@
     pub turn: u64,
 }
 
+/// The group of entries that serves a service, chosen among those that may be named in answers.
+pub fn service_group(service: &ServiceName, entries: &[EntryVm], size: GroupSize) -> ServiceGroup {
+    let candidates: Vec<GroupEntry> = nameable(entries).map(group_entry).collect();
+    ServiceGroup::new(service, &candidates, size)
+}
+
 /// Chooses the entries that a caller should use for a service, best first.
 ///
-/// The group is the same for every asker with the same view: rendezvous hashing, failure domains
-/// taken in turn so that one lost domain never takes the whole group. Members near the caller come
-/// first; within the same distance the turn decides.
-///
-/// Suspected VMs are left out unless nobody else is there: when all look dead, the fault is more
-/// likely on this side of a partition, and an answer with old addresses beats none.
+/// Members near the caller come first; within the same distance the turn decides.
 pub fn entries_for(
     service: &ServiceName,
     entries: &[EntryVm],
-    config: &GroupConfig,
+    size: GroupSize,
     preference: &Preference,
 ) -> Vec<EntryVm> {
-    let mut ranked = candidates(entries);
-    ranked.sort_by_key(|entry| {
-        (std::cmp::Reverse(rendezvous(service.as_str(), entry.vm.as_str())), entry.vm.clone())
-    });
-    let mut group = spread(ranked, config.size);
-    rotate(&mut group, preference.turn);
+    let group = service_group(service, entries, size);
+    let mut members: Vec<EntryVm> =
+        nameable(entries).filter(|entry| group.contains(&entry.vm)).cloned().collect();
+    rotate(&mut members, preference.turn);
     let near = |entry: &EntryVm| preference.failure_domain.as_ref() == Some(&entry.failure_domain);
-    group.sort_by_key(|entry| !near(entry));
-    group
+    members.sort_by_key(|entry| Reverse(near(entry)));
+    members
 }
 
-fn candidates(entries: &[EntryVm]) -> Vec<EntryVm> {
-    for state in [EntryState::Live, EntryState::Suspected] {
-        let found: Vec<EntryVm> =
-            entries.iter().filter(|entry| entry.state == state).cloned().collect();
-        if !found.is_empty() {
-            return found;
-        }
-    }
-    Vec::new()
-}
-
-/// Takes up to `size` entries in rank order, one of each failure domain before a second of any.
-fn spread(ranked: Vec<EntryVm>, size: usize) -> Vec<EntryVm> {
-    let mut rest = ranked;
-    let mut group: Vec<EntryVm> = Vec::new();
-    while group.len() < size && !rest.is_empty() {
-        let (round, later) = one_per_domain(rest);
-        group.extend(round);
-        rest = later;
-    }
-    group.truncate(size);
-    group
+/// Live entries; suspected ones when nobody else is there.
+///
+/// When all look dead, the fault is more likely on this side of a partition, and an answer with
+/// old addresses beats none.
+fn nameable(entries: &[EntryVm]) -> impl Iterator<Item = &EntryVm> {
+    let live = entries.iter().any(|entry| entry.state == EntryState::Live);
+    let state = if live { EntryState::Live } else { EntryState::Suspected };
+    entries.iter().filter(move |entry| entry.state == state)
 }
 
-fn one_per_domain(ranked: Vec<EntryVm>) -> (Vec<EntryVm>, Vec<EntryVm>) {
-    let mut seen: Vec<FailureDomain> = Vec::new();
-    ranked.into_iter().partition(|entry| {
-        let first = !seen.contains(&entry.failure_domain);
-        if first {
-            seen.push(entry.failure_domain.clone());
-        }
-        first
-    })
+fn group_entry(entry: &EntryVm) -> GroupEntry {
+    GroupEntry { vm: entry.vm.clone(), failure_domain: entry.failure_domain.clone() }
 }
 
-fn rotate(group: &mut [EntryVm], turn: u64) {
-    if group.is_empty() {
+fn rotate(members: &mut [EntryVm], turn: u64) {
+    if members.is_empty() {
         return;
     }
-    let steps = turn % group.len() as u64;
-    group.rotate_left(usize::try_from(steps).unwrap_or(0));
+    let steps = turn % members.len() as u64;
+    members.rotate_left(usize::try_from(steps).unwrap_or(0));
 }
--- a/crates/membership/src/heartbeats.rs
+++ b/crates/membership/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Whom a process sends heartbeats to.
 
-use shallotfork_types::{VmId, rendezvous};
+use shallotfork_types::{VmId, rendezvous_weight};
 
 use crate::EntryVm;
 
@@ -15,7 +15,8 @@
     if others.len() <= most {
         return others;
     }
-    others.sort_by_key(|entry| std::cmp::Reverse(rendezvous(own.as_str(), entry.vm.as_str())));
+    others
+        .sort_by_key(|entry| std::cmp::Reverse(rendezvous_weight(own.as_str(), entry.vm.as_str())));
     others.truncate(most);
     others
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,13 +5,11 @@
 //! it never gives another VM authority over anything.
 
 mod group;
-mod group_config;
 mod heartbeats;
 mod view;
 mod view_config;
 
-pub use group::{Preference, entries_for};
-pub use group_config::GroupConfig;
+pub use group::{Preference, entries_for, service_group};
 pub use heartbeats::heartbeat_peers;
 pub use view::{Announcement, EntryState, EntryVm, ListedVm, View};
 pub use view_config::ViewConfig;
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use shallotfork_balance::GroupSize;
 use shallotfork_membership::{
-    Announcement, EntryState, GroupConfig, ListedVm, Preference, View, ViewConfig, entries_for,
+    Announcement, EntryState, ListedVm, Preference, View, ViewConfig, entries_for,
 };
 use shallotfork_types::{Incarnation, Mono, Revision, ServiceName, VmId};
 
 const SEED: u64 = 0x3e3b;
+const GROUP_SIZE: u32 = 4;
 
 fn vm(number: u8) -> VmId {
     VmId::new(&format!("vm-{number}")).unwrap()
@@ -155,9 +157,9 @@
         let entries = case.view.entries(case.now);
         let preference = Preference { failure_domain: None, turn };
         let service: ServiceName = "orders".parse().unwrap();
-        let group = entries_for(&service, &entries, &GroupConfig::default(), &preference);
+        let group = entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference);
         let leaving = group.iter().any(|entry| entry.state == EntryState::Leaving);
-        !leaving && !group.is_empty() && group.len() <= GroupConfig::default().size
+        !leaving && !group.is_empty() && group.len() <= GROUP_SIZE as usize
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(40, SEED))
@@ -173,7 +175,7 @@
     for turn in 0..4 {
         let near = "fd-2".parse().unwrap();
         let preference = Preference { failure_domain: Some(near), turn };
-        let group = entries_for(&service, &entries, &GroupConfig::default(), &preference);
+        let group = entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference);
         let domains: std::collections::BTreeSet<&str> =
             group.iter().map(|entry| entry.failure_domain.as_str()).collect();
         assert_eq!(3, domains.len());
@@ -193,7 +195,7 @@
         let names = |case: &Case| {
             let entries = case.view.entries(case.now);
             let mut names: Vec<VmId> =
-                entries_for(&service, &entries, &GroupConfig::default(), &preference)
+                entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference)
                     .into_iter()
                     .map(|entry| entry.vm)
                     .collect();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,7 +22,7 @@
 pub use mono::Mono;
 pub use parse::ParseError;
 pub use rate::{Millicores, PerSecond, Permille};
-pub use rendezvous::rendezvous;
+pub use rendezvous::rendezvous_weight;
 pub use revision::Revision;
 pub use size::Bytes;
 pub use verdict::Verdict;
