feat(peer): calls between processes over capnp-rpc with mutual proof of a shared key

Cause: entries have to claim operations from their issuer, hand over sealed ledgers, feed each other published lists and hear of each other's leaving.

Change: schema and committed generated code, PeerServer, PeerClient and the PeerHandler trait. Both sides prove the key by HMAC-SHA256 over both nonces, both VMs and incarnations; only then does the server hand out the capability with functions. Message size, connections, unproven bytes and handshake time are bounded; every call has a timeout. A claim carries the proved name of its caller.

--- /dev/null
+++ b/crates/peer/schema/peer.capnp
@@ -0,0 +1,118 @@
+@0xd4c1f0a6e8b93751;
+# Calls between two shallotd processes. docs/design/peer.md says why each is here.
+
+interface Bootstrap {
+  # All that a connection offers before both sides have proved the shared key.
+
+  challenge @0 (nonce :Data, vm :Text, incarnation :UInt64)
+      -> (nonce :Data, vm :Text, incarnation :UInt64, proof :Data, handshake :Handshake);
+}
+
+interface Handshake {
+  prove @0 (proof :Data) -> (peer :Peer);
+  # `peer` is null when the proof is wrong.
+}
+
+interface Peer {
+  heartbeat @0 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
+  claim @1 (operation :Operation, number :UInt64) -> (answer :ClaimAnswer);
+  complete @2 (operation :Operation, number :UInt64, completion :Completion) -> (recorded :Bool);
+  close @3 (operation :Operation, number :UInt64) -> (answer :ClaimAnswer);
+  lookup @4 (operation :Operation) -> (held :Bool, answer :ClaimAnswer);
+  issue @5 () -> (session :Text);
+  changes @6 (after :UInt64) -> (changes :Changes);
+  push @7 (changes :Changes) -> ();
+  handoff @8 (ledger :SealedLedger) -> (accepted :Bool);
+}
+
+struct Heartbeat {
+  state @0 :State;
+  seenRevision @1 :UInt64;
+  syncedRevision @2 :UInt64;
+  restartSafe @3 :Bool;
+  loads @4 :List(LoadHint);
+
+  enum State {
+    live @0;
+    leaving @1;
+  }
+}
+
+struct LoadHint {
+  target @0 :Text;
+  loadPermille @1 :UInt32;
+  ageMs @2 :UInt32;
+}
+
+struct Operation {
+  session @0 :Text;
+  key @1 :Text;
+}
+
+struct ClaimAnswer {
+  union {
+    granted @0 :Void;
+    inProgress @1 :Void;
+    kept @2 :KeptAnswer;
+    ran @3 :Void;
+    notRun @4 :Void;
+    mayHaveRun @5 :Void;
+    fullRetryAfterMs @6 :UInt64;
+    badSession @7 :Void;
+  }
+}
+
+struct KeptAnswer {
+  status @0 :UInt16;
+  headers @1 :List(HeaderField);
+  body @2 :Data;
+}
+
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct Completion {
+  union {
+    ran @0 :KeptAnswer;
+    ranUnkept @1 :Void;
+    notRun @2 :Void;
+    mayHaveRun @3 :Void;
+  }
+}
+
+struct Changes {
+  revision @0 :UInt64;
+  values @1 :List(Value);
+}
+
+struct Value {
+  name @0 :Text;
+  revision @1 :UInt64;
+  content @2 :Data;
+}
+
+struct SealedLedger {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  secret @2 :Data;
+  sealedAtUs @3 :UInt64;
+  sessionLifetimeMs @4 :UInt64;
+  sessions @5 :List(SealedSession);
+}
+
+struct SealedSession {
+  serial @0 :UInt64;
+  operations @1 :List(SealedOperation);
+}
+
+struct SealedOperation {
+  key @0 :Text;
+  end :union {
+    kept @1 :KeptAnswer;
+    ran @2 :Void;
+    notRun @3 :Void;
+    mayHaveRun @4 :Void;
+  }
+}
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,74 @@
+//! What processes tell each other, besides what `shallotfork-once` defines.
+
+use shallotfork_types::{Incarnation, Permille, Revision, TargetId, VmId};
+
+/// One run of the process on one VM, proved by the handshake.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PeerId {
+    /// The VM.
+    pub vm: VmId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+}
+
+impl PeerId {
+    /// Names a process.
+    pub fn new(vm: VmId, incarnation: Incarnation) -> Self {
+        Self { vm, incarnation }
+    }
+}
+
+/// Whether a process takes on new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerState {
+    /// It does.
+    Live,
+    /// A planned stop is under way.
+    Leaving,
+}
+
+/// What a process says of itself at regular intervals, and at once when it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Whether it takes on new work.
+    pub state: PeerState,
+    /// Highest revision it has heard of.
+    pub seen_revision: Revision,
+    /// Revision up to which it holds every published value.
+    pub synced_revision: Revision,
+    /// Whether its sudden end would leave no operation as may-have-run.
+    pub restart_safe: bool,
+    /// Load of some targets; may be empty.
+    pub loads: Vec<LoadHint>,
+}
+
+/// Load that a target reported to the sender.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadHint {
+    /// The target.
+    pub target: TargetId,
+    /// Its load; above 1000 when it is over capacity.
+    pub load: Permille,
+    /// Time since the report was made, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Published values changed after some revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Revision up to which the sender's answer is complete.
+    pub revision: Revision,
+    /// The changed values.
+    pub values: Vec<ValueChange>,
+}
+
+/// One published value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ValueChange {
+    /// Name on the platform.
+    pub name: String,
+    /// Revision of its last change.
+    pub revision: Revision,
+    /// The whole content.
+    pub content: Vec<u8>,
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,297 @@
+//! Serves peers that prove the shared key.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side as RpcSide;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt as _;
+use shallotfork_once::{ClaimId, CompletionAnswer};
+use shallotfork_types::Revision;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+use crate::gate::{Gate, GatedReader};
+use crate::key::{Handshake, Side, draw_nonce};
+use crate::peer_capnp as schema;
+use crate::wire;
+use crate::{PeerConfig, PeerHandler, PeerId, PeerKey};
+
+type CapnpResult = Result<(), Error>;
+
+/// Bytes of a word of the Cap'n Proto encoding.
+const WORD_BYTES: u64 = 8;
+
+pub(crate) fn reader_options(config: &PeerConfig) -> ReaderOptions {
+    let words = usize::try_from(config.message_max.value() / WORD_BYTES).unwrap_or(usize::MAX);
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(words));
+    options
+}
+
+/// Accepts connections of peers; must run within a `LocalSet`.
+#[derive(Debug)]
+pub struct PeerServer<H> {
+    listener: TcpListener,
+    shared: Rc<Shared<H>>,
+}
+
+#[derive(Debug)]
+struct Shared<H> {
+    key: PeerKey,
+    own_id: PeerId,
+    config: PeerConfig,
+    handler: Rc<H>,
+}
+
+impl<H: PeerHandler> PeerServer<H> {
+    /// Takes a bound listener and the functions that peers may call.
+    pub fn new(
+        listener: TcpListener,
+        key: PeerKey,
+        own_id: PeerId,
+        config: PeerConfig,
+        handler: Rc<H>,
+    ) -> Self {
+        let shared = Shared { key, own_id, config, handler };
+        Self { listener, shared: Rc::new(shared) }
+    }
+
+    /// Serves until the future is dropped, which cuts every connection.
+    pub async fn serve(self) {
+        let mut connections = JoinSet::new();
+        loop {
+            let accepted = self.listener.accept().await;
+            while connections.try_join_next().is_some() {}
+            let Ok((stream, address)) = accepted else {
+                // The process is out of file descriptors; other tasks may free some.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            if connections.len() >= self.shared.config.connections_max {
+                continue;
+            }
+            let shared = Rc::clone(&self.shared);
+            connections.spawn_local(serve_connection(shared, stream, address));
+        }
+    }
+}
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Serves one connection. A peer that has not proved the key within the timeout is cut, so that
+/// half-open handshakes cannot use up the connections.
+async fn serve_connection<H: PeerHandler>(
+    shared: Rc<Shared<H>>,
+    stream: TcpStream,
+    address: SocketAddr,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let gate = Gate::default();
+    let (reader, writer) = stream.compat().split();
+    let unproven_max_bytes = shared.config.unproven_max.value();
+    let reader = GatedReader::new(reader, gate.clone(), unproven_max_bytes);
+    let options = reader_options(&shared.config);
+    let network = twoparty::VatNetwork::new(reader, writer, RpcSide::Server, options);
+    let handshake_timeout = shared.config.handshake_timeout;
+    let bootstrap = BootstrapServer { shared, address, gate: gate.clone() };
+    let bootstrap: schema::bootstrap::Client = capnp_rpc::new_client(bootstrap);
+    let mut rpc = RpcSystem::new(Box::new(network), Some(bootstrap.client));
+    let finished = tokio::time::timeout(handshake_timeout, &mut rpc).await.is_ok();
+    if finished || !gate.is_open() {
+        return;
+    }
+    // The connection's end is all there is to learn here; the client side sees the reason.
+    let _ = rpc.await;
+}
+
+struct BootstrapServer<H> {
+    shared: Rc<Shared<H>>,
+    address: SocketAddr,
+    gate: Gate,
+}
+
+impl<H: PeerHandler> schema::bootstrap::Server for BootstrapServer<H> {
+    async fn challenge(
+        self: Rc<Self>,
+        params: schema::bootstrap::ChallengeParams,
+        mut results: schema::bootstrap::ChallengeResults,
+    ) -> CapnpResult {
+        let params = params.get()?;
+        let talk = Handshake {
+            client: wire::peer_id(params.get_vm()?, params.get_incarnation())?,
+            server: self.shared.own_id.clone(),
+            client_nonce: wire::nonce(params.get_nonce()?)?,
+            server_nonce: draw_nonce(),
+        };
+        let mut results = results.get();
+        results.set_nonce(&talk.server_nonce);
+        results.set_vm(talk.server.vm.as_str());
+        results.set_incarnation(talk.server.incarnation.value());
+        results.set_proof(&self.shared.key.proof(Side::Server, &talk));
+        let handshake = HandshakeServer {
+            shared: Rc::clone(&self.shared),
+            address: self.address,
+            gate: self.gate.clone(),
+            talk,
+        };
+        results.set_handshake(capnp_rpc::new_client(handshake));
+        Ok(())
+    }
+}
+
+struct HandshakeServer<H> {
+    shared: Rc<Shared<H>>,
+    address: SocketAddr,
+    gate: Gate,
+    talk: Handshake,
+}
+
+impl<H: PeerHandler> schema::handshake::Server for HandshakeServer<H> {
+    async fn prove(
+        self: Rc<Self>,
+        params: schema::handshake::ProveParams,
+        mut results: schema::handshake::ProveResults,
+    ) -> CapnpResult {
+        let proof = params.get()?.get_proof()?;
+        if !self.shared.key.verifies(Side::Client, &self.talk, proof) {
+            self.shared.handler.refused(self.address);
+            return Ok(());
+        }
+        self.gate.open();
+        let handler = Rc::clone(&self.shared.handler);
+        let calls = CallServer { handler, from: self.talk.client.clone() };
+        results.get().set_peer(capnp_rpc::new_client(calls));
+        Ok(())
+    }
+}
+
+/// The functions of this process, for one proved peer.
+struct CallServer<H> {
+    handler: Rc<H>,
+    from: PeerId,
+}
+
+impl<H> CallServer<H> {
+    fn claim_id(&self, number: u64) -> ClaimId {
+        ClaimId::new(self.from.vm.clone(), self.from.incarnation, number)
+    }
+}
+
+impl<H: PeerHandler> schema::peer::Server for CallServer<H> {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: schema::peer::HeartbeatParams,
+        mut results: schema::peer::HeartbeatResults,
+    ) -> CapnpResult {
+        let beat = wire::read_heartbeat(params.get()?.get_heartbeat()?)?;
+        let own = self.handler.heartbeat(&self.from, beat).await;
+        wire::write_heartbeat(&own, results.get().init_heartbeat());
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: schema::peer::ClaimParams,
+        mut results: schema::peer::ClaimResults,
+    ) -> CapnpResult {
+        let params = params.get()?;
+        let operation = wire::read_operation(params.get_operation()?)?;
+        let claim = self.claim_id(params.get_number());
+        let answer = self.handler.claim(operation, claim).await;
+        wire::write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn complete(
+        self: Rc<Self>,
+        params: schema::peer::CompleteParams,
+        mut results: schema::peer::CompleteResults,
+    ) -> CapnpResult {
+        let params = params.get()?;
+        let operation = wire::read_operation(params.get_operation()?)?;
+        let claim = self.claim_id(params.get_number());
+        let completion = wire::read_completion(params.get_completion()?)?;
+        let answer = self.handler.complete(operation, claim, completion).await;
+        results.get().set_recorded(answer == CompletionAnswer::Recorded);
+        Ok(())
+    }
+
+    async fn close(
+        self: Rc<Self>,
+        params: schema::peer::CloseParams,
+        mut results: schema::peer::CloseResults,
+    ) -> CapnpResult {
+        let params = params.get()?;
+        let operation = wire::read_operation(params.get_operation()?)?;
+        let claim = self.claim_id(params.get_number());
+        let answer = self.handler.close(operation, claim).await;
+        wire::write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn lookup(
+        self: Rc<Self>,
+        params: schema::peer::LookupParams,
+        mut results: schema::peer::LookupResults,
+    ) -> CapnpResult {
+        let operation = wire::read_operation(params.get()?.get_operation()?)?;
+        let Some(answer) = self.handler.lookup(operation).await else {
+            return Ok(());
+        };
+        let mut results = results.get();
+        results.set_held(true);
+        wire::write_answer(&answer, results.init_answer());
+        Ok(())
+    }
+
+    async fn issue(
+        self: Rc<Self>,
+        _params: schema::peer::IssueParams,
+        mut results: schema::peer::IssueResults,
+    ) -> CapnpResult {
+        if let Some(session) = self.handler.issue().await {
+            results.get().set_session(session.to_string());
+        }
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: schema::peer::ChangesParams,
+        mut results: schema::peer::ChangesResults,
+    ) -> CapnpResult {
+        let after = Revision::new(params.get()?.get_after());
+        let changes = self.handler.changes(after).await;
+        wire::write_changes(&changes, results.get().init_changes());
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: schema::peer::PushParams,
+        _results: schema::peer::PushResults,
+    ) -> CapnpResult {
+        let changes = wire::read_changes(params.get()?.get_changes()?)?;
+        self.handler.push(&self.from, changes).await;
+        Ok(())
+    }
+
+    async fn handoff(
+        self: Rc<Self>,
+        params: schema::peer::HandoffParams,
+        mut results: schema::peer::HandoffResults,
+    ) -> CapnpResult {
+        let ledger = wire::read_ledger(params.get()?.get_ledger()?)?;
+        let own = ledger.vm == self.from.vm && ledger.incarnation == self.from.incarnation;
+        let accepted = own && self.handler.handoff(&self.from, ledger).await;
+        results.get().set_accepted(accepted);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,247 @@
+//! Between the typed messages and the types generated from the schema.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp::{Error, Result};
+use shallotfork_once::{
+    ClaimAnswer, Completion, HeaderField, KeptAnswer, OperationId, SECRET_BYTES, SealedEnd,
+    SealedLedger, SealedOperation, SealedSession, Secret,
+};
+use shallotfork_types::{
+    IdempotencyKey, Incarnation, Mono, ParseError, Permille, Revision, TargetId,
+};
+
+use crate::key::NONCE_BYTES;
+use crate::peer_capnp as schema;
+use crate::{Changes, Heartbeat, LoadHint, PeerId, PeerState, ValueChange};
+
+pub(crate) fn invalid(error: ParseError) -> Error {
+    Error::failed(error.to_string())
+}
+
+/// capnp counts list items in 32 bits; longer lists cannot fit a message anyway.
+fn length(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn nonce(bytes: &[u8]) -> Result<[u8; NONCE_BYTES]> {
+    bytes.try_into().map_err(|_| Error::failed("nonce of wrong length".to_owned()))
+}
+
+pub(crate) fn peer_id(vm: capnp::text::Reader<'_>, incarnation: u64) -> Result<PeerId> {
+    let vm = vm.to_str()?.parse().map_err(invalid)?;
+    Ok(PeerId::new(vm, Incarnation::new(incarnation)))
+}
+
+pub(crate) fn write_operation(operation: &OperationId, mut to: schema::operation::Builder<'_>) {
+    to.set_session(operation.session().to_string());
+    to.set_key(operation.key().as_str());
+}
+
+pub(crate) fn read_operation(from: schema::operation::Reader<'_>) -> Result<OperationId> {
+    let session = from.get_session()?.to_str()?.parse().map_err(invalid)?;
+    let key = IdempotencyKey::new(from.get_key()?.to_str()?).map_err(invalid)?;
+    Ok(OperationId::new(session, key))
+}
+
+fn write_kept(answer: &KeptAnswer, mut to: schema::kept_answer::Builder<'_>) {
+    to.set_status(answer.status);
+    to.set_body(&answer.body);
+    let mut headers = to.init_headers(length(answer.headers.len()));
+    for (index, header) in (0..).zip(&answer.headers) {
+        let mut field = headers.reborrow().get(index);
+        field.set_name(&header.name[..]);
+        field.set_value(&header.value);
+    }
+}
+
+fn read_kept(from: schema::kept_answer::Reader<'_>) -> Result<Arc<KeptAnswer>> {
+    let headers = from.get_headers()?.iter().map(read_header).collect::<Result<_>>()?;
+    let body = from.get_body()?.to_vec();
+    Ok(Arc::new(KeptAnswer { status: from.get_status(), headers, body }))
+}
+
+fn read_header(from: schema::header_field::Reader<'_>) -> Result<HeaderField> {
+    let name = from.get_name()?.to_string()?;
+    let value = from.get_value()?.to_vec();
+    Ok(HeaderField { name, value })
+}
+
+pub(crate) fn write_answer(answer: &ClaimAnswer, mut to: schema::claim_answer::Builder<'_>) {
+    match answer {
+        ClaimAnswer::Granted => to.set_granted(()),
+        ClaimAnswer::InProgress => to.set_in_progress(()),
+        ClaimAnswer::Kept(kept) => write_kept(kept, to.init_kept()),
+        ClaimAnswer::Ran => to.set_ran(()),
+        ClaimAnswer::NotRun => to.set_not_run(()),
+        ClaimAnswer::MayHaveRun => to.set_may_have_run(()),
+        ClaimAnswer::Full { retry_after } => to.set_full_retry_after_ms(millis(*retry_after)),
+        ClaimAnswer::BadSession => to.set_bad_session(()),
+    }
+}
+
+pub(crate) fn read_answer(from: schema::claim_answer::Reader<'_>) -> Result<ClaimAnswer> {
+    use schema::claim_answer::Which;
+    let answer = match from.which()? {
+        Which::Granted(()) => ClaimAnswer::Granted,
+        Which::InProgress(()) => ClaimAnswer::InProgress,
+        Which::Kept(kept) => ClaimAnswer::Kept(read_kept(kept?)?),
+        Which::Ran(()) => ClaimAnswer::Ran,
+        Which::NotRun(()) => ClaimAnswer::NotRun,
+        Which::MayHaveRun(()) => ClaimAnswer::MayHaveRun,
+        Which::FullRetryAfterMs(wait_ms) => {
+            ClaimAnswer::Full { retry_after: Duration::from_millis(wait_ms) }
+        }
+        Which::BadSession(()) => ClaimAnswer::BadSession,
+    };
+    Ok(answer)
+}
+
+pub(crate) fn write_completion(completion: &Completion, mut to: schema::completion::Builder<'_>) {
+    match completion {
+        Completion::Ran(kept) => write_kept(kept, to.init_ran()),
+        Completion::RanUnkept => to.set_ran_unkept(()),
+        Completion::NotRun => to.set_not_run(()),
+        Completion::MayHaveRun => to.set_may_have_run(()),
+    }
+}
+
+pub(crate) fn read_completion(from: schema::completion::Reader<'_>) -> Result<Completion> {
+    use schema::completion::Which;
+    let completion = match from.which()? {
+        Which::Ran(kept) => Completion::Ran(read_kept(kept?)?),
+        Which::RanUnkept(()) => Completion::RanUnkept,
+        Which::NotRun(()) => Completion::NotRun,
+        Which::MayHaveRun(()) => Completion::MayHaveRun,
+    };
+    Ok(completion)
+}
+
+pub(crate) fn write_heartbeat(beat: &Heartbeat, mut to: schema::heartbeat::Builder<'_>) {
+    to.set_state(match beat.state {
+        PeerState::Live => schema::heartbeat::State::Live,
+        PeerState::Leaving => schema::heartbeat::State::Leaving,
+    });
+    to.set_seen_revision(beat.seen_revision.value());
+    to.set_synced_revision(beat.synced_revision.value());
+    to.set_restart_safe(beat.restart_safe);
+    if beat.loads.is_empty() {
+        return;
+    }
+    let mut loads = to.init_loads(length(beat.loads.len()));
+    for (index, load) in (0..).zip(&beat.loads) {
+        let mut hint = loads.reborrow().get(index);
+        hint.set_target(load.target.as_str());
+        hint.set_load_permille(load.load.value());
+        hint.set_age_ms(load.age_ms);
+    }
+}
+
+pub(crate) fn read_heartbeat(from: schema::heartbeat::Reader<'_>) -> Result<Heartbeat> {
+    let state = match from.get_state()? {
+        schema::heartbeat::State::Live => PeerState::Live,
+        schema::heartbeat::State::Leaving => PeerState::Leaving,
+    };
+    Ok(Heartbeat {
+        state,
+        seen_revision: Revision::new(from.get_seen_revision()),
+        synced_revision: Revision::new(from.get_synced_revision()),
+        restart_safe: from.get_restart_safe(),
+        loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
+    })
+}
+
+fn read_load(from: schema::load_hint::Reader<'_>) -> Result<LoadHint> {
+    let target = TargetId::new(from.get_target()?.to_str()?).map_err(invalid)?;
+    let load = Permille::new(from.get_load_permille());
+    Ok(LoadHint { target, load, age_ms: from.get_age_ms() })
+}
+
+pub(crate) fn write_changes(changes: &Changes, mut to: schema::changes::Builder<'_>) {
+    to.set_revision(changes.revision.value());
+    let mut values = to.init_values(length(changes.values.len()));
+    for (index, change) in (0..).zip(&changes.values) {
+        let mut value = values.reborrow().get(index);
+        value.set_name(&change.name[..]);
+        value.set_revision(change.revision.value());
+        value.set_content(&change.content);
+    }
+}
+
+pub(crate) fn read_changes(from: schema::changes::Reader<'_>) -> Result<Changes> {
+    let values = from.get_values()?.iter().map(read_value).collect::<Result<_>>()?;
+    Ok(Changes { revision: Revision::new(from.get_revision()), values })
+}
+
+fn read_value(from: schema::value::Reader<'_>) -> Result<ValueChange> {
+    Ok(ValueChange {
+        name: from.get_name()?.to_string()?,
+        revision: Revision::new(from.get_revision()),
+        content: from.get_content()?.to_vec(),
+    })
+}
+
+pub(crate) fn write_ledger(ledger: &SealedLedger, mut to: schema::sealed_ledger::Builder<'_>) {
+    to.set_vm(ledger.vm.as_str());
+    to.set_incarnation(ledger.incarnation.value());
+    to.set_secret(ledger.secret.bytes());
+    to.set_sealed_at_us(ledger.sealed_at.as_micros());
+    to.set_session_lifetime_ms(millis(ledger.session_lifetime));
+    let mut sessions = to.init_sessions(length(ledger.sessions.len()));
+    for (index, session) in (0..).zip(&ledger.sessions) {
+        write_session(session, sessions.reborrow().get(index));
+    }
+}
+
+fn write_session(session: &SealedSession, mut to: schema::sealed_session::Builder<'_>) {
+    to.set_serial(session.serial);
+    let mut operations = to.init_operations(length(session.operations.len()));
+    for (index, operation) in (0..).zip(&session.operations) {
+        let mut item = operations.reborrow().get(index);
+        item.set_key(operation.key.as_str());
+        let mut end = item.init_end();
+        match &operation.end {
+            SealedEnd::Kept(kept) => write_kept(kept, end.init_kept()),
+            SealedEnd::Ran => end.set_ran(()),
+            SealedEnd::NotRun => end.set_not_run(()),
+            SealedEnd::MayHaveRun => end.set_may_have_run(()),
+        }
+    }
+}
+
+pub(crate) fn read_ledger(from: schema::sealed_ledger::Reader<'_>) -> Result<SealedLedger> {
+    let secret: [u8; SECRET_BYTES] = from
+        .get_secret()?
+        .try_into()
+        .map_err(|_| Error::failed("secret of wrong length".to_owned()))?;
+    Ok(SealedLedger {
+        vm: from.get_vm()?.to_str()?.parse().map_err(invalid)?,
+        incarnation: Incarnation::new(from.get_incarnation()),
+        secret: Secret::new(secret),
+        sealed_at: Mono::from_micros(from.get_sealed_at_us()),
+        session_lifetime: Duration::from_millis(from.get_session_lifetime_ms()),
+        sessions: from.get_sessions()?.iter().map(read_session).collect::<Result<_>>()?,
+    })
+}
+
+fn read_session(from: schema::sealed_session::Reader<'_>) -> Result<SealedSession> {
+    let operations = from.get_operations()?.iter().map(read_sealed).collect::<Result<_>>()?;
+    Ok(SealedSession { serial: from.get_serial(), operations })
+}
+
+fn read_sealed(from: schema::sealed_operation::Reader<'_>) -> Result<SealedOperation> {
+    use schema::sealed_operation::end::Which;
+    let key = IdempotencyKey::new(from.get_key()?.to_str()?).map_err(invalid)?;
+    let end = match from.get_end().which()? {
+        Which::Kept(kept) => SealedEnd::Kept(read_kept(kept?)?),
+        Which::Ran(()) => SealedEnd::Ran,
+        Which::NotRun(()) => SealedEnd::NotRun,
+        Which::MayHaveRun(()) => SealedEnd::MayHaveRun,
+    };
+    Ok(SealedOperation { key, end })
+}
--- /dev/null
+++ b/crates/peer/tests/peer.rs
@@ -0,0 +1,328 @@
+//! Calls between two processes, in one `LocalSet` over loopback TCP.
+#![allow(clippy::unwrap_used)]
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotfork_once::{
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, HeaderField, Issuer, KeptAnswer,
+    OnceConfig, OperationId, SealedLedger, Secret, Session,
+};
+use shallotfork_peer::{
+    Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
+    PeerServer, PeerState, ValueChange,
+};
+use shallotfork_types::{
+    Bytes, Endpoint, IdempotencyKey, Incarnation, Mono, Permille, Revision, TargetId, VmId,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+/// Answers what the test laid out, and notes what it was told.
+struct Fake {
+    answer: RefCell<ClaimAnswer>,
+    changes: Changes,
+    session: Session,
+    calls: RefCell<Vec<String>>,
+    refused: Cell<usize>,
+    hangs: Cell<bool>,
+}
+
+impl Fake {
+    fn note(&self, call: String) {
+        self.calls.borrow_mut().push(call);
+    }
+
+    fn answer(&self) -> ClaimAnswer {
+        self.answer.borrow().clone()
+    }
+}
+
+impl PeerHandler for Fake {
+    fn refused(&self, _from: SocketAddr) {
+        self.refused.set(self.refused.get() + 1);
+    }
+
+    async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
+        self.note(format!("heartbeat {}", from.vm));
+        beat
+    }
+
+    async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        if self.hangs.get() {
+            std::future::pending::<()>().await;
+        }
+        self.note(format!("claim {} by {} {}", operation.key(), claim.executor(), claim.number()));
+        self.answer()
+    }
+
+    async fn complete(
+        &self,
+        operation: OperationId,
+        claim: ClaimId,
+        completion: Completion,
+    ) -> CompletionAnswer {
+        let kind = match completion {
+            Completion::Ran(kept) => format!("ran {}", kept.status),
+            other => format!("{other:?}"),
+        };
+        self.note(format!("complete {} by {}: {kind}", operation.key(), claim.executor()));
+        CompletionAnswer::Recorded
+    }
+
+    async fn close(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        self.note(format!("close {} by {}", operation.key(), claim.executor()));
+        self.answer()
+    }
+
+    async fn lookup(&self, operation: OperationId) -> Option<ClaimAnswer> {
+        (operation.key().as_str() == "held").then(|| self.answer())
+    }
+
+    async fn issue(&self) -> Option<Session> {
+        Some(self.session.clone())
+    }
+
+    async fn changes(&self, after: Revision) -> Changes {
+        self.note(format!("changes after {after}"));
+        self.changes.clone()
+    }
+
+    async fn push(&self, from: &PeerId, changes: Changes) {
+        self.note(format!("push from {} of {}", from.vm, changes.values.len()));
+    }
+
+    async fn handoff(&self, from: &PeerId, ledger: SealedLedger) -> bool {
+        self.note(format!("handoff from {}: {}", from.vm, ledger.sessions.len()));
+        true
+    }
+}
+
+struct Setup {
+    config: PeerConfig,
+    fake: Rc<Fake>,
+    endpoint: Endpoint,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Setup {
+    async fn new() -> Self {
+        Self::with_config(PeerConfig::new()).await
+    }
+
+    async fn with_config(config: PeerConfig) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = Endpoint::new(listener.local_addr().unwrap());
+        let fake = Rc::new(Fake {
+            answer: RefCell::new(ClaimAnswer::Granted),
+            changes: changes(),
+            session: operation("k").session().clone(),
+            calls: RefCell::default(),
+            refused: Cell::new(0),
+            hangs: Cell::new(false),
+        });
+        let own = PeerId::new(VmId::new("server").unwrap(), Incarnation::new(1));
+        let handler = Rc::clone(&fake);
+        let server = PeerServer::new(listener, key(b'k'), own, config.clone(), handler);
+        let server = tokio::task::spawn_local(server.serve());
+        Self { config, fake, endpoint, server }
+    }
+
+    async fn connect(&self, key: &PeerKey) -> Result<PeerClient, PeerError> {
+        PeerClient::connect(self.endpoint, key, &client_id(), &self.config).await
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn key(byte: u8) -> PeerKey {
+    PeerKey::new(&[byte; 32]).unwrap()
+}
+
+fn client_id() -> PeerId {
+    PeerId::new(VmId::new("client").unwrap(), Incarnation::new(2))
+}
+
+fn operation(key: &str) -> OperationId {
+    let vm = VmId::new("server").unwrap();
+    let secret = Secret::new([1; 32]);
+    let mut issuer = Issuer::new(vm, Incarnation::new(1), secret, OnceConfig::new());
+    OperationId::new(issuer.issue(Mono::ZERO), IdempotencyKey::new(key).unwrap())
+}
+
+fn changes() -> Changes {
+    let value = ValueChange {
+        name: "rules".to_owned(),
+        revision: Revision::new(7),
+        content: b"[default]".to_vec(),
+    };
+    Changes { revision: Revision::new(8), values: vec![value] }
+}
+
+fn kept() -> Arc<KeptAnswer> {
+    let header = HeaderField { name: "x".to_owned(), value: vec![0xff, 0x00] };
+    Arc::new(KeptAnswer { status: 201, headers: vec![header], body: b"order 1".to_vec() })
+}
+
+fn heartbeat() -> Heartbeat {
+    let target = TargetId::new("t1").unwrap();
+    Heartbeat {
+        state: PeerState::Leaving,
+        seen_revision: Revision::new(9),
+        synced_revision: Revision::new(8),
+        restart_safe: true,
+        loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
+    }
+}
+
+#[test]
+fn every_call_carries_its_message_there_and_back() {
+    run(async {
+        let setup = Setup::new().await;
+        let client = setup.connect(&key(b'k')).await.unwrap();
+        assert_eq!("server", client.peer().vm.as_str());
+        assert_eq!(heartbeat(), client.heartbeat(&heartbeat()).await.unwrap());
+        assert_eq!(changes(), client.changes(Revision::new(6)).await.unwrap());
+        client.push(&changes()).await.unwrap();
+        assert_eq!(Some(setup.fake.session.clone()), client.issue().await.unwrap());
+        let completions = [
+            Completion::Ran(kept()),
+            Completion::RanUnkept,
+            Completion::NotRun,
+            Completion::MayHaveRun,
+        ];
+        for completion in completions {
+            let actual = client.complete(&operation("k"), 3, &completion).await.unwrap();
+            assert_eq!(CompletionAnswer::Recorded, actual);
+        }
+        insta::assert_snapshot!(setup.fake.calls.borrow().join("\n"));
+    });
+}
+
+#[test]
+fn every_claim_answer_survives_the_wire() {
+    run(async {
+        let setup = Setup::new().await;
+        let client = setup.connect(&key(b'k')).await.unwrap();
+        let answers = [
+            ClaimAnswer::Granted,
+            ClaimAnswer::InProgress,
+            ClaimAnswer::Kept(kept()),
+            ClaimAnswer::Ran,
+            ClaimAnswer::NotRun,
+            ClaimAnswer::MayHaveRun,
+            ClaimAnswer::Full { retry_after: Duration::from_millis(1500) },
+            ClaimAnswer::BadSession,
+        ];
+        for expected in answers {
+            setup.fake.answer.replace(expected.clone());
+            assert_eq!(expected, client.claim(&operation("k"), 1).await.unwrap());
+            assert_eq!(expected, client.close(&operation("k"), 1).await.unwrap());
+            assert_eq!(Some(expected), client.lookup(&operation("held")).await.unwrap());
+        }
+        assert_eq!(None, client.lookup(&operation("other")).await.unwrap());
+    });
+}
+
+#[test]
+fn a_ledger_is_handed_over_by_its_own_issuer_only() {
+    run(async {
+        let setup = Setup::new().await;
+        let client = setup.connect(&key(b'k')).await.unwrap();
+        let sealed = |vm: &str| {
+            let vm = VmId::new(vm).unwrap();
+            let secret = Secret::new([1; 32]);
+            let issuer = Issuer::new(vm, Incarnation::new(2), secret, OnceConfig::new());
+            issuer.drain(Mono::ZERO).seal(Mono::ZERO)
+        };
+        assert!(client.handoff(&sealed("client")).await.unwrap());
+        assert!(!client.handoff(&sealed("server")).await.unwrap());
+        assert_eq!(vec!["handoff from client: 0"], *setup.fake.calls.borrow());
+    });
+}
+
+/// A VM of another system, or a stranger on the network, connects to the peer port. Without the
+/// shared key it must reach no function; neither side may take the other for a peer.
+#[test]
+fn a_wrong_key_is_refused_by_either_side() {
+    run(async {
+        let setup = Setup::new().await;
+        let actual = setup.connect(&key(b'x')).await.unwrap_err();
+        assert_eq!(PeerError::Refused, actual);
+        assert!(setup.fake.calls.borrow().is_empty());
+        setup.connect(&key(b'k')).await.unwrap();
+    });
+}
+
+/// A peer is paused or cut off after it received a claim: the caller's entry must be told soon,
+/// as its caller waits.
+#[test]
+fn a_peer_that_does_not_answer_times_out_and_a_lost_one_is_unreachable() {
+    run(async {
+        let call_timeout = Duration::from_millis(50);
+        let setup = Setup::with_config(PeerConfig { call_timeout, ..PeerConfig::new() }).await;
+        let client = setup.connect(&key(b'k')).await.unwrap();
+        setup.fake.hangs.set(true);
+        let actual = client.claim(&operation("k"), 1).await.unwrap_err();
+        assert_eq!(PeerError::TimedOut, actual);
+        setup.server.abort();
+        let actual = client.heartbeat(&heartbeat()).await.unwrap_err();
+        assert!(matches!(actual, PeerError::Unreachable(_)), "{actual:?}");
+        assert!(client.is_closed());
+        let actual = setup.connect(&key(b'k')).await.unwrap_err();
+        assert!(matches!(actual, PeerError::Unreachable(_)), "{actual:?}");
+    });
+}
+
+/// Strangers open connections and never prove a key, or send rubbish or a huge message. Each is
+/// cut by the server, and a peer can still connect.
+#[test]
+fn strangers_are_cut_and_do_not_keep_peers_out() {
+    run(async {
+        let config = PeerConfig {
+            handshake_timeout: Duration::from_millis(200),
+            connections_max: 4,
+            unproven_max: Bytes::new(1024),
+            ..PeerConfig::new()
+        };
+        let setup = Setup::with_config(config).await;
+        let huge_message = [&[0, 0, 0, 0, 0, 0, 1, 0][..], &[0; 4096]].concat();
+        for hostile in
+            [Vec::new(), vec![0xff; 64], b"GET / HTTP/1.1\r\n\r\n".to_vec(), huge_message]
+        {
+            let mut stream = TcpStream::connect(setup.endpoint.address()).await.unwrap();
+            stream.write_all(&hostile).await.unwrap();
+            let mut answer = Vec::new();
+            let end = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut answer));
+            assert!(end.await.is_ok(), "not cut after {} bytes", hostile.len());
+        }
+        setup.connect(&key(b'k')).await.unwrap();
+        assert!(setup.fake.calls.borrow().is_empty());
+    });
+}
+
+#[test]
+fn connections_are_bounded() {
+    run(async {
+        let setup =
+            Setup::with_config(PeerConfig { connections_max: 1, ..PeerConfig::new() }).await;
+        let first = setup.connect(&key(b'k')).await.unwrap();
+        let actual = setup.connect(&key(b'k')).await.unwrap_err();
+        assert!(matches!(actual, PeerError::Unreachable(_)), "{actual:?}");
+        first.heartbeat(&heartbeat()).await.unwrap();
+    });
+}
+
+#[test]
+fn a_short_key_is_refused() {
+    assert!(PeerKey::new(b"0123456789abcde\n").is_err());
+    assert!(PeerKey::new(b"0123456789abcdef\n").is_ok());
+}
