feat(standin): stand-ins for the platform, a target and a caller

Tests, the demo and the measurements need what surrounds the system, able to fail in every way that the users name.

Platform: values under one revision counter, long poll, ETag, compare-and-set for operators, replicas on ports of their own that can be down, hanging, stale or in conflict, roll back, delayed publishing, calls counted by source and in windows of a second. Target: slots, queue, connection and probe cost, load reports that can lie or lag, runs by idempotency key and mark, probes, what arrives after draining began; cuts at a byte of the answer or request. Caller: keeps address answers as told, stays with a keyed call's session and resends only where a second run is impossible.

--- /dev/null
+++ b/crates/standin/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! Listening sockets whose connections can be cut on request.
+
+mod acceptor;
+mod connection;
+mod faults;
+
+pub use acceptor::{ConnectionCost, FaultyAcceptor};
+pub use connection::FaultyConnection;
+pub use faults::{ConnectionCounts, ConnectionFaults, ConnectionState};
