feat(platform,rules): reader of the platform and the rule list

- platform: trait Platform with HttpPlatform (no redirects, proxies or library retries; calls spaced evenly rather than from a token bucket, which would burst after a pause; next replica after a failure; caps on a list and on an answer), pure Backoff, checked target and VM lists.
- rules: INI sections in order, every error at once, time zones from the tables built into the program so that every entry and shallotctl agree, hysteresis for load conditions, explain.

Properties run: any text parses the same way twice without a panic (1000 cases), explain agrees with decide (500), backoff stays in its bounds.

--- /dev/null
+++ b/crates/platform/src/http_platform.rs
@@ -0,0 +1,165 @@
+//! The platform over HTTP.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use reqwest::{Client, RequestBuilder, Response, StatusCode, redirect, retry};
+use shallotfork_types::{Bytes, Endpoint, ListName, Revision};
+
+use crate::call_limit::CallLimit;
+use crate::wire::ChangesJson;
+use crate::{
+    Changes, HttpPlatformConfig, Platform, PlatformError, PlatformErrorKind, PublishedList,
+};
+
+/// Header that names the revision of a single value.
+const REVISION_HEADER: &str = "Shallotfork-Revision";
+
+/// Reads the platform's replicas over HTTP, one after another when they fail.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    client: Client,
+    config: HttpPlatformConfig,
+    limit: CallLimit,
+    current: AtomicUsize,
+}
+
+impl HttpPlatform {
+    /// A client that asks the first replica first.
+    ///
+    /// # Errors
+    /// When the HTTP library cannot be set up.
+    pub fn new(config: HttpPlatformConfig) -> Result<Self, reqwest::Error> {
+        // The library would follow redirects to elsewhere, read proxies from the environment and
+        // call again on its own, which the cap on calls would not see.
+        let client = Client::builder()
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .no_proxy()
+            .build()?;
+        let limit = CallLimit::new(config.calls);
+        Ok(Self { client, config, limit, current: AtomicUsize::new(0) })
+    }
+
+    /// Begins with another replica, so that entries spread over them.
+    #[must_use]
+    pub fn with_first_replica(self, index: usize) -> Self {
+        self.current.store(index, Ordering::Relaxed);
+        self
+    }
+
+    fn replica(&self) -> Endpoint {
+        let index = self.current.load(Ordering::Relaxed) % self.config.replicas.len().max(1);
+        let unreachable = Endpoint::new(([0, 0, 0, 0], 0).into());
+        self.config.replicas.get(index).copied().unwrap_or(unreachable)
+    }
+
+    /// Makes one call; after a failure the next call goes to the next replica.
+    async fn call(&self, path: &str, wait: Duration) -> Result<Answer, PlatformError> {
+        self.limit.ready().await;
+        let replica = self.replica();
+        let request = self.client.get(format!("http://{replica}{path}"));
+        let timeout = self.config.timeout.saturating_add(wait);
+        let call = tokio::time::timeout(timeout, self.exchange(request));
+        let answer = call.await.unwrap_or(Err(PlatformErrorKind::Timeout));
+        match answer {
+            Ok(answer) => Ok(Answer { replica, ..answer }),
+            Err(kind) => Err(self.fail(replica, kind)),
+        }
+    }
+
+    async fn exchange(&self, request: RequestBuilder) -> Result<Answer, PlatformErrorKind> {
+        let response = request.send().await.map_err(unreachable)?;
+        let status = response.status();
+        let revision = revision_of(&response);
+        let body = self.body(response).await?;
+        Ok(Answer { replica: self.replica(), status, revision, body })
+    }
+
+    async fn body(&self, mut response: Response) -> Result<Vec<u8>, PlatformErrorKind> {
+        let limit = self.config.answer_max;
+        let mut body = Vec::new();
+        while let Some(chunk) = response.chunk().await.map_err(unreachable)? {
+            let size = Bytes::new((body.len() + chunk.len()) as u64);
+            if size > limit {
+                return Err(PlatformErrorKind::TooLarge(limit));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body)
+    }
+
+    fn fail(&self, replica: Endpoint, kind: PlatformErrorKind) -> PlatformError {
+        self.current.fetch_add(1, Ordering::Relaxed);
+        PlatformError { replica, kind }
+    }
+
+    fn check_size(&self, list: &PublishedList) -> Result<(), PlatformErrorKind> {
+        let limit = self.config.list_max;
+        if Bytes::new(list.content.len() as u64) > limit {
+            return Err(PlatformErrorKind::TooLarge(limit));
+        }
+        Ok(())
+    }
+
+    fn changes_of(&self, answer: &Answer) -> Result<Changes, PlatformErrorKind> {
+        if answer.status != StatusCode::OK {
+            return Err(PlatformErrorKind::Status(answer.status.as_u16()));
+        }
+        let json: ChangesJson = serde_json::from_slice(&answer.body)
+            .map_err(|error| PlatformErrorKind::Malformed(error.to_string()))?;
+        let changes = json.into_changes(answer.replica).map_err(PlatformErrorKind::Malformed)?;
+        changes.lists.iter().try_for_each(|list| self.check_size(list))?;
+        Ok(changes)
+    }
+
+    fn list_of(
+        &self,
+        name: &ListName,
+        answer: Answer,
+    ) -> Result<Option<PublishedList>, PlatformErrorKind> {
+        match answer.status {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => return Ok(None),
+            status => return Err(PlatformErrorKind::Status(status.as_u16())),
+        }
+        let malformed = |reason: &str| PlatformErrorKind::Malformed(reason.to_owned());
+        let revision = answer.revision.ok_or_else(|| malformed("no revision"))?;
+        let content = String::from_utf8(answer.body).map_err(|_| malformed("not UTF-8"))?;
+        let list = PublishedList { name: name.clone(), revision, content };
+        self.check_size(&list)?;
+        Ok(Some(list))
+    }
+}
+
+#[async_trait]
+impl Platform for HttpPlatform {
+    async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, PlatformError> {
+        let path = format!("/v1/changes?after={after}&wait_ms={}", wait.as_millis());
+        let answer = self.call(&path, wait).await?;
+        self.changes_of(&answer).map_err(|kind| self.fail(answer.replica, kind))
+    }
+
+    async fn read(&self, name: &ListName) -> Result<Option<PublishedList>, PlatformError> {
+        let answer = self.call(&format!("/v1/values/{name}"), Duration::ZERO).await?;
+        let replica = answer.replica;
+        self.list_of(name, answer).map_err(|kind| self.fail(replica, kind))
+    }
+}
+
+/// A whole answer of one replica.
+struct Answer {
+    replica: Endpoint,
+    status: StatusCode,
+    revision: Option<Revision>,
+    body: Vec<u8>,
+}
+
+fn unreachable(error: reqwest::Error) -> PlatformErrorKind {
+    PlatformErrorKind::Unreachable(error.without_url().to_string())
+}
+
+fn revision_of(response: &Response) -> Option<Revision> {
+    response.headers().get(REVISION_HEADER)?.to_str().ok()?.parse().ok()
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,1 +1,29 @@
-//! Not built yet.
+//! The rule list: which outcome applies to which request.
+//!
+//! Rules stand in order and the first whose conditions all hold decides. Parsing is deterministic:
+//! the same text gives the same list or the same errors on every machine, so that a list that
+//! `shallotctl check` accepts is accepted by every entry. Nothing here does I/O or reads a clock.
+
+mod condition;
+mod days;
+mod described;
+mod explanation;
+mod latches;
+mod outcome;
+mod parser;
+mod rule;
+mod rule_error;
+mod rule_list;
+mod section_reader;
+mod time_range;
+
+pub use condition::Condition;
+pub use days::Days;
+pub use described::Described;
+pub use explanation::{Explanation, RuleTrace, Unmet};
+pub use latches::Latches;
+pub use outcome::{Outcome, Priority, Refusal};
+pub use rule::{Rule, RuleName};
+pub use rule_error::RuleError;
+pub use rule_list::{Decided, RuleList};
+pub use time_range::TimeRange;
--- /dev/null
+++ b/crates/rules/src/rule_error.rs
@@ -0,0 +1,46 @@
+//! The error for a rule list.
+
+use std::error::Error;
+use std::fmt;
+
+use shallotfork_ini::IniError;
+
+/// When a rule list cannot take effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RuleError {
+    /// Line in the text, from 1.
+    pub line: usize,
+    /// Name of the rule; empty when the error is not within one.
+    pub rule: String,
+    /// Key; empty when the error concerns the rule as a whole.
+    pub key: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl RuleError {
+    pub(crate) fn new(line: usize, rule: &str, key: &str, reason: impl fmt::Display) -> Self {
+        Self { line, rule: rule.into(), key: key.into(), reason: reason.to_string() }
+    }
+}
+
+impl From<IniError> for RuleError {
+    fn from(error: IniError) -> Self {
+        Self::new(error.line, "", "", error.reason)
+    }
+}
+
+impl fmt::Display for RuleError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: ", self.line)?;
+        if !self.rule.is_empty() {
+            write!(f, "[{}] ", self.rule)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.reason)
+    }
+}
+
+impl Error for RuleError {}
--- /dev/null
+++ b/crates/rules/src/rule_list.rs
@@ -0,0 +1,79 @@
+//! The rules in order.
+
+use crate::parser;
+use crate::{Described, Explanation, Latches, Outcome, Rule, RuleError, RuleName, RuleTrace};
+
+/// A checked list: rules with conditions, then one without that decides whatever reaches it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RuleList {
+    conditional: Vec<Rule>,
+    fallback: Rule,
+}
+
+/// Which rule decides a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decided<'a> {
+    /// Name of the rule.
+    pub rule_name: &'a RuleName,
+    /// What applies.
+    pub outcome: &'a Outcome,
+}
+
+impl RuleList {
+    /// Reads a list from INI text.
+    ///
+    /// # Errors
+    /// Everything that is wrong, in the order of the text.
+    pub fn parse(text: &str) -> Result<Self, Vec<RuleError>> {
+        parser::parse(text)
+    }
+
+    pub(crate) fn new(conditional: Vec<Rule>, fallback: Rule) -> Self {
+        Self { conditional, fallback }
+    }
+
+    /// Number of rules.
+    pub fn rule_count(&self) -> usize {
+        self.conditional.len() + 1
+    }
+
+    /// Every rule in order.
+    pub fn rules(&self) -> impl Iterator<Item = &Rule> {
+        self.conditional.iter().chain([&self.fallback])
+    }
+
+    /// The first rule whose conditions all hold.
+    ///
+    /// `latches` belong to this list and to the request's service; they take in the load first.
+    pub fn decide(&self, described: &Described, latches: &mut Latches) -> Decided<'_> {
+        latches.observe(&self.conditional, described.load);
+        let decides = |(index, rule): &(usize, &Rule)| {
+            let latch = latches.of(*index);
+            rule.conditions.iter().all(|condition| condition.holds(described, latch))
+        };
+        let found = self.conditional.iter().enumerate().find(decides);
+        let rule = found.map_or(&self.fallback, |(_, rule)| rule);
+        Decided { rule_name: &rule.name, outcome: &rule.outcome }
+    }
+
+    /// Each rule in turn, which of its conditions do not hold, and which rule decides.
+    pub fn explain(&self, described: &Described, latches: &mut Latches) -> Explanation {
+        latches.observe(&self.conditional, described.load);
+        let mut rules = Vec::new();
+        for (index, rule) in self.rules().enumerate() {
+            let latch = latches.of(index);
+            let failed = rule.conditions.iter().filter(|c| !c.holds(described, latch));
+            let unmet: Vec<_> = failed.map(|condition| condition.unmet(described)).collect();
+            let decides = unmet.is_empty();
+            rules.push(RuleTrace { name: rule.name.clone(), line: rule.line, unmet });
+            if decides {
+                return explanation(rules, rule);
+            }
+        }
+        explanation(rules, &self.fallback)
+    }
+}
+
+fn explanation(rules: Vec<RuleTrace>, decider: &Rule) -> Explanation {
+    Explanation { rules, decided: decider.name.clone(), outcome: decider.outcome.clone() }
+}
