feat(shallotd): wire the thin whole path

Cause: the libraries stood without a process that joins them. Change: control thread (platform watch, lists, membership, heartbeats, local ledger), traffic (entries, rules, pool, attempts with hedges, operations), operators' port, planned stop.

--- /dev/null
+++ b/crates/shallotd/src/control/ledger.rs
@@ -0,0 +1,139 @@
+//! Sessions issued here and the sealed ledgers of entries that left.
+
+use shallotfork_once::{
+    Archive, ClaimAnswer, ClaimId, Completion, CompletionAnswer, Draining, Issuer, OnceConfig,
+    Open, OperationId, SealedLedger, Session,
+};
+use shallotfork_types::Mono;
+use shallotfork_types::report::SessionStatus;
+
+/// The issuer in one of its states.
+enum Issuing {
+    Open(Issuer<Open>),
+    Draining(Issuer<Draining>),
+    Sealed,
+}
+
+/// The ledger of this process and the archive beside it.
+pub struct Ledger {
+    issuing: Issuing,
+    archive: Archive,
+    issued: u64,
+}
+
+impl Ledger {
+    /// A ledger that grants operations.
+    pub fn new(issuer: Issuer<Open>, config: OnceConfig) -> Self {
+        Self { issuing: Issuing::Open(issuer), archive: Archive::new(config), issued: 0 }
+    }
+
+    /// A new session; `None` while leaving.
+    pub fn issue(&mut self, now: Mono) -> Option<Session> {
+        let Issuing::Open(issuer) = &mut self.issuing else { return None };
+        self.issued += 1;
+        Some(issuer.issue(now))
+    }
+
+    /// Whether this process grants nothing any more.
+    pub fn is_leaving(&self) -> bool {
+        !matches!(self.issuing, Issuing::Open(_))
+    }
+
+    /// Grants an operation or says what is known of it.
+    pub fn claim(&mut self, operation: &OperationId, claim: &ClaimId, now: Mono) -> ClaimAnswer {
+        if let Some(answer) = self.archive.lookup(operation) {
+            return answer;
+        }
+        match &mut self.issuing {
+            Issuing::Open(issuer) => issuer.claim(operation, claim, now),
+            Issuing::Draining(issuer) => issuer.claim(operation, now),
+            Issuing::Sealed => ClaimAnswer::MayHaveRun,
+        }
+    }
+
+    /// Makes sure that an operation never runs, unless somebody else was granted it.
+    pub fn close(&mut self, operation: &OperationId, claim: &ClaimId, now: Mono) -> ClaimAnswer {
+        match &mut self.issuing {
+            Issuing::Open(issuer) => issuer.close(operation, claim, now),
+            Issuing::Draining(issuer) => issuer.close(operation, claim, now),
+            Issuing::Sealed => ClaimAnswer::MayHaveRun,
+        }
+    }
+
+    /// Records how an operation ended.
+    pub fn complete(
+        &mut self,
+        operation: &OperationId,
+        claim: &ClaimId,
+        completion: Completion,
+        now: Mono,
+    ) -> CompletionAnswer {
+        match &mut self.issuing {
+            Issuing::Open(issuer) => issuer.complete(operation, claim, completion, now),
+            Issuing::Draining(issuer) => issuer.complete(operation, claim, completion, now),
+            Issuing::Sealed => CompletionAnswer::Ignored,
+        }
+    }
+
+    /// Stops granting.
+    pub fn drain(&mut self, now: Mono) {
+        let issuing = std::mem::replace(&mut self.issuing, Issuing::Sealed);
+        self.issuing = match issuing {
+            Issuing::Open(issuer) => Issuing::Draining(issuer.drain(now)),
+            other => other,
+        };
+    }
+
+    /// Fixes the ledger for good; `None` when it was fixed before.
+    pub fn seal(&mut self, now: Mono) -> Option<SealedLedger> {
+        self.drain(now);
+        match std::mem::replace(&mut self.issuing, Issuing::Sealed) {
+            Issuing::Draining(issuer) => Some(issuer.seal(now)),
+            _ => None,
+        }
+    }
+
+    /// Number of operations that were granted and have not ended.
+    pub fn running(&self) -> usize {
+        match &self.issuing {
+            Issuing::Open(issuer) => issuer.running(),
+            Issuing::Draining(issuer) => issuer.running(),
+            Issuing::Sealed => 0,
+        }
+    }
+
+    /// Keeps the sealed ledger of an entry that leaves.
+    pub fn keep(&mut self, ledger: SealedLedger, now: Mono) -> bool {
+        self.archive.add(ledger, now)
+    }
+
+    /// What a sealed ledger says of an operation; `None` when none of its issuer is held.
+    pub fn lookup(&self, operation: &OperationId) -> Option<ClaimAnswer> {
+        self.archive.lookup(operation)
+    }
+
+    /// Forgets sessions and sealed ledgers that have ended.
+    pub fn expire(&mut self, now: Mono) {
+        self.archive.expire(now);
+        match &mut self.issuing {
+            Issuing::Open(issuer) => issuer.expire(now),
+            Issuing::Draining(issuer) => issuer.expire(now),
+            Issuing::Sealed => {}
+        }
+    }
+
+    /// What operators see.
+    pub fn status(&self) -> SessionStatus {
+        let (operations, kept_bytes) = match &self.issuing {
+            Issuing::Open(issuer) => (issuer.operations(), issuer.kept_bytes()),
+            Issuing::Draining(issuer) => (issuer.operations(), issuer.kept_bytes()),
+            Issuing::Sealed => (0, 0),
+        };
+        SessionStatus {
+            issued: self.issued,
+            operations: operations as u64,
+            kept_bytes,
+            sealed_ledgers: self.archive.len() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotd/src/control/lists.rs
@@ -0,0 +1,169 @@
+//! Published lists: which version of each is in force, checked and in typed form.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use shallotfork_events::{
+    Event, LIST_ACCEPTED, LIST_CONFLICT, LIST_INVALID, LIST_LOWER, event, slog::Logger,
+};
+use shallotfork_platform::{PublishedList, TargetInfo, VmInfo, parse_targets, parse_vms};
+use shallotfork_revisions::{Cursor, Kept, Offer, Offered, Tracker, Version};
+use shallotfork_rules::RuleList;
+use shallotfork_types::report::{AuditChange, AuditOutcome, ListStatus};
+use shallotfork_types::{ListName, Mono, Revision, ServiceName};
+
+/// A list in force, with its text for peers that ask.
+#[derive(Debug, Clone)]
+pub struct ListInForce {
+    /// The list as published.
+    pub published: PublishedList,
+    /// When it came into force here.
+    pub since: Mono,
+}
+
+/// The lists in force.
+#[derive(Debug, Default)]
+pub struct Lists {
+    tracker: Tracker,
+    /// From which revision the platform is watched.
+    pub cursor: Cursor,
+    in_force: BTreeMap<ListName, ListInForce>,
+    /// The rule list.
+    pub rules: Option<Arc<RuleList>>,
+    /// Targets by service.
+    pub targets: BTreeMap<ServiceName, Vec<TargetInfo>>,
+    /// The entry VMs with the revision of their list.
+    pub vms: Option<(Revision, Vec<VmInfo>)>,
+}
+
+/// A list in typed form.
+enum Checked {
+    Rules(RuleList),
+    Targets(ServiceName, Vec<TargetInfo>),
+    Vms(Vec<VmInfo>),
+}
+
+/// What became of one offered list.
+pub struct Taken {
+    /// Whether it is in force now.
+    pub changed: bool,
+    /// The line for the trail of changes; `None` when the list was known already.
+    pub audit: Option<AuditChange>,
+}
+
+impl Lists {
+    /// Offers a list that the platform or a peer sent.
+    pub fn take(
+        &mut self,
+        published: PublishedList,
+        source: &str,
+        now: Mono,
+        log: &Logger,
+    ) -> Taken {
+        let version = Version::new(published.revision, published.content.as_bytes());
+        let name = published.name.clone();
+        if self.tracker.is_known(&name, &version) {
+            return Taken { changed: false, audit: None };
+        }
+        let from = self.tracker.in_force(&name).map(|version| version.revision);
+        let checked = check(&published);
+        let offered = Offered { name, version, valid: checked.is_ok() };
+        let offer = self.tracker.offer(&offered);
+        let reason = checked.as_ref().err().cloned().unwrap_or_default();
+        report(log, offer, &offered, source, &reason);
+        if let (true, Ok(checked)) = (offer.takes_effect(), checked) {
+            self.put_in_force(published, checked, now);
+        }
+        let audit = outcome(offer).map(|outcome| AuditChange {
+            at: jiff::Timestamp::now().to_string(),
+            list: offered.name,
+            from_revision: from,
+            to_revision: offered.version.revision,
+            digest: offered.version.digest.to_string(),
+            outcome,
+            source: source.to_owned(),
+        });
+        Taken { changed: offer.takes_effect(), audit }
+    }
+
+    fn put_in_force(&mut self, published: PublishedList, checked: Checked, now: Mono) {
+        match checked {
+            Checked::Rules(rules) => self.rules = Some(Arc::new(rules)),
+            Checked::Targets(service, targets) => {
+                self.targets.insert(service, targets);
+            }
+            Checked::Vms(vms) => self.vms = Some((published.revision, vms)),
+        }
+        let name = published.name.clone();
+        self.in_force.insert(name, ListInForce { published, since: now });
+    }
+
+    /// Lists in force that are newer than `after`, for a peer.
+    pub fn newer_than(&self, after: Revision) -> Vec<PublishedList> {
+        let lists = self.in_force.values().map(|list| &list.published);
+        lists.filter(|list| list.revision > after).cloned().collect()
+    }
+
+    /// What operators see of each list.
+    pub fn status(&self, now: Mono) -> Vec<ListStatus> {
+        let status = |(name, version): (&ListName, Version)| ListStatus {
+            name: name.clone(),
+            revision: version.revision,
+            digest: version.digest.to_string(),
+            in_force_ms: self.in_force_ms(name, now),
+            refused_revision: self.tracker.refused(name).map(|refused| refused.revision),
+        };
+        self.tracker.all_in_force().map(status).collect()
+    }
+
+    fn in_force_ms(&self, name: &ListName, now: Mono) -> u64 {
+        let since = self.in_force.get(name).map_or(now, |list| list.since);
+        u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+fn check(published: &PublishedList) -> Result<Checked, String> {
+    match &published.name {
+        ListName::Rules => match RuleList::parse(&published.content) {
+            Ok(rules) => Ok(Checked::Rules(rules)),
+            Err(errors) => {
+                let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                Err(lines.join("; "))
+            }
+        },
+        ListName::Targets(service) => parse_targets(service, &published.content)
+            .map(|targets| Checked::Targets(service.clone(), targets))
+            .map_err(|error| error.to_string()),
+        ListName::Vms => {
+            parse_vms(&published.content).map(Checked::Vms).map_err(|error| error.to_string())
+        }
+    }
+}
+
+fn outcome(offer: Offer) -> Option<AuditOutcome> {
+    match offer {
+        Offer::Accept { .. } => Some(AuditOutcome::Accepted),
+        Offer::Same => None,
+        Offer::Lower { .. } => Some(AuditOutcome::Lower),
+        Offer::Invalid { .. } => Some(AuditOutcome::Invalid),
+        Offer::Conflict { kept: Kept::Offered } => Some(AuditOutcome::ConflictAccepted),
+        Offer::Conflict { kept: Kept::InForce } => Some(AuditOutcome::ConflictRefused),
+    }
+}
+
+fn report(log: &Logger, offer: Offer, offered: &Offered, source: &str, reason: &str) {
+    let event: Event = match offer {
+        Offer::Same => return,
+        Offer::Accept { .. } => LIST_ACCEPTED,
+        Offer::Lower { .. } => LIST_LOWER,
+        Offer::Invalid { .. } => LIST_INVALID,
+        Offer::Conflict { .. } => LIST_CONFLICT,
+    };
+    event!(
+        log, event,
+        "list" => offered.name.to_string(),
+        "revision" => offered.version.revision.value(),
+        "source" => source.to_owned(),
+        "reason" => reason.to_owned(),
+    );
+}
--- /dev/null
+++ b/crates/shallotd/src/control/mod.rs
@@ -0,0 +1,17 @@
+//! The control thread: published lists, membership, the ledger and calls between entries.
+
+mod audit;
+mod command;
+mod ledger;
+mod lists;
+mod members;
+mod peer_calls;
+mod peers;
+mod publish;
+mod report;
+mod state;
+mod thread;
+mod watch;
+
+pub use command::ControlHandle;
+pub use thread::{ControlParts, start};
--- /dev/null
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -0,0 +1,99 @@
+//! What this process does when another entry calls it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use shallotfork_events::{PEER_REFUSED, event};
+use shallotfork_once::{
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, SealedLedger, Session,
+};
+use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId, ValueChange};
+use shallotfork_platform::PublishedList;
+use shallotfork_types::{ListName, Revision};
+
+use crate::control::members::{heard, own_heartbeat};
+use crate::control::state::State;
+use crate::control::watch::take_lists;
+
+/// Answers calls of entries that have proved the shared key.
+pub struct PeerCalls {
+    state: Rc<State>,
+}
+
+impl PeerCalls {
+    /// Answers from this state.
+    pub fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl PeerHandler for PeerCalls {
+    fn refused(&self, from: SocketAddr) {
+        event!(self.state.context.log, PEER_REFUSED, "from" => from.to_string());
+    }
+
+    async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
+        heard(&self.state, from, &beat);
+        own_heartbeat(&self.state)
+    }
+
+    async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().claim(&operation, &claim, now)
+    }
+
+    async fn complete(
+        &self,
+        operation: OperationId,
+        claim: ClaimId,
+        completion: Completion,
+    ) -> CompletionAnswer {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().complete(&operation, &claim, completion, now)
+    }
+
+    async fn close(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().close(&operation, &claim, now)
+    }
+
+    async fn lookup(&self, operation: OperationId) -> Option<ClaimAnswer> {
+        self.state.ledger.borrow().lookup(&operation)
+    }
+
+    async fn issue(&self) -> Option<Session> {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().issue(now)
+    }
+
+    async fn changes(&self, after: Revision) -> Changes {
+        let lists = self.state.lists.borrow();
+        let values = lists.newer_than(after).into_iter().map(value_change).collect();
+        Changes { revision: lists.cursor.highest(), values }
+    }
+
+    async fn push(&self, from: &PeerId, changes: Changes) {
+        let lists = changes.values.into_iter().filter_map(published).collect();
+        take_lists(&self.state, lists, &format!("peer {}", from.vm));
+    }
+
+    async fn handoff(&self, _from: &PeerId, ledger: SealedLedger) -> bool {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().keep(ledger, now)
+    }
+}
+
+fn value_change(list: PublishedList) -> ValueChange {
+    ValueChange {
+        name: list.name.to_string(),
+        revision: list.revision,
+        content: list.content.into_bytes(),
+    }
+}
+
+/// A peer's value as a published list; `None` for names or texts that this version cannot read.
+pub fn published(change: ValueChange) -> Option<PublishedList> {
+    let name: ListName = change.name.parse().ok()?;
+    let content = String::from_utf8(change.content).ok()?;
+    Some(PublishedList { name, revision: change.revision, content })
+}
--- /dev/null
+++ b/crates/shallotd/src/control/report.rs
@@ -0,0 +1,67 @@
+//! What operators see of this process.
+
+use shallotfork_platform::TargetInfo;
+use shallotfork_types::report::{
+    AuditReport, BudgetStatus, EntryStatus, LifeCycleState, StatusReport, TargetStatus,
+};
+
+use crate::control::state::State;
+use crate::snapshot::Service;
+
+/// The state as it is now.
+pub fn status(state: &State) -> StatusReport {
+    let context = &state.context;
+    let snapshot = context.snapshot();
+    let now = context.clock.now();
+    let targets = snapshot.services.values().flat_map(|service| targets(service)).collect();
+    let entries = snapshot.entries.iter().map(|entry| EntryStatus {
+        vm: entry.vm.clone(),
+        failure_domain: entry.failure_domain.clone(),
+        callers: entry.callers,
+        state: entry.state.to_string(),
+    });
+    let lists = state.lists.borrow();
+    StatusReport {
+        vm: context.identity.vm.clone(),
+        incarnation: context.identity.incarnation,
+        state: life_cycle(state),
+        synced_revision: lists.cursor.after(),
+        lists: lists.status(now),
+        targets,
+        sessions: state.ledger.borrow().status(),
+        budgets: BudgetStatus::default(),
+        entries: entries.collect(),
+    }
+}
+
+/// The trail of changes.
+pub fn audit(state: &State) -> AuditReport {
+    let vm = state.context.identity.vm.clone();
+    AuditReport { vm, changes: state.audit.borrow().changes() }
+}
+
+fn life_cycle(state: &State) -> LifeCycleState {
+    if state.context.snapshot().leaving {
+        return LifeCycleState::Leaving;
+    }
+    if *state.ready.borrow() { LifeCycleState::Serving } else { LifeCycleState::Starting }
+}
+
+fn targets(service: &Service) -> Vec<TargetStatus> {
+    let seen = service.pool.status();
+    let status = |target: &TargetInfo| {
+        let found = seen.iter().find(|seen| seen.id == target.id);
+        let ejected = found.is_some_and(|seen| seen.ejected);
+        let published = format!("{:?}", target.state).to_lowercase();
+        TargetStatus {
+            id: target.id.clone(),
+            service: target.service.clone(),
+            state: if ejected { EJECTED.to_owned() } else { published },
+            in_flight: found.map_or(0, |seen| seen.running),
+        }
+    };
+    service.targets.values().map(status).collect()
+}
+
+/// State of a target that is left out for its failures.
+const EJECTED: &str = "ejected";
--- /dev/null
+++ b/crates/shallotd/src/control/state.rs
@@ -0,0 +1,36 @@
+//! The state that only the control thread touches.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use shallotfork_membership::View;
+use shallotfork_types::ServiceName;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::control::audit::AuditTrail;
+use crate::control::ledger::Ledger;
+use crate::control::lists::Lists;
+use crate::control::peers::Peers;
+use crate::traffic::ServicePool;
+
+/// Control state. A borrow never lives across an await, so tasks of the thread can't collide.
+pub struct State {
+    /// Shared with the traffic threads.
+    pub context: Arc<Context>,
+    /// Published lists in force.
+    pub lists: RefCell<Lists>,
+    /// Which entries are alive.
+    pub view: RefCell<View>,
+    /// Sessions issued here, and sealed ledgers of others.
+    pub ledger: RefCell<Ledger>,
+    /// Connections to other entries.
+    pub peers: Peers,
+    /// The trail of changes.
+    pub audit: RefCell<AuditTrail>,
+    /// Pools of the services with published targets.
+    pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
+    /// Whether a rule list is in force.
+    pub ready: watch::Sender<bool>,
+}
--- /dev/null
+++ b/crates/shallotd/src/control/thread.rs
@@ -0,0 +1,207 @@
+//! Starts the control thread and runs its tasks.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::TcpListener as StdListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use shallotfork_membership::{Announcement, ListedVm, View, ViewConfig};
+use shallotfork_once::{Issuer, OnceConfig, Secret};
+use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
+use shallotfork_platform::{HttpPlatform, HttpPlatformConfig};
+use shallotfork_timer::TimerService;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch as watch_channel};
+use tokio::task::LocalSet;
+
+use crate::context::Context;
+use crate::control::audit::AuditTrail;
+use crate::control::command::Command;
+use crate::control::ledger::Ledger;
+use crate::control::lists::Lists;
+use crate::control::members::{heartbeats, tell_leaving, untold_wait};
+use crate::control::peer_calls::PeerCalls;
+use crate::control::peers::Peers;
+use crate::control::state::State;
+use crate::control::watch::watch;
+use crate::control::{publish::publish, report};
+
+/// What the control thread takes over from start-up.
+pub struct ControlParts {
+    /// Shared with the traffic threads.
+    pub context: Arc<Context>,
+    /// Questions of the traffic threads.
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    /// Bound port for other entries.
+    pub peers: StdListener,
+    /// The key that entries prove to each other.
+    pub key: PeerKey,
+    /// Signs the sessions of this incarnation.
+    pub secret: Secret,
+    /// Becomes true when a rule list is in force.
+    pub ready: watch_channel::Sender<bool>,
+}
+
+/// Starts the control thread; it runs until the process ends.
+///
+/// # Errors
+/// When the thread or its runtime cannot be made.
+pub fn start(parts: ControlParts) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let local = LocalSet::new();
+        if let Err(error) = local.block_on(&runtime, run(parts)) {
+            eprintln!("shallotd: control thread ended: {error:#}");
+            std::process::abort();
+        }
+    })?;
+    Ok(())
+}
+
+async fn run(parts: ControlParts) -> Result<()> {
+    let ControlParts { context, commands, peers, key, secret, ready } = parts;
+    let state = Rc::new(state(context, key.clone(), secret, ready));
+    publish(&state);
+    let timer = TimerService::new(state.context.clock);
+    let listener = TcpListener::from_std(peers).context("peers' port")?;
+    let server = PeerServer::new(
+        listener,
+        key,
+        own_id(&state.context),
+        peer_config(&state.context),
+        Rc::new(PeerCalls::new(Rc::clone(&state))),
+    );
+    let platform = HttpPlatform::new(platform_config(&state.context))?;
+    tokio::task::spawn_local(server.serve());
+    tokio::task::spawn_local(watch(Rc::clone(&state), Rc::new(platform)));
+    tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer));
+    answer_commands(state, commands).await;
+    Ok(())
+}
+
+fn state(
+    context: Arc<Context>,
+    key: PeerKey,
+    secret: Secret,
+    ready: watch_channel::Sender<bool>,
+) -> State {
+    let identity = &context.identity;
+    let once = once_config(&context);
+    let issuer = Issuer::new(identity.vm.clone(), identity.incarnation, secret, once.clone());
+    let ledger = Ledger::new(issuer, once);
+    let view_config =
+        ViewConfig { suspect_after: context.settings.peers.suspect_after, ..ViewConfig::default() };
+    let view = View::new(view_config, announcement(&context), context.clock.now());
+    let peers = Peers::new(key, own_id(&context), peer_config(&context));
+    State {
+        lists: RefCell::new(Lists::default()),
+        view: RefCell::new(view),
+        ledger: RefCell::new(ledger),
+        peers,
+        audit: RefCell::new(AuditTrail::default()),
+        pools: RefCell::new(BTreeMap::new()),
+        ready,
+        context,
+    }
+}
+
+fn announcement(context: &Context) -> Announcement {
+    let identity = &context.identity;
+    let listed = ListedVm {
+        vm: identity.vm.clone(),
+        failure_domain: identity.failure_domain.clone(),
+        callers: identity.callers,
+        peers: identity.peers,
+        leaving: false,
+    };
+    Announcement { listed, incarnation: identity.incarnation }
+}
+
+fn own_id(context: &Context) -> PeerId {
+    PeerId::new(context.identity.vm.clone(), context.identity.incarnation)
+}
+
+fn once_config(context: &Context) -> OnceConfig {
+    let once = &context.settings.once;
+    OnceConfig {
+        session_lifetime: once.session_lifetime,
+        operations_max: once.operations_max,
+        kept_total_max: once.kept_bytes_max,
+        kept_answer_max: once.kept_answer_max,
+        ..OnceConfig::default()
+    }
+}
+
+fn peer_config(context: &Context) -> PeerConfig {
+    PeerConfig { call_timeout: context.settings.peers.call_timeout, ..PeerConfig::default() }
+}
+
+fn platform_config(context: &Context) -> HttpPlatformConfig {
+    let platform = &context.settings.platform;
+    HttpPlatformConfig::new(platform.address.clone())
+        .with_calls(platform.calls_per_s)
+        .with_timeout(platform.timeout)
+}
+
+async fn answer_commands(state: Rc<State>, mut commands: mpsc::UnboundedReceiver<Command>) {
+    while let Some(command) = commands.recv().await {
+        answer(&state, command);
+    }
+}
+
+/// Answers one question; a questioner that is gone needs no answer.
+fn answer(state: &Rc<State>, command: Command) {
+    let now = state.context.clock.now();
+    match command {
+        Command::Issue(reply) => {
+            let _gone = reply.send(state.ledger.borrow_mut().issue(now));
+        }
+        Command::Claim(operation, claim, reply) => {
+            let _gone = reply.send(state.ledger.borrow_mut().claim(&operation, &claim, now));
+        }
+        Command::Complete(operation, claim, completion, reply) => {
+            let mut ledger = state.ledger.borrow_mut();
+            let answer = ledger.complete(&operation, &claim, completion, now);
+            let recorded = answer == shallotfork_once::CompletionAnswer::Recorded;
+            let _gone = reply.send(recorded);
+        }
+        Command::Status(reply) => {
+            let _gone = reply.send(report::status(state));
+        }
+        Command::Audit(reply) => {
+            let _gone = reply.send(report::audit(state));
+        }
+        Command::Leave(reply) => {
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                tell_leaving(&state).await;
+                tokio::time::sleep(untold_wait(&state)).await;
+                let _gone = reply.send(());
+            });
+        }
+        Command::Seal(reply) => {
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                seal(&state).await;
+                let _gone = reply.send(());
+            });
+        }
+    }
+}
+
+/// How often the end of running operations is looked for while draining.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+async fn seal(state: &Rc<State>) {
+    let context = &state.context;
+    state.ledger.borrow_mut().drain(context.clock.now());
+    let give_up = context.clock.now().plus(context.settings.leaving.grace_max);
+    while state.ledger.borrow().running() > 0 && context.clock.now() < give_up {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    let _sealed = state.ledger.borrow_mut().seal(context.clock.now());
+}
--- /dev/null
+++ b/crates/shallotd/src/run.rs
@@ -0,0 +1,239 @@
+//! Start-up and shutdown of the process.
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result, bail};
+use arc_swap::ArcSwap;
+use poem::endpoint::make;
+use rand::RngExt;
+use serde::Serialize;
+use shallotfork_events::{LogConfig, logger};
+use shallotfork_exchange::{
+    BodyBudget, Exchange, ExchangeConfig, OpenGate, ServeConfig, ServeControl, serve,
+};
+use shallotfork_once::{SECRET_BYTES, Secret};
+use shallotfork_peer::PeerKey;
+use shallotfork_settings::Settings;
+use shallotfork_timer::{Clock, Schedule, TimerService};
+use shallotfork_types::{Endpoint, Incarnation};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::control::{ControlHandle, ControlParts, start};
+use crate::identity::Identity;
+use crate::leave::leave;
+use crate::lifecycle::Process;
+use crate::operator::operator;
+use crate::snapshot::Snapshot;
+use crate::traffic::{InFlight, front};
+
+/// How often waiting requests are checked against their deadlines.
+const EXPIRY_PERIOD: Duration = Duration::from_millis(5);
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// When the file cannot be read, or every error found in it.
+pub fn load_settings(path: &Path) -> Result<Settings> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    match Settings::parse(&text) {
+        Ok(settings) => Ok(settings),
+        Err(errors) => {
+            let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            bail!("{}:\n{}", path.display(), lines.join("\n"));
+        }
+    }
+}
+
+/// The first line on standard output.
+#[derive(Debug, Serialize)]
+struct ReadyLine {
+    ready: bool,
+    vm: String,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+struct Ports {
+    callers: StdListener,
+    peers: StdListener,
+    operators: StdListener,
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+/// When a port cannot be bound, a key file cannot be read, or a port fails while serving.
+pub fn run(settings: Settings) -> Result<()> {
+    let ports = bind(&settings)?;
+    let identity = identity(&settings, &ports)?;
+    let key = peer_key(&settings)?;
+    print_ready_line(&identity, &ports)?;
+    let log_config =
+        LogConfig { vm: identity.vm.to_string(), incarnation: identity.incarnation.to_string() };
+    let (log, _guard) = logger(&log_config);
+    let process = Process::new(log.clone());
+    let (control, commands) = ControlHandle::new();
+    let clock = Clock::new();
+    let bodies = BodyBudget::new(settings.callers.bodies_total_max);
+    let exchange_config =
+        ExchangeConfig { answer_max: settings.callers.body_max, ..ExchangeConfig::default() };
+    let now = Arc::new(move || clock.now());
+    let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(OpenGate), now)?;
+    let context = Arc::new(Context {
+        settings,
+        identity,
+        clock,
+        log,
+        snapshot: ArcSwap::from_pointee(Snapshot::default()),
+        control,
+        exchange,
+        bodies,
+        in_flight: InFlight::default(),
+        turns: AtomicU64::new(0),
+        claims: AtomicU64::new(0),
+    });
+    let (ready, is_ready) = watch::channel(false);
+    let secret = Secret::new(rand::rng().random::<[u8; SECRET_BYTES]>());
+    let parts = ControlParts {
+        context: Arc::clone(&context),
+        commands,
+        peers: ports.peers,
+        key,
+        secret,
+        ready,
+    };
+    start(parts)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(serve_traffic(context, process, ports.callers, ports.operators, is_ready))
+}
+
+fn bind(settings: &Settings) -> Result<Ports> {
+    let bind = |endpoint: Endpoint, what: &str| -> Result<StdListener> {
+        let listener = StdListener::bind(endpoint.address())
+            .with_context(|| format!("cannot bind the {what}' port {endpoint}"))?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    Ok(Ports {
+        callers: bind(settings.callers.listen, "callers")?,
+        peers: bind(settings.peers.listen, "peers")?,
+        operators: bind(settings.operators.listen, "operators")?,
+    })
+}
+
+fn identity(settings: &Settings, ports: &Ports) -> Result<Identity> {
+    let bound = |listener: &StdListener| listener.local_addr().map(Endpoint::new);
+    Ok(Identity {
+        vm: settings.vm.id.clone(),
+        incarnation: Incarnation::new(rand::rng().random()),
+        failure_domain: settings.vm.failure_domain.clone(),
+        callers: settings.callers.advertise.map_or_else(|| bound(&ports.callers), Ok)?,
+        peers: settings.peers.advertise.map_or_else(|| bound(&ports.peers), Ok)?,
+    })
+}
+
+fn peer_key(settings: &Settings) -> Result<PeerKey> {
+    let path = &settings.peers.key_file;
+    let bytes = std::fs::read(path).with_context(|| path.display().to_string())?;
+    PeerKey::new(&bytes).with_context(|| path.display().to_string())
+}
+
+fn print_ready_line(identity: &Identity, ports: &Ports) -> Result<()> {
+    let line = ReadyLine {
+        ready: true,
+        vm: identity.vm.to_string(),
+        callers: ports.callers.local_addr()?,
+        peers: ports.peers.local_addr()?,
+        operators: ports.operators.local_addr()?,
+    };
+    println!("{}", serde_json::to_string(&line)?);
+    Ok(())
+}
+
+async fn serve_traffic(
+    context: Arc<Context>,
+    process: Process<crate::lifecycle::Starting>,
+    callers: StdListener,
+    operators: StdListener,
+    mut is_ready: watch::Receiver<bool>,
+) -> Result<()> {
+    let mut stop = Stop::new()?;
+    let phase = process.watch();
+    let operator_control = ServeControl::new();
+    let operator_port = serve(
+        TcpListener::from_std(operators)?,
+        operator(Arc::clone(&context), phase),
+        ServeConfig::default(),
+        operator_control.clone(),
+    );
+    tokio::spawn(operator_port);
+    let callers_control = ServeControl::new();
+    let shared = Arc::clone(&context);
+    let endpoint = make(move |request| front(Arc::clone(&shared), request));
+    let port = serve(
+        TcpListener::from_std(callers)?,
+        endpoint,
+        serve_config(&context),
+        callers_control.clone(),
+    );
+    let port = tokio::spawn(port);
+    tokio::spawn(expire_waiting(Arc::clone(&context)));
+    tokio::select! {
+        ready = is_ready.wait_for(|ready| *ready) => drop(ready?),
+        () = stop.asked() => return Ok(()),
+    }
+    let process = process.serve();
+    stop.asked().await;
+    leave(&context, process.leave(), &callers_control).await;
+    let _timed_out = tokio::time::timeout(context.settings.leaving.grace_max, port).await;
+    Ok(())
+}
+
+fn serve_config(context: &Context) -> ServeConfig {
+    let callers = &context.settings.callers;
+    ServeConfig {
+        connections_max: callers.connections_max,
+        header_timeout: callers.header_timeout,
+        ..ServeConfig::default()
+    }
+}
+
+async fn expire_waiting(context: Arc<Context>) {
+    let timer = TimerService::new(context.clock);
+    let mut subscription = timer.subscribe(Schedule::new(EXPIRY_PERIOD));
+    while subscription.tick().await.is_some() {
+        for service in context.snapshot().services.values() {
+            service.pool.expire();
+        }
+    }
+}
+
+/// Signals that ask for a planned stop.
+struct Stop {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+}
+
+impl Stop {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn asked(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotd/src/traffic/entries.rs
@@ -0,0 +1,98 @@
+//! `GET /v1/entries`: which entries a caller should use for a service.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use poem::{IntoResponse, Request, Response, web::Json};
+use serde::{Deserialize, Serialize};
+use shallotfork_balance::GroupSize;
+use shallotfork_exchange::Problem;
+use shallotfork_membership::{EntryVm, Preference, entries_for};
+use shallotfork_types::{Endpoint, FailureDomain, ServiceName, Verdict, VmId};
+
+use crate::context::Context;
+
+const PATH: &str = "/v1/entries";
+
+/// Entries named in an answer: one more than today's three failure domains.
+pub const GROUP_SIZE: u32 = 4;
+
+/// When a caller may ask a starting entry again.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Deserialize)]
+struct Query {
+    service: ServiceName,
+    failure_domain: Option<FailureDomain>,
+}
+
+#[derive(Debug, Serialize)]
+struct Answer {
+    service: ServiceName,
+    entries: Vec<Entry>,
+    keep_for_ms: u64,
+    session: Option<String>,
+    session_lifetime_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Entry {
+    vm: VmId,
+    address: Endpoint,
+    failure_domain: FailureDomain,
+}
+
+impl From<EntryVm> for Entry {
+    fn from(entry: EntryVm) -> Self {
+        Self { vm: entry.vm, address: entry.callers, failure_domain: entry.failure_domain }
+    }
+}
+
+/// Answers a request for the system itself.
+pub async fn entries(context: &Context, request: &Request) -> Response {
+    if request.uri().path() != PATH {
+        return refuse(StatusCode::NOT_FOUND, "the only path of the system itself is /v1/entries");
+    }
+    if request.method() != Method::GET {
+        return refuse(StatusCode::METHOD_NOT_ALLOWED, "only GET is answered here");
+    }
+    let query: Query = match request.params() {
+        Ok(query) => query,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    answer(context, query).await
+}
+
+async fn answer(context: &Context, query: Query) -> Response {
+    let snapshot = context.snapshot();
+    if snapshot.rules.is_none() {
+        let starting = Problem::new(StatusCode::SERVICE_UNAVAILABLE, Verdict::NotRun);
+        let starting = starting.with_detail("starting: no rule list is in force yet");
+        return starting.with_retry_after(STARTING_RETRY).into_response();
+    }
+    if !snapshot.services.contains_key(&query.service) {
+        return refuse(StatusCode::NOT_FOUND, "no such service is published");
+    }
+    let preference =
+        Preference { failure_domain: query.failure_domain, turn: Context::next(&context.turns) };
+    let size = GroupSize::new(GROUP_SIZE);
+    let found = entries_for(&query.service, &snapshot.entries, size, &preference);
+    let session = context.control.issue().await;
+    let callers = &context.settings.callers;
+    let answer = Answer {
+        service: query.service,
+        entries: found.into_iter().map(Entry::from).collect(),
+        keep_for_ms: millis(callers.keep_for),
+        session: session.map(|session| session.to_string()),
+        session_lifetime_ms: millis(context.settings.once.session_lifetime),
+    };
+    Json(answer).into_response()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn refuse(status: StatusCode, detail: &str) -> Response {
+    Problem::new(status, Verdict::NotRun).with_detail(detail).into_response()
+}
--- /dev/null
+++ b/crates/shallotd/src/traffic/front.rs
@@ -0,0 +1,43 @@
+//! The callers' port: requests for the system itself, and requests to pass on.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use http::header::HOST;
+use poem::{Request, Response};
+use shallotfork_exchange::{BodyLimits, read_whole};
+
+use crate::context::Context;
+use crate::traffic::dispatch::dispatch;
+use crate::traffic::entries::entries;
+
+/// Answers one request of a caller.
+///
+/// A request whose `Host` is an IP address is for the system itself; any other host names a
+/// service.
+pub async fn front(context: Arc<Context>, request: Request) -> Response {
+    let _in_flight = context.in_flight.enter();
+    if is_for_system(&request) {
+        return entries(&context, &request).await;
+    }
+    let limits = body_limits(&context);
+    match read_whole(request, &limits, &context.bodies).await {
+        Ok(whole) => dispatch(&context, whole).await,
+        Err(refusal) => refusal.problem().into_response(),
+    }
+}
+
+fn is_for_system(request: &Request) -> bool {
+    let authority = request.uri().authority().map(|authority| authority.as_str());
+    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    authority.or(host).is_some_and(is_ip_address)
+}
+
+fn is_ip_address(host: &str) -> bool {
+    host.parse::<SocketAddr>().is_ok() || host.parse::<IpAddr>().is_ok()
+}
+
+fn body_limits(context: &Context) -> BodyLimits {
+    let callers = &context.settings.callers;
+    BodyLimits { body_max: callers.body_max, body_timeout: callers.body_timeout }
+}
--- /dev/null
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -0,0 +1,221 @@
+//! The pool of one service, shared by the traffic threads.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use shallotfork_balance::{
+    Admission, Ask, Assignment, AttemptId, AttemptOutcome, Pool, PoolConfig, PoolTarget,
+    Resolution, Shed, TargetStatus, Ticket, Woken,
+};
+use shallotfork_measure::LoadReport;
+use shallotfork_timer::Clock;
+use shallotfork_types::{Permille, TargetId};
+use tokio::sync::oneshot;
+
+type Place = Result<Assigned, Shed>;
+
+struct Inner {
+    pool: Pool,
+    waiting: HashMap<Ticket, oneshot::Sender<Place>>,
+}
+
+/// Wraps the pure pool in a lock and wakes the requests that wait in it.
+pub struct ServicePool {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+/// Leave to send one attempt; gives the place back when dropped.
+///
+/// A caller that hangs up drops its request anywhere; without the drop the target's slot would
+/// count as taken for ever.
+pub struct Assigned {
+    pool: Arc<ServicePool>,
+    assignment: Assignment,
+    ended: bool,
+}
+
+impl Assigned {
+    /// Where to send the attempt.
+    pub fn target(&self) -> &TargetId {
+        &self.assignment.target
+    }
+
+    /// The attempt's name within the pool.
+    pub fn attempt(&self) -> AttemptId {
+        self.assignment.attempt
+    }
+
+    /// Reports how the attempt ended, with the load that the target reported in its answer.
+    pub fn finish(mut self, outcome: AttemptOutcome, report: Option<LoadReport>) {
+        self.ended = true;
+        self.pool.finish(&self.assignment, outcome, report);
+    }
+}
+
+impl Drop for Assigned {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.pool.finish(&self.assignment, AttemptOutcome::Cancelled, None);
+        }
+    }
+}
+
+/// Takes a request out of the queue when its caller hangs up.
+struct Waiting<'a> {
+    pool: &'a ServicePool,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.pool.lock();
+        if inner.waiting.remove(&self.ticket).is_some() {
+            inner.pool.cancel(self.ticket);
+        }
+    }
+}
+
+impl ServicePool {
+    /// A pool without targets.
+    pub fn new(config: PoolConfig, seed: u64, clock: Clock) -> Arc<Self> {
+        let inner = Inner { pool: Pool::new(config, seed), waiting: HashMap::new() };
+        Arc::new(Self { clock, inner: Mutex::new(inner) })
+    }
+
+    /// A place for a request that was not sent before; waits in the queue when needed.
+    ///
+    /// # Errors
+    /// The refusal, with the time after which the caller may come back.
+    pub async fn admit(self: &Arc<Self>, ask: Ask) -> Place {
+        let now = self.clock.now();
+        let (admission, receiver) = self.lock().place(|pool| pool.admit(ask, now));
+        self.settle(admission, receiver).await
+    }
+
+    /// A place for a request whose attempt failed and may be sent again.
+    ///
+    /// # Errors
+    /// As for `admit`, also when the retry budget is used up.
+    pub async fn retry(self: &Arc<Self>, ask: Ask) -> Place {
+        let now = self.clock.now();
+        let (admission, receiver) = self.lock().place(|pool| pool.retry(ask, now));
+        self.settle(admission, receiver).await
+    }
+
+    /// A second target for a request in flight, if the hedge budget allows one now.
+    pub fn hedge(self: &Arc<Self>, first: AttemptId, ask: Ask) -> Option<Assigned> {
+        let now = self.clock.now();
+        let assignment = self.lock().pool.hedge(first, ask, now)?;
+        Some(self.assigned(assignment))
+    }
+
+    /// Takes the published targets.
+    pub fn set_targets(self: &Arc<Self>, targets: &[PoolTarget]) {
+        let now = self.clock.now();
+        let woken = self.lock().pool.set_targets(targets, now);
+        self.deliver(woken);
+    }
+
+    /// Ends the requests that have waited too long; call it often.
+    pub fn expire(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if inner.pool.next_expiry().is_none_or(|due| due > now) {
+            return;
+        }
+        let woken = inner.pool.expire(now);
+        drop(inner);
+        self.deliver(woken);
+    }
+
+    /// Share of the service's slots in use; `None` when unknown.
+    pub fn load(&self) -> Option<Permille> {
+        let now = self.clock.now();
+        self.lock().pool.load(now)
+    }
+
+    /// Usual time after which an idempotent request is worth a second attempt.
+    pub fn hedge_delay(&self) -> Option<Duration> {
+        self.lock().pool.hedge_delay()
+    }
+
+    /// What is thought of each target.
+    pub fn status(&self) -> Vec<TargetStatus> {
+        let now = self.clock.now();
+        self.lock().pool.status(now)
+    }
+
+    async fn settle(
+        self: &Arc<Self>,
+        admission: Admission,
+        receiver: Option<oneshot::Receiver<Place>>,
+    ) -> Place {
+        match (admission, receiver) {
+            (Admission::Send(assignment), _) => Ok(self.assigned(assignment)),
+            (Admission::Shed(shed), _) => Err(shed),
+            (Admission::Queued(ticket), receiver) => {
+                let _waiting = Waiting { pool: self, ticket };
+                let receiver = receiver.expect("a queued request has a receiver");
+                receiver.await.expect("every ticket is resolved before its sender is dropped")
+            }
+        }
+    }
+
+    fn assigned(self: &Arc<Self>, assignment: Assignment) -> Assigned {
+        Assigned { pool: Arc::clone(self), assignment, ended: false }
+    }
+
+    fn finish(
+        self: &Arc<Self>,
+        assignment: &Assignment,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+    ) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if let Some(report) = report {
+            inner.pool.report(&assignment.target, report, now);
+        }
+        let woken = inner.pool.finish(assignment.attempt, outcome, now);
+        drop(inner);
+        self.deliver(woken);
+    }
+
+    /// Hands out places with the lock released: a receiver that is gone drops its place, which
+    /// takes the lock again.
+    fn deliver(self: &Arc<Self>, woken: Vec<Woken>) {
+        for Woken { ticket, resolution } in woken {
+            let place = match resolution {
+                Resolution::Send(assignment) => Ok(self.assigned(assignment)),
+                Resolution::Shed(shed) => Err(shed),
+            };
+            let sender = self.lock().waiting.remove(&ticket);
+            if let Some(sender) = sender {
+                let _gone = sender.send(place);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Asks the pool and, for a queued request, makes the channel that wakes it, in one step: the
+    /// ticket could be woken as soon as the lock is released.
+    fn place(
+        &mut self,
+        ask: impl FnOnce(&mut Pool) -> Admission,
+    ) -> (Admission, Option<oneshot::Receiver<Place>>) {
+        let admission = ask(&mut self.pool);
+        let Admission::Queued(ticket) = admission else {
+            return (admission, None);
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        (admission, Some(receiver))
+    }
+}
