--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,4 +1,5 @@
 //! The platform stand-in over HTTP.
+#![expect(clippy::unwrap_used, reason = "a failed helper fails its test")]
 
 use std::time::Duration;
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,28 @@
-//! Harness.
+//! Harness of the process tests: starts real programs on loopback ports and ends them.
+//!
+//! A test builds a [`Case`], starts it to a [`Running`] system of a platform stand-in, target
+//! stand-ins and `shallotd` processes, and causes failures through the handles it gets.
+
+mod case;
+mod entry;
+mod platform;
+mod program;
+mod relay;
+mod running;
+mod scratch;
+mod settings;
+mod target;
+mod traffic;
+mod wait;
+
+pub use case::{Case, TargetGroup};
+pub use entry::{Entry, EntryReady};
+pub use platform::Platform;
+pub use program::Program;
+pub use relay::{Links, Relay, RelayFaults};
+pub use running::Running;
+pub use scratch::Scratch;
+pub use settings::EntrySettings;
+pub use target::Target;
+pub use traffic::{Traffic, TrafficConfig, TrafficReport};
+pub use wait::wait_until;
--- /dev/null
+++ b/tests/src/running.rs
@@ -0,0 +1,248 @@
+//! A running system and what a test does to it.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use futures::future::try_join_all;
+use shallotfork_standin::caller::{Caller, CallerConfig, plain_client};
+use shallotfork_standin::target::TargetRecords;
+use shallotfork_types::{Endpoint, ServiceName, TargetId, VmId};
+
+use crate::case::Case;
+use crate::entry::Entry;
+use crate::platform::Platform;
+use crate::relay::{Links, Relay};
+use crate::scratch::Scratch;
+use crate::settings::EntrySettings;
+use crate::target::{Target, TargetPlan};
+use crate::wait::wait_until;
+
+/// Key that the entries of a test share, in hexadecimal.
+const PEER_KEY: &str = "6f1a0c52d3b94e87a5c6607f18e2bb3d94c0715ae86f2d4b3c9051e7a8f6d240\n";
+const HTTP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Every process of a case.
+#[derive(Debug)]
+pub struct Running {
+    /// The platform stand-in.
+    pub platform: Platform,
+    /// Targets, service by service.
+    pub targets: Vec<Target>,
+    /// Entries in the order in which they were started.
+    pub entries: Vec<Entry>,
+    /// Cuts between entries, in a case with relays before them.
+    pub links: Links,
+    case: Case,
+    key_file: PathBuf,
+    http: reqwest::Client,
+    started: usize,
+    // Dropped last, after every process that uses it.
+    scratch: Scratch,
+}
+
+impl Running {
+    pub(crate) async fn start(case: Case) -> anyhow::Result<Self> {
+        let scratch = Scratch::new()?;
+        let key_file = scratch.write("peer.key", PEER_KEY)?;
+        let http = plain_client(HTTP_TIMEOUT)?;
+        let platform = Platform::start(case.replicas, scratch.path(), http.clone()).await?;
+        let mut running = Self {
+            platform,
+            targets: Vec::new(),
+            entries: Vec::new(),
+            links: Links::new(),
+            case,
+            key_file,
+            http,
+            started: 0,
+            scratch,
+        };
+        running.start_targets().await?;
+        for _ in 0..running.case.entries {
+            running.start_entry().await?;
+        }
+        running.publish_all().await?;
+        if running.case.waits_until_ready {
+            running.wait_ready().await?;
+        }
+        Ok(running)
+    }
+
+    async fn start_targets(&mut self) -> anyhow::Result<()> {
+        let mut starting = Vec::new();
+        for group in &self.case.groups {
+            for number in 0..group.targets {
+                let plan = TargetPlan {
+                    id: TargetId::new(&format!("{}-{number}", group.service))?,
+                    service: group.service.parse()?,
+                    failure_domain: self.case.domain(number)?,
+                    args: self.case.target_args.clone(),
+                    has_relay: self.case.has_target_relays,
+                };
+                starting.push(Target::start(plan, self.scratch.path(), self.http.clone()));
+            }
+        }
+        self.targets = try_join_all(starting).await?;
+        Ok(())
+    }
+
+    /// Starts one more entry; it is known to others once the VM list is published again.
+    ///
+    /// # Errors
+    /// When the process can't be started.
+    pub async fn start_entry(&mut self) -> anyhow::Result<usize> {
+        let number = self.started;
+        let vm = VmId::new(&format!("entry-{number}"))?;
+        let settings = self.settings_of(&vm, number)?;
+        let mut entry = self.spawn_entry(&vm, number, settings).await?;
+        if self.case.has_peer_relays {
+            entry.relay =
+                Some(Relay::start_between(entry.ready.peers, &vm, self.links.clone()).await?);
+        }
+        self.entries.push(entry);
+        self.started += 1;
+        Ok(self.entries.len() - 1)
+    }
+
+    /// Starts an entry that has ended again, on the same VM with other ports and no memory, and
+    /// publishes its new ports.
+    ///
+    /// # Errors
+    /// When the process can't be started or the list not be published.
+    pub async fn restart_entry(&mut self, index: usize) -> anyhow::Result<()> {
+        let old = &self.entries[index];
+        let vm = old.vm.clone();
+        let domain = old.failure_domain.clone();
+        let settings = old.settings.clone();
+        let directory = self.scratch.path();
+        let mut entry = Entry::start(&vm, &domain, settings, directory, self.http.clone()).await?;
+        entry.relay = self.entries[index].relay.take();
+        if let Some(relay) = &entry.relay {
+            relay.set_upstream(entry.ready.peers);
+        }
+        self.entries[index] = entry;
+        self.publish_vms().await
+    }
+
+    async fn spawn_entry(
+        &self,
+        vm: &VmId,
+        number: usize,
+        settings: EntrySettings,
+    ) -> anyhow::Result<Entry> {
+        let domain = self.case.domain(number)?;
+        Entry::start(vm, &domain, settings, self.scratch.path(), self.http.clone()).await
+    }
+
+    fn settings_of(&self, vm: &VmId, number: usize) -> anyhow::Result<EntrySettings> {
+        let mut platform = self.platform.replicas.clone();
+        let shift = number % platform.len().max(1);
+        platform.rotate_left(shift);
+        let domain = self.case.domain(number)?;
+        let mut settings = EntrySettings::new(vm, &domain, &platform, &self.key_file).with(
+            "vm",
+            "probe_share",
+            &number.to_string(),
+        );
+        for extra in &self.case.settings {
+            settings = settings.with(&extra.section, &extra.key, &extra.value);
+        }
+        Ok(settings)
+    }
+
+    /// Publishes rules, targets and the VM list.
+    ///
+    /// # Errors
+    /// When the platform does not take them.
+    pub async fn publish_all(&self) -> anyhow::Result<()> {
+        self.platform.publish("rules", &self.case.rules).await?;
+        for service in self.case.services()? {
+            self.publish_targets(&service).await?;
+        }
+        self.publish_vms().await
+    }
+
+    /// Publishes the VM list with every entry of this system.
+    ///
+    /// # Errors
+    /// When the platform does not take it.
+    pub async fn publish_vms(&self) -> anyhow::Result<()> {
+        let vms: Vec<_> = self.entries.iter().map(Entry::published).collect();
+        self.platform.publish_vms(&vms).await
+    }
+
+    /// Publishes the targets of one service.
+    ///
+    /// # Errors
+    /// When the platform does not take them.
+    pub async fn publish_targets(&self, service: &ServiceName) -> anyhow::Result<()> {
+        let of_service = self.targets.iter().filter(|target| target.service == *service);
+        let targets: Vec<_> = of_service.map(Target::published).collect();
+        self.platform.publish_targets(service, &targets).await
+    }
+
+    /// Waits until every entry whose process runs serves.
+    ///
+    /// # Errors
+    /// When one is not ready in time.
+    pub async fn wait_ready(&mut self) -> anyhow::Result<()> {
+        for entry in &mut self.entries {
+            if !entry.program.is_running() {
+                continue;
+            }
+            let entry = &*entry;
+            let what = format!("{} serves", entry.vm);
+            wait_until(&what, async || entry.is_ready().await).await?;
+        }
+        Ok(())
+    }
+
+    /// Where callers connect, of every entry.
+    pub fn caller_addresses(&self) -> Vec<Endpoint> {
+        self.entries.iter().map(|entry| entry.ready.callers).collect()
+    }
+
+    /// A caller that knows every entry.
+    ///
+    /// # Errors
+    /// When its HTTP client can't be built.
+    pub fn caller(&self) -> anyhow::Result<Caller> {
+        Ok(Caller::new(CallerConfig::new(self.caller_addresses()))?)
+    }
+
+    /// The entry that takes callers at `address`.
+    ///
+    /// # Errors
+    /// When there is none.
+    pub fn entry_at(&self, address: Endpoint) -> anyhow::Result<usize> {
+        let at = self.entries.iter().position(|entry| entry.ready.callers == address);
+        at.with_context(|| format!("no entry at {address}"))
+    }
+
+    /// Runs under `key` at all targets together.
+    ///
+    /// # Errors
+    /// When a target does not tell.
+    pub async fn runs_of_key(&self, key: &str) -> anyhow::Result<u64> {
+        let records = self.records().await?;
+        Ok(records.iter().map(|records| records.runs_of_key(key)).sum())
+    }
+
+    /// Runs with `mark` at all targets together.
+    ///
+    /// # Errors
+    /// When a target does not tell.
+    pub async fn runs_of_mark(&self, mark: &str) -> anyhow::Result<u64> {
+        let records = self.records().await?;
+        Ok(records.iter().map(|records| records.runs_of_mark(mark)).sum())
+    }
+
+    /// The records of every target.
+    ///
+    /// # Errors
+    /// When a target does not tell.
+    pub async fn records(&self) -> anyhow::Result<Vec<TargetRecords>> {
+        try_join_all(self.targets.iter().map(Target::records)).await
+    }
+}
