--- a/tests/src/case.rs
+++ b/tests/src/case.rs
@@ -32,6 +32,7 @@
     pub(crate) rules: String,
     pub(crate) domains: Vec<String>,
     pub(crate) replicas: usize,
+    pub(crate) knows_one_replica: bool,
     pub(crate) settings: Vec<ExtraSetting>,
     pub(crate) target_args: Vec<String>,
     pub(crate) has_peer_relays: bool,
@@ -47,6 +48,7 @@
             rules: RULES.to_owned(),
             domains: DOMAINS.map(str::to_owned).to_vec(),
             replicas: 1,
+            knows_one_replica: false,
             settings: Vec::new(),
             target_args: Vec::new(),
             has_peer_relays: false,
@@ -91,6 +93,14 @@
         self
     }
 
+    /// Gives each entry one platform replica of its own, so that a fault can hit one entry's view.
+    #[must_use]
+    pub fn with_replica_for_each_entry(mut self) -> Self {
+        self.replicas = self.entries;
+        self.knows_one_replica = true;
+        self
+    }
+
     /// Sets a key in every entry's settings.
     #[must_use]
     pub fn with_setting(mut self, section: &str, key: &str, value: &str) -> Self {
--- a/tests/src/running.rs
+++ b/tests/src/running.rs
@@ -125,6 +125,17 @@
         self.publish_vms().await
     }
 
+    /// Takes an entry out of this system and of the published VM list, as the platform does some
+    /// time after its process has ended.
+    ///
+    /// # Errors
+    /// When the list can't be published.
+    pub async fn remove_entry(&mut self, index: usize) -> anyhow::Result<Entry> {
+        let entry = self.entries.remove(index);
+        self.publish_vms().await?;
+        Ok(entry)
+    }
+
     async fn spawn_entry(
         &self,
         vm: &VmId,
@@ -139,6 +150,9 @@
         let mut platform = self.platform.replicas.clone();
         let shift = number % platform.len().max(1);
         platform.rotate_left(shift);
+        if self.case.knows_one_replica {
+            platform.truncate(1);
+        }
         let domain = self.case.domain(number)?;
         let mut settings = EntrySettings::new(vm, &domain, &platform, &self.key_file).with(
             "vm",
