--- a/crates/once/src/issuer.rs
+++ b/crates/once/src/issuer.rs
@@ -69,15 +69,15 @@
     ///
     /// A key refused for want of room must stay refused: another copy of the request may be held
     /// by a paused entry and arrive when there is room again, after the caller was told that
-    /// nothing ran. So the refusal closes the session, or, with no room for a record of that,
-    /// every session issued so far; a caller goes on with a new session.
+    /// nothing ran. A session over its own limit stays so until it ends, as it forgets nothing
+    /// before. A full ledger gets room again when old sessions end, so its refusal closes every
+    /// session issued so far, which takes one number; a caller goes on with a new session.
     pub fn claim(&mut self, operation: &OperationId, claim: &ClaimId, now: Mono) -> ClaimAnswer {
         if let Some(answer) = self.known(operation, now) {
             return answer;
         }
         let (session, key) = (operation.session(), operation.key());
-        if self.ledger.operations_of(session) >= self.config.operations_per_session_max {
-            self.ledger.close_session(session);
+        if self.is_used_up(session) {
             return ClaimAnswer::Full { retry_after: Duration::ZERO };
         }
         if !self.has_room() {
@@ -100,6 +100,9 @@
         if let Some(answer) = self.known(operation, now) {
             return answer;
         }
+        if self.is_used_up(operation.session()) {
+            return ClaimAnswer::NotRun;
+        }
         if self.has_room() {
             self.ledger.close(operation.session(), operation.key());
         } else {
@@ -108,6 +111,11 @@
         ClaimAnswer::NotRun
     }
 
+    /// Whether the session has named as many operations as it may, which lasts until it ends.
+    fn is_used_up(&self, session: &Session) -> bool {
+        self.ledger.operations_of(session) >= self.config.operations_per_session_max
+    }
+
     /// Whether another operation would be granted.
     pub fn has_room(&self) -> bool {
         self.ledger.operations() < self.config.operations_max
@@ -221,8 +229,7 @@
         if let Some(answer) = self.ledger.answer(session, key, &self.config, now) {
             return Some(answer);
         }
-        let closed = session.serial() <= self.closed_through || self.ledger.is_closed(session);
-        closed.then_some(ClaimAnswer::NotRun)
+        (session.serial() <= self.closed_through).then_some(ClaimAnswer::NotRun)
     }
 
     /// Why nothing can be said under this session.
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -32,8 +32,6 @@
 #[derive(Debug)]
 struct SessionRecord {
     ends_at: Mono,
-    /// No further key of this session is ever granted.
-    closed: bool,
     operations: BTreeMap<IdempotencyKey, Progress>,
 }
 
@@ -75,17 +73,6 @@
         self.sessions.get(&session.serial()).map_or(0, |record| record.operations.len())
     }
 
-    pub(crate) fn is_closed(&self, session: &Session) -> bool {
-        self.sessions.get(&session.serial()).is_some_and(|record| record.closed)
-    }
-
-    /// Closes a session that has operations, so that a record of it exists until it ends.
-    pub(crate) fn close_session(&mut self, session: &Session) {
-        if let Some(record) = self.sessions.get_mut(&session.serial()) {
-            record.closed = true;
-        }
-    }
-
     /// What a repeat of a known operation is told.
     pub(crate) fn answer(
         &self,
@@ -123,11 +110,7 @@
     }
 
     fn insert(&mut self, session: &Session, key: &IdempotencyKey, progress: Progress) {
-        let fresh = || SessionRecord {
-            ends_at: session.ends_at(),
-            closed: false,
-            operations: BTreeMap::new(),
-        };
+        let fresh = || SessionRecord { ends_at: session.ends_at(), operations: BTreeMap::new() };
         let record = self.sessions.entry(session.serial()).or_insert_with(fresh);
         if record.operations.insert(key.clone(), progress).is_none() {
             self.operations += 1;
