feat(balance): limit in flight by crowding, short standing queues, slow by age in flight

Change: an additive-increase, multiplicative-decrease limit on requests in flight, fed by what answers report of crowding; a queue that has stood for 300 ms admits only short waits; a target whose oldest request in flight is older than the usual tail counts as slow.

--- /dev/null
+++ b/crates/balance/examples/policy_trial.rs
@@ -0,0 +1,551 @@
+//! A focused experiment of the pure decision: pools of several entries drive targets with two
+//! slots in virtual time. It is no model of a cluster: no connections, no failures of entries, no
+//! platform. It compares policies with a central queue that knows everything.
+//!
+//! `cargo run --release -p shallotfork-balance --example policy_trial -- [--loads 850,1200]
+//! [--entries 3,14] [--targets 20] [--spread 0] [--straggler 10] [--noise] [--requests 100000] [--only-ours]
+//! [--gate-extra 1] [--crowded-extra 2] [--fade-ms 50] [--slow-factor 2] [--seed 1]`
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use shallotfork_balance::{
+    Admission, Ask, Assignment, AttemptId, AttemptOutcome, GroupEntry, GroupSize, Policy, Pool,
+    PoolConfig, PoolTarget, Resolution, ServiceGroup, Ticket, Woken,
+};
+use shallotfork_measure::LoadReport;
+use shallotfork_types::{FailureDomain, Mono, ServiceName, TargetId, VmId};
+
+const SLOTS: u32 = 2;
+const SERVICE_MEAN_US: f64 = 10_000.0;
+const ONE_WAY_US: u64 = 500;
+const DEADLINE: Duration = Duration::from_millis(500);
+const NOISE_QUIET_MEAN_US: f64 = 200_000.0;
+const NOISE_MEAN_US: f64 = 20_000.0;
+const NOISE_FACTOR: f64 = 3.0;
+
+#[derive(Debug, Clone)]
+struct Scenario {
+    load_permille: u64,
+    entries: usize,
+    straggler: f64,
+    noise: bool,
+    targets: usize,
+    /// Logarithmic spread of the work of requests; zero means exponential.
+    spread: f64,
+    requests: usize,
+    seed: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { request: usize },
+    Reach { work: usize },
+    End { work: usize },
+    Answer { work: usize, reported: u32 },
+    GiveUp { work: usize },
+    HedgeDue { request: usize },
+    Deadline { request: usize },
+    Expire { entry: usize },
+    Noise { target: usize, on: bool },
+}
+
+struct Request {
+    arrived_us: u64,
+    demand_us: f64,
+    entry: usize,
+    attempts: Vec<usize>,
+    done: bool,
+}
+
+struct Work {
+    request: usize,
+    attempt: AttemptId,
+    target: usize,
+    sent_us: u64,
+    hedge: bool,
+    cancelled: bool,
+    ended: bool,
+}
+
+#[derive(Default)]
+struct Server {
+    running: u32,
+    queue: VecDeque<usize>,
+    noisy: bool,
+}
+
+#[derive(Default)]
+struct Results {
+    latencies_us: Vec<u64>,
+    shed: usize,
+    late: usize,
+    hedges: usize,
+    first_attempts: usize,
+    straggler: usize,
+    /// Answers in time that came before the last arrival.
+    good: usize,
+    ended_us: u64,
+}
+
+struct Trial {
+    scenario: Scenario,
+    rng: SmallRng,
+    now_us: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    pools: Vec<Pool>,
+    tickets: Vec<BTreeMap<Ticket, usize>>,
+    requests: Vec<Request>,
+    works: Vec<Work>,
+    servers: Vec<Server>,
+    results: Results,
+    hedging: bool,
+}
+
+fn target_id(number: usize) -> TargetId {
+    TargetId::new(&format!("target-{number}")).expect("a valid name")
+}
+
+fn exponential(rng: &mut SmallRng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+/// Work of one request, with the same mean for every spread.
+fn demand_us(rng: &mut SmallRng, spread: f64) -> f64 {
+    if spread == 0.0 {
+        return exponential(rng, SERVICE_MEAN_US);
+    }
+    let angle = std::f64::consts::TAU * rng.random::<f64>();
+    let normal = exponential(rng, 2.0).sqrt() * angle.cos();
+    SERVICE_MEAN_US * (spread * normal - spread * spread / 2.0).exp()
+}
+
+/// Arrivals and demands, the same for every policy.
+fn requests(scenario: &Scenario) -> Vec<Request> {
+    let mut rng = SmallRng::seed_from_u64(scenario.seed);
+    let capacity_per_us = scenario.targets as f64 * f64::from(SLOTS) / SERVICE_MEAN_US;
+    let gap_us = 1000.0 / (capacity_per_us * scenario.load_permille as f64);
+    let mut at_us = 0.0;
+    let mut next = || {
+        at_us += exponential(&mut rng, gap_us);
+        let demand_us = demand_us(&mut rng, scenario.spread);
+        let entry = rng.random_range(0..scenario.entries);
+        Request { arrived_us: at_us as u64, demand_us, entry, attempts: Vec::new(), done: false }
+    };
+    (0..scenario.requests).map(|_| next()).collect()
+}
+
+fn pools(scenario: &Scenario, config: &PoolConfig) -> Vec<Pool> {
+    let domain = |number: usize| FailureDomain::new(&format!("domain-{number}")).expect("valid");
+    let entry = |number: usize| GroupEntry {
+        vm: VmId::new(&format!("vm-{number}")).expect("valid"),
+        failure_domain: domain(number % 3),
+    };
+    let entries: Vec<GroupEntry> = (0..scenario.entries).map(entry).collect();
+    let size = GroupSize::new(u32::try_from(scenario.entries).expect("few entries"));
+    let service = ServiceName::new("register").expect("valid");
+    let group = ServiceGroup::new(&service, &entries, size);
+    let ids: Vec<TargetId> = (0..scenario.targets).map(target_id).collect();
+    let pool = |(number, entry): (usize, &GroupEntry)| {
+        let homes = group.home_targets(&entry.vm, &ids);
+        let target = |id: &TargetId| {
+            PoolTarget::new(id.clone(), domain(0), SLOTS).with_home(homes.contains(id))
+        };
+        let targets: Vec<PoolTarget> = ids.iter().map(target).collect();
+        let mut pool = Pool::new(config.clone(), scenario.seed + number as u64);
+        pool.set_targets(&targets, Mono::ZERO);
+        pool
+    };
+    entries.iter().enumerate().map(pool).collect()
+}
+
+impl Trial {
+    fn new(scenario: &Scenario, config: &PoolConfig) -> Self {
+        let hedging = config.hedge_share.value() > 0;
+        Self {
+            rng: SmallRng::seed_from_u64(scenario.seed ^ 0x5eed),
+            now_us: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            pools: pools(scenario, config),
+            tickets: vec![BTreeMap::new(); scenario.entries],
+            requests: requests(scenario),
+            works: Vec::new(),
+            servers: (0..scenario.targets).map(|_| Server::default()).collect(),
+            results: Results::default(),
+            scenario: scenario.clone(),
+            hedging,
+        }
+    }
+
+    fn run(mut self) -> Results {
+        for request in 0..self.requests.len() {
+            self.at(self.requests[request].arrived_us, Event::Arrive { request });
+        }
+        if self.scenario.noise {
+            for target in 0..self.scenario.targets {
+                let wait_us = exponential_us(&mut self.rng, NOISE_QUIET_MEAN_US);
+                self.later(wait_us, Event::Noise { target, on: true });
+            }
+        }
+        let last_us = self.requests.last().map_or(0, |request| request.arrived_us);
+        self.results.ended_us = last_us;
+        let end_us = last_us + 2_000_000;
+        while let Some(Reverse((at_us, _, event))) = self.events.pop() {
+            if at_us > end_us {
+                break;
+            }
+            self.now_us = at_us;
+            self.step(event);
+        }
+        self.results
+    }
+
+    fn now(&self) -> Mono {
+        Mono::from_micros(self.now_us)
+    }
+
+    fn at(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    fn later(&mut self, wait_us: u64, event: Event) {
+        self.at(self.now_us + wait_us, event);
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive { request } => self.arrive(request),
+            Event::Reach { work } => self.reach(work),
+            Event::End { work } => self.end(work),
+            Event::Answer { work, reported } => self.answer(work, reported),
+            Event::GiveUp { work } => self.give_up(work),
+            Event::HedgeDue { request } => self.hedge(request),
+            Event::Deadline { request } => self.time_out(request),
+            Event::Expire { entry } => {
+                let now = self.now();
+                let woken = self.pools[entry].expire(now);
+                self.woken(entry, woken);
+            }
+            Event::Noise { target, on } => {
+                self.servers[target].noisy = on;
+                let mean_us = if on { NOISE_MEAN_US } else { NOISE_QUIET_MEAN_US };
+                let wait_us = exponential_us(&mut self.rng, mean_us);
+                self.later(wait_us, Event::Noise { target, on: !on });
+            }
+        }
+    }
+
+    fn ask(&self, request: usize) -> Ask {
+        Ask::new(Mono::from_micros(self.requests[request].arrived_us).plus(DEADLINE))
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let entry = self.requests[request].entry;
+        let (ask, now) = (self.ask(request), self.now());
+        match self.pools[entry].admit(ask, now) {
+            Admission::Send(assignment) => self.send(request, assignment, false),
+            Admission::Queued(ticket) => {
+                self.tickets[entry].insert(ticket, request);
+                self.plan_expiry(entry);
+            }
+            Admission::Shed(_) => self.results.shed += 1,
+        }
+    }
+
+    fn plan_expiry(&mut self, entry: usize) {
+        if let Some(at) = self.pools[entry].next_expiry() {
+            self.at(at.as_micros().max(self.now_us), Event::Expire { entry });
+        }
+    }
+
+    fn woken(&mut self, entry: usize, woken: Vec<Woken>) {
+        for Woken { ticket, resolution } in woken {
+            let request = self.tickets[entry].remove(&ticket).expect("a waiting ticket");
+            match resolution {
+                Resolution::Send(assignment) => self.send(request, assignment, false),
+                Resolution::Shed(_) => self.results.shed += 1,
+            }
+        }
+    }
+
+    fn send(&mut self, request: usize, assignment: Assignment, hedge: bool) {
+        let number = assignment.target.as_str().trim_start_matches("target-");
+        let target = number.parse().expect("a number");
+        let work = self.works.len();
+        self.results.straggler += usize::from(target == 0);
+        self.works.push(Work {
+            request,
+            attempt: assignment.attempt,
+            target,
+            sent_us: self.now_us,
+            hedge,
+            cancelled: false,
+            ended: false,
+        });
+        self.requests[request].attempts.push(work);
+        self.later(ONE_WAY_US, Event::Reach { work });
+        if hedge {
+            self.results.hedges += 1;
+            return;
+        }
+        self.results.first_attempts += 1;
+        let deadline_us = self.requests[request].arrived_us + DEADLINE.as_micros() as u64;
+        self.at(deadline_us, Event::Deadline { request });
+        if self.hedging
+            && let Some(delay) = self.pools[self.requests[request].entry].hedge_delay()
+        {
+            self.later(delay.as_micros() as u64, Event::HedgeDue { request });
+        }
+    }
+
+    fn reach(&mut self, work: usize) {
+        let target = self.works[work].target;
+        if self.works[work].cancelled {
+            return;
+        }
+        self.servers[target].queue.push_back(work);
+        self.start_next(target);
+    }
+
+    fn start_next(&mut self, target: usize) {
+        while self.servers[target].running < SLOTS {
+            let Some(work) = self.servers[target].queue.pop_front() else { return };
+            if self.works[work].cancelled {
+                continue;
+            }
+            self.servers[target].running += 1;
+            let mut demand_us = self.requests[self.works[work].request].demand_us;
+            if target == 0 {
+                demand_us *= self.scenario.straggler;
+            }
+            if self.servers[target].noisy {
+                demand_us *= NOISE_FACTOR;
+            }
+            self.later(demand_us as u64, Event::End { work });
+        }
+    }
+
+    fn end(&mut self, work: usize) {
+        let target = self.works[work].target;
+        if self.works[work].cancelled {
+            return;
+        }
+        self.works[work].ended = true;
+        let server = &mut self.servers[target];
+        let reported = server.running + server.queue.len() as u32;
+        server.running -= 1;
+        self.later(ONE_WAY_US, Event::Answer { work, reported });
+        self.start_next(target);
+    }
+
+    fn answer(&mut self, work: usize, reported: u32) {
+        let Work { request, attempt, target, sent_us, cancelled, .. } = self.works[work];
+        if cancelled {
+            return;
+        }
+        let entry = self.requests[request].entry;
+        let now = self.now();
+        let report = LoadReport { in_flight: Some(reported), ..LoadReport::default() };
+        self.pools[entry].report(&target_id(target), report, now);
+        let latency = Duration::from_micros(self.now_us - sent_us);
+        let woken = self.pools[entry].finish(attempt, AttemptOutcome::Answered { latency }, now);
+        self.woken(entry, woken);
+        self.settle(request, work);
+    }
+
+    /// The first answer counts; other attempts are cancelled.
+    fn settle(&mut self, request: usize, winner: usize) {
+        if self.requests[request].done {
+            return;
+        }
+        self.requests[request].done = true;
+        let latency_us = self.now_us - self.requests[request].arrived_us;
+        self.results.latencies_us.push(latency_us);
+        self.results.good += usize::from(self.now_us <= self.results.ended_us);
+        self.give_back_others(request, winner, AttemptOutcome::Cancelled);
+    }
+
+    /// The deadline ends all attempts; nobody awaits them any more.
+    fn time_out(&mut self, request: usize) {
+        if self.requests[request].done {
+            return;
+        }
+        self.requests[request].done = true;
+        self.results.late += 1;
+        self.results.latencies_us.push(DEADLINE.as_micros() as u64);
+        self.give_back_others(request, usize::MAX, AttemptOutcome::TimedOut);
+    }
+
+    fn give_back_others(&mut self, request: usize, winner: usize, outcome: AttemptOutcome) {
+        let entry = self.requests[request].entry;
+        for work in self.requests[request].attempts.clone() {
+            if work == winner {
+                continue;
+            }
+            let (attempt, now) = (self.works[work].attempt, self.now());
+            let woken = self.pools[entry].finish(attempt, outcome, now);
+            self.woken(entry, woken);
+            self.later(ONE_WAY_US, Event::GiveUp { work });
+        }
+    }
+
+    /// The target learns that nobody awaits the work.
+    fn give_up(&mut self, work: usize) {
+        let target = self.works[work].target;
+        let waiting = self.servers[target].queue.contains(&work);
+        self.servers[target].queue.retain(|queued| *queued != work);
+        if self.works[work].cancelled {
+            return;
+        }
+        self.works[work].cancelled = true;
+        if !waiting && !self.works[work].ended {
+            self.servers[target].running -= 1;
+            self.start_next(target);
+        }
+    }
+
+    fn hedge(&mut self, request: usize) {
+        if self.requests[request].done {
+            return;
+        }
+        let Some(first) = self.requests[request].attempts.first().copied() else { return };
+        if self.works[first].hedge {
+            return;
+        }
+        let (entry, ask, now) = (self.requests[request].entry, self.ask(request), self.now());
+        let assignment = self.pools[entry].hedge(self.works[first].attempt, ask, now);
+        if let Some(assignment) = assignment {
+            self.send(request, assignment, true);
+        }
+    }
+}
+
+fn exponential_us(rng: &mut SmallRng, mean_us: f64) -> u64 {
+    exponential(rng, mean_us) as u64
+}
+
+/// One queue before all slots, the fastest free target first: what no partial view can beat.
+fn central_queue(scenario: &Scenario) -> Results {
+    let mut slots: Vec<(f64, f64)> = Vec::new();
+    for target in 0..scenario.targets {
+        let factor = if target == 0 { scenario.straggler } else { 1.0 };
+        slots.extend((0..SLOTS).map(|_| (0.0, factor)));
+    }
+    let mut results = Results::default();
+    let requests = requests(scenario);
+    results.ended_us = requests.last().map_or(0, |request| request.arrived_us);
+    for request in requests {
+        let arrived = request.arrived_us as f64;
+        let end = |slot: &(f64, f64)| slot.0.max(arrived) + request.demand_us * slot.1;
+        let best = slots.iter_mut().min_by(|a, b| end(a).total_cmp(&end(b))).expect("slots");
+        let latency = end(best) - arrived + 2.0 * ONE_WAY_US as f64;
+        if latency > DEADLINE.as_micros() as f64 {
+            results.shed += 1;
+            continue;
+        }
+        best.0 = end(best);
+        results.latencies_us.push(latency as u64);
+        results.good += usize::from(end(best) <= results.ended_us as f64);
+    }
+    results
+}
+
+fn print_row(name: &str, scenario: &Scenario, mut results: Results) {
+    results.latencies_us.sort_unstable();
+    let count = results.latencies_us.len();
+    let quantile_ms = |share: f64| {
+        let place = ((count as f64 * share) as usize).min(count.saturating_sub(1));
+        results.latencies_us.get(place).map_or(0.0, |us| *us as f64 / 1000.0)
+    };
+    let capacity =
+        scenario.targets as f64 * f64::from(SLOTS) / SERVICE_MEAN_US * results.ended_us as f64;
+    let goodput = results.good as f64 / capacity * 100.0;
+    let sent = results.first_attempts.max(1) as f64;
+    println!(
+        "{:>5.0}% {:>3} {:<22} {:>7.1} {:>7.1} {:>7.1} {:>7.1}% {:>6} {:>6} {:>6.2}% {:>6.2}%",
+        scenario.load_permille as f64 / 10.0,
+        scenario.entries,
+        name,
+        quantile_ms(0.5),
+        quantile_ms(0.99),
+        quantile_ms(0.999),
+        goodput,
+        results.shed,
+        results.late,
+        results.hedges as f64 / sent * 100.0,
+        results.straggler as f64 / sent * 100.0,
+    );
+}
+
+fn numbers(text: &str) -> Vec<u64> {
+    text.split(',').map(|number| number.parse().expect("a number")).collect()
+}
+
+fn main() {
+    let mut loads = vec![500, 700, 850, 950, 1200];
+    let mut groups = vec![3, 14];
+    let (mut targets, mut spread) = (20, 0.0);
+    let mut ours = PoolConfig::default();
+    let mut only_ours = false;
+    let (mut straggler, mut noise, mut count, mut seed) = (10.0, false, 60_000, 1);
+    let mut args = std::env::args().skip(1);
+    while let Some(arg) = args.next() {
+        let mut value = || args.next().expect("a value");
+        match arg.as_str() {
+            "--loads" => loads = numbers(&value()),
+            "--entries" => groups = numbers(&value()),
+            "--straggler" => straggler = value().parse().expect("a number"),
+            "--requests" => count = value().parse().expect("a number"),
+            "--targets" => targets = value().parse().expect("a number"),
+            "--spread" => spread = value().parse().expect("a number"),
+            "--seed" => seed = value().parse().expect("a number"),
+            "--gate-extra" => ours.target.gate_extra = value().parse().expect("a number"),
+            "--crowded-extra" => ours.target.crowded_extra = value().parse().expect("a number"),
+            "--fade-ms" => {
+                ours.target.report_fade = Duration::from_millis(value().parse().expect("a number"));
+            }
+            "--slow-factor" => ours.target.slow_factor = value().parse().expect("a number"),
+            "--only-ours" => only_ours = true,
+            "--noise" => noise = true,
+            _ => panic!("unknown argument {arg}"),
+        }
+    }
+    println!(
+        " load  entries policy             p50 ms  p99 ms p999 ms  goodput   shed   late hedges straggler"
+    );
+    for load_permille in loads {
+        for entries in &groups {
+            let scenario = Scenario {
+                load_permille,
+                entries: *entries as usize,
+                straggler,
+                noise,
+                targets,
+                spread,
+                requests: count,
+                seed,
+            };
+            print_row("central queue", &scenario, central_queue(&scenario));
+            for policy in Policy::ALL {
+                if policy == Policy::LoadAware || only_ours {
+                    continue;
+                }
+                let config = PoolConfig::baseline(policy);
+                print_row(policy.as_str(), &scenario, Trial::new(&scenario, &config).run());
+            }
+            let no_hedge = PoolConfig {
+                hedge_share: shallotfork_types::Permille::new(0),
+                hedge_burst: 0,
+                ..ours.clone()
+            };
+            print_row("load-aware, no hedge", &scenario, Trial::new(&scenario, &no_hedge).run());
+            print_row("load-aware", &scenario, Trial::new(&scenario, &ours).run());
+        }
+    }
+}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod group;
 mod latency;
+mod limit;
 mod policy;
 mod pool;
 mod pool_config;
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -1,6 +1,6 @@
 //! The state of one service's targets, queue and budgets in one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -10,6 +10,7 @@
 
 use crate::budget::ShareBudget;
 use crate::latency::LatencyHistogram;
+use crate::limit::ConcurrencyLimit;
 use crate::policy::{Candidate, Chooser};
 use crate::queue::WaitQueue;
 use crate::target::{PoolView, Target};
@@ -18,14 +19,12 @@
     Shed, ShedReason, TargetStatus, Ticket, Woken,
 };
 
-/// Latency assumed before the first answer.
-const LATENCY_GUESS_US: f64 = 10_000.0;
 /// Weight of a new latency in the pool's mean.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Weight of a new report in the mean number of requests of other processes.
 const OTHERS_WEIGHT: f64 = 0.02;
-/// Requests of other processes per slot, assumed without reports.
-const OTHERS_GUESS_PER_SLOT: f64 = 0.7;
+/// Share of requests whose latency counts as usual; an older one in flight is a sign of trouble.
+const TAIL_QUANTILE: f64 = 0.98;
 /// Answers between two computations of the pool's averages.
 const VIEW_EVERY: u32 = 16;
 /// Waiting requests that are tried when a target gets room; more could only differ in exclusions.
@@ -59,6 +58,9 @@
     hedges: ShareBudget,
     retries: ShareBudget,
     latencies: LatencyHistogram,
+    limit: ConcurrencyLimit,
+    /// Since when requests have waited without a break.
+    waiting_since: Option<Mono>,
     mean_us: f64,
     view: PoolView,
     answers_since_view: u32,
@@ -78,8 +80,10 @@
             hedges: ShareBudget::new(config.hedge_share, config.hedge_burst),
             retries: ShareBudget::new(config.retry_share, config.retry_burst),
             latencies: LatencyHistogram::new(),
-            mean_us: LATENCY_GUESS_US,
-            view: PoolView { median_us: LATENCY_GUESS_US, others_per_slot: OTHERS_GUESS_PER_SLOT },
+            limit: ConcurrencyLimit::new(),
+            waiting_since: None,
+            mean_us: PoolView::guess().median_us,
+            view: PoolView::guess(),
             answers_since_view: 0,
             ended: Vec::new(),
             last_id: 0,
@@ -96,10 +100,11 @@
             let place = known.iter().position(|old| old.published.id == target.id);
             let kept = place.map(|place| known.swap_remove(place));
             let kept = kept.map(|old| old.with_published(target.clone(), now));
-            let fresh = || Target::new(target.clone(), self.running_at(&target.id), ramp_from);
+            let fresh = || Target::new(target.clone(), self.started_at(&target.id), ramp_from);
             let next = kept.unwrap_or_else(fresh);
             self.targets.push(next);
         }
+        self.limit.set_max(self.gates());
         self.wake(now)
     }
 
@@ -141,7 +146,7 @@
     /// Takes an attempt back, learns from its outcome and gives its place to waiting requests.
     pub fn finish(&mut self, attempt: AttemptId, outcome: AttemptOutcome, now: Mono) -> Vec<Woken> {
         let Some(running) = self.attempts.remove(&attempt) else { return self.take_ended() };
-        self.learn(&running, outcome, now);
+        self.learn(attempt, &running, outcome, now);
         self.wake(now)
     }
 
@@ -197,7 +202,7 @@
             return None;
         }
         let config = &self.config.target;
-        let used = serving().map(|t| f64::from(t.running) + t.others(now, &self.view, config));
+        let used = serving().map(|t| f64::from(t.running()) + t.others(now, &self.view, config));
         let wanted = used.sum::<f64>() + self.queue.len() as f64;
         Some(Permille::new((wanted / f64::from(slots) * 1000.0) as u32))
     }
@@ -224,8 +229,9 @@
     }
 
     fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
-        let end = now.plus(self.expected_wait(ahead + 1) + self.usual_latency());
-        if end > ask.deadline {
+        let wait = self.expected_wait(ahead + 1);
+        let end = now.plus(wait + self.usual_latency());
+        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait() {
             return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
         }
         if self.queue.len() >= self.config.queue_max {
@@ -237,6 +243,7 @@
         }
         let ticket = Ticket(self.next_id());
         self.queue.push(ticket, ask);
+        self.waiting_since.get_or_insert(now);
         Admission::Queued(ticket)
     }
 
@@ -246,6 +253,17 @@
         Duration::from_micros((self.mean_us * place as f64 / in_flight) as u64)
     }
 
+    /// Whether requests have waited for so long that the cause is no burst. A queue that stands
+    /// serves no more requests than a short one, but makes each of them late.
+    fn is_standing(&self, now: Mono) -> bool {
+        let since = self.waiting_since.unwrap_or(now);
+        now.since(since) > self.config.standing_after
+    }
+
+    fn standing_wait(&self) -> Duration {
+        self.usual_latency().mul_f64(self.config.standing_wait)
+    }
+
     fn usual_latency(&self) -> Duration {
         Duration::from_micros(self.view.median_us as u64)
     }
@@ -285,6 +303,9 @@
                 None => self.queue.push(ticket, ask),
             }
         }
+        if self.queue.is_empty() {
+            self.waiting_since = None;
+        }
         woken
     }
 
@@ -302,12 +323,15 @@
     }
 
     fn assign(&mut self, ask: &Ask, now: Mono) -> Option<Assignment> {
+        if self.config.gated && !self.limit.has_room(self.attempts.len()) {
+            return None;
+        }
         let candidates = self.candidates(ask, now);
         let chosen = self.chooser.choose(&candidates)?;
         let crowding = self.targets[chosen].crowding(now, &self.view, &self.config.target);
-        self.targets[chosen].running += 1;
-        let target = self.targets[chosen].published.id.clone();
         let attempt = AttemptId(self.next_id());
+        self.targets[chosen].start(attempt, now);
+        let target = self.targets[chosen].published.id.clone();
         let running = Running { target: target.clone(), started: now, crowding };
         self.attempts.insert(attempt, running);
         Some(Assignment { attempt, target })
@@ -331,7 +355,7 @@
         if !self.config.gated {
             return true;
         }
-        target.running < target.gate(now, &self.view, &self.config.target)
+        target.running() < target.gate(now, &self.view, &self.config.target)
     }
 
     fn candidate(&self, index: usize, target: &Target, ask: &Ask, now: Mono) -> Candidate {
@@ -340,18 +364,19 @@
         let rank = ask.prefer.iter().position(|near| near == domain).unwrap_or(ask.prefer.len());
         let far_us = config.far_cost.as_micros() as f64 * rank as f64;
         let cost = target.cost_us(now, &self.view, config) + far_us;
-        Candidate { index, running: target.running, cost }
+        Candidate { index, running: target.running(), cost }
     }
 
-    fn learn(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
+    fn learn(&mut self, attempt: AttemptId, running: &Running, outcome: AttemptOutcome, now: Mono) {
         let spread = self.chooser.fraction();
         let elapsed_us = now.since(running.started).as_micros() as f64;
         let config = self.config.target.clone();
         if let AttemptOutcome::Answered { latency } = outcome {
             self.learn_latency(latency);
         }
+        self.learn_crowding(running, outcome, now);
         let Some(target) = self.find(&running.target) else { return };
-        target.running = target.running.saturating_sub(1);
+        target.end(attempt, running.started);
         match outcome {
             AttemptOutcome::Answered { latency } => {
                 target.answered(latency.as_micros() as f64 / running.crowding, now);
@@ -366,6 +391,26 @@
         }
     }
 
+    fn learn_crowding(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
+        let config = self.config.target.clone();
+        let slow_us = self.view.median_us * config.crowded_factor;
+        let Some(target) = self.find(&running.target) else { return };
+        let reported = target.is_crowded(now, &config);
+        let crowded = match outcome {
+            AttemptOutcome::Answered { latency } => {
+                reported.unwrap_or(latency.as_micros() as f64 > slow_us)
+            }
+            AttemptOutcome::Shed => true,
+            _ => return,
+        };
+        self.limit.answered(crowded, !self.queue.is_empty());
+    }
+
+    fn gates(&self) -> u32 {
+        let gate = |target: &Target| target.published.slots + self.config.target.gate_extra;
+        self.targets.iter().filter(|target| target.is_serving()).map(gate).sum()
+    }
+
     fn learn_latency(&mut self, latency: Duration) {
         self.latencies.record(latency);
         self.mean_us += (latency.as_micros() as f64 - self.mean_us) * MEAN_WEIGHT;
@@ -382,6 +427,9 @@
         if let Some(median_us) = latencies.get(latencies.len() / 2) {
             self.view.median_us = median_us.max(1.0);
         }
+        if let Some(tail) = self.latencies.quantile(TAIL_QUANTILE) {
+            self.view.tail_us = tail.as_micros() as f64;
+        }
     }
 
     fn subset<'a>(&self, published: &'a [PoolTarget]) -> Vec<&'a PoolTarget> {
@@ -398,9 +446,10 @@
         all
     }
 
-    fn running_at(&self, target: &TargetId) -> u32 {
-        let count = self.attempts.values().filter(|running| running.target == *target).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+    /// Attempts in flight to a target that left the list and came back.
+    fn started_at(&self, target: &TargetId) -> BTreeSet<(Mono, AttemptId)> {
+        let running = self.attempts.iter().filter(|(_, running)| running.target == *target);
+        running.map(|(attempt, running)| (running.started, *attempt)).collect()
     }
 
     fn find(&mut self, id: &TargetId) -> Option<&mut Target> {
--- a/crates/balance/src/pool_config.rs
+++ b/crates/balance/src/pool_config.rs
@@ -1,5 +1,7 @@
 //! Settings of a pool.
 
+use std::time::Duration;
+
 use shallotfork_types::{Permille, VmId};
 
 use crate::{Policy, TargetConfig};
@@ -14,6 +16,11 @@
     pub gated: bool,
     /// Requests that may wait here; more are shed; default 512.
     pub queue_max: usize,
+    /// When requests have waited without a break for this long, the queue no longer absorbs a
+    /// burst but adds its length to every latency; default 300 ms.
+    pub standing_after: Duration,
+    /// The longest expected wait in such a queue, as a multiple of the usual latency; default 5.
+    pub standing_wait: f64,
     /// Hedges as a share of first attempts; default 25‰.
     pub hedge_share: Permille,
     /// Hedges that may be saved up; default 5.
@@ -38,6 +45,8 @@
             policy: Policy::LoadAware,
             gated: true,
             queue_max: 512,
+            standing_after: Duration::from_millis(300),
+            standing_wait: 5.0,
             hedge_share: Permille::new(25),
             hedge_burst: 5,
             hedge_quantile: 0.95,
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -1,11 +1,12 @@
 //! What a pool knows of one target.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use shallotfork_measure::LoadReport;
 use shallotfork_types::{FailureDomain, Mono, TargetId};
 
-use crate::TargetConfig;
+use crate::{AttemptId, TargetConfig};
 
 /// Weight of a new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.15;
@@ -96,21 +97,33 @@
 pub(crate) struct PoolView {
     /// Median of the targets' latencies, in microseconds.
     pub(crate) median_us: f64,
+    /// Latency that few requests exceed, in microseconds.
+    pub(crate) tail_us: f64,
     /// Mean number of requests of other processes at a target, per slot.
     pub(crate) others_per_slot: f64,
 }
 
+impl PoolView {
+    /// Before the first answers and reports.
+    pub(crate) fn guess() -> Self {
+        Self { median_us: 10_000.0, tail_us: 100_000.0, others_per_slot: 0.7 }
+    }
+}
+
 #[derive(Debug)]
 struct Reported {
     /// Requests of other processes.
     others: f64,
+    /// Requests of all processes.
+    all: f64,
     at: Mono,
 }
 
 #[derive(Debug)]
 pub(crate) struct Target {
     pub(crate) published: PoolTarget,
-    pub(crate) running: u32,
+    /// Attempts in flight from this process, by the time they were sent.
+    started: BTreeSet<(Mono, AttemptId)>,
     latency_us: Option<f64>,
     latency_at: Mono,
     failure_share: f64,
@@ -123,10 +136,14 @@
 }
 
 impl Target {
-    pub(crate) fn new(published: PoolTarget, running: u32, ramp_from: Option<Mono>) -> Self {
+    pub(crate) fn new(
+        published: PoolTarget,
+        started: BTreeSet<(Mono, AttemptId)>,
+        ramp_from: Option<Mono>,
+    ) -> Self {
         Self {
             published,
-            running,
+            started,
             latency_us: None,
             latency_at: Mono::ZERO,
             failure_share: 0.0,
@@ -148,6 +165,18 @@
         self
     }
 
+    pub(crate) fn running(&self) -> u32 {
+        u32::try_from(self.started.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn start(&mut self, attempt: AttemptId, now: Mono) {
+        self.started.insert((now, attempt));
+    }
+
+    pub(crate) fn end(&mut self, attempt: AttemptId, started: Mono) {
+        self.started.remove(&(started, attempt));
+    }
+
     pub(crate) fn is_serving(&self) -> bool {
         self.published.state == TargetState::Serving
     }
@@ -168,7 +197,7 @@
         TargetStatus {
             id: self.published.id.clone(),
             state: self.published.state,
-            running: self.running,
+            running: self.running(),
             latency: self.latency_us.map(|us| Duration::from_micros(us as u64)),
             ejected: self.is_ejected(now),
             report_age: self.reported.as_ref().map(|reported| now.since(reported.at)),
@@ -194,7 +223,7 @@
 
     /// How many times the service time one more request takes, for the requests before it.
     pub(crate) fn crowding(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
-        let occupancy = f64::from(self.running) + self.others(now, view, config) + 1.0;
+        let occupancy = f64::from(self.running()) + self.others(now, view, config) + 1.0;
         (occupancy / self.slots()).max(1.0)
     }
 
@@ -211,6 +240,19 @@
     ///
     /// Evidence fades, so that a target that once was slow is tried again.
     fn slowness(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
+        let answered = self.answered_slowness(now, view, config);
+        self.unanswered_slowness(now, view).max(answered)
+    }
+
+    /// Slowness by the oldest request in flight. A target that hangs gives no answers to learn
+    /// from; the requests that it keeps are the only sign before they time out.
+    fn unanswered_slowness(&self, now: Mono, view: &PoolView) -> f64 {
+        let Some((oldest, _)) = self.started.first() else { return 1.0 };
+        let age_us = now.since(*oldest).as_micros() as f64;
+        if age_us <= view.tail_us { 1.0 } else { age_us / view.median_us.max(1.0) }
+    }
+
+    fn answered_slowness(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
         let Some(latency_us) = self.latency_us else { return 1.0 };
         let ratio = latency_us / view.median_us.max(1.0);
         let age = now.since(self.latency_at).as_secs_f64() / config.forget.as_secs_f64();
@@ -228,13 +270,21 @@
         f64::from(self.published.slots.max(1))
     }
 
+    /// Whether the last report, if fresh, shows more requests than the slots and a few can hold.
+    pub(crate) fn is_crowded(&self, now: Mono, config: &TargetConfig) -> Option<bool> {
+        let reported = self.reported.as_ref()?;
+        let fresh = now.since(reported.at) <= config.report_fade;
+        let most = self.published.slots.saturating_add(config.crowded_extra);
+        fresh.then(|| reported.all >= f64::from(most))
+    }
+
     /// Takes a load report; returns the requests of other processes per slot that it shows.
     pub(crate) fn report(&mut self, report: LoadReport, now: Mono) -> Option<f64> {
         let slots = self.slots();
         let by_use = report.utilisation.map(|used| f64::from(used.value()) / 1000.0 * slots);
         let all = report.in_flight.map(f64::from).or(by_use)?;
-        let others = (all - f64::from(self.running)).max(0.0);
-        self.reported = Some(Reported { others, at: now });
+        let others = (all - f64::from(self.running())).max(0.0);
+        self.reported = Some(Reported { others, all, at: now });
         Some(others / slots)
     }
 
@@ -271,7 +321,7 @@
 
     pub(crate) fn shed(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
         let others = SHED_OCCUPANCY * self.slots();
-        self.reported = Some(Reported { others, at: now });
+        self.reported = Some(Reported { others, all: others, at: now });
         self.failed(now, spread, config);
     }
 
--- a/crates/balance/src/target_config.rs
+++ b/crates/balance/src/target_config.rs
@@ -6,9 +6,15 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetConfig {
     /// Requests beyond the target's slots that may be in flight to it from this process. They
-    /// hide the time between an answer and the next request, and wait at the target; default 0.
+    /// hide the time between an answer and the next request, and wait at the target; default 1.
     pub gate_extra: u32,
-    /// Age at which a load report counts for a third; default 50 ms.
+    /// Requests beyond a target's slots, of all processes, from which it counts as crowded;
+    /// default 3.
+    pub crowded_extra: u32,
+    /// Without reports, an answer that took this multiple of the lowest recent median counts as
+    /// from a crowded target; default 3.
+    pub crowded_factor: f64,
+    /// Age at which a load report counts for a third; default 150 ms.
     pub report_fade: Duration,
     /// A target counts as slow from this multiple of the pool's median latency; default 2.
     pub slow_factor: f64,
@@ -30,8 +36,10 @@
 impl Default for TargetConfig {
     fn default() -> Self {
         Self {
-            gate_extra: 0,
-            report_fade: Duration::from_millis(50),
+            gate_extra: 1,
+            crowded_extra: 3,
+            crowded_factor: 3.0,
+            report_fade: Duration::from_millis(150),
             slow_factor: 2.0,
             failures_max: 3,
             ejection_first: Duration::from_millis(200),
