feat(once): cut a sealed ledger into parts of bounded size

Cause: a full ledger of 100,000 operations with kept answers does not fit one message of 16 MiB; the handoff would fail and every operation of the issuer would end as may-have-run. Change: LedgerPart, SealedLedger::into_parts, Archive::add_part. An archive that lacks a part answers for what it lists and knows nothing of the rest, so absence is never taken for not-run early.

--- a/crates/once/src/archive.rs
+++ b/crates/once/src/archive.rs
@@ -1,12 +1,19 @@
 //! Sealed ledgers of issuers that left, held by their peers.
 
+use std::collections::BTreeSet;
+
 use shallotfork_types::{Incarnation, Mono, VmId};
 
-use crate::{ClaimAnswer, OnceConfig, OperationId, SealedLedger};
+use crate::{ClaimAnswer, LedgerPart, OnceConfig, OperationId, SealedLedger};
+
+/// More parts than any ledger within its own limits is cut into.
+const PARTS_MAX: u32 = 4096;
 
 #[derive(Debug)]
 struct Archived {
     ledger: SealedLedger,
+    /// Parts still to come; until then an operation that is not listed may be in one of them.
+    missing: BTreeSet<u32>,
     /// On this process's own clock.
     drop_at: Mono,
 }
@@ -24,28 +31,49 @@
         Self { config, ledgers: Vec::new() }
     }
 
-    /// Takes a ledger; `false` when there is no room, so that the departing VM asks another peer.
-    pub fn add(&mut self, mut ledger: SealedLedger, now: Mono) -> bool {
+    /// Takes a whole ledger; `false` when there is no room, so that the departing VM asks another
+    /// peer.
+    pub fn add(&mut self, ledger: SealedLedger, now: Mono) -> bool {
+        self.add_part(LedgerPart { index: 0, count: 1, ledger }, now)
+    }
+
+    /// Takes one part of a ledger, in any order; `false` when there is no room or it is not valid.
+    pub fn add_part(&mut self, part: LedgerPart, now: Mono) -> bool {
         self.expire(now);
-        if self.find(&ledger.vm, ledger.incarnation).is_some() {
-            return true;
+        let total_bytes = self.size_bytes().saturating_add(part.ledger.size_bytes());
+        let fits = total_bytes <= self.config.archived_total_max.value();
+        if !fits || part.index >= part.count || part.count > PARTS_MAX {
+            return false;
+        }
+        let (vm, incarnation) = (&part.ledger.vm, part.ledger.incarnation);
+        let Some(held) = self.find_mut(vm, incarnation) else {
+            return self.begin(part, now);
+        };
+        if held.missing.remove(&part.index) {
+            held.ledger.merge(part.ledger.sessions);
         }
-        let total_bytes = self.size_bytes().saturating_add(ledger.size_bytes());
-        let too_large = total_bytes > self.config.archived_total_max.value();
-        if too_large || self.ledgers.len() >= self.config.archived_ledgers_max {
+        true
+    }
+
+    fn begin(&mut self, part: LedgerPart, now: Mono) -> bool {
+        if self.ledgers.len() >= self.config.archived_ledgers_max {
             return false;
         }
-        sort(&mut ledger);
+        let mut ledger = part.ledger;
+        let sessions = std::mem::take(&mut ledger.sessions);
         let drop_at = now.plus(ledger.session_lifetime);
-        self.ledgers.push(Archived { ledger, drop_at });
+        ledger.merge(sessions);
+        let missing = (0..part.count).filter(|index| *index != part.index).collect();
+        self.ledgers.push(Archived { ledger, missing, drop_at });
         true
     }
 
-    /// What the issuer that left would answer; `None` when its ledger is not held here.
+    /// What the issuer that left would answer; `None` when that is not known here.
     pub fn lookup(&self, operation: &OperationId) -> Option<ClaimAnswer> {
         let session = operation.session();
         let held = self.find(session.issuer(), session.incarnation())?;
-        Some(held.ledger.lookup(operation))
+        let whole = held.missing.is_empty();
+        (whole || held.ledger.lists(operation)).then(|| held.ledger.lookup(operation))
     }
 
     /// Drops ledgers whose sessions have all ended.
@@ -68,16 +96,16 @@
     }
 
     fn find(&self, vm: &VmId, incarnation: Incarnation) -> Option<&Archived> {
-        let matches =
-            |held: &&Archived| &held.ledger.vm == vm && held.ledger.incarnation == incarnation;
-        self.ledgers.iter().find(matches)
+        self.ledgers.iter().find(|held| held.is_of(vm, incarnation))
+    }
+
+    fn find_mut(&mut self, vm: &VmId, incarnation: Incarnation) -> Option<&mut Archived> {
+        self.ledgers.iter_mut().find(|held| held.is_of(vm, incarnation))
     }
 }
 
-/// Restores the order that lookups rely on, whatever order a peer sent.
-fn sort(ledger: &mut SealedLedger) {
-    ledger.sessions.sort_by_key(|session| session.serial);
-    for session in &mut ledger.sessions {
-        session.operations.sort_by(|a, b| a.key.cmp(&b.key));
+impl Archived {
+    fn is_of(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        &self.ledger.vm == vm && self.ledger.incarnation == incarnation
     }
 }
--- a/crates/once/src/sealed.rs
+++ b/crates/once/src/sealed.rs
@@ -61,6 +61,17 @@
     pub sessions: Vec<SealedSession>,
 }
 
+/// One message's worth of a sealed ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LedgerPart {
+    /// Number of this part, counted from 0.
+    pub index: u32,
+    /// Number of parts that make the whole ledger.
+    pub count: u32,
+    /// The ledger with the operations of this part only.
+    pub ledger: SealedLedger,
+}
+
 impl SealedLedger {
     /// What the departed issuer would answer.
     pub fn lookup(&self, operation: &OperationId) -> ClaimAnswer {
@@ -83,6 +94,11 @@
         }
     }
 
+    /// Whether the ledger lists the operation itself.
+    pub(crate) fn lists(&self, operation: &OperationId) -> bool {
+        self.end(operation.session().serial(), operation.key()).is_some()
+    }
+
     /// Drops kept answers until those left fit; their operations stay known as run.
     #[must_use]
     pub fn with_answers_within(mut self, limit: Bytes) -> Self {
@@ -100,6 +116,63 @@
         self
     }
 
+    /// Cuts the ledger into parts of at most about `limit`, for messages of bounded size.
+    pub fn into_parts(self, limit: Bytes) -> Vec<LedgerPart> {
+        let empty = self.clone_head();
+        let mut parts = vec![empty.clone()];
+        let mut part_bytes = 0;
+        for session in self.sessions {
+            for operation in session.operations {
+                let size_bytes = operation_bytes(&operation);
+                if part_bytes > 0 && part_bytes + size_bytes > limit.value() {
+                    parts.push(empty.clone());
+                    part_bytes = 0;
+                }
+                part_bytes += size_bytes;
+                if let Some(part) = parts.last_mut() {
+                    part.push(session.serial, operation);
+                }
+            }
+        }
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        let part = |(index, ledger)| LedgerPart { index, count, ledger };
+        (0..).zip(parts).map(part).collect()
+    }
+
+    fn clone_head(&self) -> Self {
+        Self {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            secret: self.secret.clone(),
+            sealed_at: self.sealed_at,
+            session_lifetime: self.session_lifetime,
+            sessions: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, serial: u64, operation: SealedOperation) {
+        match self.sessions.last_mut().filter(|session| session.serial == serial) {
+            Some(session) => session.operations.push(operation),
+            None => self.sessions.push(SealedSession { serial, operations: vec![operation] }),
+        }
+    }
+
+    /// Adds the operations of another part and restores the order that lookups rely on.
+    pub(crate) fn merge(&mut self, sessions: Vec<SealedSession>) {
+        self.sessions.extend(sessions);
+        self.sessions.sort_by_key(|session| session.serial);
+        self.sessions.dedup_by(|next, kept| {
+            let same = next.serial == kept.serial;
+            if same {
+                kept.operations.append(&mut next.operations);
+            }
+            same
+        });
+        for session in &mut self.sessions {
+            session.operations.sort_by(|a, b| a.key.cmp(&b.key));
+        }
+    }
+
     /// Rough memory that the ledger takes.
     pub fn size_bytes(&self) -> u64 {
         let operations = self.sessions.iter().flat_map(|session| &session.operations);
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -260,3 +260,26 @@
     assert!(!archive.add(other.drain(START).seal(START), START));
     assert_eq!(1, archive.len());
 }
+
+/// A large ledger is handed over in parts, and an entry asks the archive in between. An order in a
+/// part still to come must not be called "not run".
+#[test]
+fn a_ledger_in_parts_proves_absence_only_when_it_is_whole() {
+    let mut fixture = Fixture::new();
+    for (number, key) in (1..).zip(["c", "a", "b"]) {
+        fixture.claim(key, number);
+        fixture.complete(key, number, Completion::RanUnkept);
+    }
+    let operations = ["a", "b", "c", "unknown"].map(|key| fixture.operation(key));
+    let parts = fixture.issuer.drain(START).seal(START).into_parts(Bytes::new(1));
+    assert_eq!(3, parts.len());
+    let mut archive = Archive::new(OnceConfig::new());
+    for (index, part) in parts.into_iter().enumerate().rev() {
+        assert!(archive.add_part(part.clone(), START));
+        assert!(archive.add_part(part, START));
+        let listed = operations[..3].iter().filter(|o| archive.lookup(o).is_some()).count();
+        assert_eq!(3 - index, listed);
+        let whole = (index == 0).then_some(ClaimAnswer::NotRun);
+        assert_eq!(whole, archive.lookup(&operations[3]));
+    }
+}
