feat(shallotd): claim operations from their issuer across entries, hand over the sealed ledger

Cause: a keyed request was decided by the entry that received it; another entry's session ended as may-have-run, and a planned stop threw the ledger away.

Change: control/operations.rs asks the issuing incarnation, else peers that hold its sealed ledger, else says at once that nobody can be reached (503, may-have-run, Retry-After). A claim whose answer is lost is closed under its own number. The end of an operation is reported up to four times. control/handoff.rs drains, seals and leaves the ledger in parts with the peers that rank highest for this VM; the same ranking finds them. A silent or replaced executor's operations become may-have-run. A leaving entry gives callers a peer's session. A keyed request refused before its claim (body too slow, no memory) is closed before 'not-run' is said.

The caller is answered once the end is recorded, or after 50 ms; before, it waited without bound.

--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -13,8 +13,8 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use shallotfork_once::{
-    ClaimAnswer, ClaimId, Completion, CompletionAnswer, Issuer, KeptAnswer, OnceConfig, Open,
-    OperationId, SealedLedger, Secret, Session,
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, Issuer, KeptAnswer, LedgerPart, OnceConfig,
+    Open, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
     Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer, PeerState,
@@ -73,7 +73,7 @@
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
 
-    async fn handoff(&self, _from: &PeerId, _ledger: SealedLedger) -> bool {
+    async fn handoff(&self, _from: &PeerId, _part: LedgerPart) -> bool {
         true
     }
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -22,7 +22,7 @@
   issue @5 () -> (session :Text);
   changes @6 (after :UInt64) -> (changes :Changes);
   push @7 (changes :Changes) -> ();
-  handoff @8 (ledger :SealedLedger) -> (accepted :Bool);
+  handoff @8 (ledger :SealedLedger, index :UInt32, count :UInt32) -> (accepted :Bool);
 }
 
 struct Heartbeat {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -8,7 +8,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt as _;
 use shallotfork_once::{
-    ClaimAnswer, Completion, CompletionAnswer, OperationId, SealedLedger, Session,
+    ClaimAnswer, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
 use shallotfork_types::{Endpoint, Revision};
 use tokio::net::TcpStream;
@@ -193,13 +193,16 @@
         .await
     }
 
-    /// Leaves this process's sealed ledger with the peer; `false` when it cannot be kept there.
+    /// Leaves a part of this process's sealed ledger with the peer; `false` when it cannot be kept
+    /// there.
     ///
     /// # Errors
-    /// When no valid answer comes in time; the peer may hold the ledger all the same.
-    pub async fn handoff(&self, ledger: &SealedLedger) -> Result<bool, PeerError> {
+    /// When no valid answer comes in time; the peer may hold the part all the same.
+    pub async fn handoff(&self, part: &LedgerPart) -> Result<bool, PeerError> {
         let mut request = self.calls.handoff_request();
-        wire::write_ledger(ledger, request.get().init_ledger());
+        wire::write_ledger(&part.ledger, request.get().init_ledger());
+        request.get().set_index(part.index);
+        request.get().set_count(part.count);
         within(self.config.bulk_timeout, async {
             let response = request.send().promise.await?;
             Ok(response.get()?.get_accepted())
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use shallotfork_once::{
-    ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, SealedLedger, Session,
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
 use shallotfork_types::Revision;
 
@@ -48,6 +48,6 @@
     /// The peer offers published values.
     fn push(&self, from: &PeerId, changes: Changes) -> impl Future<Output = ()>;
 
-    /// The peer leaves its sealed ledger here; `false` when it cannot be kept.
-    fn handoff(&self, from: &PeerId, ledger: SealedLedger) -> impl Future<Output = bool>;
+    /// The peer leaves a part of its sealed ledger here; `false` when it cannot be kept.
+    fn handoff(&self, from: &PeerId, part: LedgerPart) -> impl Future<Output = bool>;
 }
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -4876,11 +4876,19 @@
             pub fn has_ledger(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_index(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_count(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4946,6 +4954,22 @@
             pub fn has_ledger(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_index(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_index(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_count(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_count(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4960,31 +4984,45 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(32, 13, 166, 114, 82, 150, 141, 180),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(104, 97, 110, 100, 111, 102, 102, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(108, 101, 100, 103, 101, 114, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(124, 132, 88, 172, 74, 38, 196, 238),
@@ -4993,10 +5031,28 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::sealed_ledger::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5010,9 +5066,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xb48d_9652_72a6_0d20;
         }
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -8,7 +8,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side as RpcSide;
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt as _;
-use shallotfork_once::{ClaimId, CompletionAnswer};
+use shallotfork_once::{ClaimId, CompletionAnswer, LedgerPart};
 use shallotfork_types::Revision;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -288,9 +288,11 @@
         params: schema::peer::HandoffParams,
         mut results: schema::peer::HandoffResults,
     ) -> CapnpResult {
-        let ledger = wire::read_ledger(params.get()?.get_ledger()?)?;
+        let params = params.get()?;
+        let ledger = wire::read_ledger(params.get_ledger()?)?;
         let own = ledger.vm == self.from.vm && ledger.incarnation == self.from.incarnation;
-        let accepted = own && self.handler.handoff(&self.from, ledger).await;
+        let part = LedgerPart { index: params.get_index(), count: params.get_count(), ledger };
+        let accepted = own && self.handler.handoff(&self.from, part).await;
         results.get().set_accepted(accepted);
         Ok(())
     }
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -10,7 +10,7 @@
 
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, HeaderField, Issuer, KeptAnswer,
-    OnceConfig, OperationId, SealedLedger, Secret, Session,
+    LedgerPart, OnceConfig, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
     Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
@@ -97,8 +97,8 @@
         self.note(format!("push from {} of {}", from.vm, changes.values.len()));
     }
 
-    async fn handoff(&self, from: &PeerId, ledger: SealedLedger) -> bool {
-        self.note(format!("handoff from {}: {}", from.vm, ledger.sessions.len()));
+    async fn handoff(&self, from: &PeerId, part: LedgerPart) -> bool {
+        self.note(format!("handoff from {}: {} of {}", from.vm, part.index, part.count));
         true
     }
 }
@@ -244,11 +244,12 @@
             let vm = VmId::new(vm).unwrap();
             let secret = Secret::new([1; 32]);
             let issuer = Issuer::new(vm, Incarnation::new(2), secret, OnceConfig::new());
-            issuer.drain(Mono::ZERO).seal(Mono::ZERO)
+            let ledger = issuer.drain(Mono::ZERO).seal(Mono::ZERO);
+            LedgerPart { index: 1, count: 3, ledger }
         };
         assert!(client.handoff(&sealed("client")).await.unwrap());
         assert!(!client.handoff(&sealed("server")).await.unwrap());
-        assert_eq!(vec!["handoff from client: 0"], *setup.fake.calls.borrow());
+        assert_eq!(vec!["handoff from client: 1 of 3"], *setup.fake.calls.borrow());
     });
 }
 
--- a/crates/peer/tests/stranger.rs
+++ b/crates/peer/tests/stranger.rs
@@ -9,7 +9,7 @@
 use capnp_rpc::{RpcSystem, twoparty};
 use futures::AsyncReadExt as _;
 use shallotfork_once::{
-    ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, SealedLedger, Session,
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
 use shallotfork_peer::{Changes, Heartbeat, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer};
 use shallotfork_types::{Incarnation, Revision, VmId};
@@ -69,7 +69,7 @@
         unreachable!("push by a stranger")
     }
 
-    async fn handoff(&self, _from: &PeerId, _ledger: SealedLedger) -> bool {
+    async fn handoff(&self, _from: &PeerId, _part: LedgerPart) -> bool {
         unreachable!("handoff by a stranger")
     }
 }
--- a/crates/shallotd/src/control/command.rs
+++ b/crates/shallotd/src/control/command.rs
@@ -1,15 +1,19 @@
 //! Questions of the traffic threads to the control thread.
 
-use shallotfork_once::{ClaimAnswer, ClaimId, Completion, OperationId, Session};
+use shallotfork_once::{ClaimId, Completion, OperationId, Session};
 use shallotfork_types::report::{AuditReport, StatusReport};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::control::operations::Decision;
+
 /// One question, with where to send the answer.
 pub enum Command {
     /// A new session; `None` while leaving.
     Issue(oneshot::Sender<Option<Session>>),
     /// Leave to run an operation.
-    Claim(OperationId, ClaimId, oneshot::Sender<ClaimAnswer>),
+    Claim(OperationId, ClaimId, oneshot::Sender<Decision>),
+    /// An operation shall never run, unless it was granted to somebody else.
+    Close(OperationId, ClaimId, oneshot::Sender<Decision>),
     /// The end of an operation; answers whether its issuer recorded it.
     Complete(OperationId, ClaimId, Completion, oneshot::Sender<bool>),
     /// What operators see.
@@ -41,9 +45,15 @@
     }
 
     /// Asks the issuer of the session for leave to run the operation.
-    pub async fn claim(&self, operation: &OperationId, claim: &ClaimId) -> ClaimAnswer {
+    pub async fn claim(&self, operation: &OperationId, claim: &ClaimId) -> Decision {
         let ask = |reply| Command::Claim(operation.clone(), claim.clone(), reply);
-        self.ask(ask).await.unwrap_or(ClaimAnswer::MayHaveRun)
+        self.ask(ask).await.unwrap_or(Decision::Unreachable)
+    }
+
+    /// Asks the issuer of the session to see to it that the operation never runs.
+    pub async fn close(&self, operation: &OperationId, claim: &ClaimId) -> Decision {
+        let ask = |reply| Command::Close(operation.clone(), claim.clone(), reply);
+        self.ask(ask).await.unwrap_or(Decision::Unreachable)
     }
 
     /// Tells the issuer how the operation ended; returns whether it recorded that.
--- a/crates/shallotd/src/control/ledger.rs
+++ b/crates/shallotd/src/control/ledger.rs
@@ -1,11 +1,12 @@
 //! Sessions issued here and the sealed ledgers of entries that left.
 
 use shallotfork_once::{
-    Archive, ClaimAnswer, ClaimId, Completion, CompletionAnswer, Draining, Issuer, OnceConfig,
-    Open, OperationId, SealedLedger, Session,
+    Archive, ClaimAnswer, ClaimId, Completion, CompletionAnswer, Draining, Issuer, LedgerPart,
+    OnceConfig, Open, OperationId, SealedLedger, Session,
 };
-use shallotfork_types::Mono;
+use shallotfork_peer::PeerId;
 use shallotfork_types::report::SessionStatus;
+use shallotfork_types::{Incarnation, Mono, VmId};
 
 /// The issuer in one of its states.
 enum Issuing {
@@ -17,14 +18,15 @@
 /// The ledger of this process and the archive beside it.
 pub struct Ledger {
     issuing: Issuing,
+    own: PeerId,
     archive: Archive,
     issued: u64,
 }
 
 impl Ledger {
     /// A ledger that grants operations.
-    pub fn new(issuer: Issuer<Open>, config: OnceConfig) -> Self {
-        Self { issuing: Issuing::Open(issuer), archive: Archive::new(config), issued: 0 }
+    pub fn new(issuer: Issuer<Open>, own: PeerId, config: OnceConfig) -> Self {
+        Self { issuing: Issuing::Open(issuer), own, archive: Archive::new(config), issued: 0 }
     }
 
     /// A new session; `None` while leaving.
@@ -39,42 +41,83 @@
         !matches!(self.issuing, Issuing::Open(_))
     }
 
-    /// Grants an operation or says what is known of it.
-    pub fn claim(&mut self, operation: &OperationId, claim: &ClaimId, now: Mono) -> ClaimAnswer {
+    /// Grants an operation or says what is known of it; `None` when it is not for this process to
+    /// say.
+    pub fn claim(
+        &mut self,
+        operation: &OperationId,
+        claim: &ClaimId,
+        now: Mono,
+    ) -> Option<ClaimAnswer> {
         if let Some(answer) = self.archive.lookup(operation) {
-            return answer;
+            return Some(answer);
+        }
+        if !self.is_issuer_of(operation) {
+            return None;
         }
         match &mut self.issuing {
-            Issuing::Open(issuer) => issuer.claim(operation, claim, now),
-            Issuing::Draining(issuer) => issuer.claim(operation, now),
-            Issuing::Sealed => ClaimAnswer::MayHaveRun,
+            Issuing::Open(issuer) => Some(issuer.claim(operation, claim, now)),
+            Issuing::Draining(issuer) => Some(issuer.claim(operation, now)),
+            Issuing::Sealed => None,
         }
     }
 
-    /// Makes sure that an operation never runs, unless somebody else was granted it.
-    pub fn close(&mut self, operation: &OperationId, claim: &ClaimId, now: Mono) -> ClaimAnswer {
+    /// Makes sure that an operation never runs, unless somebody else was granted it; `None` when
+    /// it is not for this process to say.
+    pub fn close(
+        &mut self,
+        operation: &OperationId,
+        claim: &ClaimId,
+        now: Mono,
+    ) -> Option<ClaimAnswer> {
+        if let Some(answer) = self.archive.lookup(operation) {
+            return Some(answer);
+        }
+        if !self.is_issuer_of(operation) {
+            return None;
+        }
         match &mut self.issuing {
-            Issuing::Open(issuer) => issuer.close(operation, claim, now),
-            Issuing::Draining(issuer) => issuer.close(operation, claim, now),
-            Issuing::Sealed => ClaimAnswer::MayHaveRun,
+            Issuing::Open(issuer) => Some(issuer.close(operation, claim, now)),
+            Issuing::Draining(issuer) => Some(issuer.close(operation, claim, now)),
+            Issuing::Sealed => None,
         }
     }
 
-    /// Records how an operation ended.
+    /// Records how an operation ended; `None` when it is not for this process to record.
     pub fn complete(
         &mut self,
         operation: &OperationId,
         claim: &ClaimId,
-        completion: Completion,
+        completion: &Completion,
         now: Mono,
-    ) -> CompletionAnswer {
-        match &mut self.issuing {
+    ) -> Option<CompletionAnswer> {
+        if !self.is_issuer_of(operation) {
+            return None;
+        }
+        let completion = completion.clone();
+        let answer = match &mut self.issuing {
             Issuing::Open(issuer) => issuer.complete(operation, claim, completion, now),
             Issuing::Draining(issuer) => issuer.complete(operation, claim, completion, now),
             Issuing::Sealed => CompletionAnswer::Ignored,
+        };
+        Some(answer)
+    }
+
+    /// Marks what an entry that is silent or has ended was running.
+    pub fn executor_lost(&mut self, executor: &VmId, incarnation: Incarnation) {
+        match &mut self.issuing {
+            Issuing::Open(issuer) => issuer.executor_lost(executor, incarnation),
+            Issuing::Draining(issuer) => issuer.executor_lost(executor, incarnation),
+            Issuing::Sealed => {}
         }
     }
 
+    /// Whether this run of the process issued the operation's session.
+    fn is_issuer_of(&self, operation: &OperationId) -> bool {
+        let session = operation.session();
+        session.issuer() == &self.own.vm && session.incarnation() == self.own.incarnation
+    }
+
     /// Stops granting.
     pub fn drain(&mut self, now: Mono) {
         let issuing = std::mem::replace(&mut self.issuing, Issuing::Sealed);
@@ -84,11 +127,16 @@
         };
     }
 
-    /// Fixes the ledger for good; `None` when it was fixed before.
+    /// Fixes the ledger for good and keeps a copy, so that this process goes on answering for its
+    /// sessions; `None` when it was fixed before.
     pub fn seal(&mut self, now: Mono) -> Option<SealedLedger> {
         self.drain(now);
         match std::mem::replace(&mut self.issuing, Issuing::Sealed) {
-            Issuing::Draining(issuer) => Some(issuer.seal(now)),
+            Issuing::Draining(issuer) => {
+                let sealed = issuer.seal(now);
+                self.archive.add(sealed.clone(), now);
+                Some(sealed)
+            }
             _ => None,
         }
     }
@@ -102,9 +150,9 @@
         }
     }
 
-    /// Keeps the sealed ledger of an entry that leaves.
-    pub fn keep(&mut self, ledger: SealedLedger, now: Mono) -> bool {
-        self.archive.add(ledger, now)
+    /// Keeps a part of the sealed ledger of an entry that leaves.
+    pub fn keep(&mut self, part: LedgerPart, now: Mono) -> bool {
+        self.archive.add_part(part, now)
     }
 
     /// What a sealed ledger says of an operation; `None` when none of its issuer is held.
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -108,10 +108,24 @@
         if was != Some(entry.state) {
             log_change(state, entry);
         }
+        note_lost(state, before.entries.iter().find(|old| old.vm == entry.vm), entry);
     }
     publish(state);
 }
 
+/// Lets go of operations that a silent or replaced process was running: callers are told
+/// may-have-run instead of in-progress. If it lives after all, its report makes that exact.
+fn note_lost(state: &State, before: Option<&EntryVm>, now: &EntryVm) {
+    let mut ledger = state.ledger.borrow_mut();
+    if let Some(silent) = now.incarnation.filter(|_| now.state == EntryState::Suspected) {
+        ledger.executor_lost(&now.vm, silent);
+    }
+    let ended = before.and_then(|before| before.incarnation);
+    if let Some(ended) = ended.filter(|ended| now.incarnation != Some(*ended)) {
+        ledger.executor_lost(&now.vm, ended);
+    }
+}
+
 fn log_change(state: &State, entry: &EntryVm) {
     let kind = if entry.state == EntryState::Live { PEER_UP } else { PEER_DOWN };
     event!(
--- a/crates/shallotd/src/control/mod.rs
+++ b/crates/shallotd/src/control/mod.rs
@@ -2,9 +2,11 @@
 
 mod audit;
 mod command;
+mod handoff;
 mod ledger;
 mod lists;
 mod members;
+mod operations;
 mod peer_calls;
 mod peers;
 mod publish;
@@ -14,4 +16,5 @@
 mod watch;
 
 pub use command::ControlHandle;
+pub use operations::Decision;
 pub use thread::{ControlParts, start};
--- /dev/null
+++ b/crates/shallotd/src/control/operations.rs
@@ -0,0 +1,217 @@
+//! Operations of sessions: decided here when this process issued them, else asked of the issuer,
+//! else of peers that hold its sealed ledger.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use shallotfork_membership::{EntryState, EntryVm};
+use shallotfork_once::{ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, Session};
+use shallotfork_peer::{PeerClient, PeerError};
+use shallotfork_types::{VmId, rendezvous_weight};
+
+use crate::control::state::State;
+
+/// Peers asked at once for the sealed ledger of an issuer that is gone.
+const LOOKUP_PEERS_MAX: usize = 8;
+
+/// Times that the end of an operation is reported to an issuer that does not answer.
+const REPORTS_MAX: u32 = 4;
+
+/// Wait before the second report of an end; it doubles with each further one.
+const REPORT_WAIT: Duration = Duration::from_millis(200);
+
+/// What is known of an operation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Its issuer, or a holder of its issuer's sealed ledger, has answered.
+    Answered(ClaimAnswer),
+    /// Neither could be reached: it may run, have run, or be open still.
+    Unreachable,
+}
+
+/// Asks for leave to run an operation.
+///
+/// A claim whose answer is lost may have been granted. Nobody would use that grant, and the key
+/// would stay in progress: so the operation is closed under the claim's own number, which turns
+/// an unused grant into a proved not-run.
+pub async fn claim(state: &Rc<State>, operation: &OperationId, claim: &ClaimId) -> Decision {
+    let now = state.context.clock.now();
+    let here = state.ledger.borrow_mut().claim(operation, claim, now);
+    if let Some(answer) = here {
+        return Decision::Answered(answer);
+    }
+    let session = operation.session();
+    match issuer(state, session).await {
+        Ok(client) => match client.claim(operation, claim.number()).await {
+            Ok(answer) => return Decision::Answered(answer),
+            Err(_) => {
+                state.peers.drop_client(session.issuer());
+                tokio::task::spawn_local(abandon(
+                    Rc::clone(state),
+                    operation.clone(),
+                    claim.clone(),
+                ));
+            }
+        },
+        Err(Unavailable::Gone) => {}
+        Err(Unavailable::Silent) => state.peers.drop_client(session.issuer()),
+    }
+    archived(state, operation).await
+}
+
+/// Makes sure that an operation never runs, unless somebody else was granted it.
+pub async fn close(state: &Rc<State>, operation: &OperationId, claim: &ClaimId) -> Decision {
+    let now = state.context.clock.now();
+    let here = state.ledger.borrow_mut().close(operation, claim, now);
+    if let Some(answer) = here {
+        return Decision::Answered(answer);
+    }
+    let session = operation.session();
+    if let Ok(client) = issuer(state, session).await {
+        match client.close(operation, claim.number()).await {
+            Ok(answer) => return Decision::Answered(answer),
+            Err(_) => state.peers.drop_client(session.issuer()),
+        }
+    }
+    archived(state, operation).await
+}
+
+/// Reports the end of an operation once; `None` when nobody answered.
+async fn report(
+    state: &Rc<State>,
+    operation: &OperationId,
+    claim: &ClaimId,
+    completion: &Completion,
+) -> Option<CompletionAnswer> {
+    let now = state.context.clock.now();
+    let here = state.ledger.borrow_mut().complete(operation, claim, completion, now);
+    if here.is_some() {
+        return here;
+    }
+    let session = operation.session();
+    let client = issuer(state, session).await.ok()?;
+    match client.complete(operation, claim.number(), completion).await {
+        Ok(answer) => Some(answer),
+        Err(_) => {
+            state.peers.drop_client(session.issuer());
+            None
+        }
+    }
+}
+
+/// Tells the issuer how an operation ended, again and again while it does not answer; returns
+/// whether it recorded that.
+pub async fn complete(
+    state: &Rc<State>,
+    operation: &OperationId,
+    claim: &ClaimId,
+    completion: &Completion,
+) -> bool {
+    let mut wait = REPORT_WAIT;
+    for number in 0..REPORTS_MAX {
+        if number > 0 {
+            tokio::time::sleep(wait).await;
+            wait *= 2;
+        }
+        if let Some(answer) = report(state, operation, claim, completion).await {
+            return answer == CompletionAnswer::Recorded;
+        }
+    }
+    false
+}
+
+/// A session for a caller of this process: its own, or a peer's while this process leaves.
+pub async fn issue(state: &Rc<State>) -> Option<Session> {
+    let now = state.context.clock.now();
+    if !state.context.snapshot().leaving {
+        return state.ledger.borrow_mut().issue(now);
+    }
+    for entry in ranked(state, &state.context.identity.vm, |entry| entry == EntryState::Live) {
+        let Ok(client) = state.peers.client(&entry).await else { continue };
+        if let Ok(Some(session)) = client.issue().await {
+            return Some(session);
+        }
+    }
+    None
+}
+
+/// Other entries in the order in which they hold the sealed ledger of `issuer`.
+pub fn ranked(state: &State, issuer: &VmId, wanted: impl Fn(EntryState) -> bool) -> Vec<EntryVm> {
+    let own = &state.context.identity.vm;
+    let mut entries = state.view.borrow().entries(state.context.clock.now());
+    entries.retain(|entry| entry.vm != *own && wanted(entry.state));
+    let weight = |entry: &EntryVm| rendezvous_weight(issuer.as_str(), entry.vm.as_str());
+    entries.sort_by_key(|entry| std::cmp::Reverse(weight(entry)));
+    entries
+}
+
+/// Why an issuer cannot be asked.
+enum Unavailable {
+    /// Its incarnation has ended or its VM is not known: only its sealed ledger can tell.
+    Gone,
+    /// It does not answer; it may be paused, cut off or dead.
+    Silent,
+}
+
+impl From<PeerError> for Unavailable {
+    fn from(_: PeerError) -> Self {
+        Self::Silent
+    }
+}
+
+/// The connection to the incarnation that issued a session.
+///
+/// An issuer under suspicion is not called, as every caller would wait for the timeout: heartbeats
+/// go on and lift the suspicion.
+async fn issuer(state: &State, session: &Session) -> Result<Rc<PeerClient>, Unavailable> {
+    let entries = state.view.borrow().entries(state.context.clock.now());
+    let found = entries.into_iter().find(|entry| entry.vm == *session.issuer());
+    let entry = found.ok_or(Unavailable::Gone)?;
+    if entry.incarnation.is_some_and(|heard| heard != session.incarnation()) {
+        return Err(Unavailable::Gone);
+    }
+    if entry.state == EntryState::Suspected {
+        return Err(Unavailable::Gone);
+    }
+    let client = state.peers.client(&entry).await?;
+    if client.peer().incarnation != session.incarnation() {
+        return Err(Unavailable::Gone);
+    }
+    Ok(client)
+}
+
+/// Asks the peers that may hold the issuer's sealed ledger; the first that does decides, since
+/// copies cannot disagree.
+async fn archived(state: &Rc<State>, operation: &OperationId) -> Decision {
+    let issuer = operation.session().issuer();
+    let mut holders = ranked(state, issuer, |entry| entry != EntryState::Suspected);
+    holders.retain(|entry| entry.vm != *issuer);
+    holders.truncate(LOOKUP_PEERS_MAX);
+    let mut answers: FuturesUnordered<_> =
+        holders.iter().map(|holder| lookup(state, holder, operation)).collect();
+    while let Some(answer) = answers.next().await {
+        if let Some(answer) = answer {
+            return Decision::Answered(answer);
+        }
+    }
+    Decision::Unreachable
+}
+
+async fn lookup(state: &State, holder: &EntryVm, operation: &OperationId) -> Option<ClaimAnswer> {
+    let client = state.peers.client(holder).await.ok()?;
+    client.lookup(operation).await.ok()?
+}
+
+/// Closes an operation whose claim was not answered, once the issuer answers again.
+async fn abandon(state: Rc<State>, operation: OperationId, claim: ClaimId) {
+    let mut wait = REPORT_WAIT;
+    for _ in 0..REPORTS_MAX {
+        tokio::time::sleep(wait).await;
+        wait *= 2;
+        if matches!(close(&state, &operation, &claim).await, Decision::Answered(_)) {
+            return;
+        }
+    }
+}
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -5,7 +5,7 @@
 
 use shallotfork_events::{PEER_REFUSED, event};
 use shallotfork_once::{
-    ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, SealedLedger, Session,
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
 use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId, ValueChange};
 use shallotfork_platform::PublishedList;
@@ -39,7 +39,11 @@
 
     async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
         let now = self.state.context.clock.now();
-        self.state.ledger.borrow_mut().claim(&operation, &claim, now)
+        self.state
+            .ledger
+            .borrow_mut()
+            .claim(&operation, &claim, now)
+            .unwrap_or(ClaimAnswer::MayHaveRun)
     }
 
     async fn complete(
@@ -49,12 +53,18 @@
         completion: Completion,
     ) -> CompletionAnswer {
         let now = self.state.context.clock.now();
-        self.state.ledger.borrow_mut().complete(&operation, &claim, completion, now)
+        let recorded =
+            self.state.ledger.borrow_mut().complete(&operation, &claim, &completion, now);
+        recorded.unwrap_or(CompletionAnswer::Ignored)
     }
 
     async fn close(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
         let now = self.state.context.clock.now();
-        self.state.ledger.borrow_mut().close(&operation, &claim, now)
+        self.state
+            .ledger
+            .borrow_mut()
+            .close(&operation, &claim, now)
+            .unwrap_or(ClaimAnswer::MayHaveRun)
     }
 
     async fn lookup(&self, operation: OperationId) -> Option<ClaimAnswer> {
@@ -77,9 +87,9 @@
         take_lists(&self.state, lists, &format!("peer {}", from.vm));
     }
 
-    async fn handoff(&self, _from: &PeerId, ledger: SealedLedger) -> bool {
+    async fn handoff(&self, _from: &PeerId, part: LedgerPart) -> bool {
         let now = self.state.context.clock.now();
-        self.state.ledger.borrow_mut().keep(ledger, now)
+        self.state.ledger.borrow_mut().keep(part, now)
     }
 }
 
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use shallotfork_membership::{Announcement, ListedVm, View, ViewConfig};
@@ -21,6 +20,7 @@
 use crate::context::Context;
 use crate::control::audit::AuditTrail;
 use crate::control::command::Command;
+use crate::control::handoff::seal;
 use crate::control::ledger::Ledger;
 use crate::control::lists::Lists;
 use crate::control::members::{heartbeats, tell_leaving, untold_wait};
@@ -28,7 +28,7 @@
 use crate::control::peers::Peers;
 use crate::control::state::State;
 use crate::control::watch::watch;
-use crate::control::{publish::publish, report};
+use crate::control::{operations, publish::publish, report};
 
 /// What the control thread takes over from start-up.
 pub struct ControlParts {
@@ -92,7 +92,7 @@
     let identity = &context.identity;
     let once = once_config(&context);
     let issuer = Issuer::new(identity.vm.clone(), identity.incarnation, secret, once.clone());
-    let ledger = Ledger::new(issuer, once);
+    let ledger = Ledger::new(issuer, own_id(&context), once);
     let view_config =
         ViewConfig { suspect_after: context.settings.peers.suspect_after, ..ViewConfig::default() };
     let view = View::new(view_config, announcement(&context), context.clock.now());
@@ -155,19 +155,31 @@
 
 /// Answers one question; a questioner that is gone needs no answer.
 fn answer(state: &Rc<State>, command: Command) {
-    let now = state.context.clock.now();
     match command {
         Command::Issue(reply) => {
-            let _gone = reply.send(state.ledger.borrow_mut().issue(now));
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                let _gone = reply.send(operations::issue(&state).await);
+            });
         }
         Command::Claim(operation, claim, reply) => {
-            let _gone = reply.send(state.ledger.borrow_mut().claim(&operation, &claim, now));
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                let _gone = reply.send(operations::claim(&state, &operation, &claim).await);
+            });
+        }
+        Command::Close(operation, claim, reply) => {
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                let _gone = reply.send(operations::close(&state, &operation, &claim).await);
+            });
         }
         Command::Complete(operation, claim, completion, reply) => {
-            let mut ledger = state.ledger.borrow_mut();
-            let answer = ledger.complete(&operation, &claim, completion, now);
-            let recorded = answer == shallotfork_once::CompletionAnswer::Recorded;
-            let _gone = reply.send(recorded);
+            let state = Rc::clone(state);
+            tokio::task::spawn_local(async move {
+                let done = operations::complete(&state, &operation, &claim, &completion).await;
+                let _gone = reply.send(done);
+            });
         }
         Command::Status(reply) => {
             let _gone = reply.send(report::status(state));
@@ -192,16 +204,3 @@
         }
     }
 }
-
-/// How often the end of running operations is looked for while draining.
-const DRAIN_POLL: Duration = Duration::from_millis(10);
-
-async fn seal(state: &Rc<State>) {
-    let context = &state.context;
-    state.ledger.borrow_mut().drain(context.clock.now());
-    let give_up = context.clock.now().plus(context.settings.leaving.grace_max);
-    while state.ledger.borrow().running() > 0 && context.clock.now() < give_up {
-        tokio::time::sleep(DRAIN_POLL).await;
-    }
-    let _sealed = state.ledger.borrow_mut().seal(context.clock.now());
-}
--- a/crates/shallotd/src/traffic/front.rs
+++ b/crates/shallotd/src/traffic/front.rs
@@ -10,6 +10,7 @@
 use crate::context::Context;
 use crate::traffic::dispatch::dispatch;
 use crate::traffic::entries::entries;
+use crate::traffic::operation::{named_operation, refuse};
 
 /// Answers one request of a caller.
 ///
@@ -21,9 +22,10 @@
         return entries(&context, &request).await;
     }
     let limits = body_limits(&context);
+    let operation = named_operation(request.headers());
     match read_whole(request, &limits, &context.bodies).await {
         Ok(whole) => dispatch(&context, whole).await,
-        Err(refusal) => refusal.problem().into_response(),
+        Err(refusal) => refuse(&context, operation, refusal.problem()).await.into_response(),
     }
 }
 
--- a/crates/shallotd/src/traffic/operation.rs
+++ b/crates/shallotd/src/traffic/operation.rs
@@ -1,18 +1,25 @@
 //! Non-idempotent operations named by session and key: claim, run, report the end.
 
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use poem::Response;
-use shallotfork_exchange::{Problem, VERDICT_HEADER, WholeAnswer, WholeRequest};
+use shallotfork_exchange::{
+    KEY_HEADER, Problem, SESSION_HEADER, VERDICT_HEADER, WholeAnswer, WholeRequest,
+};
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, HeaderField, KeptAnswer, OperationId, Session,
 };
 use shallotfork_types::Verdict;
 
+use tokio::sync::oneshot;
+
 use crate::context::Context;
+use crate::control::Decision;
 use crate::traffic::dispatch::respond;
 
 /// The end of an execution: a whole answer, or the problem to report.
@@ -39,8 +46,7 @@
     Problem::new(StatusCode::BAD_REQUEST, Verdict::NotRun).with_detail(detail)
 }
 
-/// Runs an operation if its issuer grants it, and tells the issuer how it ended before the caller
-/// hears of it.
+/// Runs an operation if its issuer grants it, and tells the issuer how it ended.
 ///
 /// The work is a task of its own, so that it goes on when the caller hangs up: a request whose
 /// bytes may be at a target must be reported, or its key would stay in progress until the session
@@ -51,30 +57,78 @@
     method: Method,
     executing: impl Future<Output = Executed> + Send + 'static,
 ) -> Response {
-    let task = tokio::spawn(run_claimed(Arc::clone(context), operation, method, executing));
-    task.await.unwrap_or_else(|_| {
+    let (reply, response) = oneshot::channel();
+    tokio::spawn(run_claimed(Arc::clone(context), operation, method, executing, reply));
+    response.await.unwrap_or_else(|_| {
         Problem::new(StatusCode::INTERNAL_SERVER_ERROR, Verdict::MayHaveRun).into_response()
     })
 }
 
+/// The caller is answered once the end is recorded, so that its repeats get the kept answer; when
+/// the issuer is slow to record it, the caller does not wait for that any longer.
 async fn run_claimed(
     context: Arc<Context>,
     operation: OperationId,
     method: Method,
     executing: impl Future<Output = Executed> + Send,
-) -> Response {
+    reply: oneshot::Sender<Response>,
+) {
     let _in_flight = context.in_flight.enter();
-    let identity = &context.identity;
-    let number = Context::next(&context.claims);
-    let claim = ClaimId::new(identity.vm.clone(), identity.incarnation, number);
+    let claim = next_claim(&context);
     match context.control.claim(&operation, &claim).await {
-        ClaimAnswer::Granted => {}
-        refused => return answer_refused(refused, &method),
+        Decision::Answered(ClaimAnswer::Granted) => {}
+        refused => {
+            let _hung_up = reply.send(answer_refused(refused, &method));
+            return;
+        }
     }
     let executed = executing.await;
     let completion = completion(&executed);
-    let recorded = context.control.complete(&operation, &claim, completion).await;
-    respond(confirmed(executed, recorded), &method)
+    let wait = if completion == Completion::NotRun { NOT_RUN_WAIT } else { RECORD_WAIT };
+    let mut recording = pin!(context.control.complete(&operation, &claim, completion));
+    let recorded = tokio::time::timeout(wait, &mut recording).await;
+    let executed = confirmed(executed, recorded == Ok(true));
+    let _hung_up = reply.send(respond(executed, &method));
+    if recorded.is_err() {
+        recording.await;
+    }
+}
+
+fn next_claim(context: &Context) -> ClaimId {
+    let identity = &context.identity;
+    let number = Context::next(&context.claims);
+    ClaimId::new(identity.vm.clone(), identity.incarnation, number)
+}
+
+/// The answer to a request that was refused before it was claimed.
+///
+/// Another copy of a keyed request may reach another entry: `not-run` is said only once the
+/// operation is closed.
+pub async fn refuse(
+    context: &Context,
+    operation: Option<OperationId>,
+    problem: Problem,
+) -> Problem {
+    let Some(operation) = operation else { return problem };
+    let claim = next_claim(context);
+    let closing = context.control.close(&operation, &claim);
+    let closed = tokio::time::timeout(NOT_RUN_WAIT, closing).await;
+    let verdict = match closed {
+        Ok(Decision::Answered(answer)) => answer.verdict(),
+        _ => None,
+    };
+    match verdict.unwrap_or(Verdict::MayHaveRun) {
+        Verdict::NotRun => problem,
+        other => Problem::new(problem.status(), other)
+            .with_detail("this copy was refused; another one may have run"),
+    }
+}
+
+/// The operation that the headers of a request name, if they name one.
+pub fn named_operation(headers: &HeaderMap) -> Option<OperationId> {
+    let key = headers.get(KEY_HEADER)?.to_str().ok()?.parse().ok()?;
+    let session = headers.get(SESSION_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(OperationId::new(session, key))
 }
 
 fn completion(executed: &Executed) -> Completion {
@@ -128,7 +182,13 @@
     }
 }
 
-fn answer_refused(answer: ClaimAnswer, method: &Method) -> Response {
+fn answer_refused(decision: Decision, method: &Method) -> Response {
+    let Decision::Answered(answer) = decision else {
+        return Problem::new(StatusCode::SERVICE_UNAVAILABLE, Verdict::MayHaveRun)
+            .with_detail("the entry that issued the session cannot be reached")
+            .with_retry_after(UNREACHABLE_RETRY)
+            .into_response();
+    };
     let verdict = answer.verdict().unwrap_or(Verdict::MayHaveRun);
     let problem = |status, detail| Problem::new(status, verdict).with_detail(detail);
     let problem = match answer {
@@ -158,4 +218,13 @@
 }
 
 /// When a caller may ask again for an operation in progress.
-const IN_PROGRESS_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+const IN_PROGRESS_RETRY: Duration = Duration::from_millis(500);
+
+/// When a caller may ask again whose session's issuer cannot be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest wait of a caller for its answer to be recorded.
+const RECORD_WAIT: Duration = Duration::from_millis(50);
+
+/// Longest wait of a caller for the proof that nothing ran, which spares it a look-up.
+const NOT_RUN_WAIT: Duration = Duration::from_millis(500);
