--- a/tests/src/running.rs
+++ b/tests/src/running.rs
@@ -170,11 +170,11 @@
     /// # Errors
     /// When the platform does not take them.
     pub async fn publish_all(&self) -> anyhow::Result<()> {
-        self.platform.publish("rules", &self.case.rules).await?;
         for service in self.case.services()? {
             self.publish_targets(&service).await?;
         }
-        self.publish_vms().await
+        self.publish_vms().await?;
+        self.platform.publish("rules", &self.case.rules).await
     }
 
     /// Publishes the VM list with every entry of this system.
