feat(shallotctl): check, explain, status, watch and audit

Operators publish and watch; the tool only reads. check and explain work offline with the entries' own code; the others ask the operators' port of every entry given and tell 'late' (exit 1) from 'no answer' (exit 3).

--- a/crates/rules/src/parser.rs
+++ b/crates/rules/src/parser.rs
@@ -37,6 +37,10 @@
     }
 }
 
+pub(crate) fn keys() -> impl Iterator<Item = &'static str> {
+    conditions::KEYS.iter().chain(outcome::KEYS).copied()
+}
+
 fn into_rule_errors(errors: Vec<shallotfork_ini::IniError>) -> Vec<RuleError> {
     errors.into_iter().map(RuleError::from).collect()
 }
@@ -84,7 +88,7 @@
 
 fn read_rule(section: &Section, errors: &mut Vec<RuleError>) -> Option<Rule> {
     let mut reader = SectionReader::new(section);
-    reader.check_keys(&[conditions::KEYS, outcome::KEYS].concat());
+    reader.check_keys(&keys().collect::<Vec<_>>());
     let name = section.name.parse().map_err(|error| reader.reject("", error)).ok();
     let conditions = conditions::read(&mut reader);
     let outcome = outcome::read(&mut reader);
--- a/crates/rules/src/rule_list.rs
+++ b/crates/rules/src/rule_list.rs
@@ -28,6 +28,11 @@
         parser::parse(text)
     }
 
+    /// Every key that a rule may have, in the order of the documentation.
+    pub fn keys() -> impl Iterator<Item = &'static str> {
+        parser::keys()
+    }
+
     pub(crate) fn new(conditional: Vec<Rule>, fallback: Rule) -> Self {
         Self { conditional, fallback }
     }
--- /dev/null
+++ b/crates/shallotctl/src/command/check.rs
@@ -0,0 +1,62 @@
+//! `shallotctl check`: whether a rule list is valid.
+
+use std::fs;
+
+use anyhow::{Context, Result};
+use serde::Serialize;
+use shallotfork_rules::{RuleError, RuleList};
+
+use super::CheckConfig;
+use crate::exit::Exit;
+
+#[derive(Debug, Serialize)]
+struct CheckJson {
+    valid: bool,
+    rules: usize,
+    errors: Vec<RuleErrorJson>,
+}
+
+#[derive(Debug, Serialize)]
+struct RuleErrorJson {
+    line: usize,
+    rule: String,
+    key: String,
+    reason: String,
+}
+
+/// Checks a file and prints every error.
+///
+/// # Errors
+/// When the file cannot be read.
+pub fn check(config: &CheckConfig) -> Result<Exit> {
+    let path = config.file.display();
+    let text = fs::read_to_string(&config.file).with_context(|| format!("cannot read {path}"))?;
+    let parsed = RuleList::parse(&text);
+    let exit = if parsed.is_ok() { Exit::Done } else { Exit::No };
+    if config.json {
+        println!("{}", serde_json::to_string_pretty(&to_json(parsed))?);
+        return Ok(exit);
+    }
+    match parsed {
+        Ok(list) => println!("{path}: valid, {} rules", list.rule_count()),
+        Err(errors) => errors.iter().for_each(|error| println!("{path}: {error}")),
+    }
+    Ok(exit)
+}
+
+fn to_json(parsed: Result<RuleList, Vec<RuleError>>) -> CheckJson {
+    let rules = parsed.as_ref().map_or(0, RuleList::rule_count);
+    let errors = parsed.err().unwrap_or_default();
+    CheckJson {
+        valid: rules > 0,
+        rules,
+        errors: errors.into_iter().map(RuleErrorJson::from).collect(),
+    }
+}
+
+impl From<RuleError> for RuleErrorJson {
+    fn from(error: RuleError) -> Self {
+        let RuleError { line, rule, key, reason } = error;
+        Self { line, rule, key, reason }
+    }
+}
--- /dev/null
+++ b/crates/shallotctl/tests/shallotctl/main.rs
@@ -0,0 +1,5 @@
+//! Runs `shallotctl` as an operator would.
+
+mod offline;
+mod online;
+mod support;
