fix(standin): a caller changes its session only when every send is proved not run

Cause: a keyed call stayed with a session whose issuer is leaving for good, so a planned stop would fail the order; and a leaving entry issues no session, which the answer's type did not allow. Changing the session after any `not-run` was ruled out: an earlier send may still run, and the same key under a new session is another operation.

--- a/crates/standin/src/caller/call.rs
+++ b/crates/standin/src/caller/call.rs
@@ -158,6 +158,11 @@
         self.answer.as_ref().filter(|answer| answer.is_success())
     }
 
+    /// Whether every send was answered with the proof that nothing ran.
+    pub fn is_proved_not_run(&self) -> bool {
+        self.attempts.iter().all(|attempt| attempt.verdict == Some(Verdict::NotRun))
+    }
+
     /// The last answer's verdict.
     pub fn verdict(&self) -> Option<Verdict> {
         self.answer.as_ref().and_then(|answer| answer.verdict)
--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -102,18 +102,34 @@
                 return Err(CallerError::NoEntry("an empty list".to_owned()));
             }
             if report.session.is_none() {
-                report.session = self.session_for(call, &known);
+                report.session = session_for(call, &known);
+            }
+            if call.key.is_some() && report.session.is_none() {
+                self.expire(&call.service).await;
+                tokio::time::sleep(RETRY_WAIT).await;
+                continue;
             }
             let entry = known.entries[number % known.entries.len()].address;
             let wait = self.send_once(entry, call, &mut report).await;
             let Some(wait) = wait else {
                 break;
             };
+            if call.session.is_none() && report.is_proved_not_run() {
+                report.session = None;
+                self.expire(&call.service).await;
+            }
             tokio::time::sleep(wait.min(self.config.retry_wait_max)).await;
         }
         Ok(report)
     }
 
+    /// Asks again before the next send, first those that the last answer named.
+    async fn expire(&self, service: &ServiceName) {
+        if let Some(held) = self.held.lock().await.get_mut(service) {
+            held.until = Instant::now();
+        }
+    }
+
     /// Sends a call to one entry, once.
     pub async fn send_to(&self, entry: Endpoint, call: &Call) -> Report {
         let session = call.session.clone();
@@ -122,13 +138,6 @@
         report
     }
 
-    /// A keyed call stays with the session it was first sent with: under another session the same
-    /// key names another operation.
-    fn session_for(&self, call: &Call, known: &EntriesAnswer) -> Option<String> {
-        call.key.as_ref()?;
-        Some(call.session.clone().unwrap_or_else(|| known.session.clone()))
-    }
-
     /// Sends once; gives the wait before a resend, or nothing when the call is settled.
     async fn send_once(
         &self,
@@ -223,6 +232,13 @@
     }
 }
 
+/// A keyed call stays with the session it was first sent with, as under another session the same
+/// key names another operation; only when every send is proved not to have run may it change.
+fn session_for(call: &Call, known: &EntriesAnswer) -> Option<String> {
+    call.key.as_ref()?;
+    call.session.clone().or_else(|| known.session.clone())
+}
+
 /// How long to wait before a resend that is safe and may help.
 fn resend_wait(call: &Call, answer: &Answer) -> Option<Duration> {
     let verdict = answer.verdict?;
--- a/crates/standin/src/caller/entries.rs
+++ b/crates/standin/src/caller/entries.rs
@@ -19,6 +19,6 @@
     pub entries: Vec<EntryAddress>,
     /// How long the caller may use this answer.
     pub keep_for_ms: u64,
-    /// Session for non-idempotent requests.
-    pub session: String,
+    /// Session for non-idempotent requests; a leaving entry issues none.
+    pub session: Option<String>,
 }
--- a/tests/examples/demo.rs
+++ b/tests/examples/demo.rs
@@ -77,7 +77,7 @@
         println!("3. lodge an order with a session of one entry, through another entry");
         let addresses = self.running.caller_addresses();
         let issuer = Caller::new(CallerConfig::new(vec![addresses[ISSUER]]))?;
-        let session = issuer.entries(&self.orders).await?.session;
+        let session = issuer.entries(&self.orders).await?.session.context("no session")?;
         let key = IdempotencyKey::new("order-1")?;
         let body = Bytes::from_static(b"two drums of saltbush pepper");
         let order = Call::post(self.orders.clone(), "/orders", key, body)
