fix(tests): wait until every entry knows the others before a test begins

Cause: an entry serves as soon as a rule list is in force, before it has heard of its peers; tests of failover began with answers that named one entry only. Change: wait_ready also reads each entry's status until it lists every other running entry as live; rules are published last.

--- a/tests/src/entry.rs
+++ b/tests/src/entry.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
+use shallotfork_types::report::StatusReport;
 use shallotfork_types::{Endpoint, FailureDomain, VmId};
 
 use crate::platform::VmJson;
@@ -74,6 +75,24 @@
         self.operator_get("/v1/ready").await.is_ok()
     }
 
+    /// What the entry tells operators of its state.
+    ///
+    /// # Errors
+    /// When the operators' port does not answer.
+    pub async fn status(&self) -> anyhow::Result<StatusReport> {
+        Ok(serde_json::from_str(&self.operator_get("/v1/status").await?)?)
+    }
+
+    /// Whether the entry takes all of these, itself aside, for live.
+    pub(crate) async fn knows_live(&self, others: &[&VmId]) -> bool {
+        let Ok(status) = self.status().await else {
+            return false;
+        };
+        let is_live =
+            |vm: &VmId| status.entries.iter().any(|entry| entry.vm == *vm && entry.state == "live");
+        others.iter().all(|vm| **vm == self.vm || is_live(vm))
+    }
+
     /// Reads a page of the operators' port.
     ///
     /// # Errors
--- a/tests/src/running.rs
+++ b/tests/src/running.rs
@@ -165,16 +165,16 @@
         Ok(settings)
     }
 
-    /// Publishes rules, targets and the VM list.
+    /// Publishes targets, the VM list and at last the rules, with which an entry is ready.
     ///
     /// # Errors
     /// When the platform does not take them.
     pub async fn publish_all(&self) -> anyhow::Result<()> {
-        self.platform.publish("rules", &self.case.rules).await?;
         for service in self.case.services()? {
             self.publish_targets(&service).await?;
         }
-        self.publish_vms().await
+        self.publish_vms().await?;
+        self.platform.publish("rules", &self.case.rules).await
     }
 
     /// Publishes the VM list with every entry of this system.
@@ -196,19 +196,28 @@
         self.platform.publish_targets(service, &targets).await
     }
 
-    /// Waits until every entry whose process runs serves.
+    /// Waits until every entry whose process runs serves and knows every other one as live.
     ///
     /// # Errors
     /// When one is not ready in time.
     pub async fn wait_ready(&mut self) -> anyhow::Result<()> {
-        for entry in &mut self.entries {
-            if !entry.program.is_running() {
-                continue;
+        let mut running = Vec::new();
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            if entry.program.is_running() {
+                running.push(index);
             }
-            let entry = &*entry;
+        }
+        for index in &running {
+            let entry = &self.entries[*index];
             let what = format!("{} serves", entry.vm);
             wait_until(&what, async || entry.is_ready().await).await?;
         }
+        for index in &running {
+            let entry = &self.entries[*index];
+            let others: Vec<&VmId> = running.iter().map(|other| &self.entries[*other].vm).collect();
+            let what = format!("{} knows the other entries", entry.vm);
+            wait_until(&what, async || entry.knows_live(&others).await).await?;
+        }
         Ok(())
     }
 
