test: orders run at most once under faults of entries, with real processes

Faults: copies through all entries at once; SIGKILL of issuer and of executor; restart of the issuer; SIGSTOP of either for longer than every timeout; a link cut both ways and one way; planned stop; all entries replaced one after another. The targets count runs by key.

Found while writing: a claim whose answer was lost was closed for 3 s only, and an end was reported for 3 s only; an issuer paused for longer left the key in progress until the run timeout. Change: both are reported in the background, within a bound, until the issuer answers or its incarnation ends.

Harness: with relays before entries, an entry advertises its relay's address. Peers learn addresses from heartbeats and went round the relay before, so that no cut took effect.

--- a/crates/shallotd/src/control/operations.rs
+++ b/crates/shallotd/src/control/operations.rs
@@ -2,6 +2,7 @@
 //! else of peers that hold its sealed ledger.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt as _;
@@ -9,19 +10,22 @@
 use shallotfork_membership::{EntryState, EntryVm};
 use shallotfork_once::{ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, Session};
 use shallotfork_peer::{PeerClient, PeerError};
-use shallotfork_types::{VmId, rendezvous_weight};
+use shallotfork_types::{Verdict, VmId, rendezvous_weight};
 
 use crate::control::state::State;
 
 /// Peers asked at once for the sealed ledger of an issuer that is gone.
 const LOOKUP_PEERS_MAX: usize = 8;
 
-/// Times that the end of an operation is reported to an issuer that does not answer.
-const REPORTS_MAX: u32 = 4;
+/// Ends of operations that are reported in the background at once.
+pub const LATE_REPORTS_MAX: usize = 256;
 
 /// Wait before the second report of an end; it doubles with each further one.
 const REPORT_WAIT: Duration = Duration::from_millis(200);
 
+/// Longest wait between two reports of an end.
+const REPORT_WAIT_MAX: Duration = Duration::from_secs(2);
+
 /// What is known of an operation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
@@ -42,84 +46,110 @@
     if let Some(answer) = here {
         return Decision::Answered(answer);
     }
-    let session = operation.session();
-    match issuer(state, session).await {
-        Ok(client) => match client.claim(operation, claim.number()).await {
+    if let Ok(client) = issuer(state, operation.session()).await {
+        match client.claim(operation, claim.number()).await {
             Ok(answer) => return Decision::Answered(answer),
             Err(_) => {
-                state.peers.drop_client(session.issuer());
-                tokio::task::spawn_local(abandon(
-                    Rc::clone(state),
-                    operation.clone(),
-                    claim.clone(),
-                ));
+                state.peers.drop_client(operation.session().issuer());
+                report_later(state, operation, claim, Completion::NotRun);
             }
-        },
-        Err(Unavailable::Gone) => {}
-        Err(Unavailable::Silent) => state.peers.drop_client(session.issuer()),
+        }
     }
     archived(state, operation).await
 }
 
 /// Makes sure that an operation never runs, unless somebody else was granted it.
 pub async fn close(state: &Rc<State>, operation: &OperationId, claim: &ClaimId) -> Decision {
+    match close_at_issuer(state, operation, claim).await {
+        Ok(answer) => Decision::Answered(answer),
+        Err(_) => archived(state, operation).await,
+    }
+}
+
+async fn close_at_issuer(
+    state: &State,
+    operation: &OperationId,
+    claim: &ClaimId,
+) -> Result<ClaimAnswer, Unavailable> {
     let now = state.context.clock.now();
     let here = state.ledger.borrow_mut().close(operation, claim, now);
     if let Some(answer) = here {
-        return Decision::Answered(answer);
+        return Ok(answer);
     }
-    let session = operation.session();
-    if let Ok(client) = issuer(state, session).await {
-        match client.close(operation, claim.number()).await {
-            Ok(answer) => return Decision::Answered(answer),
-            Err(_) => state.peers.drop_client(session.issuer()),
-        }
+    let client = issuer(state, operation.session()).await?;
+    let answer = client.close(operation, claim.number()).await;
+    if answer.is_err() {
+        state.peers.drop_client(operation.session().issuer());
     }
-    archived(state, operation).await
+    Ok(answer?)
 }
 
-/// Reports the end of an operation once; `None` when nobody answered.
+/// Reports the end of an operation once; returns whether the issuer recorded it.
 async fn report(
-    state: &Rc<State>,
+    state: &State,
     operation: &OperationId,
     claim: &ClaimId,
     completion: &Completion,
-) -> Option<CompletionAnswer> {
+) -> Result<bool, Unavailable> {
+    if *completion == Completion::NotRun {
+        let answer = close_at_issuer(state, operation, claim).await?;
+        return Ok(answer.verdict() == Some(Verdict::NotRun));
+    }
     let now = state.context.clock.now();
     let here = state.ledger.borrow_mut().complete(operation, claim, completion, now);
-    if here.is_some() {
-        return here;
+    if let Some(answer) = here {
+        return Ok(answer == CompletionAnswer::Recorded);
     }
-    let session = operation.session();
-    let client = issuer(state, session).await.ok()?;
-    match client.complete(operation, claim.number(), completion).await {
-        Ok(answer) => Some(answer),
-        Err(_) => {
-            state.peers.drop_client(session.issuer());
-            None
-        }
+    let client = issuer(state, operation.session()).await?;
+    let answer = client.complete(operation, claim.number(), completion).await;
+    if answer.is_err() {
+        state.peers.drop_client(operation.session().issuer());
     }
+    Ok(answer? == CompletionAnswer::Recorded)
 }
 
-/// Tells the issuer how an operation ended, again and again while it does not answer; returns
-/// whether it recorded that.
+/// Tells the issuer how an operation ended; returns whether it recorded that. When it does not
+/// answer, further reports follow in the background.
 pub async fn complete(
     state: &Rc<State>,
     operation: &OperationId,
     claim: &ClaimId,
-    completion: &Completion,
+    completion: Completion,
 ) -> bool {
-    let mut wait = REPORT_WAIT;
-    for number in 0..REPORTS_MAX {
-        if number > 0 {
-            tokio::time::sleep(wait).await;
-            wait *= 2;
-        }
-        if let Some(answer) = report(state, operation, claim, completion).await {
-            return answer == CompletionAnswer::Recorded;
+    match report(state, operation, claim, &completion).await {
+        Ok(recorded) => recorded,
+        Err(_) => {
+            report_later(state, operation, claim, completion);
+            false
         }
     }
-    false
+}
+
+/// Reports the end of an operation until the issuer answers, its incarnation is known to have
+/// ended, or the session has. Over the bound on such reports, the operation stays as it is at the
+/// issuer and becomes may-have-run there.
+fn report_later(
+    state: &Rc<State>,
+    operation: &OperationId,
+    claim: &ClaimId,
+    completion: Completion,
+) {
+    let Ok(permit) = Arc::clone(&state.late_reports).try_acquire_owned() else { return };
+    let (state, operation, claim) = (Rc::clone(state), operation.clone(), claim.clone());
+    tokio::task::spawn_local(async move {
+        let _permit = permit;
+        let clock = state.context.clock;
+        let give_up = clock.now().plus(operation.session().lifetime());
+        let mut wait = REPORT_WAIT;
+        while clock.now() < give_up {
+            tokio::time::sleep(wait).await;
+            wait = (wait * 2).min(REPORT_WAIT_MAX);
+            match report(&state, &operation, &claim, &completion).await {
+                Ok(_) | Err(Unavailable::Gone) => return,
+                Err(Unavailable::Silent) => {}
+            }
+        }
+    });
 }
 
 /// A session for a caller of this process: its own, or a peer's while this process leaves.
@@ -173,7 +203,7 @@
         return Err(Unavailable::Gone);
     }
     if entry.state == EntryState::Suspected {
-        return Err(Unavailable::Gone);
+        return Err(Unavailable::Silent);
     }
     let client = state.peers.client(&entry).await?;
     if client.peer().incarnation != session.incarnation() {
@@ -203,15 +233,3 @@
     let client = state.peers.client(holder).await.ok()?;
     client.lookup(operation).await.ok()?
 }
-
-/// Closes an operation whose claim was not answered, once the issuer answers again.
-async fn abandon(state: Rc<State>, operation: OperationId, claim: ClaimId) {
-    let mut wait = REPORT_WAIT;
-    for _ in 0..REPORTS_MAX {
-        tokio::time::sleep(wait).await;
-        wait *= 2;
-        if matches!(close(&state, &operation, &claim).await, Decision::Answered(_)) {
-            return;
-        }
-    }
-}
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -6,7 +6,7 @@
 
 use shallotfork_membership::View;
 use shallotfork_types::ServiceName;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::context::Context;
 use crate::control::audit::AuditTrail;
@@ -27,6 +27,8 @@
     pub ledger: RefCell<Ledger>,
     /// Connections to other entries.
     pub peers: Peers,
+    /// Bounds the ends of operations that are reported in the background.
+    pub late_reports: Arc<Semaphore>,
     /// The trail of changes.
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -14,7 +14,7 @@
 use shallotfork_platform::{HttpPlatform, HttpPlatformConfig};
 use shallotfork_timer::TimerService;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch as watch_channel};
+use tokio::sync::{Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
 
 use crate::context::Context;
@@ -102,6 +102,7 @@
         view: RefCell::new(view),
         ledger: RefCell::new(ledger),
         peers,
+        late_reports: Arc::new(Semaphore::new(operations::LATE_REPORTS_MAX)),
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
         ready,
@@ -177,7 +178,7 @@
         Command::Complete(operation, claim, completion, reply) => {
             let state = Rc::clone(state);
             tokio::task::spawn_local(async move {
-                let done = operations::complete(&state, &operation, &claim, &completion).await;
+                let done = operations::complete(&state, &operation, &claim, completion).await;
                 let _gone = reply.send(done);
             });
         }
--- a/tests/src/running.rs
+++ b/tests/src/running.rs
@@ -1,5 +1,6 @@
 //! A running system and what a test does to it.
 
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -94,17 +95,31 @@
     pub async fn start_entry(&mut self) -> anyhow::Result<usize> {
         let number = self.started;
         let vm = VmId::new(&format!("entry-{number}"))?;
-        let settings = self.settings_of(&vm, number)?;
+        let mut settings = self.settings_of(&vm, number)?;
+        let relay = self.peer_relay(&vm).await?;
+        if let Some(relay) = &relay {
+            // Peers learn addresses from heartbeats too, so the entry must give the relay's.
+            settings = settings.with("peers", "advertise", &relay.address().to_string());
+        }
         let mut entry = self.spawn_entry(&vm, number, settings).await?;
-        if self.case.has_peer_relays {
-            entry.relay =
-                Some(Relay::start_between(entry.ready.peers, &vm, self.links.clone()).await?);
+        if let Some(relay) = &relay {
+            relay.set_upstream(entry.ready.peers);
         }
+        entry.relay = relay;
         self.entries.push(entry);
         self.started += 1;
         Ok(self.entries.len() - 1)
     }
 
+    /// A relay whose upstream is not known yet, in a case with relays before entries.
+    async fn peer_relay(&self, vm: &VmId) -> anyhow::Result<Option<Relay>> {
+        if !self.case.has_peer_relays {
+            return Ok(None);
+        }
+        let nowhere = Endpoint::new((Ipv4Addr::LOCALHOST, 0).into());
+        Ok(Some(Relay::start_between(nowhere, vm, self.links.clone()).await?))
+    }
+
     /// Starts an entry that has ended again, on the same VM with other ports and no memory, and
     /// publishes its new ports.
     ///
