feat(membership): spread news so that each VM exchanges heartbeats with a few others only

Cause: a heartbeat exchange costs 426 bytes (docs/design/peer.md); all pairs of 14 VMs twice a second are 22 KB/s a node against the 6 KB/s of the size to design for, and a VM outside the bounded set of heartbeat peers would have been suspected for ever by its silence. Ruled out: remembering ended incarnations, since runs have no order: a process that knew only the new run would have followed the old one's late heartbeat. The known run now stays while it is heard. Change: suspicion by silence of watched VMs only; news about others in a bounded number of heartbeats; a VM that was paused or cut off raises its round. Result: in a fleet of 60 with 4 peers each, a dead VM is suspected by all within 16 periods, a leaving one known within 6. The test of ended incarnations is unchanged.

--- /dev/null
+++ b/crates/membership/src/member.rs
@@ -0,0 +1,164 @@
+//! What a view remembers of one VM.
+
+use std::time::Duration;
+
+use shallotfork_types::{Incarnation, Mono};
+
+use crate::{Announcement, EntryState, EntryVm, ListedVm, News};
+
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) listed: ListedVm,
+    pub(crate) on_list: bool,
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) round: u32,
+    said_leaving: bool,
+    suspected: bool,
+    /// Whether heartbeats are exchanged with it, so that its silence means something.
+    watched: bool,
+    pub(crate) quiet_since: Mono,
+}
+
+impl Member {
+    pub(crate) fn new(listed: ListedVm, now: Mono) -> Self {
+        Self {
+            listed,
+            on_list: false,
+            incarnation: None,
+            round: 0,
+            said_leaving: false,
+            suspected: false,
+            watched: false,
+            quiet_since: now,
+        }
+    }
+
+    /// Takes the platform's account; its word on leaving counts until a newer list takes it back.
+    pub(crate) fn set_listed(&mut self, listed: &ListedVm) {
+        self.on_list = true;
+        let known_better = self.incarnation.is_some();
+        if known_better {
+            self.listed.leaving = listed.leaving;
+        } else {
+            self.listed = listed.clone();
+        }
+    }
+
+    /// Starts to expect heartbeats from now on.
+    pub(crate) fn watch(&mut self, now: Mono) {
+        if !self.watched {
+            self.watched = true;
+            self.quiet_since = now;
+        }
+    }
+
+    pub(crate) fn unwatch(&mut self) {
+        self.watched = false;
+    }
+
+    /// Takes direct evidence; returns whether it counted.
+    pub(crate) fn heard(&mut self, from: &Announcement, fresh: Duration, now: Mono) -> bool {
+        if !self.may_become(from.incarnation, fresh, now) {
+            return false;
+        }
+        self.take(from);
+        self.suspected = false;
+        self.quiet_since = now;
+        true
+    }
+
+    /// Takes hearsay; returns whether it changed the belief.
+    pub(crate) fn told(&mut self, news: &News, fresh: Duration, now: Mono) -> bool {
+        let about = &news.about;
+        let heard_lately = self.watched && now.since(self.quiet_since) <= fresh;
+        let before = self.belief();
+        if self.incarnation != Some(about.incarnation) {
+            if heard_lately || !self.may_become(about.incarnation, fresh, now) {
+                return false;
+            }
+            self.take(about);
+            self.suspected = news.suspected;
+            return true;
+        }
+        self.said_leaving |= about.listed.leaving;
+        if news.suspected && about.round >= self.round && !heard_lately {
+            self.suspected = true;
+        }
+        if !news.suspected && about.round > self.round {
+            self.suspected = false;
+        }
+        self.round = self.round.max(about.round);
+        before != self.belief()
+    }
+
+    /// Whether another run of the process may take the place of the known one.
+    ///
+    /// A paused VM may be replaced under its name and wake up later; both runs then speak. The
+    /// known one stays for as long as it is heard, so that the two cannot take turns and a late
+    /// message of an ended run changes nothing. Runs have no order that all VMs would agree on.
+    fn may_become(&self, incarnation: Incarnation, fresh: Duration, now: Mono) -> bool {
+        let Some(known) = self.incarnation else { return true };
+        let silent = now.since(self.quiet_since) > fresh;
+        known == incarnation || silent || self.suspected || self.said_leaving
+    }
+
+    fn take(&mut self, from: &Announcement) {
+        if self.incarnation != Some(from.incarnation) {
+            self.incarnation = Some(from.incarnation);
+            self.round = 0;
+            self.said_leaving = false;
+        }
+        let leaving = self.listed.leaving && self.on_list;
+        self.listed = ListedVm { leaving, ..from.listed.clone() };
+        self.said_leaving |= from.listed.leaving;
+        self.round = self.round.max(from.round);
+    }
+
+    pub(crate) fn leave(&mut self) {
+        self.said_leaving = true;
+    }
+
+    /// Suspects a watched VM that has been silent for too long; returns whether that is new.
+    pub(crate) fn suspect_if_silent(&mut self, after: Duration, now: Mono) -> bool {
+        let silent = self.watched && now.since(self.quiet_since) > after;
+        if !silent || self.suspected {
+            return false;
+        }
+        self.suspected = true;
+        true
+    }
+
+    pub(crate) fn resumed(&mut self, now: Mono) {
+        self.quiet_since = now;
+    }
+
+    fn belief(&self) -> (EntryState, Option<Incarnation>, u32) {
+        (self.state(), self.incarnation, self.round)
+    }
+
+    pub(crate) fn state(&self) -> EntryState {
+        if self.said_leaving || self.listed.leaving {
+            return EntryState::Leaving;
+        }
+        if self.suspected { EntryState::Suspected } else { EntryState::Live }
+    }
+
+    pub(crate) fn entry(&self) -> EntryVm {
+        EntryVm {
+            vm: self.listed.vm.clone(),
+            failure_domain: self.listed.failure_domain.clone(),
+            callers: self.listed.callers,
+            peers: self.listed.peers,
+            incarnation: self.incarnation,
+            state: self.state(),
+        }
+    }
+
+    /// News about this VM; `None` when no run of it was ever heard of.
+    pub(crate) fn news(&self) -> Option<News> {
+        let listed = ListedVm { leaving: self.said_leaving, ..self.listed.clone() };
+        let incarnation = self.incarnation?;
+        let about = Announcement { listed, incarnation, round: self.round };
+        Some(News { about, suspected: self.suspected })
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,123 +1,40 @@
 //! The membership view of one process.
 
-use std::collections::BTreeMap;
-use std::fmt;
-
-use shallotfork_types::{Endpoint, FailureDomain, Incarnation, Mono, Revision, VmId};
-
-use crate::ViewConfig;
-
-/// One VM of the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedVm {
-    /// Name of the VM.
-    pub vm: VmId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// Where callers connect.
-    pub callers: Endpoint,
-    /// Where other entries connect.
-    pub peers: Endpoint,
-    /// Whether the platform says that it is leaving.
-    pub leaving: bool,
-}
-
-/// What a VM says of itself in a heartbeat or a notice, after it proved the peer key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Announcement {
-    /// Identity and addresses, as in the platform's list.
-    pub listed: ListedVm,
-    /// The run of the process that speaks.
-    pub incarnation: Incarnation,
-}
-
-/// What this process believes of a VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EntryState {
-    /// Heard lately, or listed and not yet due to be heard.
-    Live,
-    /// Silent for too long.
-    Suspected,
-    /// Said by itself or by the platform to be leaving.
-    Leaving,
-}
-
-impl fmt::Display for EntryState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Live => "live",
-            Self::Suspected => "suspected",
-            Self::Leaving => "leaving",
-        })
-    }
-}
-
-/// One VM with the belief about it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EntryVm {
-    /// Name of the VM.
-    pub vm: VmId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// Where callers connect.
-    pub callers: Endpoint,
-    /// Where other entries connect.
-    pub peers: Endpoint,
-    /// The run that was heard last; `None` when it was never heard.
-    pub incarnation: Option<Incarnation>,
-    /// The belief.
-    pub state: EntryState,
-}
-
-/// Incarnations of one VM that are remembered as ended.
-const RETIRED_MAX: usize = 8;
-
-#[derive(Debug)]
-struct Member {
-    listed: ListedVm,
-    on_list: bool,
-    incarnation: Option<Incarnation>,
-    retired: Vec<Incarnation>,
-    said_leaving: bool,
-    quiet_since: Mono,
-}
+use std::collections::{BTreeMap, BTreeSet};
 
-impl Member {
-    fn new(listed: ListedVm, now: Mono) -> Self {
-        Self {
-            listed,
-            on_list: false,
-            incarnation: None,
-            retired: Vec::new(),
-            said_leaving: false,
-            quiet_since: now,
-        }
-    }
+use shallotfork_types::{Mono, Revision, VmId};
 
-    fn retire(&mut self, incarnation: Incarnation) {
-        if self.retired.len() == RETIRED_MAX {
-            self.retired.remove(0);
-        }
-        self.retired.push(incarnation);
-    }
-}
+use crate::member::Member;
+use crate::{Announcement, EntryState, EntryVm, ListedVm, News, ViewConfig};
 
-/// Joins the platform's list with direct evidence.
+/// Joins the platform's list with direct evidence and with news from other entries.
+///
+/// Only watched VMs, those with which heartbeats are exchanged, are suspected by their silence.
+/// Of the others this process hears through news, which each entry passes on in a bounded number
+/// of heartbeats; a VM that hears of a suspicion against itself refutes it by a higher round.
 #[derive(Debug)]
 pub struct View {
     config: ViewConfig,
     own: VmId,
     revision: Revision,
     members: BTreeMap<VmId, Member>,
+    /// Sends that are left for each piece of news.
+    spreading: BTreeMap<VmId, u32>,
 }
 
 impl View {
     /// A view that knows only the own VM.
-    pub fn new(config: ViewConfig, own: Announcement, now: Mono) -> Self {
+    pub fn new(config: ViewConfig, own: &Announcement, now: Mono) -> Self {
+        let vm = own.listed.vm.clone();
         let mut member = Member::new(own.listed.clone(), now);
         member.incarnation = Some(own.incarnation);
-        let members = BTreeMap::from([(own.listed.vm.clone(), member)]);
-        Self { config, own: own.listed.vm, revision: Revision::NONE, members }
+        Self {
+            config,
+            own: vm.clone(),
+            revision: Revision::NONE,
+            members: BTreeMap::from([(vm, member)]),
+            spreading: BTreeMap::new(),
+        }
     }
 
     /// Takes a published list; lists below the highest revision seen are ignored.
@@ -133,55 +50,92 @@
             member.on_list = false;
         }
         for listed in list {
-            self.set_listed(listed, now);
+            let own = listed.vm == self.own;
+            let member = self.member(listed, now);
+            member.on_list = true;
+            if !own {
+                member.set_listed(listed);
+            }
         }
     }
 
-    fn set_listed(&mut self, listed: &ListedVm, now: Mono) {
-        let own = listed.vm == self.own;
-        let member = self
-            .members
-            .entry(listed.vm.clone())
-            .or_insert_with(|| Member::new(listed.clone(), now));
-        member.on_list = true;
-        if !own {
-            member.listed = listed.clone();
+    /// Expects heartbeats of these VMs from now on, and of no others.
+    pub fn watch(&mut self, watched: &BTreeSet<VmId>, now: Mono) {
+        for (vm, member) in &mut self.members {
+            if watched.contains(vm) { member.watch(now) } else { member.unwatch() }
         }
     }
 
     /// Takes a heartbeat; returns whether it counted.
-    ///
-    /// A heartbeat of an ended incarnation may arrive after its successor's, for example when a
-    /// paused VM was replaced and wakes up. It would bring back an address that no longer serves,
-    /// so ended incarnations are remembered and ignored.
-    pub fn heard(&mut self, from: Announcement, now: Mono) -> bool {
+    pub fn heard(&mut self, from: &Announcement, now: Mono) -> bool {
         if from.listed.vm == self.own {
             return false;
         }
-        let member = self
-            .members
-            .entry(from.listed.vm.clone())
-            .or_insert_with(|| Member::new(from.listed.clone(), now));
-        if member.retired.contains(&from.incarnation) {
-            return false;
+        let fresh = self.config.suspect_after;
+        let member = self.member(&from.listed, now);
+        let before = member.entry();
+        let counted = member.heard(from, fresh, now);
+        let after = member.entry();
+        if before != after {
+            self.spread(&from.listed.vm);
         }
-        if let Some(earlier) = member.incarnation.filter(|known| *known != from.incarnation) {
-            member.retire(earlier);
-            member.said_leaving = false;
+        if before.state == EntryState::Suspected && after.state == EntryState::Live {
+            self.raise_own_round();
+        }
+        counted
+    }
+
+    /// Takes what another entry tells about a third one, or about this one.
+    pub fn told(&mut self, news: &News, now: Mono) {
+        let vm = news.about.listed.vm.clone();
+        if vm == self.own {
+            self.refute(news);
+            return;
+        }
+        let fresh = self.config.suspect_after;
+        let known = self.members.contains_key(&vm);
+        let changed = self.member(&news.about.listed, now).told(news, fresh, now);
+        if changed || !known {
+            self.spread(&vm);
+        }
+    }
+
+    /// Says by a higher round that this process is alive.
+    ///
+    /// After a cut has healed, or this process was paused, the others have suspected it. Those
+    /// that exchange heartbeats with it see that it is back; the rest would leave it out for good.
+    fn raise_own_round(&mut self) {
+        let own = self.own.clone();
+        if let Some(member) = self.members.get_mut(&own) {
+            member.round = member.round.saturating_add(1);
+        }
+        self.spread(&own);
+    }
+
+    /// A process that was paused, or cut off, hears that it is suspected: a higher round says that
+    /// it is back, also to those who do not exchange heartbeats with it.
+    fn refute(&mut self, news: &News) {
+        let own = self.own.clone();
+        let Some(member) = self.members.get_mut(&own) else { return };
+        let same_run = member.incarnation == Some(news.about.incarnation);
+        if same_run && news.suspected && news.about.round >= member.round {
+            member.round = news.about.round.saturating_add(1);
+            self.spread(&own);
         }
-        member.incarnation = Some(from.incarnation);
-        member.said_leaving |= from.listed.leaving;
-        member.listed =
-            ListedVm { leaving: member.listed.leaving && member.on_list, ..from.listed };
-        member.quiet_since = now;
-        true
     }
 
     /// Takes this process's own decision to leave.
     pub fn leave(&mut self) {
-        if let Some(member) = self.members.get_mut(&self.own) {
-            member.said_leaving = true;
+        let own = self.own.clone();
+        if let Some(member) = self.members.get_mut(&own) {
+            member.leave();
         }
+        self.spread(&own);
+    }
+
+    /// The own round, for heartbeats.
+    pub fn own_round(&self) -> u32 {
+        self.members.get(&self.own).map_or(0, |member| member.round)
     }
 
     /// Counts every VM as heard just now.
@@ -190,43 +144,65 @@
     /// Without this a resumed process would suspect the whole fleet at once.
     pub fn resumed(&mut self, now: Mono) {
         for member in self.members.values_mut() {
-            member.quiet_since = now;
+            member.resumed(now);
         }
+        self.raise_own_round();
     }
 
-    /// Forgets VMs that are neither listed nor heard; the own VM stays.
+    /// Suspects watched VMs that are silent, and forgets VMs that are neither listed nor heard;
+    /// the own VM stays.
     pub fn expire(&mut self, now: Mono) {
-        let forget_after = self.config.forget_after;
-        let own = &self.own;
+        let ViewConfig { suspect_after, forget_after, .. } = self.config;
+        let own = self.own.clone();
+        let mut suspected = Vec::new();
         self.members.retain(|vm, member| {
-            vm == own || member.on_list || now.since(member.quiet_since) <= forget_after
+            if vm != &own && member.suspect_if_silent(suspect_after, now) {
+                suspected.push(vm.clone());
+            }
+            vm == &own || member.on_list || now.since(member.quiet_since) <= forget_after
         });
+        for vm in suspected {
+            self.spread(&vm);
+        }
+    }
+
+    /// News for the next heartbeat; what was sent least often goes first.
+    pub fn news(&mut self) -> Vec<News> {
+        let mut waiting: Vec<(u32, VmId)> =
+            self.spreading.iter().map(|(vm, sends)| (*sends, vm.clone())).collect();
+        waiting.sort_by(|a, b| b.cmp(a));
+        waiting.truncate(self.config.news_max);
+        let mut news = Vec::new();
+        for (_, vm) in waiting {
+            self.count_send(&vm);
+            news.extend(self.members.get(&vm).and_then(Member::news));
+        }
+        news
     }
 
     /// Every VM with the belief about it, in order of name.
-    pub fn entries(&self, now: Mono) -> Vec<EntryVm> {
-        self.members.values().map(|member| self.entry(member, now)).collect()
+    pub fn entries(&self) -> Vec<EntryVm> {
+        self.members.values().map(Member::entry).collect()
     }
 
-    fn entry(&self, member: &Member, now: Mono) -> EntryVm {
-        EntryVm {
-            vm: member.listed.vm.clone(),
-            failure_domain: member.listed.failure_domain.clone(),
-            callers: member.listed.callers,
-            peers: member.listed.peers,
-            incarnation: member.incarnation,
-            state: self.state(member, now),
-        }
+    /// When a VM was heard last; the clock's zero when it is not known.
+    pub fn heard_at(&self, vm: &VmId) -> Mono {
+        self.members.get(vm).map_or(Mono::ZERO, |member| member.quiet_since)
     }
 
-    fn state(&self, member: &Member, now: Mono) -> EntryState {
-        if member.said_leaving || member.listed.leaving {
-            return EntryState::Leaving;
-        }
-        let own = member.listed.vm == self.own;
-        if !own && now.since(member.quiet_since) > self.config.suspect_after {
-            return EntryState::Suspected;
+    fn member(&mut self, listed: &ListedVm, now: Mono) -> &mut Member {
+        self.members.entry(listed.vm.clone()).or_insert_with(|| Member::new(listed.clone(), now))
+    }
+
+    fn spread(&mut self, vm: &VmId) {
+        self.spreading.insert(vm.clone(), self.config.news_sends);
+    }
+
+    fn count_send(&mut self, vm: &VmId) {
+        let Some(sends) = self.spreading.get_mut(vm) else { return };
+        *sends -= 1;
+        if *sends == 0 {
+            self.spreading.remove(vm);
         }
-        EntryState::Live
     }
 }
--- /dev/null
+++ b/crates/membership/tests/news.rs
@@ -0,0 +1,173 @@
+//! News spreads over a fleet in which each VM exchanges heartbeats with a few others only.
+
+#![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use shallotfork_membership::{
+    Announcement, EntryState, ListedVm, View, ViewConfig, heartbeat_peers,
+};
+use shallotfork_types::{Incarnation, Mono, Revision, VmId};
+
+const PEERS: usize = 4;
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// A fleet whose heartbeats are delivered at once, except to and from silent VMs.
+struct Fleet {
+    views: Vec<View>,
+    now: Mono,
+    silent: BTreeSet<usize>,
+    /// Whether the first failure domain is cut off from the others.
+    cut: bool,
+}
+
+fn listed(index: usize) -> ListedVm {
+    let port = 1000 + index;
+    ListedVm {
+        vm: VmId::new(&format!("vm-{index:03}")).unwrap(),
+        failure_domain: format!("fd-{}", index % 3).parse().unwrap(),
+        callers: format!("127.0.0.1:{port}").parse().unwrap(),
+        peers: format!("127.0.0.2:{port}").parse().unwrap(),
+        leaving: false,
+    }
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let list: Vec<ListedVm> = (0..size).map(listed).collect();
+        let view = |index: usize| {
+            let own = announcement(index, false, 0);
+            let mut view = View::new(ViewConfig::default(), &own, Mono::ZERO);
+            view.set_published(Revision::new(1), &list, Mono::ZERO);
+            view
+        };
+        let views = (0..size).map(view).collect();
+        Self { views, now: Mono::ZERO, silent: BTreeSet::new(), cut: false }
+    }
+
+    fn with_silent(mut self, index: usize) -> Self {
+        self.silent.insert(index);
+        self
+    }
+
+    fn with_periods(mut self, periods: u32) -> Self {
+        for _ in 0..periods {
+            self.now = self.now.plus(PERIOD);
+            (0..self.views.len()).for_each(|index| self.beat(index));
+        }
+        self
+    }
+
+    fn beat(&mut self, from: usize) {
+        if self.silent.contains(&from) {
+            return;
+        }
+        let own = listed(from).vm;
+        let peers = heartbeat_peers(&own, &self.views[from].entries(), PEERS);
+        let watched = peers.iter().map(|peer| peer.vm.clone()).collect();
+        self.views[from].watch(&watched, self.now);
+        self.views[from].expire(self.now);
+        for peer in peers {
+            let to = peer.vm.as_str()[3..].parse().unwrap();
+            let apart = self.cut && (from % 3 == 0) != (to % 3 == 0);
+            if !self.silent.contains(&to) && !apart {
+                self.exchange(from, to);
+            }
+        }
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) {
+        for (speaker, hearer) in [(from, to), (to, from)] {
+            let leaving = self.believes(speaker, speaker) == EntryState::Leaving;
+            let round = self.views[speaker].own_round();
+            let news = self.views[speaker].news();
+            self.views[hearer].heard(&announcement(speaker, leaving, round), self.now);
+            for piece in news {
+                self.views[hearer].told(&piece, self.now);
+            }
+        }
+    }
+
+    fn believes(&self, index: usize, about: usize) -> EntryState {
+        let vm = listed(about).vm;
+        self.views[index].entries().iter().find(|entry| entry.vm == vm).unwrap().state
+    }
+
+    /// How many of the VMs that are not silent hold this belief.
+    fn believers(&self, about: usize, state: EntryState) -> usize {
+        let speaking = (0..self.views.len()).filter(|index| !self.silent.contains(index));
+        speaking.filter(|index| self.believes(*index, about) == state).count()
+    }
+}
+
+fn announcement(index: usize, leaving: bool, round: u32) -> Announcement {
+    let listed = ListedVm { leaving, ..listed(index) };
+    Announcement { listed, incarnation: Incarnation::new(index as u64), round }
+}
+
+#[test]
+fn a_healthy_fleet_suspects_nobody() {
+    let fleet = Fleet::new(60).with_periods(40);
+    for about in 0..60 {
+        assert_eq!(60, fleet.believers(about, EntryState::Live));
+    }
+}
+
+/// A VM in a fleet of 60 dies. Only a few others exchange heartbeats with it.
+/// The rest would send callers to it until the platform's list catches up, tens of seconds later.
+#[test]
+fn a_dead_vm_is_soon_suspected_by_all() {
+    let fleet = Fleet::new(60).with_periods(10).with_silent(7).with_periods(16);
+    assert_eq!(59, fleet.believers(7, EntryState::Suspected));
+}
+
+/// A VM says that it leaves, to a few others. Those who hear it from nobody would go on to name it.
+#[test]
+fn a_leaving_vm_is_soon_known_to_all() {
+    let mut fleet = Fleet::new(60).with_periods(10);
+    fleet.views[7].leave();
+    let fleet = fleet.with_periods(6);
+    assert_eq!(60, fleet.believers(7, EntryState::Leaving));
+}
+
+/// A VM is paused for ten seconds and resumed. The fleet has suspected it meanwhile.
+/// Without a refutation, those that exchange no heartbeats with it would leave it out for good.
+#[test]
+fn a_resumed_vm_is_soon_believed_live_by_all() {
+    let mut fleet = Fleet::new(60).with_periods(10).with_silent(7).with_periods(20);
+    fleet.silent.clear();
+    fleet.views[7].resumed(fleet.now);
+    let fleet = fleet.with_periods(12);
+    assert_eq!(60, fleet.believers(7, EntryState::Live));
+}
+
+/// A VM that the platform does not list yet starts and greets the few that it was told of.
+/// Callers would not be sent to it before the list catches up.
+#[test]
+fn a_vm_that_is_not_listed_yet_is_soon_known_to_all() {
+    let mut fleet = Fleet::new(60);
+    let list: Vec<ListedVm> = (0..59).map(listed).collect();
+    for (index, view) in fleet.views.iter_mut().enumerate() {
+        *view = View::new(ViewConfig::default(), &announcement(index, false, 0), Mono::ZERO);
+        view.set_published(Revision::new(1), &list, Mono::ZERO);
+    }
+    let fleet = fleet.with_periods(8);
+    let knows = |view: &View| view.entries().iter().any(|entry| entry.vm == listed(59).vm);
+    assert!(fleet.views.iter().all(knows));
+}
+
+/// A switch fails and cuts one failure domain off from the rest for ten seconds.
+/// Each side suspects the other; after the cut has healed, callers must be sent to all again.
+#[test]
+fn a_healed_cut_is_soon_forgotten_by_all() {
+    let mut fleet = Fleet::new(60).with_periods(10);
+    fleet.cut = true;
+    let mut fleet = fleet.with_periods(20);
+    assert!(fleet.believers(3, EntryState::Suspected) > 0);
+    fleet.cut = false;
+    let fleet = fleet.with_periods(20);
+    for about in 0..60 {
+        assert_eq!(60, fleet.believers(about, EntryState::Live), "VM {about}");
+    }
+}
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -31,7 +32,7 @@
 
 fn says(number: u8, incarnation: u64, leaving: bool) -> Announcement {
     let listed = ListedVm { leaving, ..listed(number) };
-    Announcement { listed, incarnation: Incarnation::new(incarnation) }
+    Announcement { listed, incarnation: Incarnation::new(incarnation), round: 0 }
 }
 
 /// Sets up a view of VM 0 in a chain of events, one second apart.
@@ -42,28 +43,35 @@
 
 impl Case {
     fn new() -> Self {
-        let view = View::new(ViewConfig::default(), says(0, 100, false), Mono::ZERO);
+        let view = View::new(ViewConfig::default(), &says(0, 100, false), Mono::ZERO);
         Self { view, now: Mono::ZERO }
     }
 
     fn with_list(mut self, revision: u64, numbers: &[u8]) -> Self {
         let list: Vec<ListedVm> = numbers.iter().map(|number| listed(*number)).collect();
         self.view.set_published(Revision::new(revision), &list, self.now);
+        self.watching_all()
+    }
+
+    fn watching_all(mut self) -> Self {
+        let all: BTreeSet<VmId> = self.view.entries().into_iter().map(|entry| entry.vm).collect();
+        self.view.watch(&all, self.now);
         self
     }
 
     fn with_heartbeat(mut self, number: u8, incarnation: u64, leaving: bool) -> Self {
-        self.view.heard(says(number, incarnation, leaving), self.now);
+        self.view.heard(&says(number, incarnation, leaving), self.now);
         self
     }
 
     fn with_wait(mut self, wait_s: u64) -> Self {
         self.now = self.now.plus(Duration::from_secs(wait_s));
+        self.view.expire(self.now);
         self
     }
 
     fn state(&self, number: u8) -> Option<EntryState> {
-        let entries = self.view.entries(self.now);
+        let entries = self.view.entries();
         entries.iter().find(|entry| entry.vm == vm(number)).map(|entry| entry.state)
     }
 }
@@ -110,8 +118,10 @@
 /// All peers look silent, although only its own clock ran on, and every one would be suspected.
 #[test]
 fn a_resumed_process_does_not_suspect_everyone() {
-    let mut case = Case::new().with_list(1, &[0, 1, 2]).with_wait(60);
+    let mut case = Case::new().with_list(1, &[0, 1, 2]);
+    case.now = case.now.plus(Duration::from_secs(60));
     case.view.resumed(case.now);
+    case.view.expire(case.now);
     assert_eq!(Some(EntryState::Live), case.state(1));
 }
 
@@ -154,7 +164,7 @@
 fn answers_never_name_leaving_vms_and_are_never_empty() {
     fn property(events: Events, turn: u64) -> bool {
         let case = run(&events);
-        let entries = case.view.entries(case.now);
+        let entries = case.view.entries();
         let preference = Preference { failure_domain: None, turn };
         let service: ServiceName = "orders".parse().unwrap();
         let group = entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference);
@@ -170,13 +180,13 @@
 #[test]
 fn a_group_spans_the_failure_domains_and_starts_near_the_caller() {
     let case = Case::new().with_list(1, &[0, 1, 2, 3, 4, 5, 6, 7, 8]);
-    let entries = case.view.entries(case.now);
+    let entries = case.view.entries();
     let service: ServiceName = "orders".parse().unwrap();
     for turn in 0..4 {
         let near = "fd-2".parse().unwrap();
         let preference = Preference { failure_domain: Some(near), turn };
         let group = entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference);
-        let domains: std::collections::BTreeSet<&str> =
+        let domains: BTreeSet<&str> =
             group.iter().map(|entry| entry.failure_domain.as_str()).collect();
         assert_eq!(3, domains.len());
         assert_eq!("fd-2", group[0].failure_domain.as_str());
@@ -193,7 +203,7 @@
     for number in 0..200 {
         let service: ServiceName = format!("service-{number}").parse().unwrap();
         let names = |case: &Case| {
-            let entries = case.view.entries(case.now);
+            let entries = case.view.entries();
             let mut names: Vec<VmId> =
                 entries_for(&service, &entries, GroupSize::new(GROUP_SIZE), &preference)
                     .into_iter()
