feat(shallotd): exchange heartbeats with a few entries, tell all when leaving

Cause: heartbeats to all others twice a second cost more than the budget; a process that left still said live in its heartbeats until its ledger drained. Change: up to 5 chosen peers, no second exchange within a period, news carried; leaving is told to every entry at once and the wait for the untold is skipped when all have heard.

--- a/crates/shallotd/src/control/ledger.rs
+++ b/crates/shallotd/src/control/ledger.rs
@@ -36,11 +36,6 @@
         Some(issuer.issue(now))
     }
 
-    /// Whether this process grants nothing any more.
-    pub fn is_leaving(&self) -> bool {
-        !matches!(self.issuing, Issuing::Open(_))
-    }
-
     /// Grants an operation or says what is known of it; `None` when it is not for this process to
     /// say.
     pub fn claim(
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -4,21 +4,22 @@
 use std::time::Duration;
 
 use shallotfork_events::{PEER_DOWN, PEER_UP, event};
-use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, heartbeat_peers};
-use shallotfork_peer::{Heartbeat, PeerId, PeerState};
+use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News, heartbeat_peers};
+use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::Revision;
 
 use crate::control::publish::publish;
 use crate::control::state::State;
 
-/// Peers that get heartbeats; a node's cost stays the same in a larger fleet.
-const HEARTBEAT_PEERS_MAX: usize = 16;
+/// Peers that a process chooses to exchange heartbeats with; in a large fleet it is chosen by as
+/// many again. A node's cost stays the same however large the fleet grows.
+const HEARTBEAT_PEERS_MAX: usize = 5;
 
 /// A tick that is late by this many heartbeats means that the process was paused.
 const PAUSED_HEARTBEATS: u32 = 2;
 
-/// Sends heartbeats at regular intervals for as long as the process runs.
+/// Exchanges heartbeats at regular intervals for as long as the process runs.
 pub async fn heartbeats(state: Rc<State>, timer: TimerService) {
     let period = state.context.settings.peers.heartbeat;
     let schedule = Schedule::new(period).with_jitter(period / 10);
@@ -27,48 +28,71 @@
         if tick.late > period * PAUSED_HEARTBEATS {
             state.view.borrow_mut().resumed(tick.now);
         }
+        let chosen = chosen(&state);
+        let watched = chosen.iter().map(|entry| entry.vm.clone()).collect();
+        state.view.borrow_mut().watch(&watched, tick.now);
         state.view.borrow_mut().expire(tick.now);
         state.ledger.borrow_mut().expire(tick.now);
-        for entry in recipients(&state) {
+        for entry in chosen.into_iter().filter(|entry| is_due(&state, entry, period)) {
             tokio::task::spawn_local(beat(Rc::clone(&state), entry));
         }
         publish_if_changed(&state);
     }
 }
 
-/// Says at once to every peer that this process is leaving; returns when all have answered or
-/// failed to.
-pub async fn tell_leaving(state: &Rc<State>) {
+/// An exchange informs both sides, so of two that chose each other only the first to wake speaks.
+fn is_due(state: &State, entry: &EntryVm, period: Duration) -> bool {
+    let heard_at = state.view.borrow().heard_at(&entry.vm);
+    let unheard = entry.incarnation.is_none() || entry.state == EntryState::Suspected;
+    unheard || state.context.clock.now().since(heard_at) >= period * 3 / 4
+}
+
+/// Says at once to every entry that this process is leaving; returns whether all have heard it.
+pub async fn tell_leaving(state: &Rc<State>) -> bool {
+    state.leaving.set(true);
     state.view.borrow_mut().leave();
     publish(state);
-    let told = recipients(state).into_iter().map(|entry| beat(Rc::clone(state), entry));
-    futures::future::join_all(told).await;
+    let own = &state.context.identity.vm;
+    let mut others = state.view.borrow().entries();
+    others.retain(|entry| entry.vm != *own);
+    let told = others.into_iter().map(|entry| beat(Rc::clone(state), entry));
+    futures::future::join_all(told).await.into_iter().all(|heard| heard)
 }
 
-fn recipients(state: &State) -> Vec<EntryVm> {
-    let entries = state.view.borrow().entries(state.context.clock.now());
+fn chosen(state: &State) -> Vec<EntryVm> {
+    let entries = state.view.borrow().entries();
     heartbeat_peers(&state.context.identity.vm, &entries, HEARTBEAT_PEERS_MAX)
 }
 
-async fn beat(state: Rc<State>, entry: EntryVm) {
-    let Ok(client) = state.peers.client(&entry).await else { return };
+/// Exchanges heartbeats with one entry; returns whether it answered.
+async fn beat(state: Rc<State>, entry: EntryVm) -> bool {
+    let Ok(client) = state.peers.client(&entry).await else { return false };
     let own = own_heartbeat(&state);
     match client.heartbeat(&own).await {
-        Ok(answer) => heard(&state, client.peer(), &answer),
-        Err(_) => state.peers.drop_client(&entry.vm),
+        Ok(answer) => {
+            heard(&state, client.peer(), &answer);
+            true
+        }
+        Err(_) => {
+            state.peers.drop_client(&entry.vm);
+            false
+        }
     }
 }
 
-/// What this process says of itself.
+/// What this process says of itself, with the news that is due.
 pub fn own_heartbeat(state: &State) -> Heartbeat {
     let identity = &state.context.identity;
-    let leaving = state.context.snapshot().leaving || state.ledger.borrow().is_leaving();
+    let leaving = state.leaving.get();
     let seen = state.lists.borrow().cursor.highest();
+    let mut view = state.view.borrow_mut();
     Heartbeat {
-        state: if leaving { PeerState::Leaving } else { PeerState::Live },
+        state: peer_state(leaving),
         failure_domain: identity.failure_domain.clone(),
         callers: identity.callers,
         peers: identity.peers,
+        round: view.own_round(),
+        news: view.news().into_iter().map(peer_news).collect(),
         seen_revision: seen,
         synced_revision: synced(state),
         restart_safe: state.ledger.borrow().running() == 0,
@@ -76,6 +100,36 @@
     }
 }
 
+fn peer_state(leaving: bool) -> PeerState {
+    if leaving { PeerState::Leaving } else { PeerState::Live }
+}
+
+fn peer_news(news: News) -> PeerNews {
+    let Announcement { listed, incarnation, round } = news.about;
+    PeerNews {
+        state: peer_state(listed.leaving),
+        about: PeerId::new(listed.vm, incarnation),
+        round,
+        suspected: news.suspected,
+        failure_domain: listed.failure_domain,
+        callers: listed.callers,
+        peers: listed.peers,
+    }
+}
+
+fn news(told: &PeerNews) -> News {
+    let listed = ListedVm {
+        vm: told.about.vm.clone(),
+        failure_domain: told.failure_domain.clone(),
+        callers: told.callers,
+        peers: told.peers,
+        leaving: told.state == PeerState::Leaving,
+    };
+    let incarnation = told.about.incarnation;
+    let about = Announcement { listed, incarnation, round: told.round };
+    News { about, suspected: told.suspected }
+}
+
 fn synced(state: &State) -> Revision {
     state.lists.borrow().cursor.after()
 }
@@ -89,16 +143,21 @@
         peers: beat.peers,
         leaving: beat.state == PeerState::Leaving,
     };
-    let from = Announcement { listed, incarnation: peer.incarnation };
+    let from = Announcement { listed, incarnation: peer.incarnation, round: beat.round };
     let now = state.context.clock.now();
-    state.view.borrow_mut().heard(from, now);
+    let mut view = state.view.borrow_mut();
+    view.heard(&from, now);
+    for told in &beat.news {
+        view.told(&news(told), now);
+    }
+    drop(view);
     publish_if_changed(state);
 }
 
 /// Publishes a snapshot when a belief about an entry has changed.
 fn publish_if_changed(state: &State) {
     let context = &state.context;
-    let now = state.view.borrow().entries(context.clock.now());
+    let now = state.view.borrow().entries();
     let before = context.snapshot();
     if now == before.entries {
         return;
--- a/crates/shallotd/src/control/operations.rs
+++ b/crates/shallotd/src/control/operations.rs
@@ -125,7 +125,7 @@
 /// A session for a caller of this process: its own, or a peer's while this process leaves.
 pub async fn issue(state: &Rc<State>) -> Option<Session> {
     let now = state.context.clock.now();
-    if !state.context.snapshot().leaving {
+    if !state.leaving.get() {
         return state.ledger.borrow_mut().issue(now);
     }
     for entry in ranked(state, &state.context.identity.vm, |entry| entry == EntryState::Live) {
@@ -140,7 +140,7 @@
 /// Other entries in the order in which they hold the sealed ledger of `issuer`.
 pub fn ranked(state: &State, issuer: &VmId, wanted: impl Fn(EntryState) -> bool) -> Vec<EntryVm> {
     let own = &state.context.identity.vm;
-    let mut entries = state.view.borrow().entries(state.context.clock.now());
+    let mut entries = state.view.borrow().entries();
     entries.retain(|entry| entry.vm != *own && wanted(entry.state));
     let weight = |entry: &EntryVm| rendezvous_weight(issuer.as_str(), entry.vm.as_str());
     entries.sort_by_key(|entry| std::cmp::Reverse(weight(entry)));
@@ -166,7 +166,7 @@
 /// An issuer under suspicion is not called, as every caller would wait for the timeout: heartbeats
 /// go on and lift the suspicion.
 async fn issuer(state: &State, session: &Session) -> Result<Rc<PeerClient>, Unavailable> {
-    let entries = state.view.borrow().entries(state.context.clock.now());
+    let entries = state.view.borrow().entries();
     let found = entries.into_iter().find(|entry| entry.vm == *session.issuer());
     let entry = found.ok_or(Unavailable::Gone)?;
     if entry.incarnation.is_some_and(|heard| heard != session.incarnation()) {
--- a/crates/shallotd/src/control/publish.rs
+++ b/crates/shallotd/src/control/publish.rs
@@ -18,10 +18,9 @@
 /// Replaces the snapshot by one of the state as it is now.
 pub fn publish(state: &State) {
     let context = &state.context;
-    let entries = state.view.borrow().entries(context.clock.now());
+    let entries = state.view.borrow().entries();
     let lists = state.lists.borrow();
     let old = context.snapshot();
-    let leaving = old.leaving || state.ledger.borrow().is_leaving();
     let mut services = BTreeMap::new();
     for (name, targets) in &lists.targets {
         let pool = pool(state, name);
@@ -32,7 +31,7 @@
     }
     let rules = lists.rules.clone();
     let ready = rules.is_some();
-    context.snapshot.store(Arc::new(Snapshot { rules, services, entries, leaving }));
+    context.snapshot.store(Arc::new(Snapshot { rules, services, entries }));
     state.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready);
 }
 
--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -41,7 +41,7 @@
 }
 
 fn life_cycle(state: &State) -> LifeCycleState {
-    if state.context.snapshot().leaving {
+    if state.leaving.get() {
         return LifeCycleState::Leaving;
     }
     if *state.ready.borrow() { LifeCycleState::Serving } else { LifeCycleState::Starting }
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The state that only the control thread touches.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -31,6 +31,8 @@
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
     pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
+    /// Whether a planned stop has begun.
+    pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
     pub ready: watch::Sender<bool>,
 }
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -1,6 +1,6 @@
 //! Starts the control thread and runs its tasks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
@@ -95,7 +95,7 @@
     let ledger = Ledger::new(issuer, own_id(&context), once);
     let view_config =
         ViewConfig { suspect_after: context.settings.peers.suspect_after, ..ViewConfig::default() };
-    let view = View::new(view_config, announcement(&context), context.clock.now());
+    let view = View::new(view_config, &announcement(&context), context.clock.now());
     let peers = Peers::new(key, own_id(&context), peer_config(&context));
     State {
         lists: RefCell::new(Lists::default()),
@@ -104,6 +104,7 @@
         peers,
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
+        leaving: Cell::new(false),
         ready,
         context,
     }
@@ -118,7 +119,7 @@
         peers: identity.peers,
         leaving: false,
     };
-    Announcement { listed, incarnation: identity.incarnation }
+    Announcement { listed, incarnation: identity.incarnation, round: 0 }
 }
 
 fn own_id(context: &Context) -> PeerId {
@@ -190,8 +191,9 @@
         Command::Leave(reply) => {
             let state = Rc::clone(state);
             tokio::task::spawn_local(async move {
-                tell_leaving(&state).await;
-                tokio::time::sleep(untold_wait(&state)).await;
+                if !tell_leaving(&state).await {
+                    tokio::time::sleep(untold_wait(&state)).await;
+                }
                 let _gone = reply.send(());
             });
         }
--- a/crates/shallotd/src/snapshot.rs
+++ b/crates/shallotd/src/snapshot.rs
@@ -29,6 +29,4 @@
     pub services: BTreeMap<ServiceName, Arc<Service>>,
     /// Every entry VM with the belief about it.
     pub entries: Vec<EntryVm>,
-    /// Whether this process is leaving.
-    pub leaving: bool,
 }
