feat(shallotd): token guard, rules text and metrics on the operators' port

The port answers /v1/ready, /v1/status, /v1/audit, /v1/rules (which shallotctl explain reads) and /metrics. Additive changes in run.rs, front.rs, control/command.rs, thread.rs and lists.rs.

--- a/crates/shallotd/src/control/command.rs
+++ b/crates/shallotd/src/control/command.rs
@@ -16,6 +16,8 @@
     Status(oneshot::Sender<StatusReport>),
     /// The trail of changes.
     Audit(oneshot::Sender<AuditReport>),
+    /// The text of the rule list in force; `None` until one was accepted.
+    Rules(oneshot::Sender<Option<String>>),
     /// Take this VM out of answers and tell the peers.
     Leave(oneshot::Sender<()>),
     /// Seal the ledger and hand it to peers.
@@ -67,6 +69,11 @@
         self.ask(Command::Audit).await
     }
 
+    /// The text of the rule list in force; `None` when there is none.
+    pub async fn rules(&self) -> Option<String> {
+        self.ask(Command::Rules).await.flatten()
+    }
+
     /// Takes this VM out of answers and tells the peers.
     pub async fn leave(&self) {
         self.ask(Command::Leave).await;
--- a/crates/shallotd/src/control/lists.rs
+++ b/crates/shallotd/src/control/lists.rs
@@ -104,6 +104,11 @@
         lists.filter(|list| list.revision > after).cloned().collect()
     }
 
+    /// The text of a list in force.
+    pub fn text(&self, name: &ListName) -> Option<String> {
+        self.in_force.get(name).map(|list| list.published.content.clone())
+    }
+
     /// What operators see of each list.
     pub fn status(&self, now: Mono) -> Vec<ListStatus> {
         let status = |(name, version): (&ListName, Version)| ListStatus {
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -14,6 +14,7 @@
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
 use shallotfork_platform::{HttpPlatform, HttpPlatformConfig};
 use shallotfork_timer::TimerService;
+use shallotfork_types::ListName;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
@@ -175,6 +176,9 @@
         Command::Audit(reply) => {
             let _gone = reply.send(report::audit(state));
         }
+        Command::Rules(reply) => {
+            let _gone = reply.send(state.lists.borrow().text(&ListName::Rules));
+        }
         Command::Leave(reply) => {
             let state = Rc::clone(state);
             tokio::task::spawn_local(async move {
--- a/crates/shallotd/src/lib.rs
+++ b/crates/shallotd/src/lib.rs
@@ -10,6 +10,7 @@
 mod identity;
 mod leave;
 mod lifecycle;
+pub mod metrics_catalogue;
 mod operator;
 mod run;
 mod snapshot;
--- /dev/null
+++ b/crates/shallotd/src/metrics_catalogue.rs
@@ -0,0 +1,66 @@
+//! Every metric of the process: name, unit and meaning, as `docs/metrics.md` lists them.
+
+use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
+
+/// One metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Metric {
+    /// Name, with the unit as suffix.
+    pub name: &'static str,
+    /// What it measures.
+    pub help: &'static str,
+    /// How its values are to be read.
+    pub kind: Kind,
+}
+
+/// How a metric's values are to be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Only grows.
+    Counter,
+    /// A value as of now.
+    Gauge,
+    /// A distribution of durations in seconds.
+    Seconds,
+}
+
+macro_rules! metrics {
+    ($($id:ident = $name:literal, $kind:ident, $help:literal;)*) => {
+        $(
+            #[doc = $help]
+            pub const $id: Metric = Metric { name: $name, help: $help, kind: Kind::$kind };
+        )*
+
+        /// Every metric in the order of the docs.
+        pub const METRICS: &[Metric] = &[$($id),*];
+    };
+}
+
+metrics! {
+    ANSWERS = "shallotd_answers_total", Counter,
+        "Answers to callers, by status class (label status) and verdict (label verdict; none for a target's own answer).";
+    ANSWER_SECONDS = "shallotd_answer_seconds", Seconds,
+        "Time from a request's head to its whole answer.";
+    IN_FLIGHT = "shallotd_in_flight", Gauge, "Requests of callers in flight.";
+    BODIES_BYTES = "shallotd_bodies_bytes", Gauge, "Memory held for bodies.";
+    READY = "shallotd_ready", Gauge, "1 while serving, else 0.";
+    SYNCED_REVISION = "shallotd_synced_revision", Gauge,
+        "Revision up to which the platform has been read.";
+    LIST_REVISION = "shallotd_list_revision", Gauge, "Revision in force of each list (label list).";
+    ENTRIES = "shallotd_entries", Gauge, "Entries known, by state (label state).";
+    TARGETS = "shallotd_targets", Gauge, "Targets known, by state (label state).";
+    TARGET_IN_FLIGHT = "shallotd_target_in_flight", Gauge, "Requests at targets.";
+    SESSIONS_ISSUED = "shallotd_sessions_issued", Gauge, "Sessions issued since the start.";
+    SESSION_OPERATIONS = "shallotd_session_operations", Gauge, "Operations in the ledger.";
+}
+
+/// Tells the recorder what each metric means.
+pub fn describe() {
+    for metric in METRICS {
+        match metric.kind {
+            Kind::Counter => describe_counter!(metric.name, metric.help),
+            Kind::Gauge => describe_gauge!(metric.name, metric.help),
+            Kind::Seconds => describe_histogram!(metric.name, Unit::Seconds, metric.help),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallotd/src/operator/metrics_page.rs
@@ -0,0 +1,82 @@
+//! `GET /metrics`: every metric of the process in Prometheus' text format.
+
+use anyhow::Result;
+use http::StatusCode;
+use metrics::gauge;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use poem::{IntoResponse, Response};
+use shallotfork_types::report::{LifeCycleState, StatusReport};
+
+use crate::context::Context;
+use crate::metrics_catalogue::{
+    ANSWER_SECONDS, BODIES_BYTES, ENTRIES, IN_FLIGHT, LIST_REVISION, READY, SESSION_OPERATIONS,
+    SESSIONS_ISSUED, SYNCED_REVISION, TARGET_IN_FLIGHT, TARGETS, describe,
+};
+
+const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
+/// From half a millisecond, about what a proxied call takes at least, to the usual deadline.
+const SECONDS_BUCKETS: [f64; 13] =
+    [0.0005, 0.001, 0.0017, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
+
+/// Collects the metrics of the process.
+#[derive(Clone)]
+pub struct MetricsPage {
+    recorder: PrometheusHandle,
+}
+
+impl MetricsPage {
+    /// Becomes the recorder of the process.
+    ///
+    /// # Errors
+    /// When the process has one already.
+    pub fn install() -> Result<Self> {
+        let matcher = Matcher::Full(ANSWER_SECONDS.name.to_owned());
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &SECONDS_BUCKETS)?;
+        let recorder = builder.install_recorder()?;
+        describe();
+        Ok(Self { recorder })
+    }
+
+    /// The page, with gauges as of `status`.
+    pub fn answer(&self, status: Option<StatusReport>, context: &Context) -> Response {
+        let Some(status) = status else {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        };
+        set_gauges(&status, context);
+        self.recorder.run_upkeep();
+        self.recorder.render().with_content_type(CONTENT_TYPE).into_response()
+    }
+}
+
+fn set_gauges(status: &StatusReport, context: &Context) {
+    let serving = status.state == LifeCycleState::Serving;
+    gauge!(READY.name).set(if serving { 1.0 } else { 0.0 });
+    gauge!(SYNCED_REVISION.name).set(status.synced_revision.value() as f64);
+    gauge!(IN_FLIGHT.name).set(context.in_flight.requests() as f64);
+    gauge!(BODIES_BYTES.name).set(context.bodies.held().value() as f64);
+    gauge!(SESSIONS_ISSUED.name).set(status.sessions.issued as f64);
+    gauge!(SESSION_OPERATIONS.name).set(status.sessions.operations as f64);
+    for list in &status.lists {
+        let revision = list.revision.value() as f64;
+        gauge!(LIST_REVISION.name, "list" => list.name.to_string()).set(revision);
+    }
+    set_states(ENTRIES.name, &ENTRY_STATES, status.entries.iter().map(|entry| &entry.state));
+    set_states(TARGETS.name, &TARGET_STATES, status.targets.iter().map(|target| &target.state));
+    let in_flight: u64 = status.targets.iter().map(|target| u64::from(target.in_flight)).sum();
+    gauge!(TARGET_IN_FLIGHT.name).set(in_flight as f64);
+}
+
+const ENTRY_STATES: [&str; 3] = ["live", "suspect", "leaving"];
+const TARGET_STATES: [&str; 3] = ["serving", "draining", "ejected"];
+
+/// A state that nothing is in any more must go back to zero, so that all are set each time.
+fn set_states<'a>(
+    name: &'static str,
+    known: &'static [&'static str],
+    found: impl Iterator<Item = &'a String> + Clone,
+) {
+    for state in known {
+        let count = found.clone().filter(|found| found.as_str() == *state).count();
+        gauge!(name, "state" => *state).set(count as f64);
+    }
+}
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -28,8 +28,8 @@
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::identity::Identity;
 use crate::leave::leave;
-use crate::lifecycle::Process;
-use crate::operator::operator;
+use crate::lifecycle::{Process, Starting};
+use crate::operator::{MetricsPage, Operator, OperatorToken, operator};
 use crate::snapshot::Snapshot;
 use crate::traffic::{InFlight, front};
 
@@ -75,6 +75,8 @@
     let ports = bind(&settings)?;
     let identity = identity(&settings, &ports)?;
     let key = peer_key(&settings)?;
+    let token = settings.operators.token_file.as_deref().map(OperatorToken::load).transpose()?;
+    let metrics = MetricsPage::install()?;
     print_ready_line(&identity, &ports)?;
     let log_config =
         LogConfig { vm: identity.vm.to_string(), incarnation: identity.incarnation.to_string() };
@@ -111,8 +113,18 @@
         ready,
     };
     start(parts)?;
+    let operator =
+        Operator { context: Arc::clone(&context), phase: process.watch(), token, metrics };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    runtime.block_on(serve_traffic(context, process, ports.callers, ports.operators, is_ready))
+    let traffic = TrafficParts {
+        context,
+        process,
+        callers: ports.callers,
+        operators: ports.operators,
+        operator,
+        is_ready,
+    };
+    runtime.block_on(serve_traffic(traffic))
 }
 
 fn bind(settings: &Settings) -> Result<Ports> {
@@ -158,19 +170,23 @@
     Ok(())
 }
 
-async fn serve_traffic(
+struct TrafficParts {
     context: Arc<Context>,
-    process: Process<crate::lifecycle::Starting>,
+    process: Process<Starting>,
     callers: StdListener,
     operators: StdListener,
-    mut is_ready: watch::Receiver<bool>,
-) -> Result<()> {
+    operator: Operator,
+    is_ready: watch::Receiver<bool>,
+}
+
+async fn serve_traffic(parts: TrafficParts) -> Result<()> {
+    let TrafficParts { context, process, callers, operators, operator: answers, mut is_ready } =
+        parts;
     let mut stop = Stop::new()?;
-    let phase = process.watch();
     let operator_control = ServeControl::new();
     let operator_port = serve(
         TcpListener::from_std(operators)?,
-        operator(Arc::clone(&context), phase),
+        operator(answers),
         ServeConfig::default(),
         operator_control.clone(),
     );
--- a/crates/shallotd/src/traffic/front.rs
+++ b/crates/shallotd/src/traffic/front.rs
@@ -2,12 +2,14 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Instant;
 
 use http::header::HOST;
 use poem::{Request, Response};
 use shallotfork_exchange::{BodyLimits, read_whole};
 
 use crate::context::Context;
+use crate::traffic::counted::counted;
 use crate::traffic::dispatch::dispatch;
 use crate::traffic::entries::entries;
 
@@ -16,13 +18,20 @@
 /// A request whose `Host` is an IP address is for the system itself; any other host names a
 /// service.
 pub async fn front(context: Arc<Context>, request: Request) -> Response {
+    let arrived = Instant::now();
     let _in_flight = context.in_flight.enter();
+    let response = answer(&context, request).await;
+    counted(&response, arrived);
+    response
+}
+
+async fn answer(context: &Arc<Context>, request: Request) -> Response {
     if is_for_system(&request) {
-        return entries(&context, &request).await;
+        return entries(context, &request).await;
     }
-    let limits = body_limits(&context);
+    let limits = body_limits(context);
     match read_whole(request, &limits, &context.bodies).await {
-        Ok(whole) => dispatch(&context, whole).await,
+        Ok(whole) => dispatch(context, whole).await,
         Err(refusal) => refusal.problem().into_response(),
     }
 }
--- a/crates/shallotd/src/traffic/mod.rs
+++ b/crates/shallotd/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of callers, on the traffic threads.
 
+mod counted;
 mod dispatch;
 mod entries;
 mod front;
