feat(measure,balance): probes of silent targets stop; hedges only where a slot is free

measure: a target that is paused finds all probes of that time in its buffers when it goes on. Seen failing in the property first: 17 shares, one of them restarted while the target was paused, two probes in one second where the budget has room for eleven a second split over fewer shares. Change: after an unanswered probe, and from the start of a process, a share sends none until the target has answered anything, and then waits one whole spacing.

balance: a hedge goes only to a target with a free slot as far as known; elsewhere it would wait behind first attempts. The budget property now checks every span, not only from the start.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -138,9 +138,11 @@
         if !self.hedges.has_room() || !self.queue.is_empty() || ask.deadline <= now {
             return None;
         }
-        let assignment = self.assign(&ask, now)?;
+        let mut candidates = self.candidates(&ask, now);
+        candidates.retain(|candidate| self.is_free(&self.targets[candidate.index], now));
+        let chosen = self.chooser.choose(&candidates)?;
         self.hedges.take();
-        Some(assignment)
+        Some(self.start(chosen, now))
     }
 
     /// Takes an attempt back, learns from its outcome and gives its place to waiting requests.
@@ -328,13 +330,23 @@
         }
         let candidates = self.candidates(ask, now);
         let chosen = self.chooser.choose(&candidates)?;
+        Some(self.start(chosen, now))
+    }
+
+    /// Whether a hedge would run there at once, as far as this process can tell. Elsewhere it
+    /// would wait behind first attempts and slow them down.
+    fn is_free(&self, target: &Target, now: Mono) -> bool {
+        target.crowding(now, &self.view, &self.config.target) <= 1.0
+    }
+
+    fn start(&mut self, chosen: usize, now: Mono) -> Assignment {
         let crowding = self.targets[chosen].crowding(now, &self.view, &self.config.target);
         let attempt = AttemptId(self.next_id());
         self.targets[chosen].start(attempt, now);
         let target = self.targets[chosen].published.id.clone();
         let running = Running { target: target.clone(), started: now, crowding };
         self.attempts.insert(attempt, running);
-        Some(Assignment { attempt, target })
+        Assignment { attempt, target }
     }
 
     /// Targets with room. Those ejected are left out, unless that is half of all or more: then
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -81,6 +81,8 @@
     firsts: u64,
     hedges: u64,
     retries: u64,
+    hedges_owed_min: i64,
+    retries_owed_min: i64,
 }
 
 impl Caller {
@@ -96,6 +98,8 @@
             firsts: 0,
             hedges: 0,
             retries: 0,
+            hedges_owed_min: 0,
+            retries_owed_min: 0,
         }
     }
 
@@ -211,11 +215,12 @@
     /// What must hold after every event.
     fn check(&mut self) {
         let config = PoolConfig::default();
-        let in_budget = |extras: u64, share: Permille, burst: u32| {
-            extras * 1000 <= u64::from(burst) * 1000 + u64::from(share.value()) * self.firsts
-        };
-        assert!(in_budget(self.hedges, config.hedge_share, config.hedge_burst));
-        assert!(in_budget(self.retries, config.retry_share, config.retry_burst));
+        let hedges_owed = owed(self.hedges, config.hedge_share, self.firsts);
+        self.hedges_owed_min = self.hedges_owed_min.min(hedges_owed);
+        assert!(hedges_owed - self.hedges_owed_min <= i64::from(config.hedge_burst) * 1000);
+        let retries_owed = owed(self.retries, config.retry_share, self.firsts);
+        self.retries_owed_min = self.retries_owed_min.min(retries_owed);
+        assert!(retries_owed - self.retries_owed_min <= i64::from(config.retry_burst) * 1000);
         assert_eq!(self.running.len(), self.pool.running(), "attempts leak");
         for status in self.pool.status(self.now) {
             let expected = self.running.values().filter(|id| **id == status.id).count();
@@ -238,6 +243,14 @@
     }
 }
 
+/// Thousandths of extra attempts beyond their share of first ones. In any span of time its growth
+/// is what the burst must cover.
+fn owed(extras: u64, share: Permille, firsts: u64) -> i64 {
+    let spent = i64::try_from(extras * 1000).expect("few events");
+    let earned = i64::try_from(u64::from(share.value()) * firsts).expect("few events");
+    spent - earned
+}
+
 fn nth<'a, T: Copy + 'a>(mut items: impl ExactSizeIterator<Item = &'a T>, pick: u8) -> Option<T> {
     let count = items.len().max(1);
     items.nth(usize::from(pick) % count).copied()
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -13,5 +13,5 @@
 pub use connection_budget::{ConnectionBudget, ConnectionLimits, ConnectionPermit};
 pub use load_report::{BadLoadReport, LoadReport};
 pub use probe_budget::{MeasuredTarget, ProbeBudget};
-pub use probe_plan::{ProbePermit, ProbePlan};
+pub use probe_plan::{ProbeEnd, ProbePermit, ProbePlan};
 pub use share::{BadShare, FleetShare};
--- a/crates/measure/src/probe_plan.rs
+++ b/crates/measure/src/probe_plan.rs
@@ -26,6 +26,15 @@
     }
 }
 
+/// How a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeEnd {
+    /// An answer came, or no connection could be made: the target has no work left from it.
+    Settled,
+    /// It was given up; the target may still have it before it.
+    Unanswered,
+}
+
 #[derive(Debug)]
 struct Planned {
     slots: u32,
@@ -33,6 +42,9 @@
     /// No probe before this time.
     next: Mono,
     outstanding: bool,
+    /// Whether nothing was heard from the target since this process began or since a probe of its
+    /// went unanswered.
+    silent: bool,
     /// When an answer last carried a load report.
     reported: Option<Mono>,
 }
@@ -41,11 +53,14 @@
 ///
 /// - A process probes at its share's rate whatever it believes about its peers, so neither a
 ///   partition nor a lagging VM list changes the sum.
-/// - A process that starts waits one whole spacing first: the process it replaces may have
+/// - A process that starts waits one whole spacing first: the process that it replaces may have
 ///   probed just before it died.
 /// - A process may be paused between `take` and the first byte, so the spacing to the next probe
 ///   counts from the end of the probe, when the target has surely received it. Probes missed
 ///   while paused are not caught up.
+/// - A target may be paused and later find all probes of that time in its buffers. So one that
+///   left a probe unanswered gets no other until it answers something (`heard`). A new process
+///   can't know what its predecessor left unanswered, so it too waits until it has heard.
 ///
 /// Two live processes with the same share break the budget; settings must prevent that.
 #[derive(Debug)]
@@ -63,8 +78,8 @@
         Self { budget, share, fresh_for, targets: BTreeMap::new() }
     }
 
-    /// Takes the list of targets. New and changed ones are first due one whole spacing from
-    /// `now`, so that a list that flaps can't shorten a spacing.
+    /// Takes the list of targets. New and changed ones are first due one whole spacing after they
+    /// are heard, so that a list that flaps can't shorten a spacing.
     pub fn set_targets(&mut self, targets: &[MeasuredTarget], now: Mono) {
         let mut kept = BTreeMap::new();
         for target in targets {
@@ -78,9 +93,14 @@
         self.targets = kept;
     }
 
-    /// Notes that an answer of the target carried a load report, so that no probe is needed soon.
-    pub fn reported(&mut self, target: &TargetId, now: Mono) {
-        if let Some(planned) = self.targets.get_mut(target) {
+    /// Notes that an answer of the target came; with a load report, no probe is needed soon.
+    pub fn heard(&mut self, target: &TargetId, with_report: bool, now: Mono) {
+        let Some(planned) = self.targets.get_mut(target) else { return };
+        if planned.silent {
+            planned.silent = false;
+            planned.next = now.plus(planned.spacing);
+        }
+        if with_report {
             planned.reported = Some(now);
         }
     }
@@ -93,7 +113,7 @@
 
     /// When to look for due targets again; `None` while there is nothing to wait for.
     pub fn next_due(&self) -> Option<Mono> {
-        let waiting = self.targets.values().filter(|planned| !planned.outstanding);
+        let waiting = self.targets.values().filter(|planned| !planned.is_held());
         waiting.map(|planned| self.due_at(planned)).min()
     }
 
@@ -110,16 +130,17 @@
         Some(ProbePermit { target: target.clone() })
     }
 
-    /// Notes that a probe was answered, failed or was given up and its connection closed.
-    pub fn finished(&mut self, permit: ProbePermit, now: Mono) {
+    /// Notes that a probe ended; one given up must have its connection closed.
+    pub fn finished(&mut self, permit: ProbePermit, end: ProbeEnd, now: Mono) {
         if let Some(planned) = self.targets.get_mut(&permit.target) {
             planned.outstanding = false;
+            planned.silent = end == ProbeEnd::Unanswered;
             planned.next = now.plus(planned.spacing);
         }
     }
 
     fn is_due(&self, planned: &Planned, now: Mono) -> bool {
-        !planned.outstanding && now >= self.due_at(planned)
+        !planned.is_held() && now >= self.due_at(planned)
     }
 
     fn due_at(&self, planned: &Planned) -> Mono {
@@ -156,6 +177,12 @@
 
 impl Planned {
     fn new(slots: u32, spacing: Duration, now: Mono) -> Self {
-        Self { slots, spacing, next: now.plus(spacing), outstanding: false, reported: None }
+        let next = now.plus(spacing);
+        Self { slots, spacing, next, outstanding: false, silent: true, reported: None }
+    }
+
+    /// Whether no probe may be sent however much time passes.
+    fn is_held(&self) -> bool {
+        self.outstanding || self.silent
     }
 }
--- a/crates/measure/tests/budget.rs
+++ b/crates/measure/tests/budget.rs
@@ -7,7 +7,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shallotfork_measure::{
     ConnectionBudget, ConnectionLimits, ConnectionPermit, FleetShare, MeasuredTarget, ProbeBudget,
-    ProbePermit, ProbePlan,
+    ProbeEnd, ProbePermit, ProbePlan,
 };
 use shallotfork_types::{Mono, Permille, TargetId};
 
@@ -38,22 +38,31 @@
     Flap {
         process: u8,
     },
+    /// The target answers a request of this process with a load report.
     Answered {
         process: u8,
     },
+    /// The target answers a request of every process without a load report.
+    AnsweredAll,
+    /// The target stops, and finds what it was sent in its buffers when it goes on.
+    TargetPause,
+    TargetResume,
 }
 
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
         let process = u8::arbitrary(g);
-        match u8::arbitrary(g) % 16 {
+        match u8::arbitrary(g) % 20 {
             0..=7 => Self::Pass { wait_ms: u8::arbitrary(g) },
             8 | 9 => Self::Pause { process },
             10 | 11 => Self::Resume { process },
             12 => Self::Restart { process },
             13 => Self::RestartAll,
             14 => Self::Flap { process },
-            _ => Self::Answered { process },
+            15 => Self::Answered { process },
+            16 => Self::TargetPause,
+            17 => Self::TargetResume,
+            _ => Self::AnsweredAll,
         }
     }
 }
@@ -87,8 +96,8 @@
     fn start(fleet: &Fleet, share: FleetShare, now: Mono) -> Self;
     fn set_targets(&mut self, targets: &[MeasuredTarget], now: Mono);
     fn take(&mut self, target: &TargetId, now: Mono) -> Option<Self::Permit>;
-    fn finished(&mut self, permit: Self::Permit, now: Mono);
-    fn answered(&mut self, target: &TargetId, now: Mono);
+    fn finished(&mut self, permit: Self::Permit, answered: bool, now: Mono);
+    fn answered(&mut self, target: &TargetId, with_report: bool, now: Mono);
 }
 
 impl Spender for ProbePlan {
@@ -111,12 +120,13 @@
         self.take(target, now)
     }
 
-    fn finished(&mut self, permit: ProbePermit, now: Mono) {
-        self.finished(permit, now);
+    fn finished(&mut self, permit: ProbePermit, answered: bool, now: Mono) {
+        let end = if answered { ProbeEnd::Settled } else { ProbeEnd::Unanswered };
+        self.finished(permit, end, now);
     }
 
-    fn answered(&mut self, target: &TargetId, now: Mono) {
-        self.reported(target, now);
+    fn answered(&mut self, target: &TargetId, with_report: bool, now: Mono) {
+        self.heard(target, with_report, now);
     }
 }
 
@@ -139,11 +149,11 @@
         self.take(target, now).ok()
     }
 
-    fn finished(&mut self, permit: ConnectionPermit, now: Mono) {
+    fn finished(&mut self, permit: ConnectionPermit, _answered: bool, now: Mono) {
         self.finished(permit, now);
     }
 
-    fn answered(&mut self, _target: &TargetId, _now: Mono) {}
+    fn answered(&mut self, _target: &TargetId, _with_report: bool, _now: Mono) {}
 }
 
 struct Process<S: Spender> {
@@ -164,6 +174,8 @@
     let mut processes: BTreeMap<u32, Process<S>> =
         (0..fleet.count).map(|index| (index, start(index, now))).collect();
     let mut sent_at_us = Vec::new();
+    let mut target_paused = false;
+    let mut buffered = 0;
     for event in events {
         match *event {
             Event::Pass { wait_ms } => now = now.plus(Duration::from_millis(u64::from(wait_ms))),
@@ -190,16 +202,32 @@
                 process.spender.set_targets(&[], now);
                 process.spender.set_targets(&[target(fleet.slots)], now);
             }
+            Event::TargetPause => target_paused = true,
+            Event::TargetResume => {
+                target_paused = false;
+                sent_at_us.extend(std::iter::repeat_n(now.as_micros(), buffered));
+                buffered = 0;
+            }
+            Event::Answered { .. } | Event::AnsweredAll if target_paused => {}
+            Event::AnsweredAll => {
+                processes
+                    .values_mut()
+                    .for_each(|process| process.spender.answered(&id, false, now));
+            }
             Event::Answered { process } => {
                 let process = processes.get_mut(&(u32::from(process) % fleet.count));
-                process.expect("a process of the fleet").spender.answered(&id, now);
+                process.expect("a process of the fleet").spender.answered(&id, true, now);
             }
         }
         for process in processes.values_mut().filter(|process| !process.paused) {
             let permit = process.held.take().or_else(|| process.spender.take(&id, now));
             let Some(permit) = permit else { continue };
-            sent_at_us.push(now.as_micros());
-            process.spender.finished(permit, now);
+            if target_paused {
+                buffered += 1;
+            } else {
+                sent_at_us.push(now.as_micros());
+            }
+            process.spender.finished(permit, !target_paused, now);
         }
     }
     sent_at_us
@@ -217,12 +245,13 @@
 }
 
 fn checker() -> QuickCheck {
-    QuickCheck::new().rng(Gen::from_size_and_seed(400, SEED)).tests(300)
+    QuickCheck::new().rng(Gen::from_size_and_seed(400, SEED)).tests(500)
 }
 
-/// Entries are paused while about to probe, restarted all at once, and see lists that flap. Each
-/// then probes by its own clock and its own view. If a probe were counted when it was decided on,
-/// or a new process probed at once, a slow morning answer would be the probes' fault.
+/// Entries are paused while about to probe, restarted all at once, and see lists that flap; the
+/// target is paused and resumed. Each entry probes by its own clock and its own view. If a probe
+/// were counted when it was decided on, a new process probed at once, or a silent target were
+/// probed on, a slow morning answer would be the probes' fault.
 #[test]
 fn probes_keep_the_budget_in_every_second() {
     fn property(fleet: Fleet, events: Vec<Event>) -> bool {
@@ -234,10 +263,13 @@
 }
 
 /// All entries restart at once and reconnect. Each new connection takes a millisecond of a target
-/// with two slots; unspaced, the reconnects alone would hold up the orders.
+/// with two slots; unspaced, the reconnects alone would hold up the orders. Not covered: a target
+/// that is paused itself, as its system accepts connections for it.
 #[test]
 fn new_connections_keep_the_budget_in_every_second() {
     fn property(fleet: Fleet, events: Vec<Event>) -> bool {
+        let mut events = events;
+        events.retain(|event| !matches!(event, Event::TargetPause));
         let most = most_in_a_second(&play::<ConnectionBudget>(&fleet, &events));
         let fits_each_share = budget_us(&fleet) / fleet.cost_us >= u64::from(fleet.count);
         if fits_each_share {
@@ -252,7 +284,9 @@
 #[test]
 fn the_fleet_probes_each_target_three_times_a_second_at_today_s_size() {
     let fleet = Fleet { count: 14, slots: 2, budget_permille: 10, cost_us: 6000 };
-    let events = vec![Event::Pass { wait_ms: 10 }; 1000];
+    let answers = (0..14).map(|process| Event::Answered { process });
+    let passes = std::iter::repeat_n(Event::Pass { wait_ms: 10 }, 1000);
+    let events: Vec<Event> = answers.chain(passes).collect();
     let sent = play::<ProbePlan>(&fleet, &events);
     assert_eq!(3, most_in_a_second(&sent));
     assert_eq!(27, sent.len(), "three shares, each nine times in ten seconds");
@@ -265,7 +299,7 @@
     let mill = target(2);
     plan.set_targets(std::slice::from_ref(&mill), Mono::ZERO);
     let later = Mono::from_millis(10_000);
-    plan.reported(&mill.id, later);
+    plan.heard(&mill.id, true, later);
     assert!(plan.due(later).is_empty());
     assert_eq!(Some(later.plus(FRESH_FOR)), plan.next_due());
     assert_eq!(vec![mill.id], plan.due(later.plus(FRESH_FOR)));
