--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -108,15 +108,17 @@
 }
 
 #[test]
-fn a_session_over_its_own_limit_is_closed_and_others_are_not() {
+fn a_session_over_its_own_limit_grants_nothing_more_and_others_do() {
     let config = OnceConfig { operations_per_session_max: 1, ..OnceConfig::new() };
     let mut fixture = Fixture::with_config(config);
     fixture.claim("first", 1);
     let expected = ClaimAnswer::Full { retry_after: Duration::ZERO };
     assert_eq!(expected, fixture.claim("second", 2));
-    assert_eq!(ClaimAnswer::NotRun, fixture.claim("second", 3));
+    assert_eq!(ClaimAnswer::NotRun, fixture.close("third", 3));
+    assert_eq!(expected, fixture.claim("second", 4));
+    assert_eq!(1, fixture.issuer.operations());
     fixture.session = fixture.issuer.issue(START);
-    assert_eq!(ClaimAnswer::Granted, fixture.claim("second", 4));
+    assert_eq!(ClaimAnswer::Granted, fixture.claim("second", 5));
 }
 
 #[test]
@@ -124,10 +126,13 @@
     let config = OnceConfig { operations_max: 1, ..OnceConfig::new() };
     let mut fixture = Fixture::with_config(config);
     fixture.claim("first", 1);
-    assert_eq!(ClaimAnswer::NotRun, fixture.close("second", 2));
+    let second = fixture.issuer.issue(after(Duration::from_secs(300)));
+    let closed = OperationId::new(second, IdempotencyKey::new("second").unwrap());
+    let roomy = after(Duration::from_secs(601));
+    assert_eq!(ClaimAnswer::NotRun, fixture.issuer.close(&closed, &claim_id(2), START));
     assert_eq!(1, fixture.issuer.operations());
-    assert_eq!(ClaimAnswer::NotRun, fixture.claim("second", 3));
-    assert_eq!(ClaimAnswer::InProgress, fixture.claim("first", 4));
+    assert_eq!(ClaimAnswer::InProgress, fixture.claim("first", 3));
+    assert_eq!(ClaimAnswer::NotRun, fixture.issuer.claim(&closed, &claim_id(4), roomy));
 }
 
 #[test]
@@ -255,3 +260,26 @@
     assert!(!archive.add(other.drain(START).seal(START), START));
     assert_eq!(1, archive.len());
 }
+
+/// A large ledger is handed over in parts, and an entry asks the archive in between. An order in a
+/// part still to come must not be called "not run".
+#[test]
+fn a_ledger_in_parts_proves_absence_only_when_it_is_whole() {
+    let mut fixture = Fixture::new();
+    for (number, key) in (1..).zip(["c", "a", "b"]) {
+        fixture.claim(key, number);
+        fixture.complete(key, number, Completion::RanUnkept);
+    }
+    let operations = ["a", "b", "c", "unknown"].map(|key| fixture.operation(key));
+    let parts = fixture.issuer.drain(START).seal(START).into_parts(Bytes::new(1));
+    assert_eq!(3, parts.len());
+    let mut archive = Archive::new(OnceConfig::new());
+    for (index, part) in parts.into_iter().enumerate().rev() {
+        assert!(archive.add_part(part.clone(), START));
+        assert!(archive.add_part(part, START));
+        let listed = operations[..3].iter().filter(|o| archive.lookup(o).is_some()).count();
+        assert_eq!(3 - index, listed);
+        let whole = (index == 0).then_some(ClaimAnswer::NotRun);
+        assert_eq!(whole, archive.lookup(&operations[3]));
+    }
+}
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -10,11 +10,11 @@
 
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, HeaderField, Issuer, KeptAnswer,
-    OnceConfig, OperationId, SealedLedger, Secret, Session,
+    LedgerPart, OnceConfig, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
     Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
-    PeerServer, PeerState, ValueChange,
+    PeerNews, PeerServer, PeerState, ValueChange,
 };
 use shallotfork_types::{
     Bytes, Endpoint, IdempotencyKey, Incarnation, Mono, Permille, Revision, TargetId, VmId,
@@ -97,8 +97,8 @@
         self.note(format!("push from {} of {}", from.vm, changes.values.len()));
     }
 
-    async fn handoff(&self, from: &PeerId, ledger: SealedLedger) -> bool {
-        self.note(format!("handoff from {}: {}", from.vm, ledger.sessions.len()));
+    async fn handoff(&self, from: &PeerId, part: LedgerPart) -> bool {
+        self.note(format!("handoff from {}: {} of {}", from.vm, part.index, part.count));
         true
     }
 }
@@ -172,6 +172,18 @@
     Arc::new(KeptAnswer { status: 201, headers: vec![header], body: b"order 1".to_vec() })
 }
 
+fn news() -> PeerNews {
+    PeerNews {
+        about: PeerId::new(VmId::new("vm-9").unwrap(), Incarnation::new(9)),
+        round: 2,
+        state: PeerState::Live,
+        suspected: true,
+        failure_domain: "coolgardie".parse().unwrap(),
+        callers: "127.0.0.1:9080".parse().unwrap(),
+        peers: "127.0.0.1:9081".parse().unwrap(),
+    }
+}
+
 fn heartbeat() -> Heartbeat {
     let target = TargetId::new("t1").unwrap();
     Heartbeat {
@@ -179,6 +191,8 @@
         failure_domain: "boulder".parse().unwrap(),
         callers: "127.0.0.1:8080".parse().unwrap(),
         peers: "127.0.0.1:8081".parse().unwrap(),
+        round: 3,
+        news: vec![news()],
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(8),
         restart_safe: true,
@@ -244,11 +258,12 @@
             let vm = VmId::new(vm).unwrap();
             let secret = Secret::new([1; 32]);
             let issuer = Issuer::new(vm, Incarnation::new(2), secret, OnceConfig::new());
-            issuer.drain(Mono::ZERO).seal(Mono::ZERO)
+            let ledger = issuer.drain(Mono::ZERO).seal(Mono::ZERO);
+            LedgerPart { index: 1, count: 3, ledger }
         };
         assert!(client.handoff(&sealed("client")).await.unwrap());
         assert!(!client.handoff(&sealed("server")).await.unwrap());
-        assert_eq!(vec!["handoff from client: 0"], *setup.fake.calls.borrow());
+        assert_eq!(vec!["handoff from client: 1 of 3"], *setup.fake.calls.borrow());
     });
 }
 
