--- a/crates/membership/tests/news.rs
+++ b/crates/membership/tests/news.rs
@@ -69,7 +69,7 @@
         self.views[from].watch(&watched, self.now);
         self.views[from].expire(self.now);
         for peer in peers {
-            let to = peer.vm.as_str()[3..].parse().unwrap();
+            let to: usize = peer.vm.as_str()[3..].parse().unwrap();
             let apart = self.cut && from.is_multiple_of(3) != to.is_multiple_of(3);
             if !self.silent.contains(&to) && !apart {
                 self.exchange(from, to);
