--- /dev/null
+++ b/crates/slopes/src/members.rs
@@ -0,0 +1,56 @@
+//! Membership: heartbeats, the view and the groups of entries that serve a service.
+
+use std::collections::BTreeSet;
+
+use anyhow::Result;
+use shallotfork_balance::GroupSize;
+use shallotfork_membership::{
+    Announcement, ListedVm, Preference, View, ViewConfig, entries_for, service_group,
+};
+use shallotfork_types::{Incarnation, Mono, Revision, ServiceName, TargetId};
+
+use crate::lists::TARGETS_PER_SERVICE;
+use crate::measure::time;
+
+const GROUP: u32 = 4;
+
+fn announcement(index: usize) -> Result<Announcement> {
+    let port = 1024 + index;
+    let listed = ListedVm {
+        vm: format!("entry-{index}").parse()?,
+        failure_domain: format!("domain-{}", index % 19).parse()?,
+        callers: format!("10.0.0.1:{port}").parse()?,
+        peers: format!("10.0.0.2:{port}").parse()?,
+        leaving: false,
+    };
+    Ok(Announcement { listed, incarnation: Incarnation::new(index as u64), round: 0 })
+}
+
+/// Prints the slopes of membership.
+///
+/// # Errors
+/// When a generated name is not valid.
+pub fn members() -> Result<()> {
+    let service: ServiceName = "service-0".parse()?;
+    let targets: Vec<TargetId> =
+        (0..TARGETS_PER_SERVICE).map(|i| format!("t-{i}").parse()).collect::<Result<_, _>>()?;
+    for count in [14, 140] {
+        let fleet: Vec<Announcement> = (0..count).map(announcement).collect::<Result<_>>()?;
+        let listed: Vec<ListedVm> = fleet.iter().map(|vm| vm.listed.clone()).collect();
+        let mut view = View::new(ViewConfig::default(), &fleet[0], Mono::ZERO);
+        view.set_published(Revision::new(1), &listed, Mono::ZERO);
+        view.watch(&BTreeSet::new(), Mono::ZERO);
+        time("take a heartbeat", count, || view.heard(&fleet[1], Mono::ZERO));
+        time("list the entries", count, || view.entries());
+        let entries = view.entries();
+        let own = &fleet[0].listed.vm;
+        time("group of a service and its home targets", count, || {
+            service_group(&service, &entries, GroupSize::new(GROUP)).home_targets(own, &targets)
+        });
+        let preference = Preference { failure_domain: None, turn: 3 };
+        time("entries for a caller", count, || {
+            entries_for(&service, &entries, GroupSize::new(GROUP), &preference)
+        });
+    }
+    Ok(())
+}
