feat(balance,measure): reports ride on finish; a target is heard at the time of its answer

A report does not count the request that it came with (the target has freed its slot when it writes the header), so the pool takes the attempt back before it compares the report with its own count; it was off by one. ProbePlan::heard takes the time of the answer, so that the control thread may read it later from the pool's status.

--- a/crates/balance/examples/policy_trial.rs
+++ b/crates/balance/examples/policy_trial.rs
@@ -338,23 +338,23 @@
         }
         self.works[work].ended = true;
         let server = &mut self.servers[target];
-        let reported = server.running + server.queue.len() as u32;
         server.running -= 1;
+        let reported = server.running + server.queue.len() as u32;
         self.later(ONE_WAY_US, Event::Answer { work, reported });
         self.start_next(target);
     }
 
     fn answer(&mut self, work: usize, reported: u32) {
-        let Work { request, attempt, target, sent_us, cancelled, .. } = self.works[work];
+        let Work { request, attempt, sent_us, cancelled, .. } = self.works[work];
         if cancelled {
             return;
         }
         let entry = self.requests[request].entry;
         let now = self.now();
         let report = LoadReport { in_flight: Some(reported), ..LoadReport::default() };
-        self.pools[entry].report(&target_id(target), report, now);
         let latency = Duration::from_micros(self.now_us - sent_us);
-        let woken = self.pools[entry].finish(attempt, AttemptOutcome::Answered { latency }, now);
+        let outcome = AttemptOutcome::Answered { latency };
+        let woken = self.pools[entry].finish(attempt, outcome, Some(report), now);
         self.woken(entry, woken);
         self.settle(request, work);
     }
@@ -389,7 +389,7 @@
                 continue;
             }
             let (attempt, now) = (self.works[work].attempt, self.now());
-            let woken = self.pools[entry].finish(attempt, outcome, now);
+            let woken = self.pools[entry].finish(attempt, outcome, None, now);
             self.woken(entry, woken);
             self.later(ONE_WAY_US, Event::GiveUp { work });
         }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -145,10 +145,24 @@
         Some(self.start(chosen, now))
     }
 
-    /// Takes an attempt back, learns from its outcome and gives its place to waiting requests.
-    pub fn finish(&mut self, attempt: AttemptId, outcome: AttemptOutcome, now: Mono) -> Vec<Woken> {
+    /// Takes an attempt back, learns from its outcome and from the load report that came with the
+    /// answer, and gives its place to waiting requests. The report does not count the request that
+    /// it came with.
+    pub fn finish(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+        now: Mono,
+    ) -> Vec<Woken> {
         let Some(running) = self.attempts.remove(&attempt) else { return self.take_ended() };
-        self.learn(attempt, &running, outcome, now);
+        if let Some(target) = self.find(&running.target) {
+            target.end(attempt, running.started);
+        }
+        if let Some(report) = report {
+            self.report(&running.target, report, now);
+        }
+        self.learn(&running, outcome, now);
         self.wake(now)
     }
 
@@ -158,8 +172,7 @@
         self.queue.remove(ticket).is_some()
     }
 
-    /// Takes a target's account of its load. For a report that came with an answer, call it
-    /// before `finish`, as the target still counted that request.
+    /// Takes a target's account of its load that came with no request's answer, as from a probe.
     pub fn report(&mut self, target: &TargetId, report: LoadReport, now: Mono) {
         let Some(target) = self.find(target) else { return };
         let Some(others) = target.report(report, now) else { return };
@@ -379,7 +392,7 @@
         Candidate { index, running: target.running(), cost }
     }
 
-    fn learn(&mut self, attempt: AttemptId, running: &Running, outcome: AttemptOutcome, now: Mono) {
+    fn learn(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
         let spread = self.chooser.fraction();
         let elapsed_us = now.since(running.started).as_micros() as f64;
         let config = self.config.target.clone();
@@ -388,7 +401,6 @@
         }
         self.learn_crowding(running, outcome, now);
         let Some(target) = self.find(&running.target) else { return };
-        target.end(attempt, running.started);
         match outcome {
             AttemptOutcome::Answered { latency } => {
                 target.answered(latency.as_micros() as f64 / running.crowding, now);
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -88,8 +88,10 @@
     pub latency: Option<Duration>,
     /// Whether it is left out for failures.
     pub ejected: bool,
-    /// Age of its last load report.
-    pub report_age: Option<Duration>,
+    /// When its last load report came.
+    pub reported_at: Option<Mono>,
+    /// When it last answered a request.
+    pub heard_at: Option<Mono>,
 }
 
 /// The pool's averages, against which one target is judged.
@@ -133,6 +135,7 @@
     /// Start of the ramp; `None` when it gets its whole share.
     ramp_from: Option<Mono>,
     reported: Option<Reported>,
+    heard_at: Option<Mono>,
 }
 
 impl Target {
@@ -152,6 +155,7 @@
             ejections: 0,
             ramp_from,
             reported: None,
+            heard_at: None,
         }
     }
 
@@ -200,7 +204,8 @@
             running: self.running(),
             latency: self.latency_us.map(|us| Duration::from_micros(us as u64)),
             ejected: self.is_ejected(now),
-            report_age: self.reported.as_ref().map(|reported| now.since(reported.at)),
+            reported_at: self.reported.as_ref().map(|reported| reported.at),
+            heard_at: self.heard_at,
         }
     }
 
@@ -289,6 +294,7 @@
     }
 
     pub(crate) fn answered(&mut self, service_us: f64, now: Mono) {
+        self.heard_at = Some(now);
         self.failures_in_row = 0;
         self.ejections = 0;
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
@@ -320,6 +326,7 @@
     }
 
     pub(crate) fn shed(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
+        self.heard_at = Some(now);
         let others = SHED_OCCUPANCY * self.slots();
         self.reported = Some(Reported { others, all: others, at: now });
         self.failed(now, spread, config);
--- a/crates/balance/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -130,11 +130,9 @@
 
     fn end(&mut self, attempt: AttemptId, target: usize) {
         let behaviour = self.behaviours[target];
-        if let Some(in_flight) = behaviour.reports {
-            let report = LoadReport { in_flight: Some(in_flight), ..LoadReport::default() };
-            self.pool.report(&id(target), report, self.now);
-        }
-        let woken = self.pool.finish(attempt, behaviour.outcome(), self.now);
+        let report = |in_flight| LoadReport { in_flight: Some(in_flight), ..LoadReport::default() };
+        let report = behaviour.reports.map(report);
+        let woken = self.pool.finish(attempt, behaviour.outcome(), report, self.now);
         self.wake(woken);
     }
 
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -208,7 +208,7 @@
             _ => AttemptOutcome::Answered { latency },
         };
         self.running.remove(&attempt);
-        let woken = self.pool.finish(attempt, outcome, self.now);
+        let woken = self.pool.finish(attempt, outcome, None, self.now);
         self.woken(woken);
     }
 
@@ -232,7 +232,7 @@
     fn close(&mut self) {
         while let Some(attempt) = self.running.keys().next().copied() {
             self.running.remove(&attempt);
-            let woken = self.pool.finish(attempt, AttemptOutcome::Cancelled, self.now);
+            let woken = self.pool.finish(attempt, AttemptOutcome::Cancelled, None, self.now);
             self.woken(woken);
         }
         self.now = self.now.plus(Duration::from_secs(60));
--- a/crates/measure/src/probe_plan.rs
+++ b/crates/measure/src/probe_plan.rs
@@ -42,9 +42,9 @@
     /// No probe before this time.
     next: Mono,
     outstanding: bool,
-    /// Whether nothing was heard from the target since this process began or since a probe of its
-    /// went unanswered.
-    silent: bool,
+    /// Since when nothing is known to be heard from the target: since it came into the list, or
+    /// since a probe of it went unanswered.
+    silent_since: Option<Mono>,
     /// When an answer last carried a load report.
     reported: Option<Mono>,
 }
@@ -93,15 +93,16 @@
         self.targets = kept;
     }
 
-    /// Notes that an answer of the target came; with a load report, no probe is needed soon.
-    pub fn heard(&mut self, target: &TargetId, with_report: bool, now: Mono) {
+    /// Notes that the target answered a request at that time; with a load report, no probe is
+    /// needed soon.
+    pub fn heard(&mut self, target: &TargetId, with_report: bool, at: Mono) {
         let Some(planned) = self.targets.get_mut(target) else { return };
-        if planned.silent {
-            planned.silent = false;
-            planned.next = now.plus(planned.spacing);
+        if planned.silent_since.is_some_and(|since| at > since) {
+            planned.silent_since = None;
+            planned.next = planned.next.max(at.plus(planned.spacing));
         }
         if with_report {
-            planned.reported = Some(now);
+            planned.reported = planned.reported.max(Some(at));
         }
     }
 
@@ -134,7 +135,7 @@
     pub fn finished(&mut self, permit: ProbePermit, end: ProbeEnd, now: Mono) {
         if let Some(planned) = self.targets.get_mut(&permit.target) {
             planned.outstanding = false;
-            planned.silent = end == ProbeEnd::Unanswered;
+            planned.silent_since = (end == ProbeEnd::Unanswered).then_some(now);
             planned.next = now.plus(planned.spacing);
         }
     }
@@ -178,11 +179,11 @@
 impl Planned {
     fn new(slots: u32, spacing: Duration, now: Mono) -> Self {
         let next = now.plus(spacing);
-        Self { slots, spacing, next, outstanding: false, silent: true, reported: None }
+        Self { slots, spacing, next, outstanding: false, silent_since: Some(now), reported: None }
     }
 
     /// Whether no probe may be sent however much time passes.
     fn is_held(&self) -> bool {
-        self.outstanding || self.silent
+        self.outstanding || self.silent_since.is_some()
     }
 }
--- a/crates/measure/tests/budget.rs
+++ b/crates/measure/tests/budget.rs
@@ -286,7 +286,8 @@
     let fleet = Fleet { count: 14, slots: 2, budget_permille: 10, cost_us: 6000 };
     let answers = (0..14).map(|process| Event::Answered { process });
     let passes = std::iter::repeat_n(Event::Pass { wait_ms: 10 }, 1000);
-    let events: Vec<Event> = answers.chain(passes).collect();
+    let first = [Event::Pass { wait_ms: 1 }];
+    let events: Vec<Event> = first.into_iter().chain(answers).chain(passes).collect();
     let sent = play::<ProbePlan>(&fleet, &events);
     assert_eq!(3, most_in_a_second(&sent));
     assert_eq!(27, sent.len(), "three shares, each nine times in ten seconds");
--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -175,10 +175,7 @@
     ) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        if let Some(report) = report {
-            inner.pool.report(&assignment.target, report, now);
-        }
-        let woken = inner.pool.finish(assignment.attempt, outcome, now);
+        let woken = inner.pool.finish(assignment.attempt, outcome, report, now);
         drop(inner);
         self.deliver(woken);
     }
