--- a/crates/shallotd/src/traffic/front.rs
+++ b/crates/shallotd/src/traffic/front.rs
@@ -12,6 +12,7 @@
 use crate::traffic::counted::counted;
 use crate::traffic::dispatch::dispatch;
 use crate::traffic::entries::entries;
+use crate::traffic::operation::{named_operation, refuse};
 
 /// Answers one request of a caller.
 ///
@@ -30,9 +31,10 @@
         return entries(context, &request).await;
     }
     let limits = body_limits(context);
+    let operation = named_operation(request.headers());
     match read_whole(request, &limits, &context.bodies).await {
         Ok(whole) => dispatch(context, whole).await,
-        Err(refusal) => refusal.problem().into_response(),
+        Err(refusal) => refuse(context, operation, refusal.problem()).await.into_response(),
     }
 }
 
