--- a/crates/slopes/src/pools.rs
+++ b/crates/slopes/src/pools.rs
@@ -37,7 +37,7 @@
             let ask = Ask::new(now.plus(Duration::from_secs(1)));
             if let Admission::Send(assignment) = pool.admit(ask, now) {
                 let outcome = AttemptOutcome::Answered { latency: Duration::from_millis(5) };
-                pool.finish(assignment.attempt, outcome, now);
+                pool.finish(assignment.attempt, outcome, None, now);
             }
         });
         let all = targets(0, count)?;
