--- a/crates/rules/src/latches.rs
+++ b/crates/rules/src/latches.rs
@@ -1,5 +1,7 @@
 //! Hysteresis of load conditions.
 
+use std::sync::Arc;
+
 use shallotfork_types::Permille;
 
 use crate::rule_list::RuleList;
@@ -29,7 +31,7 @@
         Self { rules: vec![Latch::default(); list.rule_count()] }
     }
 
-    pub(crate) fn observe(&mut self, rules: &[Rule], load: Option<Permille>) {
+    pub(crate) fn observe(&mut self, rules: &[Arc<Rule>], load: Option<Permille>) {
         self.rules.resize(rules.len(), Latch::default());
         for (latch, rule) in self.rules.iter_mut().zip(rules) {
             rule.conditions.iter().for_each(|condition| latch.observe(condition, load));
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -14,7 +14,9 @@
 mod rule;
 mod rule_error;
 mod rule_list;
+mod rule_part;
 mod section_reader;
+mod service_index;
 mod time_range;
 
 pub use condition::Condition;
@@ -26,4 +28,6 @@
 pub use rule::{Rule, RuleName};
 pub use rule_error::RuleError;
 pub use rule_list::{Decided, RuleList};
+pub use rule_part::RulePart;
+pub use service_index::ServiceIndex;
 pub use time_range::TimeRange;
--- a/crates/rules/src/parser.rs
+++ b/crates/rules/src/parser.rs
@@ -4,11 +4,12 @@
 mod outcome;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use shallotfork_ini::{Document, Section};
 
 use crate::section_reader::SectionReader;
-use crate::{Rule, RuleError, RuleList};
+use crate::{Rule, RuleError, RuleList, RulePart};
 
 /// Rules in one list; more are refused, to bound the time that a decision takes.
 const MAX_RULES: usize = 2000;
@@ -17,6 +18,24 @@
 const MAX_TEXT_BYTES: usize = 1024 * 1024;
 
 pub(crate) fn parse(text: &str) -> Result<RuleList, Vec<RuleError>> {
+    let rules = read(text, |sections| misplaced_fallback(sections).into_iter().collect())?;
+    with_fallback(rules).ok_or_else(|| vec![whole_list("no rules")])
+}
+
+pub(crate) fn parse_part(text: &str) -> Result<RulePart, Vec<RuleError>> {
+    let check = |sections: &[Section]| {
+        let mut errors = service_keys(sections);
+        errors.extend(unreached(sections));
+        errors
+    };
+    Ok(RulePart::new(read(text, check)?))
+}
+
+/// Reads all rules; `check` looks at them as a whole.
+fn read(
+    text: &str,
+    check: impl Fn(&[Section]) -> Vec<RuleError>,
+) -> Result<Vec<Arc<Rule>>, Vec<RuleError>> {
     if text.len() > MAX_TEXT_BYTES {
         return Err(vec![whole_list("over 1 MiB")]);
     }
@@ -28,11 +47,11 @@
     let mut errors = repeated_names(sections);
     let rules: Vec<Option<Rule>> =
         sections.iter().map(|section| read_rule(section, &mut errors)).collect();
-    errors.extend(misplaced_fallback(sections));
+    errors.extend(check(sections));
     errors.sort_by_key(|error| error.line);
-    let rules: Option<Vec<Rule>> = rules.into_iter().collect();
-    match rules.and_then(with_fallback) {
-        Some(list) if errors.is_empty() => Ok(list),
+    let rules: Option<Vec<Arc<Rule>>> = rules.into_iter().map(|rule| rule.map(Arc::new)).collect();
+    match rules {
+        Some(rules) if errors.is_empty() => Ok(rules),
         _ => Err(errors),
     }
 }
@@ -49,7 +68,7 @@
     RuleError::new(1, "", "", reason)
 }
 
-fn with_fallback(mut rules: Vec<Rule>) -> Option<RuleList> {
+fn with_fallback(mut rules: Vec<Arc<Rule>>) -> Option<RuleList> {
     let fallback = rules.pop()?;
     Some(RuleList::new(rules, fallback))
 }
@@ -77,10 +96,28 @@
     let Some(last) = sections.last() else {
         return Some(whole_list("no rules"));
     };
-    let Some(fallback) = sections.iter().find(|section| !is_conditional(section)) else {
+    if sections.iter().all(is_conditional) {
         let reason = "the last rule must have no when. keys, so that some rule always decides";
         return Some(RuleError::new(last.line, &last.name, "", reason));
-    };
+    }
+    unreached(sections)
+}
+
+/// In a list for one service the service is given by the list's name.
+fn service_keys(sections: &[Section]) -> Vec<RuleError> {
+    let mut errors = Vec::new();
+    for section in sections {
+        for entry in section.entries.iter().filter(|entry| entry.key == conditions::SERVICE) {
+            let reason = "not allowed in a list for one service";
+            errors.push(RuleError::new(entry.line, &section.name, &entry.key, reason));
+        }
+    }
+    errors
+}
+
+/// Rules below one without conditions.
+fn unreached(sections: &[Section]) -> Option<RuleError> {
+    let fallback = sections.iter().find(|section| !is_conditional(section))?;
     let next = sections.iter().find(|section| section.line > fallback.line)?;
     let reason = format_args!("never reached: [{}] above has no when. keys", fallback.name);
     Some(RuleError::new(next.line, &next.name, "", reason))
--- a/crates/rules/src/parser/conditions.rs
+++ b/crates/rules/src/parser/conditions.rs
@@ -7,9 +7,12 @@
 use crate::Condition;
 use crate::section_reader::SectionReader;
 
+/// Key of the condition on the service.
+pub(crate) const SERVICE: &str = "when.service";
+
 pub(crate) const KEYS: &[&str] = &[
     "when.caller",
-    "when.service",
+    SERVICE,
     "when.time",
     "when.days",
     "when.zone",
@@ -27,7 +30,7 @@
 pub(crate) fn read(reader: &mut SectionReader<'_>) -> Vec<Condition> {
     let mut conditions = Vec::new();
     conditions.extend(reader.values("when.caller").map(Condition::Caller));
-    conditions.extend(reader.values("when.service").map(Condition::Service));
+    conditions.extend(reader.values(SERVICE).map(Condition::Service));
     conditions.extend(clock(reader));
     conditions.extend(load(reader));
     conditions
--- a/crates/rules/src/rule_list.rs
+++ b/crates/rules/src/rule_list.rs
@@ -1,13 +1,15 @@
 //! The rules in order.
 
+use std::sync::Arc;
+
 use crate::parser;
 use crate::{Described, Explanation, Latches, Outcome, Rule, RuleError, RuleName, RuleTrace};
 
 /// A checked list: rules with conditions, then one without that decides whatever reaches it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RuleList {
-    conditional: Vec<Rule>,
-    fallback: Rule,
+    conditional: Vec<Arc<Rule>>,
+    fallback: Arc<Rule>,
 }
 
 /// Which rule decides a request.
@@ -33,7 +35,7 @@
         parser::keys()
     }
 
-    pub(crate) fn new(conditional: Vec<Rule>, fallback: Rule) -> Self {
+    pub(crate) fn new(conditional: Vec<Arc<Rule>>, fallback: Arc<Rule>) -> Self {
         Self { conditional, fallback }
     }
 
@@ -44,7 +46,15 @@
 
     /// Every rule in order.
     pub fn rules(&self) -> impl Iterator<Item = &Rule> {
-        self.conditional.iter().chain([&self.fallback])
+        self.conditional.iter().chain([&self.fallback]).map(Arc::as_ref)
+    }
+
+    pub(crate) fn conditional(&self) -> &[Arc<Rule>] {
+        &self.conditional
+    }
+
+    pub(crate) fn fallback(&self) -> &Arc<Rule> {
+        &self.fallback
     }
 
     /// The first rule whose conditions all hold.
@@ -52,7 +62,7 @@
     /// `latches` belong to this list and to the request's service; they take in the load first.
     pub fn decide(&self, described: &Described, latches: &mut Latches) -> Decided<'_> {
         latches.observe(&self.conditional, described.load);
-        let decides = |(index, rule): &(usize, &Rule)| {
+        let decides = |(index, rule): &(usize, &Arc<Rule>)| {
             let latch = latches.of(*index);
             rule.conditions.iter().all(|condition| condition.holds(described, latch))
         };
--- /dev/null
+++ b/crates/rules/src/rule_part.rs
@@ -0,0 +1,35 @@
+//! Rules of one service, which go before the general list.
+
+use std::sync::Arc;
+
+use crate::parser;
+use crate::{Rule, RuleError};
+
+/// A checked list of rules for one service.
+///
+/// A fleet with many services publishes a list for each, so that a change is as large as the
+/// service's own rules and no larger.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RulePart {
+    rules: Vec<Arc<Rule>>,
+}
+
+impl RulePart {
+    /// Reads the rules from INI text.
+    ///
+    /// # Errors
+    /// Everything that is wrong, in the order of the text; `when.service` is, since the service is
+    /// given by the list's name.
+    pub fn parse(text: &str) -> Result<Self, Vec<RuleError>> {
+        parser::parse_part(text)
+    }
+
+    pub(crate) fn new(rules: Vec<Arc<Rule>>) -> Self {
+        Self { rules }
+    }
+
+    /// The rules in order.
+    pub(crate) fn rules(&self) -> &[Arc<Rule>] {
+        &self.rules
+    }
+}
