feat(shallotd): probes on the control thread, new connections spaced by share

The control thread probes targets whose load traffic does not tell (GET probe_path, 25 ms ticks), within this VM's fixed share. A gate before reqwest's connector makes each new connection wait for its turn; spacing 1 s over floor(new_connections_per_s / probe_shares) from the end of the last one.

ConnectionLimits takes that rate itself.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod sections;
 mod setting_error;
 mod settings;
+mod url_path;
 mod value;
 
 pub use key_spec::{KeySpec, Presence};
@@ -17,3 +18,4 @@
 };
 pub use setting_error::SettingError;
 pub use settings::Settings;
+pub use url_path::UrlPath;
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -4,10 +4,13 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use shallotfork_balance::Policy;
 use shallotfork_types::{
     Bytes, Endpoint, FailureDomain, ParseError, PerSecond, Permille, Region, VmId,
 };
 
+use crate::url_path::UrlPath;
+
 /// A type that a setting may have.
 pub(crate) trait SettingValue: Sized {
     /// What a value looks like.
@@ -37,6 +40,7 @@
 }
 
 from_str_value! {
+    UrlPath: "path";
     Bytes: "size";
     Endpoint: "ip:port";
     FailureDomain: "name";
@@ -46,6 +50,14 @@
     VmId: "name";
 }
 
+impl SettingValue for Policy {
+    const KIND: &'static str = "policy";
+
+    fn read(_key: &str, text: &str) -> Result<Self, ParseError> {
+        text.parse().map_err(|_| ParseError::new("a policy such as load-aware", text))
+    }
+}
+
 impl SettingValue for u32 {
     const KIND: &'static str = "whole number";
 
--- a/crates/shallotd/src/context.rs
+++ b/crates/shallotd/src/context.rs
@@ -12,7 +12,7 @@
 use crate::control::ControlHandle;
 use crate::identity::Identity;
 use crate::snapshot::Snapshot;
-use crate::traffic::InFlight;
+use crate::traffic::{InFlight, TargetGate};
 
 /// Shared state of the process; control writes the snapshot, everybody else reads.
 pub struct Context {
@@ -30,6 +30,8 @@
     pub control: ControlHandle,
     /// Connections to targets.
     pub exchange: Exchange,
+    /// New connections to targets.
+    pub gate: TargetGate,
     /// Memory for bodies.
     pub bodies: BodyBudget,
     /// Requests in flight.
--- a/crates/shallotd/src/control/mod.rs
+++ b/crates/shallotd/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod operations;
 mod peer_calls;
 mod peers;
+mod probes;
 mod publish;
 mod report;
 mod state;
--- a/crates/shallotd/src/control/publish.rs
+++ b/crates/shallotd/src/control/publish.rs
@@ -3,17 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
-use shallotfork_balance::{GroupSize, PoolConfig, PoolTarget, TargetState as PoolState};
-use shallotfork_measure::{ConnectionBudget, ConnectionLimits, FleetShare};
+use shallotfork_balance::{GroupSize, Policy, PoolConfig, PoolTarget, TargetState as PoolState};
 use shallotfork_membership::{EntryVm, service_group};
 use shallotfork_platform::{TargetInfo, TargetState};
 use shallotfork_rules::{Latches, RuleList};
-use shallotfork_types::{Permille, ServiceName, TargetId};
+use shallotfork_types::{ServiceName, TargetId};
 
 use crate::context::Context;
 use crate::control::state::State;
 use crate::snapshot::{Service, Snapshot};
-use crate::traffic::{GROUP_SIZE, ServicePool};
+use crate::traffic::{GateTarget, ServicePool};
 
 /// Replaces the snapshot by one of the state as it is now.
 pub fn publish(state: &State) {
@@ -21,6 +20,7 @@
     let entries = state.view.borrow().entries();
     let lists = state.lists.borrow();
     let old = context.snapshot();
+    context.gate.set_targets(lists.targets.values().flatten().map(gate_target).collect());
     let mut services = BTreeMap::new();
     for (name, targets) in &lists.targets {
         let pool = pool(state, name);
@@ -45,7 +45,7 @@
             hedge_share: balance.hedge_budget,
             retry_share: balance.retry_budget,
             subset_of: Some(context.identity.vm.clone()),
-            ..PoolConfig::default()
+            ..pool_config(balance.policy)
         };
         let seed = context.identity.incarnation.value();
         ServicePool::new(config, seed, context.clock)
@@ -53,6 +53,18 @@
     Arc::clone(pool)
 }
 
+/// Policies to compare with have no queue and no hedges.
+fn pool_config(policy: Policy) -> PoolConfig {
+    if policy == Policy::LoadAware {
+        return PoolConfig::default();
+    }
+    PoolConfig::baseline(policy)
+}
+
+fn gate_target(target: &TargetInfo) -> GateTarget {
+    GateTarget { endpoint: target.endpoint, id: target.id.clone() }
+}
+
 fn pool_targets(
     context: &Context,
     service: &ServiceName,
@@ -60,40 +72,25 @@
     entries: &[EntryVm],
 ) -> Vec<PoolTarget> {
     let ids: Vec<TargetId> = targets.iter().map(|target| target.id.clone()).collect();
-    let group = service_group(service, entries, GroupSize::new(GROUP_SIZE));
+    let group = service_group(
+        service,
+        entries,
+        GroupSize::new(context.settings.balance.entries_per_service),
+    );
     let homes = group.home_targets(&context.identity.vm, &ids);
-    let budget = connection_budget(context);
     let pool_target = |target: &TargetInfo| {
         let state = match target.state {
             TargetState::Serving => PoolState::Serving,
             TargetState::Draining => PoolState::Draining,
         };
         PoolTarget::new(target.id.clone(), target.failure_domain.clone(), target.slots)
-            .with_connections_share(budget.open_max(target.connections_max))
+            .with_connections_share(context.gate.open_max(target.connections_max))
             .with_state(state)
             .with_home(homes.contains(&target.id))
     };
     targets.iter().map(pool_target).collect()
 }
 
-/// This process's part of each target's connections.
-fn connection_budget(context: &Context) -> ConnectionBudget {
-    let vm = &context.settings.vm;
-    let share = FleetShare::new(vm.probe_share, vm.probe_shares)
-        .expect("settings were checked: the share is below the number of shares");
-    let limits = ConnectionLimits {
-        share: Permille::new(CONNECTION_SHARE_PERMILLE),
-        open_cost: CONNECTION_COST,
-    };
-    ConnectionBudget::new(limits, share)
-}
-
-/// Part of a target's time that new connections of the whole fleet may cost.
-const CONNECTION_SHARE_PERMILLE: u32 = 25;
-
-/// What one new connection costs a target.
-const CONNECTION_COST: std::time::Duration = std::time::Duration::from_millis(1);
-
 /// A new rule list starts with no load condition holding.
 fn latches(
     old: &Snapshot,
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use shallotfork_measure::ProbePlan;
 use shallotfork_membership::View;
 use shallotfork_types::ServiceName;
 use tokio::sync::watch;
@@ -31,6 +32,8 @@
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
     pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
+    /// When this process may probe which target.
+    pub probes: RefCell<ProbePlan>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -27,6 +27,7 @@
 use crate::control::members::{heartbeats, tell_leaving, untold_wait};
 use crate::control::peer_calls::PeerCalls;
 use crate::control::peers::Peers;
+use crate::control::probes::{probe_plan, probes};
 use crate::control::state::State;
 use crate::control::watch::watch;
 use crate::control::{operations, publish::publish, report};
@@ -79,7 +80,8 @@
     let platform = HttpPlatform::new(platform_config(&state.context))?;
     tokio::task::spawn_local(server.serve());
     tokio::task::spawn_local(watch(Rc::clone(&state), Rc::new(platform)));
-    tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer));
+    tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer.clone()));
+    tokio::task::spawn_local(probes(Rc::clone(&state), timer));
     answer_commands(state, commands).await;
     Ok(())
 }
@@ -105,6 +107,7 @@
         peers,
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
+        probes: RefCell::new(probe_plan(&context)),
         leaving: Cell::new(false),
         ready,
         context,
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -13,8 +13,9 @@
 use serde::Serialize;
 use shallotfork_events::{LogConfig, logger};
 use shallotfork_exchange::{
-    BodyBudget, Exchange, ExchangeConfig, OpenGate, ServeConfig, ServeControl, serve,
+    BodyBudget, Exchange, ExchangeConfig, ServeConfig, ServeControl, serve,
 };
+use shallotfork_measure::{ConnectionBudget, ConnectionLimits, FleetShare};
 use shallotfork_once::{SECRET_BYTES, Secret};
 use shallotfork_peer::PeerKey;
 use shallotfork_settings::Settings;
@@ -31,7 +32,7 @@
 use crate::lifecycle::{Process, Starting};
 use crate::operator::{MetricsPage, Operator, OperatorToken, operator};
 use crate::snapshot::Snapshot;
-use crate::traffic::{InFlight, front};
+use crate::traffic::{InFlight, TargetGate, front};
 
 /// How often waiting requests are checked against their deadlines.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(5);
@@ -87,8 +88,9 @@
     let bodies = BodyBudget::new(settings.callers.bodies_total_max);
     let exchange_config =
         ExchangeConfig { answer_max: settings.callers.body_max, ..ExchangeConfig::default() };
+    let gate = TargetGate::new(connection_budget(&settings), clock);
     let now = Arc::new(move || clock.now());
-    let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(OpenGate), now)?;
+    let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(gate.clone()), now)?;
     let context = Arc::new(Context {
         settings,
         identity,
@@ -97,6 +99,7 @@
         snapshot: ArcSwap::from_pointee(Snapshot::default()),
         control,
         exchange,
+        gate,
         bodies,
         in_flight: InFlight::default(),
         turns: AtomicU64::new(0),
@@ -127,6 +130,14 @@
     runtime.block_on(serve_traffic(traffic))
 }
 
+/// This process's part of new and open connections to each target.
+fn connection_budget(settings: &Settings) -> ConnectionBudget {
+    let share = FleetShare::new(settings.vm.probe_share, settings.vm.probe_shares)
+        .expect("settings were checked: the share is below the number of shares");
+    let limits = ConnectionLimits { new_connections: settings.measure.new_connections };
+    ConnectionBudget::new(limits, share)
+}
+
 fn bind(settings: &Settings) -> Result<Ports> {
     let bind = |endpoint: Endpoint, what: &str| -> Result<StdListener> {
         let listener = StdListener::bind(endpoint.address())
--- a/crates/shallotd/src/traffic/dispatch.rs
+++ b/crates/shallotd/src/traffic/dispatch.rs
@@ -231,7 +231,8 @@
     TargetAddress::new(target.endpoint).with_http2(target.http2).with_shed_status(shed)
 }
 
-fn load_report(answer: &WholeAnswer) -> Option<LoadReport> {
+/// The load report that a target sent with its answer; one that can't be read counts as none.
+pub fn load_report(answer: &WholeAnswer) -> Option<LoadReport> {
     let text = answer.headers.get(LOAD_REPORT_HEADER)?.to_str().ok()?;
     LoadReport::from_header(text).ok()
 }
--- a/crates/shallotd/src/traffic/entries.rs
+++ b/crates/shallotd/src/traffic/entries.rs
@@ -14,9 +14,6 @@
 
 const PATH: &str = "/v1/entries";
 
-/// Entries named in an answer: one more than today's three failure domains.
-pub const GROUP_SIZE: u32 = 4;
-
 /// When a caller may ask a starting entry again.
 const STARTING_RETRY: Duration = Duration::from_millis(500);
 
@@ -75,7 +72,7 @@
     }
     let preference =
         Preference { failure_domain: query.failure_domain, turn: Context::next(&context.turns) };
-    let size = GroupSize::new(GROUP_SIZE);
+    let size = GroupSize::new(context.settings.balance.entries_per_service);
     let found = entries_for(&query.service, &snapshot.entries, size, &preference);
     let session = context.control.issue().await;
     let callers = &context.settings.callers;
--- a/crates/shallotd/src/traffic/mod.rs
+++ b/crates/shallotd/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of callers, on the traffic threads.
 
+mod connection_gate;
 mod counted;
 mod dispatch;
 mod entries;
@@ -8,7 +9,8 @@
 mod operation;
 mod service_pool;
 
-pub use entries::GROUP_SIZE;
+pub use connection_gate::{GateTarget, TargetGate};
+pub use dispatch::load_report;
 pub use front::front;
 pub use in_flight::InFlight;
 pub use service_pool::ServicePool;
--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -130,6 +130,12 @@
         self.deliver(woken);
     }
 
+    /// Takes a target's account of its load that came with a probe's answer.
+    pub fn report(&self, target: &TargetId, report: LoadReport) {
+        let now = self.clock.now();
+        self.lock().pool.report(target, report, now);
+    }
+
     /// Share of the service's slots in use; `None` when unknown.
     pub fn load(&self) -> Option<Permille> {
         let now = self.clock.now();
