feat(shallotd): entries feed each other lists and start from the highest

Before: an entry took lists from the platform only. Six process tests were seen failing on that version: an entry whose replica is down, hanging or stale never got a new list; a restarted entry went back to the stale replica's list (revision 1 in place of 3); an entry could not start without the platform; a healed partition and conflicting or rolled-back replicas never settled (each waited 30 s in vain).

- heartbeats carry a fingerprint of the lists in force; an entry whose own differs reads the peer's lists, after the platform has had 100 ms to tell it itself, and once per difference (revisions::PullGate).
Pushing each list to every peer was ruled out: 14 entries that all watch the platform would send it 182 times.
- a starting entry asks every replica and up to 16 peers and serves nobody until the highest version is in force.
- a platform that was rolled back and published to its old revision before anybody asked looks unchanged; a full read each full_read_ms shows it.
- event 6003, platform_calls in the status report.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -33,6 +33,7 @@
     TARGET_RETURNED = 5002 Info "target returned";
     PLATFORM_LOST = 6001 Warning "platform unreachable";
     PLATFORM_BACK = 6002 Info "platform reachable again";
+    PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
     CALLER_REFUSED = 7001 Info "request refused";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -20,7 +20,7 @@
     Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer, PeerState,
 };
 use shallotfork_types::{
-    Endpoint, FailureDomain, IdempotencyKey, Incarnation, Mono, Revision, VmId,
+    Endpoint, FailureDomain, IdempotencyKey, Incarnation, ListsDigest, Mono, Revision, VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -145,6 +145,7 @@
         synced_revision: Revision::new(9),
         round: 0,
         news: Vec::new(),
+        lists_digest: ListsDigest::new(9),
         restart_safe: false,
         loads: Vec::new(),
     })
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -36,6 +36,7 @@
   peers @7 :Text;
   round @8 :UInt32;
   news @9 :List(News);
+  listsDigest @10 :UInt64;
 
   enum State {
     live @0;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,8 @@
 //! What processes tell each other, besides what `shallotfork-once` defines.
 
-use shallotfork_types::{Endpoint, FailureDomain, Incarnation, Permille, Revision, TargetId, VmId};
+use shallotfork_types::{
+    Endpoint, FailureDomain, Incarnation, ListsDigest, Permille, Revision, TargetId, VmId,
+};
 
 /// One run of the process on one VM, proved by the handshake.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -47,6 +49,8 @@
     pub seen_revision: Revision,
     /// Revision up to which it holds every published value.
     pub synced_revision: Revision,
+    /// Fingerprint of the lists in force at the sender; differs when a list or its content does.
+    pub lists_digest: ListsDigest,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5391,11 +5391,15 @@
         pub fn has_news(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_lists_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5565,6 +5569,14 @@
         pub fn has_news(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_lists_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_lists_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5576,17 +5588,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 182] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 198] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5596,77 +5608,84 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -5759,6 +5778,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 115, 68, 105, 103),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5772,6 +5800,7 @@
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5785,9 +5814,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,4,9,7,3,8,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,3,8,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -9,7 +9,7 @@
     SealedLedger, SealedOperation, SealedSession, Secret,
 };
 use shallotfork_types::{
-    IdempotencyKey, Incarnation, Mono, ParseError, Permille, Revision, TargetId,
+    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, Permille, Revision, TargetId,
 };
 
 use crate::key::NONCE_BYTES;
@@ -126,6 +126,7 @@
     to.set_state(write_state(beat.state));
     to.set_seen_revision(beat.seen_revision.value());
     to.set_synced_revision(beat.synced_revision.value());
+    to.set_lists_digest(beat.lists_digest.value());
     to.set_restart_safe(beat.restart_safe);
     to.set_failure_domain(beat.failure_domain.as_str());
     to.set_callers(&beat.callers.to_string()[..]);
@@ -184,6 +185,7 @@
         news: from.get_news()?.iter().map(read_news).collect::<Result<_>>()?,
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
+        lists_digest: ListsDigest::new(from.get_lists_digest()),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
     })
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -17,7 +17,8 @@
     PeerNews, PeerServer, PeerState, ValueChange,
 };
 use shallotfork_types::{
-    Bytes, Endpoint, IdempotencyKey, Incarnation, Mono, Permille, Revision, TargetId, VmId,
+    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, Permille, Revision, TargetId,
+    VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -195,6 +196,7 @@
         news: vec![news()],
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(8),
+        lists_digest: ListsDigest::new(7),
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
     }
--- a/crates/platform/src/http_platform.rs
+++ b/crates/platform/src/http_platform.rs
@@ -1,6 +1,6 @@
 //! The platform over HTTP.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -23,6 +23,7 @@
     config: HttpPlatformConfig,
     limit: CallLimit,
     current: AtomicUsize,
+    calls: AtomicU64,
 }
 
 impl HttpPlatform {
@@ -39,17 +40,10 @@
             .no_proxy()
             .build()?;
         let limit = CallLimit::new(config.calls);
-        Ok(Self { client, config, limit, current: AtomicUsize::new(0) })
+        Ok(Self { client, config, limit, current: AtomicUsize::new(0), calls: AtomicU64::new(0) })
     }
 
-    /// Begins with another replica, so that entries spread over them.
-    #[must_use]
-    pub fn with_first_replica(self, index: usize) -> Self {
-        self.current.store(index, Ordering::Relaxed);
-        self
-    }
-
-    fn replica(&self) -> Endpoint {
+    fn current(&self) -> Endpoint {
         let index = self.current.load(Ordering::Relaxed) % self.config.replicas.len().max(1);
         let unreachable = Endpoint::new(([0, 0, 0, 0], 0).into());
         self.config.replicas.get(index).copied().unwrap_or(unreachable)
@@ -57,24 +51,29 @@
 
     /// Makes one call; after a failure the next call goes to the next replica.
     async fn call(&self, path: &str, wait: Duration) -> Result<Answer, PlatformError> {
+        let replica = self.current();
         self.limit.ready().await;
-        let replica = self.replica();
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let request = self.client.get(format!("http://{replica}{path}"));
         let timeout = self.config.timeout.saturating_add(wait);
-        let call = tokio::time::timeout(timeout, self.exchange(request));
+        let call = tokio::time::timeout(timeout, self.exchange(replica, request));
         let answer = call.await.unwrap_or(Err(PlatformErrorKind::Timeout));
         match answer {
-            Ok(answer) => Ok(Answer { replica, ..answer }),
+            Ok(answer) => Ok(answer),
             Err(kind) => Err(self.fail(replica, kind)),
         }
     }
 
-    async fn exchange(&self, request: RequestBuilder) -> Result<Answer, PlatformErrorKind> {
+    async fn exchange(
+        &self,
+        replica: Endpoint,
+        request: RequestBuilder,
+    ) -> Result<Answer, PlatformErrorKind> {
         let response = request.send().await.map_err(unreachable)?;
         let status = response.status();
         let revision = revision_of(&response);
         let body = self.body(response).await?;
-        Ok(Answer { replica: self.replica(), status, revision, body })
+        Ok(Answer { replica, status, revision, body })
     }
 
     async fn body(&self, mut response: Response) -> Result<Vec<u8>, PlatformErrorKind> {
@@ -91,7 +90,7 @@
     }
 
     fn fail(&self, replica: Endpoint, kind: PlatformErrorKind) -> PlatformError {
-        self.current.fetch_add(1, Ordering::Relaxed);
+        self.next_replica();
         PlatformError { replica, kind }
     }
 
@@ -135,6 +134,22 @@
 
 #[async_trait]
 impl Platform for HttpPlatform {
+    fn replica(&self) -> Endpoint {
+        self.current()
+    }
+
+    fn replica_count(&self) -> usize {
+        self.config.replicas.len()
+    }
+
+    fn next_replica(&self) {
+        self.current.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, PlatformError> {
         let path = format!("/v1/changes?after={after}&wait_ms={}", wait.as_millis());
         let answer = self.call(&path, wait).await?;
--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -33,6 +33,19 @@
 /// Reads and watches published lists.
 #[async_trait]
 pub trait Platform: Debug + Send + Sync {
+    /// The replica that the next call asks.
+    fn replica(&self) -> Endpoint;
+
+    /// Number of replicas.
+    fn replica_count(&self) -> usize;
+
+    /// Has the next call ask the next replica. One that lags answers as if nothing had changed, so
+    /// that only another one can tell.
+    fn next_replica(&self);
+
+    /// Calls made so far.
+    fn calls(&self) -> u64;
+
     /// Lists that changed after a revision; waits up to `wait` for a first change.
     ///
     /// # Errors
--- a/crates/revisions/src/cursor.rs
+++ b/crates/revisions/src/cursor.rs
@@ -1,65 +1,108 @@
 //! From which revision the platform is watched.
 
-use shallotfork_types::Revision;
+use std::collections::BTreeMap;
 
-/// Follows one replica of the platform at a time.
+use shallotfork_types::{Endpoint, Revision};
+
+/// Follows each replica of the platform at its own revision.
 #[derive(Debug, Default)]
 pub struct Cursor {
-    after: Revision,
+    replicas: BTreeMap<Endpoint, Replica>,
+    complete: Revision,
     highest: Revision,
 }
 
-/// How the platform's revision relates to what was seen before.
+#[derive(Debug, Clone, Copy, Default)]
+struct Replica {
+    after: Revision,
+    behind_answers: u32,
+}
+
+/// How a replica's revision relates to what was seen before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
-    /// The platform is at the highest revision seen, or beyond.
+    /// The replica is at the highest revision seen, or beyond.
     Current,
-    /// The platform is below a revision that it has shown before: stale, or rolled back.
+    /// The replica is below a revision that another replica, a peer or itself has shown before: it
+    /// lags, or the platform was rolled back.
     Behind {
         /// Highest revision seen.
         highest: Revision,
+        /// How many answers of this replica in a row were behind.
+        answers: u32,
     },
 }
 
 impl Cursor {
-    /// A cursor that begins with a full read.
+    /// A cursor that begins with a full read of each replica.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// The revision after which changes are asked for; `Revision::NONE` asks for every list.
-    pub fn after(&self) -> Revision {
-        self.after
+    /// The revision after which a replica is asked for changes; `Revision::NONE` asks it for every
+    /// list, which also shows whether its contents differ from another replica's.
+    pub fn after(&self, replica: Endpoint) -> Revision {
+        self.replicas.get(&replica).map_or(Revision::NONE, |replica| replica.after)
+    }
+
+    /// The revision up to which every published list is known.
+    pub fn complete(&self) -> Revision {
+        self.complete
     }
 
-    /// The highest revision that the platform, or a peer, was seen at.
+    /// The highest revision that the platform or a peer was seen at.
     pub fn highest(&self) -> Revision {
         self.highest
     }
 
-    /// Takes note of an answer to a question for changes after `asked_after`.
+    /// Whether a replica was behind when it last answered.
+    pub fn is_behind(&self, replica: Endpoint) -> bool {
+        self.replicas.get(&replica).is_some_and(|replica| replica.after < self.highest)
+    }
+
+    /// Takes note of a replica's answer to a question for changes after `asked_after`.
     ///
     /// A platform restored from a backup answers with a lower revision and then counts up again
     /// with other contents. Going on from the old revision would skip what is published until the
     /// count passes it; so the next question asks for every list, and the tracker sorts them out.
-    pub fn answered(&mut self, asked_after: Revision, platform: Revision) -> Answer {
-        self.after = if platform < asked_after { Revision::NONE } else { platform };
+    pub fn answered(
+        &mut self,
+        replica: Endpoint,
+        asked_after: Revision,
+        platform: Revision,
+    ) -> Answer {
+        let after = if platform < asked_after { Revision::NONE } else { platform };
+        self.complete = self.complete.max(platform);
+        self.highest = self.highest.max(platform);
+        let replica = self.replicas.entry(replica).or_default();
+        replica.after = after;
         if platform < self.highest {
-            return Answer::Behind { highest: self.highest };
+            replica.behind_answers = replica.behind_answers.saturating_add(1);
+            return Answer::Behind { highest: self.highest, answers: replica.behind_answers };
         }
-        self.highest = platform;
+        replica.behind_answers = 0;
         Answer::Current
     }
 
-    /// Takes note that another replica is asked from now on.
+    /// Has the next question to a replica ask for every list.
     ///
-    /// Its contents may differ from the last replica's at the same revision; a full read shows it.
-    pub fn switched(&mut self) {
-        self.after = Revision::NONE;
+    /// A platform that was rolled back and published again may have counted up to the old revision
+    /// before anybody asked. Its answers then look as if nothing had changed; only the contents
+    /// tell.
+    pub fn read_in_full(&mut self, replica: Endpoint) {
+        if let Some(replica) = self.replicas.get_mut(&replica) {
+            replica.after = Revision::NONE;
+        }
     }
 
-    /// Takes note of a revision that a peer has seen; it does not move the watch.
+    /// Takes note of a revision that a peer has heard of.
     pub fn heard(&mut self, revision: Revision) {
         self.highest = self.highest.max(revision);
     }
+
+    /// Takes note that a peer has given every list up to a revision.
+    pub fn completed(&mut self, revision: Revision) {
+        self.complete = self.complete.max(revision);
+        self.heard(revision);
+    }
 }
--- a/crates/revisions/src/lib.rs
+++ b/crates/revisions/src/lib.rs
@@ -7,9 +7,11 @@
 mod cursor;
 mod digest;
 mod offer;
+mod pull_gate;
 mod tracker;
 
 pub use cursor::{Answer, Cursor};
 pub use digest::Digest;
 pub use offer::{Kept, Offer, Offered, Version};
+pub use pull_gate::{DigestPair, PullGate};
 pub use tracker::Tracker;
--- a/crates/revisions/src/tracker.rs
+++ b/crates/revisions/src/tracker.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use shallotfork_types::{ListName, Revision};
+use sha2::{Digest as _, Sha256};
+use shallotfork_types::{ListName, ListsDigest, Revision};
 
 use crate::{Kept, Offer, Offered, Version};
 
@@ -10,6 +11,7 @@
 #[derive(Debug, Default)]
 pub struct Tracker {
     lists: BTreeMap<ListName, Versions>,
+    digest: ListsDigest,
 }
 
 #[derive(Debug, Default)]
@@ -32,7 +34,20 @@
     /// Decides what becomes of an offered version.
     pub fn offer(&mut self, offered: &Offered) -> Offer {
         let versions = self.lists.entry(offered.name.clone()).or_default();
-        versions.offer(offered.version, offered.valid)
+        let before = versions.in_force;
+        let offer = versions.offer(offered.version, offered.valid);
+        if offer.takes_effect() {
+            let without = before.map_or(self.digest, |version| {
+                self.digest.without_list(number_of(&offered.name, &version))
+            });
+            self.digest = without.with_list(number_of(&offered.name, &offered.version));
+        }
+        offer
+    }
+
+    /// Fingerprint of every version in force; processes with the same lists have the same one.
+    pub fn digest(&self) -> ListsDigest {
+        self.digest
     }
 
     /// The version in force of one list.
@@ -53,6 +68,18 @@
     }
 }
 
+/// The part of one list in the fingerprint of all.
+fn number_of(name: &ListName, version: &Version) -> u64 {
+    let hash = Sha256::new()
+        .chain_update(name.to_string())
+        .chain_update(version.revision.value().to_le_bytes())
+        .chain_update(version.digest.as_bytes())
+        .finalize();
+    let mut number = [0; size_of::<u64>()];
+    number.copy_from_slice(&hash[..size_of::<u64>()]);
+    u64::from_le_bytes(number)
+}
+
 impl Versions {
     fn revision(&self) -> Option<Revision> {
         self.in_force.map(|version| version.revision)
--- a/crates/revisions/tests/tracker.rs
+++ b/crates/revisions/tests/tracker.rs
@@ -128,10 +128,14 @@
         let mut other = Tracker::new();
         show(&mut one, &history.seen_by(true));
         show(&mut other, &history.seen_by(false));
+        let same_lists = one.in_force(&RULES) == other.in_force(&RULES);
+        let told_apart = same_lists == (one.digest() == other.digest());
         let all = history.offers();
         show(&mut one, &shuffled(all.clone(), seed));
         show(&mut other, &all);
-        one.in_force(&RULES) == other.in_force(&RULES)
+        told_apart
+            && one.in_force(&RULES) == other.in_force(&RULES)
+            && one.digest() == other.digest()
     }
     check(agree);
 }
--- a/crates/shallotd/src/control/lists.rs
+++ b/crates/shallotd/src/control/lists.rs
@@ -10,7 +10,9 @@
 use shallotfork_revisions::{Cursor, Kept, Offer, Offered, Tracker, Version};
 use shallotfork_rules::RuleList;
 use shallotfork_types::report::{AuditChange, AuditOutcome, ListStatus};
-use shallotfork_types::{ListName, Mono, Revision, ServiceName};
+use shallotfork_types::{ListName, ListsDigest, Mono, Revision, ServiceName};
+
+use crate::control::lists_source::ListSource;
 
 /// A list in force, with its text for peers that ask.
 #[derive(Debug, Clone)]
@@ -34,6 +36,7 @@
     pub targets: BTreeMap<ServiceName, Vec<TargetInfo>>,
     /// The entry VMs with the revision of their list.
     pub vms: Option<(Revision, Vec<VmInfo>)>,
+    start_is_complete: bool,
 }
 
 /// A list in typed form.
@@ -56,7 +59,7 @@
     pub fn take(
         &mut self,
         published: PublishedList,
-        source: &str,
+        source: &ListSource,
         now: Mono,
         log: &Logger,
     ) -> Taken {
@@ -69,6 +72,9 @@
         let checked = check(&published);
         let offered = Offered { name, version, valid: checked.is_ok() };
         let offer = self.tracker.offer(&offered);
+        if is_expected(offer, source) {
+            return Taken { changed: false, audit: None };
+        }
         let reason = checked.as_ref().err().cloned().unwrap_or_default();
         report(log, offer, &offered, source, &reason);
         if let (true, Ok(checked)) = (offer.takes_effect(), checked) {
@@ -81,11 +87,26 @@
             to_revision: offered.version.revision,
             digest: offered.version.digest.to_string(),
             outcome,
-            source: source.to_owned(),
+            source: source.to_string(),
         });
         Taken { changed: offer.takes_effect(), audit }
     }
 
+    /// The platform and the peers were asked: what is in force is the highest that any has.
+    pub fn complete_start(&mut self) {
+        self.start_is_complete = true;
+    }
+
+    /// The rule list that callers are served by; none while the start is not complete.
+    pub fn serving_rules(&self) -> Option<Arc<RuleList>> {
+        self.rules.clone().filter(|_| self.start_is_complete)
+    }
+
+    /// Fingerprint of the lists in force.
+    pub fn digest(&self) -> ListsDigest {
+        self.tracker.digest()
+    }
+
     fn put_in_force(&mut self, published: PublishedList, checked: Checked, now: Mono) {
         match checked {
             Checked::Rules(rules) => self.rules = Some(Arc::new(rules)),
@@ -145,6 +166,12 @@
     }
 }
 
+/// Whether the offer is no news to operators: a peer that has not caught up yet has a lower
+/// revision, and will read the higher one from here.
+fn is_expected(offer: Offer, source: &ListSource) -> bool {
+    matches!((offer, source), (Offer::Lower { .. }, ListSource::Peer(_)))
+}
+
 fn outcome(offer: Offer) -> Option<AuditOutcome> {
     match offer {
         Offer::Accept { .. } => Some(AuditOutcome::Accepted),
@@ -156,7 +183,7 @@
     }
 }
 
-fn report(log: &Logger, offer: Offer, offered: &Offered, source: &str, reason: &str) {
+fn report(log: &Logger, offer: Offer, offered: &Offered, source: &ListSource, reason: &str) {
     let event: Event = match offer {
         Offer::Same => return,
         Offer::Accept { .. } => LIST_ACCEPTED,
@@ -168,7 +195,7 @@
         log, event,
         "list" => offered.name.to_string(),
         "revision" => offered.version.revision.value(),
-        "source" => source.to_owned(),
+        "source" => source.to_string(),
         "reason" => reason.to_owned(),
     );
 }
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -7,8 +7,8 @@
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News, heartbeat_peers};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::Revision;
 
+use crate::control::lists_pull::pull_lists;
 use crate::control::publish::publish;
 use crate::control::state::State;
 
@@ -71,6 +71,7 @@
     match client.heartbeat(&own).await {
         Ok(answer) => {
             heard(&state, client.peer(), &answer);
+            tokio::task::spawn_local(pull_lists(Rc::clone(&state), client, answer));
             true
         }
         Err(_) => {
@@ -84,7 +85,7 @@
 pub fn own_heartbeat(state: &State) -> Heartbeat {
     let identity = &state.context.identity;
     let leaving = state.leaving.get();
-    let seen = state.lists.borrow().cursor.highest();
+    let lists = state.lists.borrow();
     let mut view = state.view.borrow_mut();
     Heartbeat {
         state: peer_state(leaving),
@@ -93,8 +94,9 @@
         peers: identity.peers,
         round: view.own_round(),
         news: view.news().into_iter().map(peer_news).collect(),
-        seen_revision: seen,
-        synced_revision: synced(state),
+        seen_revision: lists.cursor.highest(),
+        synced_revision: lists.cursor.complete(),
+        lists_digest: lists.digest(),
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
     }
@@ -130,10 +132,6 @@
     News { about, suspected: told.suspected }
 }
 
-fn synced(state: &State) -> Revision {
-    state.lists.borrow().cursor.after()
-}
-
 /// Takes what a peer says of itself.
 pub fn heard(state: &State, peer: &PeerId, beat: &Heartbeat) {
     let listed = ListedVm {
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -9,11 +9,13 @@
 };
 use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId, ValueChange};
 use shallotfork_platform::PublishedList;
-use shallotfork_types::{ListName, Revision};
+use shallotfork_types::Revision;
 
+use crate::control::lists_pull::{published, pull_lists_from};
+use crate::control::lists_source::ListSource;
+use crate::control::lists_take::take_lists;
 use crate::control::members::{heard, own_heartbeat};
 use crate::control::state::State;
-use crate::control::watch::take_lists;
 
 /// Answers calls of entries that have proved the shared key.
 pub struct PeerCalls {
@@ -34,7 +36,9 @@
 
     async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
         heard(&self.state, from, &beat);
-        own_heartbeat(&self.state)
+        let own = own_heartbeat(&self.state);
+        tokio::task::spawn_local(pull_lists_from(Rc::clone(&self.state), from.clone(), beat));
+        own
     }
 
     async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
@@ -79,12 +83,12 @@
     async fn changes(&self, after: Revision) -> Changes {
         let lists = self.state.lists.borrow();
         let values = lists.newer_than(after).into_iter().map(value_change).collect();
-        Changes { revision: lists.cursor.highest(), values }
+        Changes { revision: lists.cursor.complete(), values }
     }
 
     async fn push(&self, from: &PeerId, changes: Changes) {
         let lists = changes.values.into_iter().filter_map(published).collect();
-        take_lists(&self.state, lists, &format!("peer {}", from.vm));
+        take_lists(&self.state, lists, &ListSource::Peer(from.vm.clone()));
     }
 
     async fn handoff(&self, _from: &PeerId, part: LedgerPart) -> bool {
@@ -100,10 +104,3 @@
         content: list.content.into_bytes(),
     }
 }
-
-/// A peer's value as a published list; `None` for names or texts that this version cannot read.
-pub fn published(change: ValueChange) -> Option<PublishedList> {
-    let name: ListName = change.name.parse().ok()?;
-    let content = String::from_utf8(change.content).ok()?;
-    Some(PublishedList { name, revision: change.revision, content })
-}
--- a/crates/shallotd/src/control/publish.rs
+++ b/crates/shallotd/src/control/publish.rs
@@ -21,15 +21,15 @@
     let entries = state.view.borrow().entries();
     let lists = state.lists.borrow();
     let old = context.snapshot();
+    let rules = lists.serving_rules();
     let mut services = BTreeMap::new();
     for (name, targets) in &lists.targets {
         let pool = pool(state, name);
         pool.set_targets(&pool_targets(context, name, targets, &entries));
         let targets = targets.iter().map(|target| (target.id.clone(), target.clone())).collect();
-        let latches = latches(&old, lists.rules.as_ref(), name);
+        let latches = latches(&old, rules.as_ref(), name);
         services.insert(name.clone(), Arc::new(Service { pool, targets, latches }));
     }
-    let rules = lists.rules.clone();
     let ready = rules.is_some();
     context.snapshot.store(Arc::new(Snapshot { rules, services, entries }));
     state.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready);
--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -25,11 +25,11 @@
         vm: context.identity.vm.clone(),
         incarnation: context.identity.incarnation,
         state: life_cycle(state),
-        synced_revision: lists.cursor.after(),
+        synced_revision: lists.cursor.complete(),
         lists: lists.status(now),
         targets,
         sessions: state.ledger.borrow().status(),
-        budgets: BudgetStatus::default(),
+        budgets: BudgetStatus { platform_calls: state.platform.calls(), ..BudgetStatus::default() },
         entries: entries.collect(),
     }
 }
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 
 use shallotfork_membership::View;
+use shallotfork_platform::Platform;
+use shallotfork_revisions::PullGate;
 use shallotfork_types::ServiceName;
 use tokio::sync::watch;
 
@@ -19,6 +21,10 @@
 pub struct State {
     /// Shared with the traffic threads.
     pub context: Arc<Context>,
+    /// Where lists are published.
+    pub platform: Box<dyn Platform>,
+    /// When the lists of peers are read.
+    pub pulls: RefCell<PullGate>,
     /// Published lists in force.
     pub lists: RefCell<Lists>,
     /// Which entries are alive.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -6,12 +6,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use shallotfork_membership::{Announcement, ListedVm, View, ViewConfig};
 use shallotfork_once::{Issuer, OnceConfig, Secret};
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
-use shallotfork_platform::{HttpPlatform, HttpPlatformConfig};
+use shallotfork_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+use shallotfork_revisions::PullGate;
 use shallotfork_timer::TimerService;
 use shallotfork_types::ListName;
 use tokio::net::TcpListener;
@@ -47,6 +49,9 @@
     pub ready: watch_channel::Sender<bool>,
 }
 
+/// How often the lists of a peer are read again while they differ from the own ones in the same way.
+const PULL_REPEAT: Duration = Duration::from_secs(5);
+
 /// Starts the control thread; it runs until the process ends.
 ///
 /// # Errors
@@ -65,7 +70,8 @@
 
 async fn run(parts: ControlParts) -> Result<()> {
     let ControlParts { context, commands, peers, key, secret, ready } = parts;
-    let state = Rc::new(state(context, key.clone(), secret, ready));
+    let platform = Box::new(HttpPlatform::new(platform_config(&context))?);
+    let state = Rc::new(state(context, platform, key.clone(), secret, ready));
     publish(&state);
     let timer = TimerService::new(state.context.clock);
     let listener = TcpListener::from_std(peers).context("peers' port")?;
@@ -76,9 +82,8 @@
         peer_config(&state.context),
         Rc::new(PeerCalls::new(Rc::clone(&state))),
     );
-    let platform = HttpPlatform::new(platform_config(&state.context))?;
     tokio::task::spawn_local(server.serve());
-    tokio::task::spawn_local(watch(Rc::clone(&state), Rc::new(platform)));
+    tokio::task::spawn_local(watch(Rc::clone(&state)));
     tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer));
     answer_commands(state, commands).await;
     Ok(())
@@ -86,6 +91,7 @@
 
 fn state(
     context: Arc<Context>,
+    platform: Box<dyn Platform>,
     key: PeerKey,
     secret: Secret,
     ready: watch_channel::Sender<bool>,
@@ -99,6 +105,8 @@
     let view = View::new(view_config, &announcement(&context), context.clock.now());
     let peers = Peers::new(key, own_id(&context), peer_config(&context));
     State {
+        platform,
+        pulls: RefCell::new(PullGate::new(PULL_REPEAT)),
         lists: RefCell::new(Lists::default()),
         view: RefCell::new(view),
         ledger: RefCell::new(ledger),
--- a/crates/shallotd/src/control/watch.rs
+++ b/crates/shallotd/src/control/watch.rs
@@ -3,81 +3,95 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use shallotfork_events::{PLATFORM_BACK, PLATFORM_LOST, event};
-use shallotfork_membership::ListedVm;
-use shallotfork_platform::{Backoff, BackoffConfig, Changes, Platform, PublishedList, VmState};
+use shallotfork_events::{PLATFORM_BACK, PLATFORM_BEHIND, PLATFORM_LOST, event};
+use shallotfork_platform::{Backoff, BackoffConfig, Changes, PlatformError};
+use shallotfork_revisions::Answer;
 
-use crate::control::publish::publish;
+use crate::control::lists_source::ListSource;
+use crate::control::lists_start::first_lists;
+use crate::control::lists_take::take_lists;
 use crate::control::state::State;
 
+/// Longest wait for a change at a replica that is behind, before another one is watched.
+const BEHIND_WAIT_MAX: Duration = Duration::from_millis(500);
+
+/// Answers in a row that show a replica behind before it is reported; a single one only means that
+/// another one was told a moment earlier.
+const BEHIND_ANSWERS: u32 = 2;
+
 /// Reads the platform for as long as the process runs.
-pub async fn watch(state: Rc<State>, platform: Rc<dyn Platform>) {
+pub async fn watch(state: Rc<State>) {
+    first_lists(&state).await;
     let seed = state.context.identity.incarnation.value();
     let mut backoff = Backoff::new(BackoffConfig::default(), seed);
+    let clock = state.context.clock;
+    let mut full_read_at = clock.now();
     loop {
-        let after = state.lists.borrow().cursor.after();
-        match platform.changes(after, state.context.settings.platform.wait).await {
+        if clock.now().since(full_read_at) >= state.context.settings.platform.full_read {
+            state.lists.borrow_mut().cursor.read_in_full(state.platform.replica());
+            full_read_at = clock.now();
+        }
+        let read = read_platform(&state, wait(&state)).await;
+        match read {
             Ok(changes) => {
                 if backoff.failures() > 0 {
                     event!(state.context.log, PLATFORM_BACK);
                 }
                 backoff.succeeded();
-                state.lists.borrow_mut().cursor.answered(after, changes.revision);
-                take_changes(&state, changes);
+                // A replica that lags shows no change, so the next one is watched for a while.
+                if changes.is_empty() {
+                    state.platform.next_replica();
+                }
             }
             Err(error) => {
                 if backoff.failures() == 0 {
                     event!(state.context.log, PLATFORM_LOST, "reason" => error.to_string());
                 }
-                wait(backoff.failed()).await;
+                tokio::time::sleep(backoff.failed()).await;
             }
         }
     }
 }
 
-async fn wait(wait: Duration) {
-    tokio::time::sleep(wait).await;
+fn wait(state: &State) -> Duration {
+    let wait = state.context.settings.platform.wait;
+    let behind = state.lists.borrow().cursor.is_behind(state.platform.replica());
+    if behind { wait.min(BEHIND_WAIT_MAX) } else { wait }
 }
 
-fn take_changes(state: &State, changes: Changes) {
-    let source = format!("platform {}", changes.replica);
-    take_lists(state, changes.lists, &source);
+/// What one answer of the platform brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Read {
+    lists: usize,
 }
 
-/// Offers lists and publishes a new snapshot when any takes effect.
-pub fn take_lists(state: &State, lists: Vec<PublishedList>, source: &str) {
-    let mut changed = false;
-    for list in lists {
-        changed |= take_list(state, list, source);
-    }
-    if changed {
-        set_members(state);
-        publish(state);
+impl Read {
+    fn is_empty(self) -> bool {
+        self.lists == 0
     }
 }
 
-fn take_list(state: &State, list: PublishedList, source: &str) -> bool {
-    let context = &state.context;
-    let now = context.clock.now();
-    let taken = state.lists.borrow_mut().take(list, source, now, &context.log);
-    if let Some(change) = taken.audit {
-        state.audit.borrow_mut().add(change);
-    }
-    taken.changed
+/// Asks one replica for changes and takes them.
+///
+/// # Errors
+/// When the replica does not answer; the next one is asked the next time.
+pub async fn read_platform(state: &State, wait: Duration) -> Result<Read, PlatformError> {
+    let replica = state.platform.replica();
+    let after = state.lists.borrow().cursor.after(replica);
+    let Changes { replica, revision, lists } = state.platform.changes(after, wait).await?;
+    let answer = state.lists.borrow_mut().cursor.answered(replica, after, revision);
+    report_behind(state, answer, &ListSource::Platform(replica));
+    let read = Read { lists: lists.len() };
+    take_lists(state, lists, &ListSource::Platform(replica));
+    Ok(read)
 }
 
-fn set_members(state: &State) {
-    let lists = state.lists.borrow();
-    let Some((revision, vms)) = &lists.vms else { return };
-    let listed: Vec<ListedVm> = vms
-        .iter()
-        .map(|vm| ListedVm {
-            vm: vm.id.clone(),
-            failure_domain: vm.failure_domain.clone(),
-            callers: vm.callers,
-            peers: vm.peers,
-            leaving: vm.state == VmState::Leaving,
-        })
-        .collect();
-    state.view.borrow_mut().set_published(*revision, &listed, state.context.clock.now());
+fn report_behind(state: &State, answer: Answer, source: &ListSource) {
+    if let Answer::Behind { highest, answers: BEHIND_ANSWERS } = answer {
+        event!(
+            state.context.log, PLATFORM_BEHIND,
+            "source" => source.to_string(),
+            "highest" => highest.value(),
+        );
+    }
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod case;
 mod entry;
+mod lists;
 mod platform;
 mod program;
 mod relay;
@@ -17,6 +18,7 @@
 
 pub use case::{Case, TargetGroup};
 pub use entry::{Entry, EntryReady};
+pub use lists::RevisionWatch;
 pub use platform::Platform;
 pub use program::Program;
 pub use relay::{Links, Relay, RelayFaults};
