--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -138,15 +138,31 @@
         if !self.hedges.has_room() || !self.queue.is_empty() || ask.deadline <= now {
             return None;
         }
-        let assignment = self.assign(&ask, now)?;
+        let mut candidates = self.candidates(&ask, now);
+        candidates.retain(|candidate| self.is_free(&self.targets[candidate.index], now));
+        let chosen = self.chooser.choose(&candidates)?;
         self.hedges.take();
-        Some(assignment)
-    }
-
-    /// Takes an attempt back, learns from its outcome and gives its place to waiting requests.
-    pub fn finish(&mut self, attempt: AttemptId, outcome: AttemptOutcome, now: Mono) -> Vec<Woken> {
+        Some(self.start(chosen, now))
+    }
+
+    /// Takes an attempt back, learns from its outcome and from the load report that came with the
+    /// answer, and gives its place to waiting requests. The report does not count the request that
+    /// it came with.
+    pub fn finish(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: Option<LoadReport>,
+        now: Mono,
+    ) -> Vec<Woken> {
         let Some(running) = self.attempts.remove(&attempt) else { return self.take_ended() };
-        self.learn(attempt, &running, outcome, now);
+        if let Some(target) = self.find(&running.target) {
+            target.end(attempt, running.started);
+        }
+        if let Some(report) = report {
+            self.report(&running.target, report, now);
+        }
+        self.learn(&running, outcome, now);
         self.wake(now)
     }
 
@@ -156,8 +172,7 @@
         self.queue.remove(ticket).is_some()
     }
 
-    /// Takes a target's account of its load. For a report that came with an answer, call it
-    /// before `finish`, as the target still counted that request.
+    /// Takes a target's account of its load that came with no request's answer, as from a probe.
     pub fn report(&mut self, target: &TargetId, report: LoadReport, now: Mono) {
         let Some(target) = self.find(target) else { return };
         let Some(others) = target.report(report, now) else { return };
@@ -328,13 +343,23 @@
         }
         let candidates = self.candidates(ask, now);
         let chosen = self.chooser.choose(&candidates)?;
+        Some(self.start(chosen, now))
+    }
+
+    /// Whether a hedge would run there at once, as far as this process can tell. Elsewhere it
+    /// would wait behind first attempts and slow them down.
+    fn is_free(&self, target: &Target, now: Mono) -> bool {
+        target.crowding(now, &self.view, &self.config.target) <= 1.0
+    }
+
+    fn start(&mut self, chosen: usize, now: Mono) -> Assignment {
         let crowding = self.targets[chosen].crowding(now, &self.view, &self.config.target);
         let attempt = AttemptId(self.next_id());
         self.targets[chosen].start(attempt, now);
         let target = self.targets[chosen].published.id.clone();
         let running = Running { target: target.clone(), started: now, crowding };
         self.attempts.insert(attempt, running);
-        Some(Assignment { attempt, target })
+        Assignment { attempt, target }
     }
 
     /// Targets with room. Those ejected are left out, unless that is half of all or more: then
@@ -367,7 +392,7 @@
         Candidate { index, running: target.running(), cost }
     }
 
-    fn learn(&mut self, attempt: AttemptId, running: &Running, outcome: AttemptOutcome, now: Mono) {
+    fn learn(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
         let spread = self.chooser.fraction();
         let elapsed_us = now.since(running.started).as_micros() as f64;
         let config = self.config.target.clone();
@@ -376,7 +401,6 @@
         }
         self.learn_crowding(running, outcome, now);
         let Some(target) = self.find(&running.target) else { return };
-        target.end(attempt, running.started);
         match outcome {
             AttemptOutcome::Answered { latency } => {
                 target.answered(latency.as_micros() as f64 / running.crowding, now);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,8 @@
 //! What processes tell each other, besides what `shallotfork-once` defines.
 
-use shallotfork_types::{Endpoint, FailureDomain, Incarnation, Permille, Revision, TargetId, VmId};
+use shallotfork_types::{
+    Endpoint, FailureDomain, Incarnation, ListsDigest, Permille, Revision, TargetId, VmId,
+};
 
 /// One run of the process on one VM, proved by the handshake.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -39,16 +41,41 @@
     pub callers: Endpoint,
     /// Where peers connect to the sender.
     pub peers: Endpoint,
+    /// Raised by the sender each time that it refutes a suspicion against itself.
+    pub round: u32,
+    /// What the sender knows of third VMs.
+    pub news: Vec<PeerNews>,
     /// Highest revision it has heard of.
     pub seen_revision: Revision,
     /// Revision up to which it holds every published value.
     pub synced_revision: Revision,
+    /// Fingerprint of the lists in force at the sender; differs when a list or its content does.
+    pub lists_digest: ListsDigest,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
     pub loads: Vec<LoadHint>,
 }
 
+/// What the sender of a heartbeat knows of a third VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerNews {
+    /// The run that it is about.
+    pub about: PeerId,
+    /// The highest round known of that run.
+    pub round: u32,
+    /// What that run said of itself.
+    pub state: PeerState,
+    /// Whether its heartbeats are missed.
+    pub suspected: bool,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect to it.
+    pub callers: Endpoint,
+    /// Where peers connect to it.
+    pub peers: Endpoint,
+}
+
 /// Load that a target reported to the sender.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadHint {
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -1,10 +1,13 @@
 //! The state that only the control thread touches.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use shallotfork_measure::ProbePlan;
 use shallotfork_membership::View;
+use shallotfork_platform::Platform;
+use shallotfork_revisions::PullGate;
 use shallotfork_types::ServiceName;
 use tokio::sync::{Semaphore, watch};
 
@@ -19,6 +22,10 @@
 pub struct State {
     /// Shared with the traffic threads.
     pub context: Arc<Context>,
+    /// Where lists are published.
+    pub platform: Box<dyn Platform>,
+    /// When the lists of peers are read.
+    pub pulls: RefCell<PullGate>,
     /// Published lists in force.
     pub lists: RefCell<Lists>,
     /// Which entries are alive.
@@ -33,6 +40,10 @@
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
     pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
+    /// When this process may probe which target.
+    pub probes: RefCell<ProbePlan>,
+    /// Whether a planned stop has begun.
+    pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
     pub ready: watch::Sender<bool>,
 }
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -1,18 +1,21 @@
 //! Starts the control thread and runs its tasks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use shallotfork_membership::{Announcement, ListedVm, View, ViewConfig};
 use shallotfork_once::{Issuer, OnceConfig, Secret};
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
-use shallotfork_platform::{HttpPlatform, HttpPlatformConfig};
+use shallotfork_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+use shallotfork_revisions::PullGate;
 use shallotfork_timer::TimerService;
+use shallotfork_types::ListName;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
@@ -26,6 +29,7 @@
 use crate::control::members::{heartbeats, tell_leaving, untold_wait};
 use crate::control::peer_calls::PeerCalls;
 use crate::control::peers::Peers;
+use crate::control::probes::{probe_plan, probes};
 use crate::control::state::State;
 use crate::control::watch::watch;
 use crate::control::{operations, publish::publish, report};
@@ -46,6 +50,9 @@
     pub ready: watch_channel::Sender<bool>,
 }
 
+/// How often the lists of a peer are read again while they differ from the own ones in the same way.
+const PULL_REPEAT: Duration = Duration::from_secs(5);
+
 /// Starts the control thread; it runs until the process ends.
 ///
 /// # Errors
@@ -64,7 +71,8 @@
 
 async fn run(parts: ControlParts) -> Result<()> {
     let ControlParts { context, commands, peers, key, secret, ready } = parts;
-    let state = Rc::new(state(context, key.clone(), secret, ready));
+    let platform = Box::new(HttpPlatform::new(platform_config(&context))?);
+    let state = Rc::new(state(context, platform, key.clone(), secret, ready));
     publish(&state);
     let timer = TimerService::new(state.context.clock);
     let listener = TcpListener::from_std(peers).context("peers' port")?;
@@ -75,16 +83,17 @@
         peer_config(&state.context),
         Rc::new(PeerCalls::new(Rc::clone(&state))),
     );
-    let platform = HttpPlatform::new(platform_config(&state.context))?;
     tokio::task::spawn_local(server.serve());
-    tokio::task::spawn_local(watch(Rc::clone(&state), Rc::new(platform)));
-    tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer));
+    tokio::task::spawn_local(watch(Rc::clone(&state)));
+    tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer.clone()));
+    tokio::task::spawn_local(probes(Rc::clone(&state), timer));
     answer_commands(state, commands).await;
     Ok(())
 }
 
 fn state(
     context: Arc<Context>,
+    platform: Box<dyn Platform>,
     key: PeerKey,
     secret: Secret,
     ready: watch_channel::Sender<bool>,
@@ -95,9 +104,11 @@
     let ledger = Ledger::new(issuer, own_id(&context), once);
     let view_config =
         ViewConfig { suspect_after: context.settings.peers.suspect_after, ..ViewConfig::default() };
-    let view = View::new(view_config, announcement(&context), context.clock.now());
+    let view = View::new(view_config, &announcement(&context), context.clock.now());
     let peers = Peers::new(key, own_id(&context), peer_config(&context));
     State {
+        platform,
+        pulls: RefCell::new(PullGate::new(PULL_REPEAT)),
         lists: RefCell::new(Lists::default()),
         view: RefCell::new(view),
         ledger: RefCell::new(ledger),
@@ -105,6 +116,8 @@
         late_reports: Arc::new(Semaphore::new(operations::LATE_REPORTS_MAX)),
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
+        probes: RefCell::new(probe_plan(&context)),
+        leaving: Cell::new(false),
         ready,
         context,
     }
@@ -119,7 +132,7 @@
         peers: identity.peers,
         leaving: false,
     };
-    Announcement { listed, incarnation: identity.incarnation }
+    Announcement { listed, incarnation: identity.incarnation, round: 0 }
 }
 
 fn own_id(context: &Context) -> PeerId {
@@ -188,11 +201,15 @@
         Command::Audit(reply) => {
             let _gone = reply.send(report::audit(state));
         }
+        Command::Rules(reply) => {
+            let _gone = reply.send(state.lists.borrow().text(&ListName::Rules));
+        }
         Command::Leave(reply) => {
             let state = Rc::clone(state);
             tokio::task::spawn_local(async move {
-                tell_leaving(&state).await;
-                tokio::time::sleep(untold_wait(&state)).await;
+                if !tell_leaving(&state).await {
+                    tokio::time::sleep(untold_wait(&state)).await;
+                }
                 let _gone = reply.send(());
             });
         }
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -13,8 +13,9 @@
 use serde::Serialize;
 use shallotfork_events::{LogConfig, logger};
 use shallotfork_exchange::{
-    BodyBudget, Exchange, ExchangeConfig, OpenGate, ServeConfig, ServeControl, serve,
+    BodyBudget, Exchange, ExchangeConfig, ServeConfig, ServeControl, serve,
 };
+use shallotfork_measure::{ConnectionBudget, ConnectionLimits, FleetShare};
 use shallotfork_once::{SECRET_BYTES, Secret};
 use shallotfork_peer::PeerKey;
 use shallotfork_settings::Settings;
@@ -28,10 +29,10 @@
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::identity::Identity;
 use crate::leave::leave;
-use crate::lifecycle::Process;
-use crate::operator::operator;
+use crate::lifecycle::{Process, Starting};
+use crate::operator::{MetricsPage, Operator, OperatorToken, operator};
 use crate::snapshot::Snapshot;
-use crate::traffic::{InFlight, front};
+use crate::traffic::{InFlight, TargetGate, front};
 
 /// How often waiting requests are checked against their deadlines.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(5);
@@ -75,6 +76,8 @@
     let ports = bind(&settings)?;
     let identity = identity(&settings, &ports)?;
     let key = peer_key(&settings)?;
+    let token = settings.operators.token_file.as_deref().map(OperatorToken::load).transpose()?;
+    let metrics = MetricsPage::install()?;
     print_ready_line(&identity, &ports)?;
     let log_config =
         LogConfig { vm: identity.vm.to_string(), incarnation: identity.incarnation.to_string() };
@@ -85,8 +88,9 @@
     let bodies = BodyBudget::new(settings.callers.bodies_total_max);
     let exchange_config =
         ExchangeConfig { answer_max: settings.callers.body_max, ..ExchangeConfig::default() };
+    let gate = TargetGate::new(connection_budget(&settings), clock);
     let now = Arc::new(move || clock.now());
-    let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(OpenGate), now)?;
+    let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(gate.clone()), now)?;
     let context = Arc::new(Context {
         settings,
         identity,
@@ -95,6 +99,7 @@
         snapshot: ArcSwap::from_pointee(Snapshot::default()),
         control,
         exchange,
+        gate,
         bodies,
         in_flight: InFlight::default(),
         turns: AtomicU64::new(0),
@@ -111,8 +116,26 @@
         ready,
     };
     start(parts)?;
+    let operator =
+        Operator { context: Arc::clone(&context), phase: process.watch(), token, metrics };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    runtime.block_on(serve_traffic(context, process, ports.callers, ports.operators, is_ready))
+    let traffic = TrafficParts {
+        context,
+        process,
+        callers: ports.callers,
+        operators: ports.operators,
+        operator,
+        is_ready,
+    };
+    runtime.block_on(serve_traffic(traffic))
+}
+
+/// This process's part of new and open connections to each target.
+fn connection_budget(settings: &Settings) -> ConnectionBudget {
+    let share = FleetShare::new(settings.vm.probe_share, settings.vm.probe_shares)
+        .expect("settings were checked: the share is below the number of shares");
+    let limits = ConnectionLimits { new_connections: settings.measure.new_connections };
+    ConnectionBudget::new(limits, share)
 }
 
 fn bind(settings: &Settings) -> Result<Ports> {
@@ -158,19 +181,23 @@
     Ok(())
 }
 
-async fn serve_traffic(
+struct TrafficParts {
     context: Arc<Context>,
-    process: Process<crate::lifecycle::Starting>,
+    process: Process<Starting>,
     callers: StdListener,
     operators: StdListener,
-    mut is_ready: watch::Receiver<bool>,
-) -> Result<()> {
+    operator: Operator,
+    is_ready: watch::Receiver<bool>,
+}
+
+async fn serve_traffic(parts: TrafficParts) -> Result<()> {
+    let TrafficParts { context, process, callers, operators, operator: answers, mut is_ready } =
+        parts;
     let mut stop = Stop::new()?;
-    let phase = process.watch();
     let operator_control = ServeControl::new();
     let operator_port = serve(
         TcpListener::from_std(operators)?,
-        operator(Arc::clone(&context), phase),
+        operator(answers),
         ServeConfig::default(),
         operator_control.clone(),
     );
