feat(shallotd): pass on the sealed ledgers of entries that left before

Cause: a ledger was left with two peers; when they were replaced too, within the session's lifetime, its operations ended as may-have-run. A rolling replacement of all entries always does that. Change: an entry that leaves also passes on the ledgers that it holds, with the time they are still needed for. A proved peer was trusted with claims on any operation before, so this gives it no new power.

--- a/crates/once/src/archive.rs
+++ b/crates/once/src/archive.rs
@@ -76,6 +76,13 @@
         (whole || held.ledger.lists(operation)).then(|| held.ledger.lookup(operation))
     }
 
+    /// Whole ledgers with the time they are still needed for, to be passed on by a holder that
+    /// leaves as well.
+    pub fn to_pass_on(&self, now: Mono) -> Vec<SealedLedger> {
+        let whole = self.ledgers.iter().filter(|held| held.missing.is_empty());
+        whole.map(|held| held.with_time_left(now)).collect()
+    }
+
     /// Drops ledgers whose sessions have all ended.
     pub fn expire(&mut self, now: Mono) {
         self.ledgers.retain(|held| now < held.drop_at);
@@ -105,6 +112,11 @@
 }
 
 impl Archived {
+    fn with_time_left(&self, now: Mono) -> SealedLedger {
+        let session_lifetime = self.drop_at.since(now);
+        SealedLedger { session_lifetime, ..self.ledger.clone() }
+    }
+
     fn is_of(&self, vm: &VmId, incarnation: Incarnation) -> bool {
         &self.ledger.vm == vm && self.ledger.incarnation == incarnation
     }
--- a/crates/once/src/sealed.rs
+++ b/crates/once/src/sealed.rs
@@ -55,7 +55,7 @@
     pub secret: Secret,
     /// When it was sealed, on the issuer's own clock.
     pub sealed_at: Mono,
-    /// Longest time for which any of its sessions can still be in use.
+    /// Longest time for which any of its sessions can still be in use; counted from the handoff.
     pub session_lifetime: Duration,
     /// Sessions with operations, in order of their serial.
     pub sessions: Vec<SealedSession>,
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -261,6 +261,28 @@
     assert_eq!(1, archive.len());
 }
 
+/// A peer that holds a departed issuer's ledger leaves too, and passes it on. The ledger must not
+/// live longer by that than its sessions do.
+#[test]
+fn a_ledger_passed_on_keeps_its_end() {
+    let mut fixture = Fixture::new();
+    fixture.claim("k", 1);
+    fixture.complete("k", 1, Completion::RanUnkept);
+    let operation = fixture.operation("k");
+    let mut first = Archive::new(OnceConfig::new());
+    first.add(fixture.issuer.drain(START).seal(START), START);
+    let later = after(Duration::from_secs(400));
+    let mut second = Archive::new(OnceConfig::new());
+    for ledger in first.to_pass_on(later) {
+        second.add(ledger, later);
+    }
+    assert_eq!(Some(ClaimAnswer::Ran), second.lookup(&operation));
+    second.expire(after(Duration::from_secs(599)));
+    assert_eq!(1, second.len());
+    second.expire(after(Duration::from_secs(600)));
+    assert!(second.is_empty());
+}
+
 /// A large ledger is handed over in parts, and an entry asks the archive in between. An order in a
 /// part still to come must not be called "not run".
 #[test]
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -193,7 +193,7 @@
         .await
     }
 
-    /// Leaves a part of this process's sealed ledger with the peer; `false` when it cannot be kept
+    /// Leaves a part of a sealed ledger with the peer; `false` when it cannot be kept
     /// there.
     ///
     /// # Errors
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -48,6 +48,7 @@
     /// The peer offers published values.
     fn push(&self, from: &PeerId, changes: Changes) -> impl Future<Output = ()>;
 
-    /// The peer leaves a part of its sealed ledger here; `false` when it cannot be kept.
+    /// The peer leaves a part of a sealed ledger here, its own or one that it held for another
+    /// issuer; `false` when it cannot be kept.
     fn handoff(&self, from: &PeerId, part: LedgerPart) -> impl Future<Output = bool>;
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -290,9 +290,8 @@
     ) -> CapnpResult {
         let params = params.get()?;
         let ledger = wire::read_ledger(params.get_ledger()?)?;
-        let own = ledger.vm == self.from.vm && ledger.incarnation == self.from.incarnation;
         let part = LedgerPart { index: params.get_index(), count: params.get_count(), ledger };
-        let accepted = own && self.handler.handoff(&self.from, part).await;
+        let accepted = self.handler.handoff(&self.from, part).await;
         results.get().set_accepted(accepted);
         Ok(())
     }
--- a/crates/shallotd/src/control/ledger.rs
+++ b/crates/shallotd/src/control/ledger.rs
@@ -146,8 +146,18 @@
     }
 
     /// Keeps a part of the sealed ledger of an entry that leaves.
+    ///
+    /// What claims to be the ledger of this very process is refused: an archive goes before the
+    /// issuer, so it would stop an issuer that is open.
     pub fn keep(&mut self, part: LedgerPart, now: Mono) -> bool {
-        self.archive.add_part(part, now)
+        let (vm, incarnation) = (&part.ledger.vm, part.ledger.incarnation);
+        let own = *vm == self.own.vm && incarnation == self.own.incarnation;
+        !own && self.archive.add_part(part, now)
+    }
+
+    /// The sealed ledgers held for entries that left.
+    pub fn to_pass_on(&self, now: Mono) -> Vec<SealedLedger> {
+        self.archive.to_pass_on(now)
     }
 
     /// What a sealed ledger says of an operation; `None` when none of its issuer is held.
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -310,6 +310,34 @@
     Ok(())
 }
 
+/// All entries are replaced one after the other, as on any ordinary day, and then a clerk repeats
+/// an order of before. Every entry that knew it has gone; its ledger was passed on, so the repeat
+/// gets the kept answer.
+#[tokio::test]
+async fn knowledge_outlives_the_replacement_of_every_entry() -> anyhow::Result<()> {
+    let mut desk = Desk::open().await?;
+    let session = desk.session(ISSUER).await?;
+    let order = desk.order("before-replacement", &session)?;
+    assert!(desk.send(EXECUTOR, &order).await.success().is_some());
+
+    // One more than there are: the first successor may hold the ledger as well.
+    for _ in 0..4 {
+        desk.running.start_entry().await?;
+        desk.running.publish_vms().await?;
+        desk.running.wait_ready().await?;
+        desk.running.entries[0].program.terminate()?;
+        desk.running.entries[0].program.wait_exit().await?;
+        desk.running.remove_entry(0).await?;
+    }
+
+    for entry in 0..3 {
+        let repeat = desk.send(entry, &order).await;
+        assert!(is_kept(&repeat), "{repeat:?}");
+    }
+    assert_eq!(1, desk.runs("before-replacement").await?);
+    Ok(())
+}
+
 /// The issuer is stopped as planned. Its peers go on answering for its sessions: repeats get the
 /// kept answer, and an order never seen before is refused as "not run", for good.
 #[tokio::test]
