test: requests refused before their claim, forged sessions, sessions of a leaving entry

Change: an entry that is itself leaving gives peers no session. The order desk of the tests moved to the harness, as two test files use it.

--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -76,6 +76,9 @@
     }
 
     async fn issue(&self) -> Option<Session> {
+        if self.state.leaving.get() {
+            return None;
+        }
         let now = self.state.context.clock.now();
         self.state.ledger.borrow_mut().issue(now)
     }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,6 +4,7 @@
 //! stand-ins and `shallotd` processes, and causes failures through the handles it gets.
 
 mod case;
+mod desk;
 mod entry;
 mod lists;
 mod platform;
@@ -17,6 +18,7 @@
 mod wait;
 
 pub use case::{Case, TargetGroup};
+pub use desk::{Desk, has_verdict, is_kept};
 pub use entry::{Entry, EntryReady};
 pub use lists::RevisionWatch;
 pub use platform::Platform;
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -2,13 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
-use bytes::Bytes;
 use futures::future::join_all;
-use shallotfork_standin::caller::{Call, Caller, CallerConfig, Report};
-use shallotfork_standin::target::SERVICE_US_HEADER;
-use shallotfork_tests::{Case, Running, wait_until};
-use shallotfork_types::{IdempotencyKey, ServiceName, Verdict};
+use shallotfork_standin::caller::Report;
+use shallotfork_tests::{Desk, has_verdict, is_kept, wait_until};
+use shallotfork_types::Verdict;
 
 const ISSUER: usize = 0;
 const EXECUTOR: usize = 1;
@@ -17,91 +14,6 @@
 /// Longer than a caller should wait for "may have run", and far shorter than a request's deadline.
 const AT_ONCE: Duration = Duration::from_secs(3);
 
-/// Three entries before the targets of the order desk.
-struct Desk {
-    running: Running,
-    service: ServiceName,
-    caller: Caller,
-}
-
-impl Desk {
-    async fn open() -> anyhow::Result<Self> {
-        Self::start(Self::case()).await
-    }
-
-    fn case() -> Case {
-        Case::new()
-            .with_entries(3)
-            .with_service("order-desk", 2)
-            .with_setting("callers", "keep_for_ms", "300")
-            .with_setting("peers", "heartbeat_ms", "100")
-            .with_setting("peers", "suspect_after_ms", "800")
-    }
-
-    async fn start(case: Case) -> anyhow::Result<Self> {
-        let running = case.start().await?;
-        let caller = running.caller()?;
-        Ok(Self { running, service: "order-desk".parse()?, caller })
-    }
-
-    async fn session(&self, entry: usize) -> anyhow::Result<String> {
-        let address = self.running.caller_addresses()[entry];
-        let caller = Caller::new(CallerConfig::new(vec![address]))?;
-        caller.entries(&self.service).await?.session.context("no session")
-    }
-
-    fn order(&self, key: &str, session: &str) -> anyhow::Result<Call> {
-        let body = Bytes::from_static(b"two drums of saltbush pepper");
-        let key = IdempotencyKey::new(key)?;
-        Ok(Call::post(self.service.clone(), "/orders", key, body).with_session(session))
-    }
-
-    /// An order that a target works on for this long.
-    fn slow_order(&self, key: &str, session: &str, work: Duration) -> anyhow::Result<Call> {
-        let work_us = work.as_micros().to_string();
-        Ok(self.order(key, session)?.with_header(SERVICE_US_HEADER, &work_us))
-    }
-
-    async fn send(&self, entry: usize, order: &Call) -> Report {
-        self.caller.send_to(self.running.caller_addresses()[entry], order).await
-    }
-
-    async fn runs(&self, key: &str) -> anyhow::Result<u64> {
-        self.running.runs_of_key(key).await
-    }
-
-    async fn wait_until_runs(&self, key: &str) -> anyhow::Result<()> {
-        wait_until("the order runs", async || self.runs(key).await.is_ok_and(|runs| runs == 1))
-            .await
-    }
-
-    /// Sends an order again until the answer fits; returns that answer.
-    async fn resend_until(
-        &self,
-        entry: usize,
-        order: &Call,
-        what: &str,
-        fits: impl Fn(&Report) -> bool,
-    ) -> anyhow::Result<Report> {
-        let mut last = self.send(entry, order).await;
-        wait_until(what, async || {
-            last = self.send(entry, order).await;
-            fits(&last)
-        })
-        .await
-        .with_context(|| format!("the last answer: {last:?}"))?;
-        Ok(last)
-    }
-}
-
-fn is_kept(report: &Report) -> bool {
-    report.success().is_some() && report.verdict() == Some(Verdict::Ran)
-}
-
-fn has_verdict(report: &Report, verdict: Verdict) -> bool {
-    report.success().is_none() && report.verdict() == Some(verdict)
-}
-
 /// A clerk presses "send" again and again, and the copies go through all entries at once. The mill
 /// must run the order once, and every later repeat gets its answer.
 #[tokio::test]
