perf(once): take a ledger's parts in time that grows with the ledger, not its square

Cause: the archive sorted and measured all it held with each part; the control thread would stand still meanwhile. Change: only sessions of the part are sorted, the size is kept as a sum. A session listed twice is joined, as a search would find one half only; a_session_listed_twice_is_found_whole fails without that (trial).

--- a/crates/once/src/archive.rs
+++ b/crates/once/src/archive.rs
@@ -14,6 +14,7 @@
     ledger: SealedLedger,
     /// Parts still to come; until then an operation that is not listed may be in one of them.
     missing: BTreeSet<u32>,
+    size_bytes: u64,
     /// On this process's own clock.
     drop_at: Mono,
 }
@@ -40,7 +41,8 @@
     /// Takes one part of a ledger, in any order; `false` when there is no room or it is not valid.
     pub fn add_part(&mut self, part: LedgerPart, now: Mono) -> bool {
         self.expire(now);
-        let total_bytes = self.size_bytes().saturating_add(part.ledger.size_bytes());
+        let part_bytes = part.ledger.size_bytes();
+        let total_bytes = self.size_bytes().saturating_add(part_bytes);
         let fits = total_bytes <= self.config.archived_total_max.value();
         if !fits || part.index >= part.count || part.count > PARTS_MAX {
             return false;
@@ -50,6 +52,7 @@
             return self.begin(part, now);
         };
         if held.missing.remove(&part.index) {
+            held.size_bytes += part_bytes;
             held.ledger.merge(part.ledger.sessions);
         }
         true
@@ -59,12 +62,13 @@
         if self.ledgers.len() >= self.config.archived_ledgers_max {
             return false;
         }
+        let size_bytes = part.ledger.size_bytes();
         let mut ledger = part.ledger;
         let sessions = std::mem::take(&mut ledger.sessions);
         let drop_at = now.plus(ledger.session_lifetime);
         ledger.merge(sessions);
         let missing = (0..part.count).filter(|index| *index != part.index).collect();
-        self.ledgers.push(Archived { ledger, missing, drop_at });
+        self.ledgers.push(Archived { ledger, missing, size_bytes, drop_at });
         true
     }
 
@@ -99,7 +103,7 @@
     }
 
     fn size_bytes(&self) -> u64 {
-        self.ledgers.iter().map(|held| held.ledger.size_bytes()).sum()
+        self.ledgers.iter().map(|held| held.size_bytes).sum()
     }
 
     fn find(&self, vm: &VmId, incarnation: Incarnation) -> Option<&Archived> {
--- a/crates/once/src/sealed.rs
+++ b/crates/once/src/sealed.rs
@@ -41,6 +41,13 @@
     pub operations: Vec<SealedOperation>,
 }
 
+impl SealedSession {
+    fn add(&mut self, operations: Vec<SealedOperation>) {
+        self.operations.extend(operations);
+        self.operations.sort_by(|a, b| a.key.cmp(&b.key));
+    }
+}
+
 /// The whole ledger of an issuer that grants nothing any more.
 ///
 /// It never changes, so copies held by several peers cannot disagree. What it does not list was
@@ -158,19 +165,31 @@
     }
 
     /// Adds the operations of another part and restores the order that lookups rely on.
+    ///
+    /// Only sessions of the part are sorted: sorting all of them with each part would hold the
+    /// control thread for a time that grows with the square of the ledger.
     pub(crate) fn merge(&mut self, sessions: Vec<SealedSession>) {
-        self.sessions.extend(sessions);
+        let known = self.sessions.len();
+        for mut session in sessions {
+            let place = self.sessions[..known].binary_search_by_key(&session.serial, |s| s.serial);
+            match place {
+                Ok(index) => self.sessions[index].add(session.operations),
+                Err(_) => {
+                    session.add(Vec::new());
+                    self.sessions.push(session);
+                }
+            }
+        }
         self.sessions.sort_by_key(|session| session.serial);
+        // A part that lists a session twice must not hide one half of it: an operation that is
+        // not found counts as not run.
         self.sessions.dedup_by(|next, kept| {
             let same = next.serial == kept.serial;
             if same {
-                kept.operations.append(&mut next.operations);
+                kept.add(std::mem::take(&mut next.operations));
             }
             same
         });
-        for session in &mut self.sessions {
-            session.operations.sort_by(|a, b| a.key.cmp(&b.key));
-        }
     }
 
     /// Rough memory that the ledger takes.
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -6,7 +6,7 @@
 
 use shallotfork_once::{
     Archive, ClaimAnswer, ClaimId, Completion, CompletionAnswer, Issuer, KeptAnswer, OnceConfig,
-    Open, OperationId, Secret, Session,
+    Open, OperationId, SealedSession, Secret, Session,
 };
 use shallotfork_types::{Bytes, IdempotencyKey, Incarnation, Mono, VmId};
 
@@ -261,6 +261,26 @@
     assert_eq!(1, archive.len());
 }
 
+/// A peer of another version lists a session twice in one part. The half that a search would miss
+/// must not be taken for orders that never ran.
+#[test]
+fn a_session_listed_twice_is_found_whole() {
+    let mut fixture = Fixture::new();
+    for (number, key) in (1..).zip(["a", "b"]) {
+        fixture.claim(key, number);
+        fixture.complete(key, number, Completion::RanUnkept);
+    }
+    let operations = ["a", "b"].map(|key| fixture.operation(key));
+    let mut sealed = fixture.issuer.drain(START).seal(START);
+    let second = sealed.sessions[0].operations.split_off(1);
+    let serial = sealed.sessions[0].serial;
+    sealed.sessions.push(SealedSession { serial, operations: second });
+    let mut archive = Archive::new(OnceConfig::new());
+    assert!(archive.add(sealed, START));
+    let expected = [Some(ClaimAnswer::Ran), Some(ClaimAnswer::Ran)];
+    assert_eq!(expected, operations.map(|operation| archive.lookup(&operation)));
+}
+
 /// A peer that holds a departed issuer's ledger leaves too, and passes it on. The ledger must not
 /// live longer by that than its sessions do.
 #[test]
