--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -23,8 +23,6 @@
 }
 
 /// Chooses the entries that a caller should use for a service, best first.
-///
-/// Members near the caller come first; within the same distance the turn decides.
 pub fn entries_for(
     service: &ServiceName,
     entries: &[EntryVm],
@@ -32,8 +30,16 @@
     preference: &Preference,
 ) -> Vec<EntryVm> {
     let group = service_group(service, entries, size);
-    let mut members: Vec<EntryVm> =
+    let members: Vec<EntryVm> =
         nameable(entries).filter(|entry| group.contains(&entry.vm)).cloned().collect();
+    in_order(&members, preference)
+}
+
+/// The members of a group in the order in which one caller should try them.
+///
+/// Members near the caller come first; within the same distance the turn decides.
+pub fn in_order(members: &[EntryVm], preference: &Preference) -> Vec<EntryVm> {
+    let mut members = members.to_vec();
     rotate(&mut members, preference.turn);
     let near = |entry: &EntryVm| preference.failure_domain.as_ref() == Some(&entry.failure_domain);
     members.sort_by_key(|entry| Reverse(near(entry)));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,7 +12,7 @@
 mod view_config;
 
 pub use entry_vm::{Announcement, EntryState, EntryVm, ListedVm, News};
-pub use group::{Preference, entries_for, service_group};
+pub use group::{Preference, entries_for, in_order, service_group};
 pub use heartbeats::heartbeat_peers;
 pub use view::View;
 pub use view_config::ViewConfig;
--- a/crates/shallotd/src/control/lists.rs
+++ b/crates/shallotd/src/control/lists.rs
@@ -8,7 +8,7 @@
 };
 use shallotfork_platform::{PublishedList, TargetInfo, VmInfo, parse_targets, parse_vms};
 use shallotfork_revisions::{Cursor, Kept, Offer, Offered, Tracker, Version};
-use shallotfork_rules::RuleList;
+use shallotfork_rules::{RuleError, RuleList, RulePart, ServiceIndex};
 use shallotfork_types::report::{AuditChange, AuditOutcome, ListStatus};
 use shallotfork_types::{ListName, ListsDigest, Mono, Revision, ServiceName};
 
@@ -30,10 +30,12 @@
     /// From which revision the platform is watched.
     pub cursor: Cursor,
     in_force: BTreeMap<ListName, ListInForce>,
-    /// The rule list.
-    pub rules: Option<Arc<RuleList>>,
+    /// The general rule list, sorted by service.
+    pub rules: Option<Arc<ServiceIndex>>,
+    /// Rules of single services.
+    pub parts: BTreeMap<ServiceName, Arc<RulePart>>,
     /// Targets by service.
-    pub targets: BTreeMap<ServiceName, Vec<TargetInfo>>,
+    pub targets: BTreeMap<ServiceName, Arc<Vec<TargetInfo>>>,
     /// The entry VMs with the revision of their list.
     pub vms: Option<(Revision, Vec<VmInfo>)>,
     start_is_complete: bool,
@@ -41,7 +43,8 @@
 
 /// A list in typed form.
 enum Checked {
-    Rules(RuleList),
+    Rules(ServiceIndex),
+    ServiceRules(ServiceName, RulePart),
     Targets(ServiceName, Vec<TargetInfo>),
     Vms(Vec<VmInfo>),
 }
@@ -98,7 +101,7 @@
     }
 
     /// The rule list that callers are served by; none while the start is not complete.
-    pub fn serving_rules(&self) -> Option<Arc<RuleList>> {
+    pub fn serving_rules(&self) -> Option<Arc<ServiceIndex>> {
         self.rules.clone().filter(|_| self.start_is_complete)
     }
 
@@ -111,7 +114,10 @@
         match checked {
             Checked::Rules(rules) => self.rules = Some(Arc::new(rules)),
             Checked::Targets(service, targets) => {
-                self.targets.insert(service, targets);
+                self.targets.insert(service, Arc::new(targets));
+            }
+            Checked::ServiceRules(service, part) => {
+                self.parts.insert(service, Arc::new(part));
             }
             Checked::Vms(vms) => self.vms = Some((published.revision, vms)),
         }
@@ -150,13 +156,12 @@
 
 fn check(published: &PublishedList) -> Result<Checked, String> {
     match &published.name {
-        ListName::Rules => match RuleList::parse(&published.content) {
-            Ok(rules) => Ok(Checked::Rules(rules)),
-            Err(errors) => {
-                let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-                Err(lines.join("; "))
-            }
-        },
+        ListName::Rules => RuleList::parse(&published.content)
+            .map(|list| Checked::Rules(ServiceIndex::new(&list)))
+            .map_err(joined),
+        ListName::ServiceRules(service) => RulePart::parse(&published.content)
+            .map(|part| Checked::ServiceRules(service.clone(), part))
+            .map_err(joined),
         ListName::Targets(service) => parse_targets(service, &published.content)
             .map(|targets| Checked::Targets(service.clone(), targets))
             .map_err(|error| error.to_string()),
@@ -172,6 +177,11 @@
     matches!((offer, source), (Offer::Lower { .. }, ListSource::Peer(_)))
 }
 
+fn joined(errors: Vec<RuleError>) -> String {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    lines.join("; ")
+}
+
 fn outcome(offer: Offer) -> Option<AuditOutcome> {
     match offer {
         Offer::Accept { .. } => Some(AuditOutcome::Accepted),
--- a/crates/shallotd/src/control/probes.rs
+++ b/crates/shallotd/src/control/probes.rs
@@ -58,14 +58,15 @@
     }
     let due = plan.due(state.context.clock.now());
     let owner = |id: TargetId| {
-        let service = snapshot.services.values().find(|service| service.targets.contains_key(&id));
+        let service =
+            snapshot.services.values().find(|service| service.targets.by_id.contains_key(&id));
         service.map(|service| (Arc::clone(service), id))
     };
     due.into_iter().filter_map(owner).collect()
 }
 
 fn measured(snapshot: &Snapshot) -> Vec<MeasuredTarget> {
-    let targets = snapshot.services.values().flat_map(|service| service.targets.values());
+    let targets = snapshot.services.values().flat_map(|service| service.targets.by_id.values());
     let target =
         |target: &TargetInfo| MeasuredTarget { id: target.id.clone(), slots: target.slots };
     targets.map(target).collect()
@@ -85,7 +86,7 @@
 
 /// Sends one probe, if it is still allowed at the moment of sending.
 async fn probe(state: Rc<State>, service: Arc<Service>, id: TargetId) {
-    let Some(target) = service.targets.get(&id) else { return };
+    let Some(target) = service.targets.by_id.get(&id) else { return };
     let context = &state.context;
     let Some(attempt) = attempt(context, target) else { return };
     let taken = state.probes.borrow_mut().take(&id, context.clock.now());
--- a/crates/shallotd/src/control/publish.rs
+++ b/crates/shallotd/src/control/publish.rs
@@ -1,40 +1,144 @@
 //! Builds the snapshot that traffic reads from the control state.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use shallotfork_balance::{GroupSize, Policy, PoolConfig, PoolTarget, TargetState as PoolState};
 use shallotfork_membership::{EntryVm, service_group};
 use shallotfork_platform::{TargetInfo, TargetState};
-use shallotfork_rules::{Latches, RuleList};
+use shallotfork_rules::{RulePart, ServiceIndex};
 use shallotfork_types::{ServiceName, TargetId};
 
 use crate::context::Context;
+use crate::control::lists::Lists;
 use crate::control::state::State;
-use crate::snapshot::{Service, Snapshot};
+use crate::snapshot::{Service, ServiceRules, ServiceTargets, Snapshot};
 use crate::traffic::{GateTarget, ServicePool};
 
 /// Replaces the snapshot by one of the state as it is now.
+///
+/// Only services whose targets, rules or entries have changed are made anew: at the size to design
+/// for, a change of one list must not cost the work of 1,200.
 pub fn publish(state: &State) {
     let context = &state.context;
     let entries = state.view.borrow().entries();
     let lists = state.lists.borrow();
     let old = context.snapshot();
-    context.gate.set_targets(lists.targets.values().flatten().map(gate_target).collect());
-    let rules = lists.serving_rules();
+    let maker = ServiceMaker {
+        state,
+        lists: &lists,
+        rules: lists.serving_rules(),
+        same_entries: entries == old.entries,
+        entries: &entries,
+    };
     let mut services = BTreeMap::new();
+    let mut targets_changed = lists.targets.len() != old.services.len();
     for (name, targets) in &lists.targets {
-        let pool = pool(state, name);
-        pool.set_targets(&pool_targets(context, name, targets, &entries));
-        let targets = targets.iter().map(|target| (target.id.clone(), target.clone())).collect();
-        let latches = latches(&old, rules.as_ref(), name);
-        services.insert(name.clone(), Arc::new(Service { pool, targets, latches }));
+        let before = old.services.get(name);
+        let service = maker.service(name, targets, before);
+        targets_changed |= !before.is_some_and(|old| Arc::ptr_eq(&old.targets, &service.targets));
+        services.insert(name.clone(), service);
+    }
+    if targets_changed {
+        let all = lists.targets.values().flat_map(|targets| targets.iter());
+        context.gate.set_targets(all.map(gate_target).collect());
     }
-    let ready = rules.is_some();
-    context.snapshot.store(Arc::new(Snapshot { rules, services, entries }));
+    let ready = maker.rules.is_some();
+    context.snapshot.store(Arc::new(Snapshot { ready, services, entries }));
     state.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready);
 }
 
+/// Makes the services of one snapshot.
+struct ServiceMaker<'a> {
+    state: &'a State,
+    lists: &'a Lists,
+    rules: Option<Arc<ServiceIndex>>,
+    entries: &'a [EntryVm],
+    same_entries: bool,
+}
+
+impl ServiceMaker<'_> {
+    fn service(
+        &self,
+        name: &ServiceName,
+        published: &Arc<Vec<TargetInfo>>,
+        old: Option<&Arc<Service>>,
+    ) -> Arc<Service> {
+        let targets = self.targets(published, old);
+        let rules = self.rules(name, old);
+        let same_targets = old.filter(|old| Arc::ptr_eq(&old.targets, &targets));
+        if let (Some(old), true) = (same_targets, self.same_entries) {
+            return self.with_rules(old, rules);
+        }
+        let context = &self.state.context;
+        let size = GroupSize::new(context.settings.balance.entries_per_service);
+        let group = service_group(name, self.entries, size);
+        let ids: Vec<TargetId> = published.iter().map(|target| target.id.clone()).collect();
+        let homes: BTreeSet<TargetId> =
+            group.home_targets(&context.identity.vm, &ids).into_iter().collect();
+        let pool = pool(self.state, name);
+        if same_targets.is_none_or(|old| old.homes != homes) {
+            pool.set_targets(&pool_targets(context, published, &homes));
+        }
+        let members = self.entries.iter().filter(|entry| group.contains(&entry.vm));
+        let group = Arc::new(members.cloned().collect());
+        Arc::new(Service { pool, targets, homes, group, rules })
+    }
+
+    fn with_rules(&self, old: &Arc<Service>, rules: Option<Arc<ServiceRules>>) -> Arc<Service> {
+        let same = match (&old.rules, &rules) {
+            (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+            (None, None) => true,
+            _ => false,
+        };
+        if same {
+            return Arc::clone(old);
+        }
+        Arc::new(Service {
+            pool: Arc::clone(&old.pool),
+            targets: Arc::clone(&old.targets),
+            homes: old.homes.clone(),
+            group: Arc::clone(&old.group),
+            rules,
+        })
+    }
+
+    fn targets(
+        &self,
+        published: &Arc<Vec<TargetInfo>>,
+        old: Option<&Arc<Service>>,
+    ) -> Arc<ServiceTargets> {
+        if let Some(old) = old.filter(|old| Arc::ptr_eq(&old.targets.published, published)) {
+            return Arc::clone(&old.targets);
+        }
+        let by_id = published.iter().map(|target| (target.id.clone(), target.clone())).collect();
+        Arc::new(ServiceTargets { published: Arc::clone(published), by_id })
+    }
+
+    fn rules(&self, name: &ServiceName, old: Option<&Arc<Service>>) -> Option<Arc<ServiceRules>> {
+        let index = self.rules.as_ref()?;
+        let part = self.lists.parts.get(name);
+        let old = old.and_then(|old| old.rules.as_ref());
+        if let Some(old) = old.filter(|old| is_made_from(old, index, part)) {
+            return Some(Arc::clone(old));
+        }
+        Some(Arc::new(ServiceRules::new(name, Arc::clone(index), part.cloned())))
+    }
+}
+
+fn is_made_from(
+    rules: &ServiceRules,
+    index: &Arc<ServiceIndex>,
+    part: Option<&Arc<RulePart>>,
+) -> bool {
+    let same_part = match (&rules.part, part) {
+        (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+        (None, None) => true,
+        _ => false,
+    };
+    same_part && Arc::ptr_eq(&rules.index, index)
+}
+
 fn pool(state: &State, name: &ServiceName) -> Arc<ServicePool> {
     let context = &state.context;
     let mut pools = state.pools.borrow_mut();
@@ -67,17 +171,9 @@
 
 fn pool_targets(
     context: &Context,
-    service: &ServiceName,
     targets: &[TargetInfo],
-    entries: &[EntryVm],
+    homes: &BTreeSet<TargetId>,
 ) -> Vec<PoolTarget> {
-    let ids: Vec<TargetId> = targets.iter().map(|target| target.id.clone()).collect();
-    let group = service_group(
-        service,
-        entries,
-        GroupSize::new(context.settings.balance.entries_per_service),
-    );
-    let homes = group.home_targets(&context.identity.vm, &ids);
     let pool_target = |target: &TargetInfo| {
         let state = match target.state {
             TargetState::Serving => PoolState::Serving,
@@ -90,20 +186,3 @@
     };
     targets.iter().map(pool_target).collect()
 }
-
-/// A new rule list starts with no load condition holding.
-fn latches(
-    old: &Snapshot,
-    rules: Option<&Arc<RuleList>>,
-    service: &ServiceName,
-) -> Arc<Mutex<Latches>> {
-    let same = match (&old.rules, rules) {
-        (Some(old), Some(new)) => Arc::ptr_eq(old, new),
-        (None, None) => true,
-        _ => false,
-    };
-    if let (true, Some(service)) = (same, old.services.get(service)) {
-        return Arc::clone(&service.latches);
-    }
-    Arc::new(Mutex::new(rules.map(|list| Latches::new(list)).unwrap_or_default()))
-}
--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -60,7 +60,7 @@
             in_flight: found.map_or(0, |seen| seen.running),
         }
     };
-    service.targets.values().map(status).collect()
+    service.targets.by_id.values().map(status).collect()
 }
 
 /// State of a target that is left out for its failures.
--- a/crates/shallotd/src/traffic/dispatch.rs
+++ b/crates/shallotd/src/traffic/dispatch.rs
@@ -72,11 +72,11 @@
     arrived: Mono,
     keyed: bool,
 ) -> Result<Job, Problem> {
-    if snapshot.rules.is_none() {
+    if !snapshot.ready {
         return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no rule list is in force yet"));
     }
     let service = snapshot.services.get(&request.service).ok_or_else(unknown_service)?;
-    let outcome = decide(snapshot, service, &request)?;
+    let outcome = decide(service, &request)?;
     if let Some(refusal) = &outcome.refuse {
         let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::FORBIDDEN);
         let problem = not_run(status, "refused by rule");
@@ -100,12 +100,8 @@
     Problem::new(status, Verdict::NotRun).with_detail(detail)
 }
 
-fn decide(
-    snapshot: &Snapshot,
-    service: &Service,
-    request: &WholeRequest,
-) -> Result<Outcome, Problem> {
-    let Some(rules) = &snapshot.rules else {
+fn decide(service: &Service, request: &WholeRequest) -> Result<Outcome, Problem> {
+    let Some(rules) = &service.rules else {
         return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no rule list is in force yet"));
     };
     let described = Described {
@@ -114,8 +110,8 @@
         at: jiff::Timestamp::now(),
         load: service.pool.load(),
     };
-    let mut latches = service.latches.lock().unwrap_or_else(PoisonError::into_inner);
-    Ok(rules.decide(&described, &mut latches).outcome.clone())
+    let mut latches = rules.latches.lock().unwrap_or_else(PoisonError::into_inner);
+    Ok(rules.list.decide(&described, &mut latches).outcome.clone())
 }
 
 /// The caller's own deadline, else the rule's, else the settings'; never above the settings' most.
@@ -211,7 +207,7 @@
 }
 
 async fn attempt(job: &Job, assigned: Assigned) -> Result<WholeAnswer, AttemptFailure> {
-    let Some(target) = job.service.targets.get(assigned.target()) else {
+    let Some(target) = job.service.targets.by_id.get(assigned.target()) else {
         // The list changed between choice and sending: the target is gone from this snapshot.
         let gone = TargetAddress::new(job.context.identity.callers);
         let attempt = Attempt::new(gone, Arc::clone(&job.request), job.deadline);
--- a/crates/shallotd/src/traffic/entries.rs
+++ b/crates/shallotd/src/traffic/entries.rs
@@ -5,9 +5,8 @@
 use http::{Method, StatusCode};
 use poem::{IntoResponse, Request, Response, web::Json};
 use serde::{Deserialize, Serialize};
-use shallotfork_balance::GroupSize;
 use shallotfork_exchange::Problem;
-use shallotfork_membership::{EntryVm, Preference, entries_for};
+use shallotfork_membership::{EntryVm, Preference, in_order};
 use shallotfork_types::{Endpoint, FailureDomain, ServiceName, Verdict, VmId};
 
 use crate::context::Context;
@@ -62,18 +61,17 @@
 
 async fn answer(context: &Context, query: Query) -> Response {
     let snapshot = context.snapshot();
-    if snapshot.rules.is_none() {
+    if !snapshot.ready {
         let starting = Problem::new(StatusCode::SERVICE_UNAVAILABLE, Verdict::NotRun);
         let starting = starting.with_detail("starting: no rule list is in force yet");
         return starting.with_retry_after(STARTING_RETRY).into_response();
     }
-    if !snapshot.services.contains_key(&query.service) {
+    let Some(service) = snapshot.services.get(&query.service) else {
         return refuse(StatusCode::NOT_FOUND, "no such service is published");
-    }
+    };
     let preference =
         Preference { failure_domain: query.failure_domain, turn: Context::next(&context.turns) };
-    let size = GroupSize::new(context.settings.balance.entries_per_service);
-    let found = entries_for(&query.service, &snapshot.entries, size, &preference);
+    let found = in_order(&service.group, &preference);
     let session = context.control.issue().await;
     let callers = &context.settings.callers;
     let answer = Answer {
--- a/crates/types/src/list_name.rs
+++ b/crates/types/src/list_name.rs
@@ -10,13 +10,16 @@
 const RULES: &str = "rules";
 const VMS: &str = "vms";
 const TARGETS_PREFIX: &str = "targets.";
+const RULES_PREFIX: &str = "rules.";
 
 /// One published list; each has its own content and revision.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub enum ListName {
-    /// The rule list.
+    /// The general rule list.
     Rules,
+    /// The rules of one service, which go before the general ones.
+    ServiceRules(ServiceName),
     /// The targets of one service.
     Targets(ServiceName),
     /// The entry VMs.
@@ -27,6 +30,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Rules => f.write_str(RULES),
+            Self::ServiceRules(service) => write!(f, "{RULES_PREFIX}{service}"),
             Self::Targets(service) => write!(f, "{TARGETS_PREFIX}{service}"),
             Self::Vms => f.write_str(VMS),
         }
@@ -40,10 +44,13 @@
         if let Some(service) = text.strip_prefix(TARGETS_PREFIX) {
             return service.parse().map(Self::Targets);
         }
+        if let Some(service) = text.strip_prefix(RULES_PREFIX) {
+            return service.parse().map(Self::ServiceRules);
+        }
         match text {
             RULES => Ok(Self::Rules),
             VMS => Ok(Self::Vms),
-            _ => Err(ParseError::new("rules, vms or targets.SERVICE", text)),
+            _ => Err(ParseError::new("rules, rules.SERVICE, vms or targets.SERVICE", text)),
         }
     }
 }
