--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -130,6 +130,12 @@
         self.deliver(woken);
     }
 
+    /// Takes a target's account of its load that came with a probe's answer.
+    pub fn report(&self, target: &TargetId, report: LoadReport) {
+        let now = self.clock.now();
+        self.lock().pool.report(target, report, now);
+    }
+
     /// Share of the service's slots in use; `None` when unknown.
     pub fn load(&self) -> Option<Permille> {
         let now = self.clock.now();
@@ -175,10 +181,7 @@
     ) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        if let Some(report) = report {
-            inner.pool.report(&assignment.target, report, now);
-        }
-        let woken = inner.pool.finish(assignment.attempt, outcome, now);
+        let woken = inner.pool.finish(assignment.attempt, outcome, report, now);
         drop(inner);
         self.deliver(woken);
     }
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -8,7 +8,9 @@
 use shallotfork_standin::digest::content_digest;
 use shallotfork_standin::target::{SERVICE_US_HEADER, SIZE_HEADER};
 use shallotfork_tests::{Case, Running, wait_until};
-use shallotfork_types::{ServiceName, Verdict};
+use shallotfork_types::{IdempotencyKey, ServiceName, Verdict};
+
+const SERVICE_US: &str = "300000";
 
 /// Three entries before the targets of one service.
 struct Bench {
@@ -29,6 +31,19 @@
         Ok(Caller::new(CallerConfig::new(vec![address]))?)
     }
 
+    async fn session_of(&self, entry: usize) -> anyhow::Result<String> {
+        let known = self.caller_of(entry)?.entries(&self.service).await?;
+        known.session.context("a session")
+    }
+
+    async fn order(&self, key: &str, issuer: usize) -> anyhow::Result<Call> {
+        let session = self.session_of(issuer).await?;
+        let key = IdempotencyKey::new(key)?;
+        let body = Bytes::from_static(b"two drums");
+        let order = Call::post(self.service.clone(), "/orders", key.clone(), body);
+        Ok(order.with_mark(key.as_str()).with_session(&session))
+    }
+
     async fn send_to(&self, entry: usize, call: &Call) -> anyhow::Result<Report> {
         let address = self.running.caller_addresses()[entry];
         Ok(self.running.caller()?.send_to(address, call).await)
@@ -77,6 +92,63 @@
     Ok(())
 }
 
+/// A stallholder's order is lodged through one entry under another's session. The entry that
+/// carried it is killed, the caller never saw the answer and resends through a third entry. The
+/// order must have run once, and the caller must get its answer.
+#[tokio::test]
+async fn an_order_resent_after_its_entry_was_killed_runs_once() -> anyhow::Result<()> {
+    let mut bench = Bench::start(2).await?;
+    let order = bench.order("order-1", 0).await?;
+    let first = bench.send_to(1, &order).await?;
+    assert!(first.success().is_some(), "{first:?}");
+
+    bench.running.entries[1].program.kill().await?;
+    let second = bench.send_to(2, &order).await?;
+
+    let answer = second.success().with_context(|| format!("{second:?}"))?;
+    assert_eq!(first.success().map(|first| &first.body), Some(&answer.body));
+    assert_eq!(1, bench.running.runs_of_key("order-1").await?);
+    Ok(())
+}
+
+/// An order runs at a target while the entry that issued its session is killed. Whoever resends
+/// it can learn nothing: the only process that could permit a run has lost its memory. The answer
+/// must be `may-have-run`, at once, and nothing may run again.
+#[tokio::test]
+async fn an_order_whose_issuer_was_killed_is_never_run_again() -> anyhow::Result<()> {
+    let mut bench = Bench::start(2).await?;
+    let order = bench.order("order-2", 0).await?;
+    let first = bench.send_to(1, &order).await?;
+    assert!(first.success().is_some(), "{first:?}");
+
+    bench.running.entries[0].program.kill().await?;
+    bench.running.restart_entry(0).await?;
+    bench.running.wait_ready().await?;
+    for entry in 0..3 {
+        let again = bench.send_to(entry, &order).await?;
+        assert!(again.success().is_none(), "{again:?}");
+        assert_eq!(Some(Verdict::MayHaveRun), again.verdict(), "{again:?}");
+    }
+
+    assert_eq!(1, bench.running.runs_of_key("order-2").await?);
+    Ok(())
+}
+
+/// A caller sends the same order twice at the same time through two entries, as an impatient app
+/// does. One of the two runs it; the other is told that it is in progress, or gets its answer.
+#[tokio::test]
+async fn an_order_sent_through_two_entries_at_once_runs_once() -> anyhow::Result<()> {
+    let bench = Bench::start(2).await?;
+    let order = bench.order("order-3", 0).await?.with_header(SERVICE_US_HEADER, SERVICE_US);
+
+    let (one, other) = tokio::join!(bench.send_to(1, &order), bench.send_to(2, &order));
+
+    let succeeded = [one?, other?].iter().filter(|report| report.success().is_some()).count();
+    assert!(succeeded >= 1);
+    assert_eq!(1, bench.running.runs_of_key("order-3").await?);
+    Ok(())
+}
+
 /// A caller's entry is killed while the caller still holds the answer that names it. The caller
 /// fails over to the next entry of that answer and never sees a failed read.
 #[tokio::test]
