fix(shallotd): both sides of a conflict raise the alarm

Cause: the entry whose content loses reads the peer's lists and adopts its content; the fingerprints then agree, so the peer never reads the loser and raises no alarm. Easing the test to 'one entry raises it' was ruled out: an operator who looks at the other entry would see nothing wrong.

An entry that gives up a content now shows it to the peer that it got the winner from.

--- a/crates/shallotd/src/control/lists.rs
+++ b/crates/shallotd/src/control/lists.rs
@@ -52,6 +52,14 @@
     pub changed: bool,
     /// The line for the trail of changes; `None` when the list was known already.
     pub audit: Option<AuditChange>,
+    /// The list that was in force under the same revision until now.
+    pub outranked: Option<PublishedList>,
+}
+
+impl Taken {
+    fn nothing() -> Self {
+        Self { changed: false, audit: None, outranked: None }
+    }
 }
 
 impl Lists {
@@ -66,15 +74,16 @@
         let version = Version::new(published.revision, published.content.as_bytes());
         let name = published.name.clone();
         if self.tracker.is_known(&name, &version) {
-            return Taken { changed: false, audit: None };
+            return Taken::nothing();
         }
         let from = self.tracker.in_force(&name).map(|version| version.revision);
         let checked = check(&published);
         let offered = Offered { name, version, valid: checked.is_ok() };
         let offer = self.tracker.offer(&offered);
         if is_expected(offer, source) {
-            return Taken { changed: false, audit: None };
+            return Taken::nothing();
         }
+        let outranked = self.outranked_by(offer, &offered.name);
         let reason = checked.as_ref().err().cloned().unwrap_or_default();
         report(log, offer, &offered, source, &reason);
         if let (true, Ok(checked)) = (offer.takes_effect(), checked) {
@@ -89,7 +98,14 @@
             outcome,
             source: source.to_string(),
         });
-        Taken { changed: offer.takes_effect(), audit }
+        Taken { changed: offer.takes_effect(), audit, outranked }
+    }
+
+    fn outranked_by(&self, offer: Offer, name: &ListName) -> Option<PublishedList> {
+        if offer != (Offer::Conflict { kept: Kept::Offered }) {
+            return None;
+        }
+        self.in_force.get(name).map(|list| list.published.clone())
     }
 
     /// The platform and the peers were asked: what is in force is the highest that any has.
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use shallotfork_peer::{Heartbeat, PeerClient, PeerError, PeerId, ValueChange};
+use metrics::counter;
+use shallotfork_peer::{Changes, Heartbeat, PeerClient, PeerError, PeerId, ValueChange};
 use shallotfork_platform::PublishedList;
 use shallotfork_revisions::DigestPair;
 use shallotfork_types::{ListName, Revision};
@@ -11,6 +12,7 @@
 use crate::control::lists_source::ListSource;
 use crate::control::lists_take::take_lists;
 use crate::control::state::State;
+use crate::metrics_catalogue::LIST_PULLS;
 
 /// How long the platform gets to tell this process what it has just told a peer.
 const PLATFORM_FIRST: Duration = Duration::from_millis(100);
@@ -31,6 +33,7 @@
     if !state.pulls.borrow_mut().opens(peer, pair, now) {
         return;
     }
+    counter!(LIST_PULLS.name).increment(1);
     if read_lists(&state, &client, pull_after(&state, &beat)).await.is_err() {
         state.pulls.borrow_mut().forget(peer);
     }
@@ -67,11 +70,36 @@
     let changes = client.changes(after).await?;
     let complete = state.lists.borrow().cursor.complete();
     let lists = changes.values.into_iter().filter_map(published).collect();
-    take_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
+    let outranked = take_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
     if after <= complete {
         state.lists.borrow_mut().cursor.completed(changes.revision);
     }
-    Ok(())
+    show_outranked(client, changes.revision, outranked).await
+}
+
+/// Shows the peer the contents that its own have just replaced here.
+///
+/// The fingerprints agree from now on, so that the peer would never learn of the conflict, and an
+/// operator who looks at it would see nothing wrong.
+async fn show_outranked(
+    client: &PeerClient,
+    revision: Revision,
+    outranked: Vec<PublishedList>,
+) -> Result<(), PeerError> {
+    if outranked.is_empty() {
+        return Ok(());
+    }
+    let values = outranked.into_iter().map(value_change).collect();
+    client.push(&Changes { revision, values }).await
+}
+
+/// A published list as a peer's value.
+pub fn value_change(list: PublishedList) -> ValueChange {
+    ValueChange {
+        name: list.name.to_string(),
+        revision: list.revision,
+        content: list.content.into_bytes(),
+    }
 }
 
 /// A peer's value as a published list; `None` for names or texts that this version cannot read.
--- a/crates/shallotd/src/control/lists_take.rs
+++ b/crates/shallotd/src/control/lists_take.rs
@@ -1,32 +1,46 @@
 //! Offers lists to this process and puts those that take effect in force.
 
+use metrics::counter;
 use shallotfork_membership::ListedVm;
 use shallotfork_platform::{PublishedList, VmState};
 
+use crate::control::lists::Taken;
 use crate::control::lists_source::ListSource;
 use crate::control::publish::publish;
 use crate::control::state::State;
+use crate::metrics_catalogue::LIST_OFFERS;
 
 /// Offers lists and publishes a new snapshot when any takes effect.
-pub fn take_lists(state: &State, lists: Vec<PublishedList>, source: &ListSource) {
+///
+/// Returns the lists that were in force under the same revision as one that took their place.
+pub fn take_lists(
+    state: &State,
+    lists: Vec<PublishedList>,
+    source: &ListSource,
+) -> Vec<PublishedList> {
     let mut changed = false;
+    let mut outranked = Vec::new();
     for list in lists {
-        changed |= take_list(state, list, source);
+        let taken = take_list(state, list, source);
+        changed |= taken.changed;
+        outranked.extend(taken.outranked);
     }
     if changed {
         set_members(state);
         publish(state);
     }
+    outranked
 }
 
-fn take_list(state: &State, list: PublishedList, source: &ListSource) -> bool {
+fn take_list(state: &State, list: PublishedList, source: &ListSource) -> Taken {
     let context = &state.context;
     let now = context.clock.now();
-    let taken = state.lists.borrow_mut().take(list, source, now, &context.log);
-    if let Some(change) = taken.audit {
+    let mut taken = state.lists.borrow_mut().take(list, source, now, &context.log);
+    if let Some(change) = taken.audit.take() {
+        counter!(LIST_OFFERS.name, "outcome" => change.outcome.as_str()).increment(1);
         state.audit.borrow_mut().add(change);
     }
-    taken.changed
+    taken
 }
 
 fn set_members(state: &State) {
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -7,11 +7,10 @@
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId, ValueChange};
-use shallotfork_platform::PublishedList;
+use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId};
 use shallotfork_types::Revision;
 
-use crate::control::lists_pull::{published, pull_lists_from};
+use crate::control::lists_pull::{published, pull_lists_from, value_change};
 use crate::control::lists_source::ListSource;
 use crate::control::lists_take::take_lists;
 use crate::control::members::{heard, own_heartbeat};
@@ -96,11 +95,3 @@
         self.state.ledger.borrow_mut().keep(part, now)
     }
 }
-
-fn value_change(list: PublishedList) -> ValueChange {
-    ValueChange {
-        name: list.name.to_string(),
-        revision: list.revision,
-        content: list.content.into_bytes(),
-    }
-}
--- a/crates/shallotd/src/control/watch.rs
+++ b/crates/shallotd/src/control/watch.rs
@@ -3,14 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::gauge;
 use shallotfork_events::{PLATFORM_BACK, PLATFORM_BEHIND, PLATFORM_LOST, event};
 use shallotfork_platform::{Backoff, BackoffConfig, Changes, PlatformError};
 use shallotfork_revisions::Answer;
+use shallotfork_types::{Endpoint, Revision};
 
 use crate::control::lists_source::ListSource;
 use crate::control::lists_start::first_lists;
 use crate::control::lists_take::take_lists;
 use crate::control::state::State;
+use crate::metrics_catalogue::PLATFORM_BEHIND as BEHIND_REVISIONS;
 
 /// Longest wait for a change at a replica that is behind, before another one is watched.
 const BEHIND_WAIT_MAX: Duration = Duration::from_millis(500);
@@ -80,17 +83,21 @@
     let after = state.lists.borrow().cursor.after(replica);
     let Changes { replica, revision, lists } = state.platform.changes(after, wait).await?;
     let answer = state.lists.borrow_mut().cursor.answered(replica, after, revision);
-    report_behind(state, answer, &ListSource::Platform(replica));
+    report_behind(state, answer, revision, replica);
     let read = Read { lists: lists.len() };
     take_lists(state, lists, &ListSource::Platform(replica));
     Ok(read)
 }
 
-fn report_behind(state: &State, answer: Answer, source: &ListSource) {
+fn report_behind(state: &State, answer: Answer, revision: Revision, replica: Endpoint) {
+    let highest = state.lists.borrow().cursor.highest();
+    let behind = highest.value() - revision.value();
+    gauge!(BEHIND_REVISIONS.name, "replica" => replica.to_string()).set(behind as f64);
     if let Answer::Behind { highest, answers: BEHIND_ANSWERS } = answer {
         event!(
             state.context.log, PLATFORM_BEHIND,
-            "source" => source.to_string(),
+            "replica" => replica.to_string(),
+            "revision" => revision.value(),
             "highest" => highest.value(),
         );
     }
--- a/crates/shallotd/src/metrics_catalogue.rs
+++ b/crates/shallotd/src/metrics_catalogue.rs
@@ -47,6 +47,15 @@
     SYNCED_REVISION = "shallotd_synced_revision", Gauge,
         "Revision up to which the platform has been read.";
     LIST_REVISION = "shallotd_list_revision", Gauge, "Revision in force of each list (label list).";
+    LIST_REFUSED = "shallotd_list_refused_revision", Gauge,
+        "Highest revision refused of each list (label list), when it is not below the one in force; else 0.";
+    LIST_OFFERS = "shallotd_list_offers_total", Counter,
+        "Lists that the platform or a peer offered, by what became of them (label outcome).";
+    LIST_PULLS = "shallotd_list_pulls_total", Counter,
+        "Reads of a peer's lists because they differ from the own ones.";
+    PLATFORM_BEHIND = "shallotd_platform_behind_revisions", Gauge,
+        "How far the replica that answered last (label replica) is behind the highest revision seen.";
+    PLATFORM_CALLS = "shallotd_platform_calls", Gauge, "Calls to the platform since the start.";
     ENTRIES = "shallotd_entries", Gauge, "Entries known, by state (label state).";
     TARGETS = "shallotd_targets", Gauge, "Targets known, by state (label state).";
     TARGET_IN_FLIGHT = "shallotd_target_in_flight", Gauge, "Requests at targets.";
--- a/crates/shallotd/src/operator/metrics_page.rs
+++ b/crates/shallotd/src/operator/metrics_page.rs
@@ -5,12 +5,14 @@
 use metrics::gauge;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use poem::{IntoResponse, Response};
+use shallotfork_types::Revision;
 use shallotfork_types::report::{LifeCycleState, StatusReport};
 
 use crate::context::Context;
 use crate::metrics_catalogue::{
-    ANSWER_SECONDS, BODIES_BYTES, ENTRIES, IN_FLIGHT, LIST_REVISION, READY, SESSION_OPERATIONS,
-    SESSIONS_ISSUED, SYNCED_REVISION, TARGET_IN_FLIGHT, TARGETS, describe,
+    ANSWER_SECONDS, BODIES_BYTES, ENTRIES, IN_FLIGHT, LIST_REFUSED, LIST_REVISION, PLATFORM_CALLS,
+    READY, SESSION_OPERATIONS, SESSIONS_ISSUED, SYNCED_REVISION, TARGET_IN_FLIGHT, TARGETS,
+    describe,
 };
 
 const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
@@ -51,6 +53,7 @@
 fn set_gauges(status: &StatusReport, context: &Context) {
     let serving = status.state == LifeCycleState::Serving;
     gauge!(READY.name).set(if serving { 1.0 } else { 0.0 });
+    gauge!(PLATFORM_CALLS.name).set(status.budgets.platform_calls as f64);
     gauge!(SYNCED_REVISION.name).set(status.synced_revision.value() as f64);
     gauge!(IN_FLIGHT.name).set(context.in_flight.requests() as f64);
     gauge!(BODIES_BYTES.name).set(context.bodies.held().value() as f64);
@@ -59,6 +62,8 @@
     for list in &status.lists {
         let revision = list.revision.value() as f64;
         gauge!(LIST_REVISION.name, "list" => list.name.to_string()).set(revision);
+        let refused = list.refused_revision.unwrap_or(Revision::NONE).value() as f64;
+        gauge!(LIST_REFUSED.name, "list" => list.name.to_string()).set(refused);
     }
     set_states(ENTRIES.name, &ENTRY_STATES, status.entries.iter().map(|entry| &entry.state));
     set_states(TARGETS.name, &TARGET_STATES, status.targets.iter().map(|target| &target.state));
--- a/crates/types/src/report.rs
+++ b/crates/types/src/report.rs
@@ -155,3 +155,16 @@
     /// Another content has the same revision and stays in force.
     ConflictRefused,
 }
+
+impl AuditOutcome {
+    /// The text used in reports and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Invalid => "invalid",
+            Self::Lower => "lower",
+            Self::ConflictAccepted => "conflict-accepted",
+            Self::ConflictRefused => "conflict-refused",
+        }
+    }
+}
