test(exchange): cuts, resends, evidence, limits and hostile input

Found by the tests, and mended: a request without a body that was held back as late was written all the same, and called not-run. hyper writes a head whose body is known to be empty without asking for the body. The late body now claims an unknown size, and only its own error counts as proof. On HTTP/2 the headers leave before the body is asked for, so that a late request there is may-have-run.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::gather::{Gather, GatherError};
 use crate::headers::{DEADLINE_HEADER, deadline_value, strip_hop_by_hop};
 use crate::read_whole::WholeRequest;
-use crate::send_mark::{MarkedBody, SendMark};
+use crate::send_mark::{LateError, MarkedBody, SendMark};
 
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 shallotfork");
 
@@ -199,23 +199,24 @@
 }
 
 fn timed_out(attempt: Attempt<Unsent>, mark: &SendMark) -> AttemptFailure {
-    if mark.may_have_left() {
+    if mark.is_taken() {
         return attempt.sent().may_have_run(FailureCause::Timeout);
     }
     attempt.not_run(FailureCause::TooLate)
 }
 
 fn failed(attempt: Attempt<Unsent>, mark: &SendMark, error: &reqwest::Error) -> AttemptFailure {
-    if mark.may_have_left() {
+    // HTTP/2 has sent the headers by the time the body ends in this error.
+    if source_is::<LateError>(error) && !attempt.target().http2 {
+        return attempt.not_run(FailureCause::TooLate);
+    }
+    if mark.is_taken() {
         let attempt = attempt.sent();
         if is_stream_refused(error) {
             return attempt.not_run(NotRunEvidence::StreamRefused);
         }
         return attempt.may_have_run(FailureCause::ConnectionLost);
     }
-    if mark.was_late() {
-        return attempt.not_run(FailureCause::TooLate);
-    }
     if source_is::<GateRefusal>(error) {
         return attempt.not_run(FailureCause::ConnectRefusedByGate);
     }
--- a/crates/exchange/src/send_mark.rs
+++ b/crates/exchange/src/send_mark.rs
@@ -28,14 +28,9 @@
 }
 
 impl SendMark {
-    /// Whether a byte of the request may have left.
-    pub(crate) fn may_have_left(&self) -> bool {
-        self.state.load(Ordering::Acquire) == TAKEN
-    }
-
-    /// Whether the request was held back because its deadline had passed.
-    pub(crate) fn was_late(&self) -> bool {
-        self.state.load(Ordering::Acquire) == LATE
+    /// Whether a connection took the request, so that a byte of it may have left.
+    pub(crate) fn is_taken(&self) -> bool {
+        self.state.load(Ordering::Acquire) != UNTOUCHED
     }
 }
 
@@ -91,7 +86,12 @@
         self.begin() != LATE && self.rest.is_none()
     }
 
+    /// hyper writes a head whose body has a known size of zero without asking for the body; a
+    /// late request therefore claims an unknown size, so that hyper meets the error first.
     fn size_hint(&self) -> SizeHint {
+        if self.mark.state.load(Ordering::Acquire) == LATE {
+            return SizeHint::default();
+        }
         SizeHint::with_exact(self.rest.as_ref().map_or(0, |bytes| bytes.len() as u64))
     }
 }
--- /dev/null
+++ b/crates/exchange/tests/answers.rs
@@ -0,0 +1,209 @@
+//! Whole answers: every framing that HTTP/1.1 allows, limits, digests and ownership.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use shallotfork_exchange::{
+    AttemptFailure, BodyBudget, ConnectionGate, ConnectionPermit, Exchange, ExchangeConfig,
+    FailureCause, WholeAnswer,
+};
+use shallotfork_types::{Bytes, Endpoint, Verdict};
+use support::{
+    RawTarget, RequestBuilder, exchange, exchange_with, exchange_within, standing_clock,
+};
+use tokio::sync::Notify;
+
+const DIGEST_OF_MILLED: &str = "sha-256=:IW1SjQzBou8clRMy164J3oexYrFDGklHh4O6reuz6+I=:";
+
+async fn ask(
+    exchange: &Exchange,
+    method: Method,
+    answer: String,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let target = RawTarget::start(move |_, mut wire| {
+        let answer = answer.clone();
+        async move {
+            wire.request().await;
+            wire.write(answer.as_bytes()).await;
+        }
+    })
+    .await;
+    exchange.send(RequestBuilder::new(method).attempt(target.target())).await
+}
+
+async fn answer(method: Method, answer: &str) -> WholeAnswer {
+    ask(&exchange(), method, answer.to_owned()).await.expect("a whole answer")
+}
+
+#[tokio::test]
+async fn answers_without_a_body_are_whole() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n";
+    let actual = answer(Method::HEAD, head).await;
+    assert_eq!(("9000", 0), (actual.headers["content-length"].to_str().expect("text"), 0));
+
+    let actual = answer(Method::GET, "HTTP/1.1 204 No Content\r\n\r\n").await;
+    assert_eq!((StatusCode::NO_CONTENT, 0), (actual.status, actual.body.len()));
+
+    let unmodified = "HTTP/1.1 304 Not Modified\r\netag: \"7\"\r\ncontent-length: 9000\r\n\r\n";
+    let actual = answer(Method::GET, unmodified).await;
+    assert_eq!((StatusCode::NOT_MODIFIED, 0), (actual.status, actual.body.len()));
+
+    let actual = answer(Method::GET, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+    assert_eq!((StatusCode::OK, 0), (actual.status, actual.body.len()));
+}
+
+#[tokio::test]
+async fn trailers_and_interim_answers_are_read_past() {
+    let trailers = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: checked\r\n\r\n\
+        6\r\nmilled\r\n0\r\nchecked: yes\r\n\r\n";
+    assert_eq!("milled", answer(Method::GET, trailers).await.body);
+
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: </card>\r\n\r\n\
+        HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nmilled";
+    assert_eq!("milled", answer(Method::POST, interim).await.body);
+}
+
+#[tokio::test]
+async fn hop_by_hop_headers_end_here() {
+    let answered = "HTTP/1.1 200 OK\r\nconnection: keep-alive, batch\r\nbatch: 7\r\n\
+        keep-alive: timeout=5\r\nproxy-authenticate: x\r\nkept: yes\r\ncontent-length: 0\r\n\r\n";
+    let actual = answer(Method::GET, answered).await;
+    let mut names: Vec<_> = actual.headers.keys().map(|name| name.as_str()).collect();
+    names.sort_unstable();
+    assert_eq!(vec!["content-length", "kept"], names);
+}
+
+/// A target's host corrupts memory: the answer's length is right, its content is not.
+#[tokio::test]
+async fn an_answer_that_differs_from_its_digest_is_not_passed_on() {
+    for (body, expected) in [("milled", true), ("mixled", false)] {
+        let answered = format!(
+            "HTTP/1.1 200 OK\r\ncontent-digest: {DIGEST_OF_MILLED}\r\ncontent-length: 6\r\n\r\n{body}"
+        );
+        let actual = ask(&exchange(), Method::GET, answered).await;
+        let differs = actual.map_err(|failure| failure.cause().clone());
+        assert_eq!(expected, differs.is_ok());
+        if !expected {
+            assert_eq!(Err(FailureCause::AnswerDigestDiffers), differs);
+        }
+    }
+}
+
+/// A target answers with far more than was agreed on. The process must not hold it, and must
+/// give back what it held of it.
+#[tokio::test]
+async fn an_answer_over_a_limit_is_dropped() {
+    let declared = "HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\nhello world".to_owned();
+    let chunked =
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n"
+            .to_owned();
+    for answered in [declared, chunked] {
+        let limit = ExchangeConfig { answer_max: Bytes::new(10), ..ExchangeConfig::default() };
+        let limited = exchange_with(limit, standing_clock());
+        let actual = ask(&limited, Method::GET, answered.clone()).await.expect_err("too large");
+        assert_eq!(&FailureCause::AnswerTooLarge, actual.cause());
+
+        let budget = BodyBudget::new(Bytes::new(10));
+        let poor = exchange_within(ExchangeConfig::default(), standing_clock(), budget.clone());
+        let actual = ask(&poor, Method::GET, answered).await.expect_err("no budget");
+        assert_eq!(&FailureCause::BudgetFull, actual.cause());
+        assert_eq!(Bytes::new(0), budget.held());
+    }
+}
+
+#[tokio::test]
+async fn a_body_holds_its_share_of_the_budget_until_its_last_clone_is_gone() {
+    let budget = BodyBudget::new(Bytes::from_kib(1));
+    let exchange = exchange_within(ExchangeConfig::default(), standing_clock(), budget.clone());
+    let answered = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nmilled".to_owned();
+    let answer = ask(&exchange, Method::GET, answered).await.expect("a whole answer");
+    let clone = answer.body.clone();
+    drop(answer);
+    assert_eq!(Bytes::new(6), budget.held());
+    drop(clone);
+    assert_eq!(Bytes::new(0), budget.held());
+}
+
+/// A caller gives up; its answer comes late, while the next caller's request waits on the same
+/// target. On a shared connection the next caller would be handed the first one's answer.
+#[tokio::test]
+async fn a_late_answer_never_meets_another_request() {
+    let target = RawTarget::start(|index, mut wire| async move {
+        while wire.request().await.is_some() {
+            if index == 0 {
+                tokio::task::yield_now().await;
+            }
+            let body = format!("answer {index}");
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n{body}");
+            wire.write(answer.as_bytes()).await;
+        }
+    })
+    .await;
+    let exchange = exchange();
+    let order = RequestBuilder::new(Method::POST);
+    let given_up = exchange.send(order.attempt(target.target()));
+    tokio::select! {
+        biased;
+        _ = given_up => panic!("it was to be given up"),
+        () = until(|| target.seen.requests() == 1) => {}
+    }
+
+    let actual = exchange.send(order.attempt(target.target())).await.expect("an answer");
+
+    assert_eq!("answer 1", actual.body);
+    assert_eq!(2, target.seen.connections());
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A gate that opens when told.
+#[derive(Debug, Default)]
+struct ShutGate {
+    asked: Notify,
+    refuses: bool,
+}
+
+impl ConnectionGate for ShutGate {
+    fn open(
+        &self,
+        _target: Endpoint,
+    ) -> std::pin::Pin<Box<dyn Future<Output = Option<ConnectionPermit>> + Send + '_>> {
+        self.asked.notify_one();
+        Box::pin(async {
+            if !self.refuses {
+                std::future::pending::<()>().await;
+            }
+            None
+        })
+    }
+}
+
+/// Many entries reconnect to a target at once. A connection that the gate holds back or refuses
+/// has sent nothing, so that the caller may be told "not run".
+#[tokio::test]
+async fn a_connection_held_back_by_the_gate_is_not_run() {
+    let target = RawTarget::start(|_, wire| wire.drain()).await;
+    for refuses in [false, true] {
+        let gate = Arc::new(ShutGate { refuses, ..ShutGate::default() });
+        let config =
+            ExchangeConfig { connect_timeout: Duration::from_millis(50), ..Default::default() };
+        let budget = BodyBudget::new(Bytes::from_kib(1));
+        let gated = Exchange::new(config, budget, Arc::clone(&gate) as _, standing_clock());
+        let order = RequestBuilder::new(Method::POST).attempt(target.target());
+
+        let actual = gated.expect("client").send(order).await.expect_err("no connection");
+
+        gate.asked.notified().await;
+        assert_eq!(Verdict::NotRun, actual.verdict());
+        let refused = &FailureCause::ConnectRefusedByGate;
+        assert_eq!(refuses, actual.cause() == refused, "{actual}");
+    }
+    assert_eq!(0, target.seen.connections());
+}
--- /dev/null
+++ b/crates/exchange/tests/support/front.rs
@@ -0,0 +1,159 @@
+//! A served port whose endpoint reads requests whole, and raw callers of it.
+
+#![allow(dead_code, missing_docs, reason = "each test file uses its part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use poem::{Endpoint, Request, Response};
+use shallotfork_exchange::{
+    BodyBudget, BodyLimits, Refusal, ServeConfig, ServeControl, ServeError, WholeRequest,
+    read_whole, serve,
+};
+use shallotfork_types::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::JoinHandle;
+
+/// Long enough that no test meets it by the machine's slowness.
+const LONG: Duration = Duration::from_secs(30);
+pub const BODY_MAX: Bytes = Bytes::new(1000);
+
+/// Answers a whole request with its parts as text; `/hold` waits until it is let go.
+#[derive(Debug)]
+pub struct Echo {
+    pub limits: BodyLimits,
+    pub budget: BodyBudget,
+    pub held: Notify,
+    pub release: Semaphore,
+}
+
+impl Echo {
+    pub fn new() -> Self {
+        let limits = BodyLimits { body_max: BODY_MAX, body_timeout: LONG };
+        Self {
+            limits,
+            budget: BodyBudget::new(Bytes::from_kib(8)),
+            held: Notify::new(),
+            release: Semaphore::new(0),
+        }
+    }
+
+    pub fn with_body_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.body_timeout = timeout;
+        self
+    }
+}
+
+/// The endpoint that [`Front`] serves.
+struct Shared(Arc<Echo>);
+
+impl Endpoint for Shared {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let echo = &self.0;
+        let whole = match read_whole(request, &echo.limits, &echo.budget).await {
+            Ok(whole) => whole,
+            Err(refusal) => return Ok(refused(&refusal)),
+        };
+        if whole.path_and_query.path() == "/hold" {
+            echo.held.notify_one();
+            let _ = echo.release.acquire().await;
+        }
+        Ok(Response::builder().body(describe(&whole)))
+    }
+}
+
+fn refused(refusal: &Refusal) -> Response {
+    refusal.problem().into_response()
+}
+
+fn describe(whole: &WholeRequest) -> String {
+    let mut headers: Vec<_> = whole
+        .headers
+        .iter()
+        .map(|(name, value)| format!("{name}: {}", value.to_str().expect("text")))
+        .collect();
+    headers.sort();
+    format!(
+        "{} {} of {}\n{}\n{:?}\n{} body bytes",
+        whole.method,
+        whole.path_and_query,
+        whole.service,
+        headers.join("\n"),
+        whole.control,
+        whole.body.len(),
+    )
+}
+
+/// A port that is being served.
+#[derive(Debug)]
+pub struct Front {
+    pub address: SocketAddr,
+    pub echo: Arc<Echo>,
+    pub control: ServeControl,
+    pub served: JoinHandle<Result<(), ServeError>>,
+}
+
+impl Front {
+    pub async fn start(echo: Echo, config: ServeConfig) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let echo = Arc::new(echo);
+        let control = ServeControl::new();
+        let serving = serve(listener, Shared(Arc::clone(&echo)), config, control.clone());
+        Self { address, echo, control, served: tokio::spawn(serving) }
+    }
+
+    pub async fn plain() -> Self {
+        Self::start(Echo::new(), ServeConfig::default()).await
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("connect")
+    }
+
+    /// Sends a complete request on a connection of its own and reads its answer.
+    pub async fn ask(&self, request: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(request.as_bytes()).await.expect("write");
+        read_answer(&mut stream).await
+    }
+
+    /// Sends the beginning of a request, ends the sending side, and reads to the end.
+    pub async fn ask_cut(&self, beginning: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(beginning.as_bytes()).await.expect("write");
+        stream.shutdown().await.expect("shutdown");
+        read_to_end(stream).await
+    }
+}
+
+/// Reads until the other side ends the connection, in whatever way.
+pub async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut read = Vec::new();
+    let reading = tokio::time::timeout(LONG, stream.read_to_end(&mut read));
+    let _ = reading.await.expect("the connection stays open");
+    String::from_utf8(read).expect("text")
+}
+
+/// Reads one answer with a `Content-Length`.
+pub async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut read = Vec::new();
+    while !read.ends_with(b"\r\n\r\n") {
+        read.push(stream.read_u8().await.expect("a head"));
+    }
+    let head = String::from_utf8(read).expect("text");
+    let length = head.split("content-length: ").nth(1).expect("a length");
+    let size = length.split("\r\n").next().expect("a line").parse().expect("a number");
+    let mut body = vec![0; size];
+    stream.read_exact(&mut body).await.expect("a body");
+    head + &String::from_utf8(body).expect("text")
+}
+
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -4,8 +4,8 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::uri::PathAndQuery;
@@ -31,7 +31,11 @@
 }
 
 pub fn exchange_with(config: ExchangeConfig, now: NowFn) -> Exchange {
-    Exchange::new(config, BodyBudget::new(BUDGET), Arc::new(OpenGate), now).expect("client")
+    exchange_within(config, now, BodyBudget::new(BUDGET))
+}
+
+pub fn exchange_within(config: ExchangeConfig, now: NowFn, budget: BodyBudget) -> Exchange {
+    Exchange::new(config, budget, Arc::new(OpenGate), now).expect("client")
 }
 
 /// Builds a request for the service `orders`.
@@ -65,6 +69,12 @@
         self
     }
 
+    /// Marks the request, so that the target can tell it from others.
+    pub fn with_mark(mut self, mark: usize) -> Self {
+        self.request.headers.insert("mark", HeaderValue::from(mark));
+        self
+    }
+
     pub fn attempt(&self, target: TargetAddress) -> Attempt<Unsent> {
         Attempt::new(target, Arc::new(self.request.clone()), Mono::ZERO.plus(DEADLINE))
     }
@@ -76,6 +86,8 @@
     pub connections: AtomicUsize,
     pub request_bytes: AtomicUsize,
     pub requests: AtomicUsize,
+    open: AtomicUsize,
+    marks: Mutex<Vec<usize>>,
 }
 
 impl Seen {
@@ -90,6 +102,11 @@
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
     }
+
+    /// How often a whole request with this mark has come.
+    pub fn runs(&self, mark: usize) -> usize {
+        self.marks.lock().expect("lock").iter().filter(|&&seen| seen == mark).count()
+    }
 }
 
 /// A target that runs one script for each connection.
@@ -114,12 +131,31 @@
             loop {
                 let (stream, _) = listener.accept().await.expect("accept");
                 let index = counted.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(script(index, Wire { stream, seen: Arc::clone(&counted) }));
+                counted.open.fetch_add(1, Ordering::SeqCst);
+                let running = script(index, Wire { stream, seen: Arc::clone(&counted) });
+                let counted = Arc::clone(&counted);
+                tokio::spawn(async move {
+                    running.await;
+                    counted.open.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         });
         Self { address, seen, task }
     }
 
+    /// Stops listening.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
+    /// Waits until every connection's script has ended.
+    pub async fn closed(&self) {
+        while self.seen.open.load(Ordering::SeqCst) > 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+
     pub fn target(&self) -> TargetAddress {
         TargetAddress::new(Endpoint::new(self.address))
     }
@@ -165,13 +201,14 @@
             head.push(self.byte().await?);
         }
         let text = String::from_utf8(head).expect("ASCII").to_ascii_lowercase();
-        let length =
-            text.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-        let size = length.map_or(0, |digits| digits.parse().expect("length"));
+        let size = header_number(&text, "content-length").unwrap_or(0);
         if self.bytes(size).await.len() < size {
             return None;
         }
         self.seen.requests.fetch_add(1, Ordering::SeqCst);
+        if let Some(mark) = header_number(&text, "mark") {
+            self.seen.marks.lock().expect("lock").push(mark);
+        }
         Some(text)
     }
 
@@ -189,3 +226,8 @@
         while self.byte().await.is_some() {}
     }
 }
+
+fn header_number(head: &str, name: &str) -> Option<usize> {
+    let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))?;
+    Some(line.parse().expect("a number"))
+}
