--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,208 @@
+//! The membership view of one process.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use shallotfork_types::{Mono, Revision, VmId};
+
+use crate::member::Member;
+use crate::{Announcement, EntryState, EntryVm, ListedVm, News, ViewConfig};
+
+/// Joins the platform's list with direct evidence and with news from other entries.
+///
+/// Only watched VMs, those with which heartbeats are exchanged, are suspected by their silence.
+/// Of the others this process hears through news, which each entry passes on in a bounded number
+/// of heartbeats; a VM that hears of a suspicion against itself refutes it by a higher round.
+#[derive(Debug)]
+pub struct View {
+    config: ViewConfig,
+    own: VmId,
+    revision: Revision,
+    members: BTreeMap<VmId, Member>,
+    /// Sends that are left for each piece of news.
+    spreading: BTreeMap<VmId, u32>,
+}
+
+impl View {
+    /// A view that knows only the own VM.
+    pub fn new(config: ViewConfig, own: &Announcement, now: Mono) -> Self {
+        let vm = own.listed.vm.clone();
+        let mut member = Member::new(own.listed.clone(), now);
+        member.incarnation = Some(own.incarnation);
+        Self {
+            config,
+            own: vm.clone(),
+            revision: Revision::NONE,
+            members: BTreeMap::from([(vm, member)]),
+            spreading: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a published list; lists below the highest revision seen are ignored.
+    ///
+    /// The own entry is never taken from the list: the process knows its own state, and a lagging
+    /// list may still describe an earlier run on the same VM.
+    pub fn set_published(&mut self, revision: Revision, list: &[ListedVm], now: Mono) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        for member in self.members.values_mut() {
+            member.on_list = false;
+        }
+        for listed in list {
+            let own = listed.vm == self.own;
+            let member = self.member(listed, now);
+            member.on_list = true;
+            if !own {
+                member.set_listed(listed);
+            }
+        }
+    }
+
+    /// Expects heartbeats of these VMs from now on, and of no others.
+    pub fn watch(&mut self, watched: &BTreeSet<VmId>, now: Mono) {
+        for (vm, member) in &mut self.members {
+            if watched.contains(vm) { member.watch(now) } else { member.unwatch() }
+        }
+    }
+
+    /// Takes a heartbeat; returns whether it counted.
+    pub fn heard(&mut self, from: &Announcement, now: Mono) -> bool {
+        if from.listed.vm == self.own {
+            return false;
+        }
+        let fresh = self.config.suspect_after;
+        let member = self.member(&from.listed, now);
+        let before = member.entry();
+        let counted = member.heard(from, fresh, now);
+        let after = member.entry();
+        if before != after {
+            self.spread(&from.listed.vm);
+        }
+        if before.state == EntryState::Suspected && after.state == EntryState::Live {
+            self.raise_own_round();
+        }
+        counted
+    }
+
+    /// Takes what another entry tells about a third one, or about this one.
+    pub fn told(&mut self, news: &News, now: Mono) {
+        let vm = news.about.listed.vm.clone();
+        if vm == self.own {
+            self.refute(news);
+            return;
+        }
+        let fresh = self.config.suspect_after;
+        let known = self.members.contains_key(&vm);
+        let changed = self.member(&news.about.listed, now).told(news, fresh, now);
+        if changed || !known {
+            self.spread(&vm);
+        }
+    }
+
+    /// Says by a higher round that this process is alive.
+    ///
+    /// After a cut has healed, or this process was paused, the others have suspected it. Those
+    /// that exchange heartbeats with it see that it is back; the rest would leave it out for good.
+    fn raise_own_round(&mut self) {
+        let own = self.own.clone();
+        if let Some(member) = self.members.get_mut(&own) {
+            member.round = member.round.saturating_add(1);
+        }
+        self.spread(&own);
+    }
+
+    /// A process that was paused, or cut off, hears that it is suspected: a higher round says that
+    /// it is back, also to those who do not exchange heartbeats with it.
+    fn refute(&mut self, news: &News) {
+        let own = self.own.clone();
+        let Some(member) = self.members.get_mut(&own) else { return };
+        let same_run = member.incarnation == Some(news.about.incarnation);
+        if same_run && news.suspected && news.about.round >= member.round {
+            member.round = news.about.round.saturating_add(1);
+            self.spread(&own);
+        }
+    }
+
+    /// Takes this process's own decision to leave.
+    pub fn leave(&mut self) {
+        let own = self.own.clone();
+        if let Some(member) = self.members.get_mut(&own) {
+            member.leave();
+        }
+        self.spread(&own);
+    }
+
+    /// The own round, for heartbeats.
+    pub fn own_round(&self) -> u32 {
+        self.members.get(&self.own).map_or(0, |member| member.round)
+    }
+
+    /// Counts every VM as heard just now.
+    ///
+    /// After this process was paused, all others look silent although only its own clock ran on.
+    /// Without this a resumed process would suspect the whole fleet at once.
+    pub fn resumed(&mut self, now: Mono) {
+        for member in self.members.values_mut() {
+            member.resumed(now);
+        }
+        self.raise_own_round();
+    }
+
+    /// Suspects watched VMs that are silent, and forgets VMs that are neither listed nor heard;
+    /// the own VM stays.
+    pub fn expire(&mut self, now: Mono) {
+        let ViewConfig { suspect_after, forget_after, .. } = self.config;
+        let own = self.own.clone();
+        let mut suspected = Vec::new();
+        self.members.retain(|vm, member| {
+            if vm != &own && member.suspect_if_silent(suspect_after, now) {
+                suspected.push(vm.clone());
+            }
+            vm == &own || member.on_list || now.since(member.quiet_since) <= forget_after
+        });
+        for vm in suspected {
+            self.spread(&vm);
+        }
+    }
+
+    /// News for the next heartbeat; what was sent least often goes first.
+    pub fn news(&mut self) -> Vec<News> {
+        let mut waiting: Vec<(u32, VmId)> =
+            self.spreading.iter().map(|(vm, sends)| (*sends, vm.clone())).collect();
+        waiting.sort_by(|a, b| b.cmp(a));
+        waiting.truncate(self.config.news_max);
+        let mut news = Vec::new();
+        for (_, vm) in waiting {
+            self.count_send(&vm);
+            news.extend(self.members.get(&vm).and_then(Member::news));
+        }
+        news
+    }
+
+    /// Every VM with the belief about it, in order of name.
+    pub fn entries(&self) -> Vec<EntryVm> {
+        self.members.values().map(Member::entry).collect()
+    }
+
+    /// When a VM was heard last; the clock's zero when it is not known.
+    pub fn heard_at(&self, vm: &VmId) -> Mono {
+        self.members.get(vm).map_or(Mono::ZERO, |member| member.quiet_since)
+    }
+
+    fn member(&mut self, listed: &ListedVm, now: Mono) -> &mut Member {
+        self.members.entry(listed.vm.clone()).or_insert_with(|| Member::new(listed.clone(), now))
+    }
+
+    fn spread(&mut self, vm: &VmId) {
+        self.spreading.insert(vm.clone(), self.config.news_sends);
+    }
+
+    fn count_send(&mut self, vm: &VmId) {
+        let Some(sends) = self.spreading.get_mut(vm) else { return };
+        *sends -= 1;
+        if *sends == 0 {
+            self.spreading.remove(vm);
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/sealed.rs
@@ -0,0 +1,200 @@
+//! Sealed ledgers: all that an issuer which left can ever say.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotfork_types::{Bytes, IdempotencyKey, Incarnation, Mono, VmId};
+
+use crate::{ClaimAnswer, KeptAnswer, OperationId, Secret};
+
+/// Rough memory of one operation besides its key and answer.
+const OPERATION_OVERHEAD_BYTES: u64 = 64;
+
+/// The final state of one operation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SealedEnd {
+    /// It ran; this is its answer.
+    Kept(Arc<KeptAnswer>),
+    /// It ran; its answer was not kept.
+    Ran,
+    /// It was closed and never ran.
+    NotRun,
+    /// It was granted and no end was reported.
+    MayHaveRun,
+}
+
+/// One operation of a sealed ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SealedOperation {
+    /// The caller's name for the operation.
+    pub key: IdempotencyKey,
+    /// Its final state.
+    pub end: SealedEnd,
+}
+
+/// The operations of one session in a sealed ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SealedSession {
+    /// Number of the session within its incarnation.
+    pub serial: u64,
+    /// Its operations in order of their keys.
+    pub operations: Vec<SealedOperation>,
+}
+
+/// The whole ledger of an issuer that grants nothing any more.
+///
+/// It never changes, so copies held by several peers cannot disagree. What it does not list was
+/// never granted, and never will be, for sessions that had not expired at `sealed_at`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SealedLedger {
+    /// The VM that issued the sessions.
+    pub vm: VmId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The secret that proves a session.
+    pub secret: Secret,
+    /// When it was sealed, on the issuer's own clock.
+    pub sealed_at: Mono,
+    /// Longest time for which any of its sessions can still be in use.
+    pub session_lifetime: Duration,
+    /// Sessions with operations, in order of their serial.
+    pub sessions: Vec<SealedSession>,
+}
+
+/// One message's worth of a sealed ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LedgerPart {
+    /// Number of this part, counted from 0.
+    pub index: u32,
+    /// Number of parts that make the whole ledger.
+    pub count: u32,
+    /// The ledger with the operations of this part only.
+    pub ledger: SealedLedger,
+}
+
+impl SealedLedger {
+    /// What the departed issuer would answer.
+    pub fn lookup(&self, operation: &OperationId) -> ClaimAnswer {
+        let session = operation.session();
+        if session.issuer() != &self.vm || session.incarnation() != self.incarnation {
+            return ClaimAnswer::MayHaveRun;
+        }
+        if !session.is_signed_by(&self.secret) {
+            return ClaimAnswer::BadSession;
+        }
+        // Sessions that ended before the seal had been forgotten by then: absence proves nothing.
+        if self.sealed_at >= session.ends_at() {
+            return ClaimAnswer::MayHaveRun;
+        }
+        match self.end(session.serial(), operation.key()) {
+            Some(SealedEnd::Kept(answer)) => ClaimAnswer::Kept(Arc::clone(answer)),
+            Some(SealedEnd::Ran) => ClaimAnswer::Ran,
+            Some(SealedEnd::NotRun) | None => ClaimAnswer::NotRun,
+            Some(SealedEnd::MayHaveRun) => ClaimAnswer::MayHaveRun,
+        }
+    }
+
+    /// Whether the ledger lists the operation itself.
+    pub(crate) fn lists(&self, operation: &OperationId) -> bool {
+        self.end(operation.session().serial(), operation.key()).is_some()
+    }
+
+    /// Drops kept answers until those left fit; their operations stay known as run.
+    #[must_use]
+    pub fn with_answers_within(mut self, limit: Bytes) -> Self {
+        let mut left_bytes = limit.value();
+        let operations = self.sessions.iter_mut().flat_map(|session| &mut session.operations);
+        for operation in operations {
+            let SealedEnd::Kept(answer) = &operation.end else {
+                continue;
+            };
+            match left_bytes.checked_sub(answer.size_bytes()) {
+                Some(rest) => left_bytes = rest,
+                None => operation.end = SealedEnd::Ran,
+            }
+        }
+        self
+    }
+
+    /// Cuts the ledger into parts of at most about `limit`, for messages of bounded size.
+    pub fn into_parts(self, limit: Bytes) -> Vec<LedgerPart> {
+        let empty = self.clone_head();
+        let mut parts = vec![empty.clone()];
+        let mut part_bytes = 0;
+        for session in self.sessions {
+            for operation in session.operations {
+                let size_bytes = operation_bytes(&operation);
+                if part_bytes > 0 && part_bytes + size_bytes > limit.value() {
+                    parts.push(empty.clone());
+                    part_bytes = 0;
+                }
+                part_bytes += size_bytes;
+                if let Some(part) = parts.last_mut() {
+                    part.push(session.serial, operation);
+                }
+            }
+        }
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        let part = |(index, ledger)| LedgerPart { index, count, ledger };
+        (0..).zip(parts).map(part).collect()
+    }
+
+    fn clone_head(&self) -> Self {
+        Self {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            secret: self.secret.clone(),
+            sealed_at: self.sealed_at,
+            session_lifetime: self.session_lifetime,
+            sessions: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, serial: u64, operation: SealedOperation) {
+        match self.sessions.last_mut().filter(|session| session.serial == serial) {
+            Some(session) => session.operations.push(operation),
+            None => self.sessions.push(SealedSession { serial, operations: vec![operation] }),
+        }
+    }
+
+    /// Adds the operations of another part and restores the order that lookups rely on.
+    pub(crate) fn merge(&mut self, sessions: Vec<SealedSession>) {
+        self.sessions.extend(sessions);
+        self.sessions.sort_by_key(|session| session.serial);
+        self.sessions.dedup_by(|next, kept| {
+            let same = next.serial == kept.serial;
+            if same {
+                kept.operations.append(&mut next.operations);
+            }
+            same
+        });
+        for session in &mut self.sessions {
+            session.operations.sort_by(|a, b| a.key.cmp(&b.key));
+        }
+    }
+
+    /// Rough memory that the ledger takes.
+    pub fn size_bytes(&self) -> u64 {
+        let operations = self.sessions.iter().flat_map(|session| &session.operations);
+        operations.map(operation_bytes).sum()
+    }
+
+    fn end(&self, serial: u64, key: &IdempotencyKey) -> Option<&SealedEnd> {
+        let session = find(&self.sessions, &serial, |session| &session.serial)?;
+        let operation = find(&session.operations, key, |operation| &operation.key)?;
+        Some(&operation.end)
+    }
+}
+
+fn operation_bytes(operation: &SealedOperation) -> u64 {
+    let answer_bytes = match &operation.end {
+        SealedEnd::Kept(answer) => answer.size_bytes(),
+        _ => 0,
+    };
+    OPERATION_OVERHEAD_BYTES + operation.key.as_str().len() as u64 + answer_bytes
+}
+
+fn find<'a, T, K: Ord>(sorted: &'a [T], wanted: &K, key: impl Fn(&T) -> &K) -> Option<&'a T> {
+    let index = sorted.binary_search_by(|item| key(item).cmp(wanted)).ok()?;
+    sorted.get(index)
+}
--- /dev/null
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -0,0 +1,106 @@
+//! What this process does when another entry calls it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use shallotfork_events::{PEER_REFUSED, event};
+use shallotfork_once::{
+    ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
+};
+use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId, ValueChange};
+use shallotfork_platform::PublishedList;
+use shallotfork_types::Revision;
+
+use crate::control::lists_pull::{published, pull_lists_from};
+use crate::control::lists_source::ListSource;
+use crate::control::lists_take::take_lists;
+use crate::control::members::{heard, own_heartbeat};
+use crate::control::state::State;
+
+/// Answers calls of entries that have proved the shared key.
+pub struct PeerCalls {
+    state: Rc<State>,
+}
+
+impl PeerCalls {
+    /// Answers from this state.
+    pub fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl PeerHandler for PeerCalls {
+    fn refused(&self, from: SocketAddr) {
+        event!(self.state.context.log, PEER_REFUSED, "from" => from.to_string());
+    }
+
+    async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
+        heard(&self.state, from, &beat);
+        let own = own_heartbeat(&self.state);
+        tokio::task::spawn_local(pull_lists_from(Rc::clone(&self.state), from.clone(), beat));
+        own
+    }
+
+    async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        let now = self.state.context.clock.now();
+        self.state
+            .ledger
+            .borrow_mut()
+            .claim(&operation, &claim, now)
+            .unwrap_or(ClaimAnswer::MayHaveRun)
+    }
+
+    async fn complete(
+        &self,
+        operation: OperationId,
+        claim: ClaimId,
+        completion: Completion,
+    ) -> CompletionAnswer {
+        let now = self.state.context.clock.now();
+        let recorded =
+            self.state.ledger.borrow_mut().complete(&operation, &claim, &completion, now);
+        recorded.unwrap_or(CompletionAnswer::Ignored)
+    }
+
+    async fn close(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
+        let now = self.state.context.clock.now();
+        self.state
+            .ledger
+            .borrow_mut()
+            .close(&operation, &claim, now)
+            .unwrap_or(ClaimAnswer::MayHaveRun)
+    }
+
+    async fn lookup(&self, operation: OperationId) -> Option<ClaimAnswer> {
+        self.state.ledger.borrow().lookup(&operation)
+    }
+
+    async fn issue(&self) -> Option<Session> {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().issue(now)
+    }
+
+    async fn changes(&self, after: Revision) -> Changes {
+        let lists = self.state.lists.borrow();
+        let values = lists.newer_than(after).into_iter().map(value_change).collect();
+        Changes { revision: lists.cursor.complete(), values }
+    }
+
+    async fn push(&self, from: &PeerId, changes: Changes) {
+        let lists = changes.values.into_iter().filter_map(published).collect();
+        take_lists(&self.state, lists, &ListSource::Peer(from.vm.clone()));
+    }
+
+    async fn handoff(&self, _from: &PeerId, part: LedgerPart) -> bool {
+        let now = self.state.context.clock.now();
+        self.state.ledger.borrow_mut().keep(part, now)
+    }
+}
+
+fn value_change(list: PublishedList) -> ValueChange {
+    ValueChange {
+        name: list.name.to_string(),
+        revision: list.revision,
+        content: list.content.into_bytes(),
+    }
+}
--- /dev/null
+++ b/crates/shallotd/src/control/state.rs
@@ -0,0 +1,47 @@
+//! The state that only the control thread touches.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use shallotfork_measure::ProbePlan;
+use shallotfork_membership::View;
+use shallotfork_platform::Platform;
+use shallotfork_revisions::PullGate;
+use shallotfork_types::ServiceName;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::control::audit::AuditTrail;
+use crate::control::ledger::Ledger;
+use crate::control::lists::Lists;
+use crate::control::peers::Peers;
+use crate::traffic::ServicePool;
+
+/// Control state. A borrow never lives across an await, so tasks of the thread can't collide.
+pub struct State {
+    /// Shared with the traffic threads.
+    pub context: Arc<Context>,
+    /// Where lists are published.
+    pub platform: Box<dyn Platform>,
+    /// When the lists of peers are read.
+    pub pulls: RefCell<PullGate>,
+    /// Published lists in force.
+    pub lists: RefCell<Lists>,
+    /// Which entries are alive.
+    pub view: RefCell<View>,
+    /// Sessions issued here, and sealed ledgers of others.
+    pub ledger: RefCell<Ledger>,
+    /// Connections to other entries.
+    pub peers: Peers,
+    /// The trail of changes.
+    pub audit: RefCell<AuditTrail>,
+    /// Pools of the services with published targets.
+    pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
+    /// When this process may probe which target.
+    pub probes: RefCell<ProbePlan>,
+    /// Whether a planned stop has begun.
+    pub leaving: Cell<bool>,
+    /// Whether a rule list is in force.
+    pub ready: watch::Sender<bool>,
+}
