--- a/crates/standin/src/net/faults.rs
+++ b/crates/standin/src/net/faults.rs
@@ -1,9 +1,13 @@
 //! What may go wrong on a listener's connections, and what was counted there.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+const WINDOW: Duration = Duration::from_secs(1);
+
 /// Faults of every connection of one listener, now and later.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -27,12 +31,15 @@
     pub open_max: u64,
     /// Connections that a fault ended.
     pub cut: u64,
+    /// The most that were opened in any window of one second.
+    pub opened_max_in_second: u64,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     faults: ConnectionFaults,
     counts: ConnectionCounts,
+    recent: VecDeque<Instant>,
 }
 
 /// Faults and counts shared by a listener and its connections.
@@ -63,7 +70,13 @@
     }
 
     pub(super) fn opened(&self) {
-        let counts = &mut self.lock().counts;
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.recent.push_back(now);
+        inner.recent.retain(|then| now.duration_since(*then) < WINDOW);
+        let recent = inner.recent.len() as u64;
+        let counts = &mut inner.counts;
+        counts.opened_max_in_second = counts.opened_max_in_second.max(recent);
         counts.opened += 1;
         counts.open += 1;
         counts.open_max = counts.open_max.max(counts.open);
--- /dev/null
+++ b/tests/tests/budget.rs
@@ -0,0 +1,148 @@
+//! What measuring and connecting may cost targets, counted by the targets themselves.
+
+use std::time::Duration;
+
+use shallotfork_standin::caller::{Call, CallerConfig};
+use shallotfork_standin::platform::ReplicaMode;
+use shallotfork_standin::target::{SERVICE_US_HEADER, TargetRecords};
+use shallotfork_tests::{Case, Running, Traffic, TrafficConfig, wait_until};
+use shallotfork_types::ServiceName;
+
+const SERVICE: &str = "register";
+/// One part in a hundred of two slots, at 6 ms a probe: 3.3 probes a second of the whole fleet.
+const PROBES_A_SECOND: u64 = 3;
+/// New connections of the whole fleet to one target in a second.
+const CONNECTIONS_A_SECOND: u64 = 12;
+
+fn case() -> Case {
+    Case::new()
+        .with_entries(3)
+        .with_service(SERVICE, 2)
+        .with_setting("vm", "probe_shares", "3")
+        .with_setting("measure", "probe_budget_permille", "10")
+        .with_setting("measure", "new_connections_per_s", &CONNECTIONS_A_SECOND.to_string())
+}
+
+fn service() -> anyhow::Result<ServiceName> {
+    Ok(SERVICE.parse()?)
+}
+
+/// Lets every entry hear of every target: probes begin with the first answer.
+async fn touch_all(running: &Running) -> anyhow::Result<()> {
+    let caller = running.caller()?;
+    let call = Call::get(service()?, "/card").with_header(SERVICE_US_HEADER, "30000");
+    for address in running.caller_addresses() {
+        let sends = (0..8).map(|_| caller.send_to(address, &call));
+        futures::future::join_all(sends).await;
+    }
+    Ok(())
+}
+
+async fn wait_for_probes(running: &Running, more: u64) -> anyhow::Result<()> {
+    let before = running.records().await?;
+    wait_until("every target was probed again", async || {
+        let Ok(now) = running.records().await else { return false };
+        before.iter().zip(&now).all(|(before, now)| now.probes >= before.probes + more)
+    })
+    .await
+}
+
+/// Stallholders wait behind probes: entries are restarted, paused, cut from the platform and told
+/// of different VM lists, and each probes by its own clock and view. The target counts the probes
+/// in every window of a second.
+#[tokio::test]
+async fn probes_keep_the_budget_whatever_happens_to_entries() -> anyhow::Result<()> {
+    let mut running = case().start().await?;
+    touch_all(&running).await?;
+    wait_for_probes(&running, 3).await?;
+
+    running.entries[0].program.kill().await?;
+    running.restart_entry(0).await?;
+    running.entries[1].program.pause()?;
+    running.platform.set_mode(ReplicaMode::Down).await?;
+    wait_for_probes(&running, 2).await?;
+    running.entries[1].program.resume()?;
+    touch_all(&running).await?;
+    wait_for_probes(&running, 4).await?;
+
+    for (target, records) in running.targets.iter().zip(running.records().await?) {
+        let most = records.probes_max_in_second;
+        assert!(most <= PROBES_A_SECOND, "{}: {most} probes in a second", target.id);
+    }
+    Ok(())
+}
+
+/// A target's process is stopped for seconds and finds in its buffers what was sent meanwhile. If
+/// entries went on probing it, it would have to answer all those probes at once.
+#[tokio::test]
+async fn a_target_that_was_paused_is_not_met_by_a_burst_of_probes() -> anyhow::Result<()> {
+    let running = case().start().await?;
+    touch_all(&running).await?;
+    wait_for_probes(&running, 1).await?;
+
+    running.targets[0].program.pause()?;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    running.targets[0].program.resume()?;
+    wait_until("the target answers again", async || running.targets[0].records().await.is_ok())
+        .await?;
+    touch_all(&running).await?;
+    wait_for_probes(&running, 2).await?;
+
+    let most = running.targets[0].records().await?.probes_max_in_second;
+    assert!(most <= PROBES_A_SECOND, "{most} probes in a second");
+    Ok(())
+}
+
+/// Answers carry load reports, so a target that serves traffic needs no probes at all.
+#[tokio::test]
+async fn targets_that_report_with_their_answers_are_not_probed() -> anyhow::Result<()> {
+    let running = case().with_entries(1).with_setting("vm", "probe_shares", "1").start().await?;
+    let caller = CallerConfig::new(running.caller_addresses());
+    let traffic = Traffic::start(&TrafficConfig::new(caller).with_reads(&service()?))?;
+    wait_until("both targets serve", async || {
+        let records = running.records().await.unwrap_or_default();
+        records.iter().filter(|records| records.runs > 20).count() == 2
+    })
+    .await?;
+    let probes = |records: Vec<TargetRecords>| records.iter().map(|one| one.probes).sum::<u64>();
+    let before = probes(running.records().await?);
+    let done = traffic.done();
+    wait_until("much more traffic has passed", async || traffic.done() > done + 1000).await?;
+    let after = probes(running.records().await?);
+    traffic.stop().await;
+    assert_eq!(before, after);
+    Ok(())
+}
+
+/// All entries are killed and start again while callers keep asking. Unspaced, their reconnects
+/// would take a millisecond each of targets that are already behind.
+#[tokio::test]
+async fn new_connections_keep_the_budget_when_all_entries_restart() -> anyhow::Result<()> {
+    let mut running = case().start().await?;
+    let caller = CallerConfig::new(running.caller_addresses());
+    let mut config = TrafficConfig::new(caller).with_reads(&service()?);
+    config.callers = 12;
+    let traffic = Traffic::start(&config)?;
+    wait_until("traffic flows", async || traffic.done() > 200).await?;
+    traffic.stop().await;
+
+    for index in 0..3 {
+        running.entries[index].program.kill().await?;
+    }
+    for index in 0..3 {
+        running.restart_entry(index).await?;
+    }
+    running.wait_ready().await?;
+    let caller = CallerConfig::new(running.caller_addresses());
+    config.caller = caller;
+    let traffic = Traffic::start(&config)?;
+    wait_until("traffic flows again", async || traffic.done() > 400).await?;
+    traffic.stop().await;
+
+    for (target, records) in running.targets.iter().zip(running.records().await?) {
+        let most = records.connections.opened_max_in_second;
+        assert!(records.connections.opened > 6, "{} was reconnected to", target.id);
+        assert!(most <= CONNECTIONS_A_SECOND, "{}: {most} in a second", target.id);
+    }
+    Ok(())
+}
