test(tests): stop the target that had work, not the first one

Ruled out: more warm-up, as the preference does not wear off. Change: the target with the most runs is stopped.

--- a/tests/tests/graceful.rs
+++ b/tests/tests/graceful.rs
@@ -47,6 +47,14 @@
         Ok(Caller::new(CallerConfig::new(vec![address]))?)
     }
 
+    /// The target for recipes with the most runs, since an entry may prefer some targets.
+    async fn busiest_target(&self) -> anyhow::Result<usize> {
+        let records = self.running.records().await?;
+        let of_recipes = |index: &usize| self.running.targets[*index].service == self.recipes;
+        let targets = (0..records.len()).filter(of_recipes);
+        targets.max_by_key(|index| records[*index].runs).context("no target")
+    }
+
     async fn check_nobody_was_cut_off(&self, report: &TrafficReport) -> anyhow::Result<()> {
         assert_eq!(Vec::<String>::new(), report.failed_reads);
         assert_eq!(Vec::<String>::new(), report.wrong_answers);
@@ -190,8 +198,9 @@
     let traffic = bench.traffic()?;
     go_on(&traffic, WARM_UP).await?;
     let recipes = bench.recipes.clone();
-    bench.running.targets[0].program.terminate()?;
-    bench.running.targets[0].published_draining = true;
+    let busiest = bench.busiest_target().await?;
+    bench.running.targets[busiest].program.terminate()?;
+    bench.running.targets[busiest].published_draining = true;
     bench.running.publish_targets(&recipes).await?;
 
     tokio::time::sleep(Duration::from_millis(LEAVING_MAX_MS)).await;
@@ -203,9 +212,9 @@
             assert!(report.success().is_some(), "{report:?}");
         }
     }
-    let records = bench.running.targets[0].records().await?;
+    let records = bench.running.targets[busiest].records().await?;
     let last_ms = records.arrived_after_drain_ms.iter().max().copied().unwrap_or(0);
-    let status = bench.running.targets[0].program.wait_exit().await?;
+    let status = bench.running.targets[busiest].program.wait_exit().await?;
     let report = traffic.stop().await;
 
     assert!(records.runs > 0, "the target had no work before");
