fix(shallotd): look for due probes without reading every target

Cause: 40 times a second the probe task listed all published targets and the state of all pools: at 18,000 targets 720,000 visits a second on the control thread.

--- a/crates/shallotd/src/control/probes.rs
+++ b/crates/shallotd/src/control/probes.rs
@@ -52,8 +52,11 @@
 fn due(state: &State) -> Vec<(Arc<Service>, TargetId)> {
     let snapshot = state.context.snapshot();
     let mut plan = state.probes.borrow_mut();
-    plan.set_targets(&measured(&snapshot), state.context.clock.now());
-    for service in snapshot.services.values() {
+    let known = state.probed.replace(Some(Arc::clone(&snapshot)));
+    if !known.is_some_and(|known| Arc::ptr_eq(&known, &snapshot)) {
+        plan.set_targets(&measured(&snapshot), state.context.clock.now());
+    }
+    for service in snapshot.services.values().filter(|service| service.pool.take_touched()) {
         learn(&mut plan, service);
     }
     let due = plan.due(state.context.clock.now());
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -16,6 +16,7 @@
 use crate::control::ledger::Ledger;
 use crate::control::lists::Lists;
 use crate::control::peers::Peers;
+use crate::snapshot::Snapshot;
 use crate::traffic::ServicePool;
 
 /// Control state. A borrow never lives across an await, so tasks of the thread can't collide.
@@ -40,6 +41,8 @@
     pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
     /// When this process may probe which target.
     pub probes: RefCell<ProbePlan>,
+    /// The snapshot whose targets the plan knows.
+    pub probed: RefCell<Option<Arc<Snapshot>>>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -116,6 +116,7 @@
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
         probes: RefCell::new(probe_plan(&context)),
+        probed: RefCell::new(None),
         leaving: Cell::new(false),
         ready,
         context,
--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -1,6 +1,7 @@
 //! The pool of one service, shared by the traffic threads.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 /// Wraps the pure pool in a lock and wakes the requests that wait in it.
 pub struct ServicePool {
     clock: Clock,
+    /// Whether an attempt ended since `take_touched`.
+    touched: AtomicBool,
     inner: Mutex<Inner>,
 }
 
@@ -81,7 +84,7 @@
     /// A pool without targets.
     pub fn new(config: PoolConfig, seed: u64, clock: Clock) -> Arc<Self> {
         let inner = Inner { pool: Pool::new(config, seed), waiting: HashMap::new() };
-        Arc::new(Self { clock, inner: Mutex::new(inner) })
+        Arc::new(Self { clock, touched: AtomicBool::new(false), inner: Mutex::new(inner) })
     }
 
     /// A place for a request that was not sent before; waits in the queue when needed.
@@ -147,6 +150,11 @@
         self.lock().pool.hedge_delay()
     }
 
+    /// Whether an attempt ended since the last call, so that there is news of a target.
+    pub fn take_touched(&self) -> bool {
+        self.touched.swap(false, Ordering::Relaxed)
+    }
+
     /// What is thought of each target.
     pub fn status(&self) -> Vec<TargetStatus> {
         let now = self.clock.now();
@@ -179,6 +187,7 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
+        self.touched.store(true, Ordering::Relaxed);
         let now = self.clock.now();
         let mut inner = self.lock();
         let woken = inner.pool.finish(assignment.attempt, outcome, report, now);
