test(tests): whole answers, true verdicts and hostile input with real processes

Found and mended: a connection that never sent a byte held its slot for the idle timeout of 60 s instead of the header timeout, so that anyone could fill the port at no cost (the test took 60.4 s before, 1.4 s after, in debug runs).

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -16,17 +16,24 @@
 #[derive(Debug)]
 pub(crate) struct Activity {
     opened: Instant,
+    begun: AtomicBool,
     busy: AtomicUsize,
     progress_ms: AtomicU64,
 }
 
 impl Activity {
     pub(crate) fn new() -> Self {
-        Self { opened: Instant::now(), busy: AtomicUsize::new(0), progress_ms: AtomicU64::new(0) }
+        Self {
+            opened: Instant::now(),
+            begun: AtomicBool::new(false),
+            busy: AtomicUsize::new(0),
+            progress_ms: AtomicU64::new(0),
+        }
     }
 
     /// A request is in progress until the returned value is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> Busy {
+        self.begun.store(true, Ordering::Relaxed);
         self.busy.fetch_add(1, Ordering::Relaxed);
         Busy { activity: Arc::clone(self) }
     }
@@ -36,8 +43,16 @@
         self.progress_ms.store(since_ms, Ordering::Relaxed);
     }
 
-    /// Ends when nothing was in progress and nothing was written for `timeout`.
-    pub(crate) async fn idle_for(&self, timeout: Duration) {
+    /// Ends when no request has begun within `first`, or later when nothing was in progress and
+    /// nothing was written for `timeout`.
+    ///
+    /// A connection that never sent a request is closed sooner: anyone can open many of them at
+    /// no cost, and each takes a slot from a caller.
+    pub(crate) async fn idle_for(&self, first: Duration, timeout: Duration) {
+        tokio::time::sleep_until(self.opened + first).await;
+        if !self.begun.load(Ordering::Relaxed) {
+            return;
+        }
         loop {
             if self.busy.load(Ordering::Relaxed) > 0 {
                 tokio::time::sleep(timeout).await;
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -168,14 +168,15 @@
         let service = service_fn(|request| self.answer(request, &activity));
         let builder = builder(&self.config);
         let mut connection = pin!(builder.serve_connection(io, service));
-        let idle = pin!(activity.idle_for(self.config.idle_timeout));
+        let ServeConfig { header_timeout, idle_timeout, .. } = self.config;
+        let idle = pin!(activity.idle_for(header_timeout, idle_timeout));
         tokio::select! {
             _ = connection.as_mut() => return,
             () = idle => return,
             () = self.control.shared.stop.cancelled() => {}
         }
         connection.as_mut().graceful_shutdown();
-        let idle = pin!(activity.idle_for(self.config.idle_timeout));
+        let idle = pin!(activity.idle_for(header_timeout, idle_timeout));
         tokio::select! {
             _ = connection => {}
             () = idle => {}
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -15,7 +15,8 @@
 pub struct ServeConfig {
     /// Connections served at one time; further ones wait in the kernel. 10,000 by default.
     pub connections_max: usize,
-    /// The longest time for an HTTP/1 request's headers to arrive; 10 s by default.
+    /// The longest time from a connection's opening to its first request's headers, and for the
+    /// headers of each HTTP/1 request; 10 s by default.
     pub header_timeout: Duration,
     /// A connection with no request in progress and no byte written is closed after this time;
     /// 60 s by default.
--- a/crates/exchange/tests/answers.rs
+++ b/crates/exchange/tests/answers.rs
@@ -128,17 +128,16 @@
 }
 
 /// A caller gives up; its answer comes late, while the next caller's request waits on the same
-/// target. On a shared connection the next caller would be handed the first one's answer.
+/// target. On a shared connection the next caller would be handed the first one's answer. The
+/// target learns that nobody waits only when the connection ends.
 #[tokio::test]
 async fn a_late_answer_never_meets_another_request() {
     let target = RawTarget::start(|index, mut wire| async move {
         while wire.request().await.is_some() {
             if index == 0 {
-                tokio::task::yield_now().await;
+                return wire.drain().await;
             }
-            let body = format!("answer {index}");
-            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n{body}");
-            wire.write(answer.as_bytes()).await;
+            wire.write(b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond").await;
         }
     })
     .await;
@@ -150,10 +149,11 @@
         _ = given_up => panic!("it was to be given up"),
         () = until(|| target.seen.requests() == 1) => {}
     }
+    target.closed().await;
 
     let actual = exchange.send(order.attempt(target.target())).await.expect("an answer");
 
-    assert_eq!("answer 1", actual.body);
+    assert_eq!("second", actual.body);
     assert_eq!(2, target.seen.connections());
 }
 
--- a/crates/exchange/tests/port.rs
+++ b/crates/exchange/tests/port.rs
@@ -18,8 +18,7 @@
 /// descriptor for ever, until no caller can connect any more.
 #[tokio::test]
 async fn senders_that_stall_are_closed_and_others_served() {
-    let config =
-        ServeConfig { header_timeout: SHORT, idle_timeout: SHORT, ..ServeConfig::default() };
+    let config = ServeConfig { header_timeout: SHORT, ..ServeConfig::default() };
     let front = Front::start(Echo::new(), config).await;
     for sent in [b"".as_slice(), b"G", b"PRI * HTTP/2.0\r\n", b"GET / HTTP/1.1\r\nhost: a\r\n"] {
         let mut stalled = front.connect().await;
--- /dev/null
+++ b/tests/tests/whole_answers.rs
@@ -0,0 +1,186 @@
+//! Whole answers of one's own, and whole uploads, while connections are cut and answers late.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, ensure};
+use bytes::Bytes;
+use futures::stream::{StreamExt, iter};
+use http::Method;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use shallotfork_standin::caller::{Call, Caller, CallerConfig};
+use shallotfork_standin::digest::content_digest;
+use shallotfork_standin::net::ConnectionFaults;
+use shallotfork_standin::target::{SERVICE_US_HEADER, SIZE_HEADER, TargetFaults};
+use shallotfork_tests::{Case, Running};
+use shallotfork_types::{Endpoint, ServiceName, Verdict};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const SEED: u64 = 0x0a11;
+const REQUESTS: usize = 3000;
+const CONCURRENT: usize = 60;
+const WAVES: usize = 6;
+const TARGETS: usize = 6;
+/// Hedges and retries on, so that answers of two attempts at one request meet.
+const RULES: &str = "[everything]\nthen.deadline_ms = 5000\nthen.retries = 2\nthen.hedge = yes\n";
+const GATEWAY_TIMEOUT: u16 = 504;
+const DEADLINE_HEADER: &str = "shallotfork-deadline-ms";
+
+/// What one caller does, drawn from the seed.
+#[derive(Debug, Clone)]
+struct Plan {
+    mark: String,
+    entry: Endpoint,
+    size_bytes: usize,
+    service_us: u64,
+    deadline_ms: u64,
+    hangs_up_after: Option<Duration>,
+    uploads: bool,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    whole: usize,
+    refused: usize,
+    timed_out: usize,
+    hung_up: usize,
+}
+
+async fn start() -> anyhow::Result<Running> {
+    Case::new()
+        .with_entries(2)
+        .with_service("recipe-desk", TARGETS)
+        .with_rules(RULES)
+        .with_setting("measure", "new_connections_per_s", "1000000")
+        .with_target_option("--slots", "64")
+        .with_target_option("--connection-us", "0")
+        .start()
+        .await
+}
+
+fn plan(rng: &mut StdRng, number: usize, entries: &[Endpoint]) -> Plan {
+    let hangs_up = rng.random_range(0..10) == 0;
+    let waits_too_short = rng.random_range(0..10) == 0;
+    Plan {
+        mark: format!("mark-{number}"),
+        entry: entries[number % entries.len()],
+        size_bytes: rng.random_range(0..20_000),
+        service_us: if waits_too_short { 60_000 } else { rng.random_range(0..4_000) },
+        deadline_ms: if waits_too_short { 30 } else { 5000 },
+        hangs_up_after: hangs_up.then(|| Duration::from_micros(rng.random_range(0..6_000))),
+        uploads: rng.random_range(0..4) == 0,
+    }
+}
+
+/// One target cuts answers, one answers late, one closes while it reads; they take turns.
+fn faults_of(target: usize, wave: usize) -> TargetFaults {
+    let connections = match (target + wave) % TARGETS {
+        0 => ConnectionFaults { cut_answer_at_bytes: Some(900), ..Default::default() },
+        1 => ConnectionFaults { close_after_read_bytes: Some(150), ..Default::default() },
+        _ => ConnectionFaults::default(),
+    };
+    let late_ms = if (target + wave) % TARGETS == 2 { 12 } else { 0 };
+    TargetFaults { connections, late_ms, ..Default::default() }
+}
+
+async fn run(caller: Arc<Caller>, service: ServiceName, plan: Plan) -> anyhow::Result<Tally> {
+    let body = if plan.uploads {
+        Bytes::from(plan.mark.repeat(plan.size_bytes / 10 + 1))
+    } else {
+        Bytes::new()
+    };
+    let method = if plan.uploads { Method::PUT } else { Method::GET };
+    let call = Call::new(service, method, "/card", body.clone())
+        .with_mark(&plan.mark)
+        .with_header(SIZE_HEADER, &plan.size_bytes.to_string())
+        .with_header(SERVICE_US_HEADER, &plan.service_us.to_string())
+        .with_header(DEADLINE_HEADER, &plan.deadline_ms.to_string());
+    let sending = caller.send_to(plan.entry, &call);
+    let report = match plan.hangs_up_after {
+        None => sending.await,
+        Some(after) => match tokio::time::timeout(after, sending).await {
+            Ok(report) => report,
+            Err(_) => return Ok(Tally { hung_up: 1, ..Tally::default() }),
+        },
+    };
+    let answer = report.answer.as_ref().with_context(|| format!("{plan:?}: {report:?}"))?;
+    if !answer.is_success() {
+        ensure!(answer.verdict.is_some(), "no verdict: {plan:?}: {report:?}");
+        let timed_out = answer.status == GATEWAY_TIMEOUT && answer.verdict != Some(Verdict::NotRun);
+        return Ok(Tally { refused: 1, timed_out: usize::from(timed_out), ..Tally::default() });
+    }
+    let work = answer.work().with_context(|| format!("no whole body: {plan:?}"))?;
+    ensure!(answer.mark.as_deref() == Some(&plan.mark), "another's: {plan:?}: {:?}", answer.mark);
+    ensure!(work.mark.as_deref() == Some(&plan.mark), "another's body: {plan:?}");
+    ensure!(answer.digest_holds == Some(true), "mixed: {plan:?}");
+    ensure!(work.filler.len() == plan.size_bytes, "short: {plan:?}");
+    ensure!(work.received_digest == content_digest(&body), "upload not whole: {plan:?}");
+    Ok(Tally { whole: 1, ..Tally::default() })
+}
+
+/// Thousands read and upload at once. Targets cut answers in the middle, close while they read,
+/// and answer late; callers hang up, and entries give up and hedge. A body or connection that is
+/// shared by mistake shows as an answer that is short, mixed or another caller's.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nobody_gets_a_part_or_anothers_answer() -> anyhow::Result<()> {
+    let running = start().await?;
+    let service: ServiceName = "recipe-desk".parse()?;
+    let entries = running.caller_addresses();
+    let caller = Arc::new(Caller::new(CallerConfig::new(entries.clone()))?);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut total = Tally::default();
+    for wave in 0..WAVES {
+        for (index, target) in running.targets.iter().enumerate() {
+            target.set_faults(faults_of(index, wave)).await?;
+        }
+        let numbers = wave * REQUESTS / WAVES..(wave + 1) * REQUESTS / WAVES;
+        let plans: Vec<Plan> = numbers.map(|number| plan(&mut rng, number, &entries)).collect();
+        let mut ends = iter(plans)
+            .map(|plan| run(Arc::clone(&caller), service.clone(), plan))
+            .buffer_unordered(CONCURRENT);
+        while let Some(end) = ends.next().await {
+            let end = end?;
+            total.whole += end.whole;
+            total.refused += end.refused;
+            total.timed_out += end.timed_out;
+            total.hung_up += end.hung_up;
+        }
+    }
+
+    let records = running.records().await?;
+    let cut: u64 = records.iter().map(|records| records.connections.cut).sum();
+    assert!(cut > 0, "no connection was cut");
+    assert!(total.whole > REQUESTS / 3, "{total:?}");
+    assert!(total.hung_up > 0 && total.timed_out > 0, "{total:?}");
+    Ok(())
+}
+
+/// A restorer's link breaks at some byte of a dossier. The archive must not learn of it: it would
+/// store the half that came.
+#[tokio::test]
+async fn half_an_upload_never_reaches_a_target() -> anyhow::Result<()> {
+    let running = start().await?;
+    let entry = running.caller_addresses()[0];
+    let body = "dossier ".repeat(10);
+    let head = format!(
+        "PUT /dossiers/7 HTTP/1.1\r\nhost: recipe-desk\r\nstandin-mark: half\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let upload = format!("{head}{body}");
+    for cut in (0..upload.len()).step_by(3) {
+        let mut stream = TcpStream::connect(entry.address()).await?;
+        stream.write_all(&upload.as_bytes()[..cut]).await?;
+        if cut % 2 == 0 {
+            stream.set_zero_linger()?;
+        }
+    }
+    let caller = running.caller()?;
+    let whole = Call::get("recipe-desk".parse()?, "/card").with_mark("whole");
+    assert!(caller.call(&whole).await?.success().is_some());
+
+    assert_eq!(1, running.runs_of_mark("whole").await?);
+    assert_eq!(0, running.runs_of_mark("half").await?);
+    Ok(())
+}
