fix(balance): send nothing that can't end in time, and blame no target for short deadlines

Cause, from targets' records every 250 ms: half a second into the burst the last of the queue got their turn with a few milliseconds left, were sent, timed out and cost their connections (3 open -> 0), which come back at 9 a second; three such time-outs in a row ejected the target; and after that the 5 s ramp of a cold target held it at one of its two slots.

Change: a waiting request is sent only if 9 in 10 recent attempts would end before its deadline, else refused (not-run); a time-out counts against a target only if the attempt had longer than the usual tail; a target left out for failures is back in 1 s, a cold one still in 5 s; a slow target's gate shrinks in proportion instead of to one.

Both guards have a test in failures.rs that was seen failing without them.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::limit::ConcurrencyLimit;
 use crate::policy::{Candidate, Chooser};
 use crate::queue::WaitQueue;
-use crate::target::{PoolView, Target};
+use crate::target::{PoolView, Ramp, RampKind, Target};
 use crate::{
     Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolTarget, Resolution,
     Shed, ShedReason, TargetStatus, Ticket, Woken,
@@ -25,6 +25,8 @@
 const OTHERS_WEIGHT: f64 = 0.02;
 /// Share of requests whose latency counts as usual; an older one in flight is a sign of trouble.
 const TAIL_QUANTILE: f64 = 0.98;
+/// Share of attempts that must be expected to end in time for one to be worth sending.
+const LIKELY_QUANTILE: f64 = 0.9;
 /// Answers between two computations of the pool's averages.
 const VIEW_EVERY: u32 = 16;
 /// Waiting requests that are tried when a target gets room; more could only differ in exclusions.
@@ -94,13 +96,14 @@
     /// Takes the list of targets. What is known of those that stay is kept; targets that appear
     /// later than the first list ramp up, as they may be cold.
     pub fn set_targets(&mut self, published: &[PoolTarget], now: Mono) -> Vec<Woken> {
-        let ramp_from = (!self.targets.is_empty()).then_some(now);
+        let cold = Ramp { from: now, kind: RampKind::Cold };
+        let ramp = (!self.targets.is_empty()).then_some(cold);
         let mut known = std::mem::take(&mut self.targets);
         for target in self.subset(published) {
             let place = known.iter().position(|old| old.published.id == target.id);
             let kept = place.map(|place| known.swap_remove(place));
             let kept = kept.map(|old| old.with_published(target.clone(), now));
-            let fresh = || Target::new(target.clone(), self.started_at(&target.id), ramp_from);
+            let fresh = || Target::new(target.clone(), self.started_at(&target.id), ramp);
             let next = kept.unwrap_or_else(fresh);
             self.targets.push(next);
         }
@@ -245,7 +248,7 @@
 
     fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
         let wait = self.expected_wait(ahead + 1);
-        let end = now.plus(wait + self.usual_latency());
+        let end = now.plus(wait + self.likely_latency());
         if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait() {
             return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
         }
@@ -279,6 +282,11 @@
         self.usual_latency().mul_f64(self.config.standing_wait)
     }
 
+    /// Time within which most attempts end.
+    fn likely_latency(&self) -> Duration {
+        self.latencies.quantile(LIKELY_QUANTILE).unwrap_or_else(|| self.usual_latency())
+    }
+
     fn usual_latency(&self) -> Duration {
         Duration::from_micros(self.view.median_us as u64)
     }
@@ -306,8 +314,8 @@
             self.queue.iter().take(WAKE_SCAN_MAX).map(|(ticket, _)| ticket).collect();
         for ticket in first {
             let Some(ask) = self.queue.remove(ticket) else { continue };
-            if ask.deadline <= now {
-                let shed = self.shed(ShedReason::DeadlinePassed, 0);
+            if let Some(reason) = self.too_late(&ask, now) {
+                let shed = self.shed(reason, 0);
                 woken.push(Woken { ticket, resolution: Resolution::Shed(shed) });
                 continue;
             }
@@ -324,6 +332,16 @@
         woken
     }
 
+    /// Why a request that gets its turn is not worth sending. One sent with less time left than
+    /// most attempts need takes a slot, times out, and costs its connection too.
+    fn too_late(&self, ask: &Ask, now: Mono) -> Option<ShedReason> {
+        if ask.deadline <= now {
+            return Some(ShedReason::DeadlinePassed);
+        }
+        let too_near = now.plus(self.likely_latency()) > ask.deadline;
+        too_near.then_some(ShedReason::DeadlineTooNear)
+    }
+
     fn end_those_without_target(&mut self) {
         let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask));
         let lost: Vec<Ticket> = lost.map(|(ticket, _)| ticket).collect();
@@ -400,6 +418,8 @@
             self.learn_latency(latency);
         }
         self.learn_crowding(running, outcome, now);
+        // One that had little time left when it was sent says nothing against the target.
+        let tail_us = self.view.tail_us;
         let Some(target) = self.find(&running.target) else { return };
         match outcome {
             AttemptOutcome::Answered { latency } => {
@@ -409,7 +429,9 @@
             AttemptOutcome::Shed => target.shed(now, spread, &config),
             AttemptOutcome::TimedOut => {
                 target.at_least(elapsed_us / running.crowding, now);
-                target.failed(now, spread, &config);
+                if elapsed_us > tail_us {
+                    target.failed(now, spread, &config);
+                }
             }
             AttemptOutcome::Cancelled => target.at_least(elapsed_us / running.crowding, now),
         }
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -112,6 +112,22 @@
     }
 }
 
+/// Why a target gets less than its share for a time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RampKind {
+    /// It is new or was drained.
+    Cold,
+    /// It was left out for failures.
+    Returning,
+}
+
+/// A time over which a target's share grows to its whole.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ramp {
+    pub(crate) from: Mono,
+    pub(crate) kind: RampKind,
+}
+
 #[derive(Debug)]
 struct Reported {
     /// Requests of other processes.
@@ -132,8 +148,8 @@
     failures_in_row: u32,
     ejected_until: Option<Mono>,
     ejections: u32,
-    /// Start of the ramp; `None` when it gets its whole share.
-    ramp_from: Option<Mono>,
+    /// The ramp; `None` when it gets its whole share.
+    ramp: Option<Ramp>,
     reported: Option<Reported>,
     heard_at: Option<Mono>,
 }
@@ -142,7 +158,7 @@
     pub(crate) fn new(
         published: PoolTarget,
         started: BTreeSet<(Mono, AttemptId)>,
-        ramp_from: Option<Mono>,
+        ramp: Option<Ramp>,
     ) -> Self {
         Self {
             published,
@@ -153,7 +169,7 @@
             failures_in_row: 0,
             ejected_until: None,
             ejections: 0,
-            ramp_from,
+            ramp,
             reported: None,
             heard_at: None,
         }
@@ -163,7 +179,7 @@
     pub(crate) fn with_published(mut self, published: PoolTarget, now: Mono) -> Self {
         let returns = !self.is_serving() && published.state == TargetState::Serving;
         if returns {
-            self.ramp_from = Some(now);
+            self.ramp = Some(Ramp { from: now, kind: RampKind::Cold });
         }
         self.published = published;
         self
@@ -212,9 +228,8 @@
     /// Requests in flight that this process may have at the target.
     pub(crate) fn gate(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> u32 {
         let whole = self.published.slots.saturating_add(config.gate_extra).max(1);
-        let slow = self.slowness(now, view, config) > 1.0;
-        let ramped = (f64::from(whole) * self.ramp(now, config)).ceil() as u32;
-        let gate = if slow { 1 } else { ramped };
+        let slowed = f64::from(whole) / self.slowness(now, view, config);
+        let gate = (slowed * self.ramp(now, config)).ceil() as u32;
         gate.min(self.published.connections_share).max(1)
     }
 
@@ -266,8 +281,12 @@
     }
 
     fn ramp(&self, now: Mono, config: &TargetConfig) -> f64 {
-        let Some(from) = self.ramp_from else { return 1.0 };
-        let part = now.since(from).as_secs_f64() / config.ramp.as_secs_f64().max(f64::MIN_POSITIVE);
+        let Some(ramp) = &self.ramp else { return 1.0 };
+        let length = match ramp.kind {
+            RampKind::Cold => config.ramp,
+            RampKind::Returning => config.return_ramp,
+        };
+        let part = now.since(ramp.from).as_secs_f64() / length.as_secs_f64().max(f64::MIN_POSITIVE);
         part.clamp(RAMP_START, 1.0)
     }
 
@@ -340,6 +359,6 @@
         let until = now.plus(wait.mul_f64(1.0 + spread / 2.0));
         self.ejections = self.ejections.saturating_add(1);
         self.ejected_until = Some(until);
-        self.ramp_from = Some(until);
+        self.ramp = Some(Ramp { from: until, kind: RampKind::Returning });
     }
 }
--- a/crates/balance/src/target_config.rs
+++ b/crates/balance/src/target_config.rs
@@ -24,8 +24,10 @@
     pub ejection_first: Duration,
     /// How long a target is left out at most; default 10 s.
     pub ejection_max: Duration,
-    /// How long a new or returning target takes to get its whole share; default 5 s.
+    /// How long a new target takes to get its whole share, as it may be cold; default 5 s.
     pub ramp: Duration,
+    /// How long a target that was left out for failures takes to get its whole share; default 1 s.
+    pub return_ramp: Duration,
     /// Time after which half of the evidence that a target is slow is forgotten, so that it is
     /// tried again; default 2 s.
     pub forget: Duration,
@@ -45,6 +47,7 @@
             ejection_first: Duration::from_millis(200),
             ejection_max: Duration::from_secs(10),
             ramp: Duration::from_secs(5),
+            return_ramp: Duration::from_secs(1),
             forget: Duration::from_secs(2),
             far_cost: Duration::from_millis(1),
         }
--- a/crates/balance/tests/failures.rs
+++ b/crates/balance/tests/failures.rs
@@ -351,3 +351,49 @@
     let Resolution::Shed(shed) = woken[0].resolution else { panic!("sent to a draining target") };
     assert_eq!(ShedReason::NoTarget, shed.reason);
 }
+
+/// Callers with little time left send requests in a burst; each ends at its own deadline. Blaming
+/// the targets would leave them out just when all their slots are needed.
+#[test]
+fn attempts_cut_by_short_deadlines_say_nothing_against_the_target() {
+    let mut drive = Drive::new(2);
+    drive.play(500, Duration::from_millis(4));
+    drive.pass(PATIENCE);
+    for _ in 0..20 {
+        let soon = drive.now.plus(Duration::from_millis(2));
+        let Admission::Send(assignment) = drive.pool.admit(Ask::new(soon), drive.now) else {
+            panic!("there is room")
+        };
+        drive.now = soon;
+        drive.pool.finish(assignment.attempt, AttemptOutcome::TimedOut, None, drive.now);
+    }
+    assert!(drive.pool.status(drive.now).iter().all(|status| !status.ejected));
+}
+
+/// A burst fills the queue, and the last in it get their turn with a few milliseconds left. Sent
+/// then, they take a slot, time out and cost their connection: in a test with real processes, at
+/// twice the capacity, 0.6 of it was served. They must be refused, which is also proof that
+/// nothing ran.
+#[test]
+fn a_request_whose_turn_comes_too_late_is_not_sent() {
+    let mut drive = Drive::new(1);
+    drive.play(200, Duration::from_millis(8));
+    drive.pass(PATIENCE);
+    let mut tickets = Vec::new();
+    for _ in 0..5 {
+        let ask = Ask::new(drive.now.plus(Duration::from_millis(35)));
+        match drive.pool.admit(ask, drive.now) {
+            Admission::Send(assignment) => drive.send(assignment),
+            Admission::Queued(ticket) => tickets.push(ticket),
+            Admission::Shed(shed) => panic!("shed: {}", shed.reason),
+        }
+    }
+    let late = drive.now.plus(Duration::from_millis(30));
+    let (_, attempt) = *drive.running.keys().next().expect("some are in flight");
+    let latency = Duration::from_millis(30);
+    let woken = drive.pool.finish(attempt, AttemptOutcome::Answered { latency }, None, late);
+    let reasons: Vec<_> = woken.iter().map(|woken| woken.resolution.clone()).collect();
+    assert_eq!(tickets.len(), woken.len());
+    let too_near = |resolution: &Resolution| matches!(resolution, Resolution::Shed(shed) if shed.reason == ShedReason::DeadlineTooNear);
+    assert!(!tickets.is_empty() && reasons.iter().all(too_near), "{reasons:?}");
+}
