--- a/tests/tests/graceful.rs
+++ b/tests/tests/graceful.rs
@@ -193,6 +193,17 @@
     check_drain(bench).await
 }
 
+/// As above, but one entry cannot reach the platform and can only hear of the drain from its
+/// peers. Callers who use that entry must not keep the target busy either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_target_gets_no_new_work_through_a_blind_entry() -> anyhow::Result<()> {
+    let case = Case::new().with_entries(3).with_replica_for_each_entry();
+    let bench = Bench::start(case).await?;
+    let hanging = Fault::Mode(ReplicaMode::Hanging);
+    bench.running.platform.fault(Some(2), hanging).await?;
+    check_drain(bench).await
+}
+
 /// Stops a target under load and checks that its work ends in time and nobody notices.
 async fn check_drain(mut bench: Bench) -> anyhow::Result<()> {
     let traffic = bench.traffic()?;
