test: orders under two faults of entries at once

Pairs: one entry paused and another cut off; one killed and restarted while another is paused; a planned stop while cut off; a planned stop while another entry is killed.

--- a/tests/tests/at_most_once_share.rs
+++ b/tests/tests/at_most_once_share.rs
@@ -9,6 +9,7 @@
 
 const CALLERS: usize = 6;
 const FAULTY: usize = 0;
+const ALSO_FAULTY: usize = 1;
 
 /// Orders that have to end before the fault, and again after it.
 const ORDERS: u64 = 150;
@@ -159,3 +160,60 @@
     assert_eq!(share.orders, share.succeeded, "{share:?}");
     Ok(())
 }
+
+/// One entry is paused while another one loses its link to it: claims wait on both.
+#[tokio::test]
+async fn orders_while_one_entry_is_paused_and_another_cut_off() -> anyhow::Result<()> {
+    let shift = Shift::start(Case::new().with_peer_relays()).await?;
+    let vm = |entry: usize| &shift.running.entries[entry].vm;
+    shift.running.entries[FAULTY].program.pause()?;
+    shift.running.links.cut_both(vm(ALSO_FAULTY), vm(2));
+    tokio::time::sleep(PAUSE).await;
+    shift.running.entries[FAULTY].program.resume()?;
+    tokio::time::sleep(PAUSE / 2).await;
+    shift.running.links.heal();
+    shift.end("one entry paused, another cut off").await?;
+    Ok(())
+}
+
+/// One entry is killed while another one is paused, which wakes up believing that it lives.
+#[tokio::test]
+async fn orders_while_one_entry_is_paused_and_another_killed() -> anyhow::Result<()> {
+    let mut shift = Shift::start(Case::new()).await?;
+    shift.running.entries[ALSO_FAULTY].program.pause()?;
+    shift.running.entries[FAULTY].program.kill().await?;
+    tokio::time::sleep(PAUSE).await;
+    shift.running.restart_entry(FAULTY).await?;
+    shift.running.entries[ALSO_FAULTY].program.resume()?;
+    shift.end("one entry killed and restarted, another paused").await?;
+    Ok(())
+}
+
+/// An entry is stopped as planned while it is cut off from its peers: nobody takes its ledger, and
+/// ends of operations do not reach it.
+#[tokio::test]
+async fn orders_while_an_entry_that_is_cut_off_is_stopped() -> anyhow::Result<()> {
+    let case = Case::new().with_peer_relays().with_setting("leaving", "grace_max_ms", "1500");
+    let mut shift = Shift::start(case).await?;
+    let vm = |entry: usize| shift.running.entries[entry].vm.clone();
+    let (faulty, others) = (vm(FAULTY), [vm(1), vm(2)]);
+    for other in &others {
+        shift.running.links.cut_both(&faulty, other);
+    }
+    shift.running.entries[FAULTY].program.terminate()?;
+    shift.running.entries[FAULTY].program.wait_exit().await?;
+    shift.running.links.heal();
+    shift.end("planned stop of an entry that is cut off").await?;
+    Ok(())
+}
+
+/// An entry is stopped as planned, and the one that may hold its ledger is killed meanwhile.
+#[tokio::test]
+async fn orders_while_one_entry_is_stopped_and_another_killed() -> anyhow::Result<()> {
+    let mut shift = Shift::start(Case::new()).await?;
+    shift.running.entries[FAULTY].program.terminate()?;
+    shift.running.entries[ALSO_FAULTY].program.kill().await?;
+    shift.running.entries[FAULTY].program.wait_exit().await?;
+    shift.end("planned stop, another entry killed").await?;
+    Ok(())
+}
