--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --workspace --bins --locked
-cargo test --workspace --locked
+cargo test --workspace --locked --no-fail-fast
 if [ -s KNOWN-RED.txt ]; then
   echo "known red:"
   cat KNOWN-RED.txt
