--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -17,7 +17,7 @@
 use shallotfork_timer::TimerService;
 use shallotfork_types::ListName;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch as watch_channel};
+use tokio::sync::{Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
 
 use crate::context::Context;
@@ -113,9 +113,11 @@
         view: RefCell::new(view),
         ledger: RefCell::new(ledger),
         peers,
+        late_reports: Arc::new(Semaphore::new(operations::LATE_REPORTS_MAX)),
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
         probes: RefCell::new(probe_plan(&context)),
+        probed: RefCell::new(None),
         leaving: Cell::new(false),
         ready,
         context,
@@ -190,7 +192,7 @@
         Command::Complete(operation, claim, completion, reply) => {
             let state = Rc::clone(state);
             tokio::task::spawn_local(async move {
-                let done = operations::complete(&state, &operation, &claim, &completion).await;
+                let done = operations::complete(&state, &operation, &claim, completion).await;
                 let _gone = reply.send(done);
             });
         }
