feat(standin): open-loop load and scenarios; one command compares policies on real processes

standin::load plans seeded Poisson arrivals with their work, sends them on time whatever became of earlier ones, and measures from the planned time (no coordinated omission). tests/examples/scenario starts the processes, plays the scenario's faults, interleaves policies in rounds and prints a table with a computed central queue; it is test code, as it starts processes.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod digest;
+pub mod load;
 pub mod net;
 pub mod platform;
 pub mod ready;
