fix(shallotd): answer at once when an entry hangs that nobody suspects yet

Cause: one task at a time connects to an entry, and a paused process takes connections and answers nothing; so claims waited in turn, each for the whole handshake timeout. Ruled out: a connection for each claim, as it was at first; a storm of them would meet the entry when it wakes up.

--- a/crates/shallotd/src/control/ledger.rs
+++ b/crates/shallotd/src/control/ledger.rs
@@ -1,5 +1,7 @@
 //! Sessions issued here and the sealed ledgers of entries that left.
 
+use std::time::Duration;
+
 use shallotfork_once::{
     Archive, ClaimAnswer, ClaimId, Completion, CompletionAnswer, Draining, Issuer, LedgerPart,
     OnceConfig, Open, OperationId, SealedLedger, Session,
@@ -21,12 +23,22 @@
     own: PeerId,
     archive: Archive,
     issued: u64,
+    alarmed_at: Option<Mono>,
 }
 
+/// Refusals for want of room are logged at most this often.
+const ALARM_PERIOD: Duration = Duration::from_secs(10);
+
 impl Ledger {
     /// A ledger that grants operations.
     pub fn new(issuer: Issuer<Open>, own: PeerId, config: OnceConfig) -> Self {
-        Self { issuing: Issuing::Open(issuer), own, archive: Archive::new(config), issued: 0 }
+        Self {
+            issuing: Issuing::Open(issuer),
+            own,
+            archive: Archive::new(config),
+            issued: 0,
+            alarmed_at: None,
+        }
     }
 
     /// A new session; `None` while leaving.
@@ -78,6 +90,15 @@
         }
     }
 
+    /// Whether a refusal for want of room is to be logged now.
+    pub fn is_alarm_due(&mut self, now: Mono) -> bool {
+        let due = self.alarmed_at.is_none_or(|at| now.since(at) >= ALARM_PERIOD);
+        if due {
+            self.alarmed_at = Some(now);
+        }
+        due
+    }
+
     /// Records how an operation ended; `None` when it is not for this process to record.
     pub fn complete(
         &mut self,
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -75,7 +75,7 @@
             true
         }
         Err(_) => {
-            state.peers.drop_client(&entry.vm);
+            state.peers.drop_client(&client);
             false
         }
     }
--- a/crates/shallotd/src/control/operations.rs
+++ b/crates/shallotd/src/control/operations.rs
@@ -7,6 +7,7 @@
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
+use shallotfork_events::{LEDGER_FULL, event};
 use shallotfork_membership::{EntryState, EntryVm};
 use shallotfork_once::{ClaimAnswer, ClaimId, Completion, CompletionAnswer, OperationId, Session};
 use shallotfork_peer::{PeerClient, PeerError};
@@ -17,6 +18,9 @@
 /// Peers asked at once for the sealed ledger of an issuer that is gone.
 const LOOKUP_PEERS_MAX: usize = 8;
 
+/// Look-ups of one process at once.
+pub const LOOKUPS_MAX: usize = 64;
+
 /// Ends of operations that are reported in the background at once.
 pub const LATE_REPORTS_MAX: usize = 256;
 
@@ -41,16 +45,14 @@
 /// would stay in progress: so the operation is closed under the claim's own number, which turns
 /// an unused grant into a proved not-run.
 pub async fn claim(state: &Rc<State>, operation: &OperationId, claim: &ClaimId) -> Decision {
-    let now = state.context.clock.now();
-    let here = state.ledger.borrow_mut().claim(operation, claim, now);
-    if let Some(answer) = here {
+    if let Some(answer) = claim_here(state, operation, claim) {
         return Decision::Answered(answer);
     }
     if let Ok(client) = issuer(state, operation.session()).await {
         match client.claim(operation, claim.number()).await {
             Ok(answer) => return Decision::Answered(answer),
             Err(_) => {
-                state.peers.drop_client(operation.session().issuer());
+                state.peers.drop_client(&client);
                 report_later(state, operation, claim, Completion::NotRun);
             }
         }
@@ -58,6 +60,17 @@
     archived(state, operation).await
 }
 
+/// Grants an operation or says what is known of it; `None` when it is not for this process to say.
+pub fn claim_here(state: &State, operation: &OperationId, claim: &ClaimId) -> Option<ClaimAnswer> {
+    let now = state.context.clock.now();
+    let mut ledger = state.ledger.borrow_mut();
+    let answer = ledger.claim(operation, claim, now)?;
+    if matches!(answer, ClaimAnswer::Full { .. }) && ledger.is_alarm_due(now) {
+        event!(state.context.log, LEDGER_FULL, "operations" => ledger.status().operations);
+    }
+    Some(answer)
+}
+
 /// Makes sure that an operation never runs, unless somebody else was granted it.
 pub async fn close(state: &Rc<State>, operation: &OperationId, claim: &ClaimId) -> Decision {
     match close_at_issuer(state, operation, claim).await {
@@ -79,7 +92,7 @@
     let client = issuer(state, operation.session()).await?;
     let answer = client.close(operation, claim.number()).await;
     if answer.is_err() {
-        state.peers.drop_client(operation.session().issuer());
+        state.peers.drop_client(&client);
     }
     Ok(answer?)
 }
@@ -103,7 +116,7 @@
     let client = issuer(state, operation.session()).await?;
     let answer = client.complete(operation, claim.number(), completion).await;
     if answer.is_err() {
-        state.peers.drop_client(operation.session().issuer());
+        state.peers.drop_client(&client);
     }
     Ok(answer? == CompletionAnswer::Recorded)
 }
@@ -214,7 +227,10 @@
 
 /// Asks the peers that may hold the issuer's sealed ledger; the first that does decides, since
 /// copies cannot disagree.
+///
+/// Look-ups at once are bounded, since a caller can name issuers that never were.
 async fn archived(state: &Rc<State>, operation: &OperationId) -> Decision {
+    let Ok(_permit) = state.lookups.try_acquire() else { return Decision::Unreachable };
     let issuer = operation.session().issuer();
     let mut holders = ranked(state, issuer, |entry| entry != EntryState::Suspected);
     holders.retain(|entry| entry.vm != *issuer);
@@ -231,5 +247,9 @@
 
 async fn lookup(state: &State, holder: &EntryVm, operation: &OperationId) -> Option<ClaimAnswer> {
     let client = state.peers.client(holder).await.ok()?;
-    client.lookup(operation).await.ok()?
+    let answer = client.lookup(operation).await;
+    if answer.is_err() {
+        state.peers.drop_client(&client);
+    }
+    answer.ok()?
 }
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -14,6 +14,7 @@
 use crate::control::lists_source::ListSource;
 use crate::control::lists_take::take_lists;
 use crate::control::members::{heard, own_heartbeat};
+use crate::control::operations::claim_here;
 use crate::control::state::State;
 
 /// Answers calls of entries that have proved the shared key.
@@ -41,12 +42,7 @@
     }
 
     async fn claim(&self, operation: OperationId, claim: ClaimId) -> ClaimAnswer {
-        let now = self.state.context.clock.now();
-        self.state
-            .ledger
-            .borrow_mut()
-            .claim(&operation, &claim, now)
-            .unwrap_or(ClaimAnswer::MayHaveRun)
+        claim_here(&self.state, &operation, &claim).unwrap_or(ClaimAnswer::MayHaveRun)
     }
 
     async fn complete(
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -37,6 +37,8 @@
     pub peers: Peers,
     /// Bounds the ends of operations that are reported in the background.
     pub late_reports: Arc<Semaphore>,
+    /// Bounds the look-ups at peers of ledgers whose issuer is gone.
+    pub lookups: Semaphore,
     /// The trail of changes.
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -113,6 +113,7 @@
         view: RefCell::new(view),
         ledger: RefCell::new(ledger),
         peers,
+        lookups: Semaphore::new(operations::LOOKUPS_MAX),
         late_reports: Arc::new(Semaphore::new(operations::LATE_REPORTS_MAX)),
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -160,6 +160,31 @@
     Ok(())
 }
 
+/// The issuer hangs and nobody suspects it yet, while many clerks send orders under its sessions.
+/// Each is told at once that nobody knows; none waits for the timeouts of those before it.
+#[tokio::test]
+async fn many_orders_to_a_hanging_issuer_are_all_answered_at_once() -> anyhow::Result<()> {
+    let case = Desk::case().with_setting("peers", "suspect_after_ms", "60000");
+    let desk = Desk::start(case).await?;
+    let session = desk.session(ISSUER).await?;
+    desk.running.entries[ISSUER].program.pause()?;
+
+    for round in 0..3 {
+        let began = Instant::now();
+        let orders = (0..10).map(|number| desk.order(&format!("hung-{round}-{number}"), &session));
+        let orders = orders.collect::<anyhow::Result<Vec<_>>>()?;
+        let reports = join_all(orders.iter().map(|order| desk.send(EXECUTOR, order))).await;
+        let waited = began.elapsed();
+
+        for report in &reports {
+            assert!(has_verdict(report, Verdict::MayHaveRun), "{report:?}");
+        }
+        assert!(waited < AT_ONCE, "round {round}: told after {waited:?}");
+    }
+    desk.running.entries[ISSUER].program.resume()?;
+    Ok(())
+}
+
 /// The entry that runs an order is paused until it is given up for dead, and then wakes up. Repeats
 /// in between are told "may have run"; afterwards they get the answer of the one run.
 #[tokio::test]
--- a/tests/tests/at_most_once_refused.rs
+++ b/tests/tests/at_most_once_refused.rs
@@ -48,6 +48,32 @@
     Ok(())
 }
 
+/// The ledger has no room for another order and refuses it as "not run". The clerk goes on under a
+/// new session of another entry; copies of the refused order stay refused everywhere.
+#[tokio::test]
+async fn a_full_ledger_refuses_and_others_go_on() -> anyhow::Result<()> {
+    let desk = Desk::start(Desk::case().with_setting("once", "operations_max", "2")).await?;
+    let session = desk.session(ISSUER).await?;
+    for number in 0..2 {
+        let taken = desk.send(EXECUTOR, &desk.order(&format!("taken-{number}"), &session)?).await;
+        assert!(taken.success().is_some(), "{taken:?}");
+    }
+
+    let order = desk.order("no-room", &session)?;
+    let refused = desk.send(EXECUTOR, &order).await;
+    let copy = desk.send(OTHER, &order).await;
+    let elsewhere = desk.order("elsewhere", &desk.session(OTHER).await?)?;
+    let fresh = desk.send(EXECUTOR, &elsewhere).await;
+
+    assert!(has_verdict(&refused, Verdict::NotRun), "{refused:?}");
+    assert_eq!(Some(503), status(&refused));
+    assert!(refused.answer.as_ref().is_some_and(|answer| answer.retry_after_s.is_some()));
+    assert!(has_verdict(&copy, Verdict::NotRun), "{copy:?}");
+    assert!(fresh.success().is_some(), "{fresh:?}");
+    assert_eq!(0, desk.runs("no-room").await?);
+    Ok(())
+}
+
 /// Somebody sends sessions that are no sessions, or that no entry has signed. Each gets a clear
 /// answer, and nothing runs.
 #[tokio::test]
