fix(shallotd): full reads do not keep a process at one replica

A new process test, a stale replica that entries come to in turn, waited 30 s in vain for the old list to be refused. Cause: an answer with lists counted as a change, so the watch stayed at that replica, and one full-read timer served all replicas, so that it always came due at the same one. A stale or rolled-back replica could go unread for good when full_read_ms is short.

Now the watch moves on unless a list took effect, and each replica has its own timer.

--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -70,11 +70,11 @@
     let changes = client.changes(after).await?;
     let complete = state.lists.borrow().cursor.complete();
     let lists = changes.values.into_iter().filter_map(published).collect();
-    let outranked = take_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
+    let taken = take_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
     if after <= complete {
         state.lists.borrow_mut().cursor.completed(changes.revision);
     }
-    show_outranked(client, changes.revision, outranked).await
+    show_outranked(client, changes.revision, taken.outranked).await
 }
 
 /// Shows the peer the contents that its own have just replaced here.
--- a/crates/shallotd/src/control/lists_take.rs
+++ b/crates/shallotd/src/control/lists_take.rs
@@ -10,26 +10,28 @@
 use crate::control::state::State;
 use crate::metrics_catalogue::LIST_OFFERS;
 
+/// What became of offered lists.
+#[derive(Debug, Default)]
+pub struct TakenLists {
+    /// Whether any takes effect.
+    pub changed: bool,
+    /// Lists that were in force under the same revision as one that took their place.
+    pub outranked: Vec<PublishedList>,
+}
+
 /// Offers lists and publishes a new snapshot when any takes effect.
-///
-/// Returns the lists that were in force under the same revision as one that took their place.
-pub fn take_lists(
-    state: &State,
-    lists: Vec<PublishedList>,
-    source: &ListSource,
-) -> Vec<PublishedList> {
-    let mut changed = false;
-    let mut outranked = Vec::new();
+pub fn take_lists(state: &State, lists: Vec<PublishedList>, source: &ListSource) -> TakenLists {
+    let mut all = TakenLists::default();
     for list in lists {
         let taken = take_list(state, list, source);
-        changed |= taken.changed;
-        outranked.extend(taken.outranked);
+        all.changed |= taken.changed;
+        all.outranked.extend(taken.outranked);
     }
-    if changed {
+    if all.changed {
         set_members(state);
         publish(state);
     }
-    outranked
+    all
 }
 
 fn take_list(state: &State, list: PublishedList, source: &ListSource) -> Taken {
--- a/crates/shallotd/src/control/watch.rs
+++ b/crates/shallotd/src/control/watch.rs
@@ -1,5 +1,6 @@
 //! Watches the platform and takes what it publishes.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,11 +8,11 @@
 use shallotfork_events::{PLATFORM_BACK, PLATFORM_BEHIND, PLATFORM_LOST, event};
 use shallotfork_platform::{Backoff, BackoffConfig, Changes, PlatformError};
 use shallotfork_revisions::Answer;
-use shallotfork_types::{Endpoint, Revision};
+use shallotfork_types::{Endpoint, Mono, Revision};
 
 use crate::control::lists_source::ListSource;
 use crate::control::lists_start::first_lists;
-use crate::control::lists_take::take_lists;
+use crate::control::lists_take::{TakenLists, take_lists};
 use crate::control::state::State;
 use crate::metrics_catalogue::PLATFORM_BEHIND as BEHIND_REVISIONS;
 
@@ -27,22 +28,18 @@
     first_lists(&state).await;
     let seed = state.context.identity.incarnation.value();
     let mut backoff = Backoff::new(BackoffConfig::default(), seed);
-    let clock = state.context.clock;
-    let mut full_read_at = clock.now();
+    let mut full_reads = FullReads::default();
     loop {
-        if clock.now().since(full_read_at) >= state.context.settings.platform.full_read {
-            state.lists.borrow_mut().cursor.read_in_full(state.platform.replica());
-            full_read_at = clock.now();
-        }
+        full_reads.ask_when_due(&state);
         let read = read_platform(&state, wait(&state)).await;
         match read {
-            Ok(changes) => {
+            Ok(read) => {
                 if backoff.failures() > 0 {
                     event!(state.context.log, PLATFORM_BACK);
                 }
                 backoff.succeeded();
                 // A replica that lags shows no change, so the next one is watched for a while.
-                if changes.is_empty() {
+                if !read.changed {
                     state.platform.next_replica();
                 }
             }
@@ -62,15 +59,22 @@
     if behind { wait.min(BEHIND_WAIT_MAX) } else { wait }
 }
 
-/// What one answer of the platform brought.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Read {
-    lists: usize,
+/// When each replica was last asked for every list.
+#[derive(Debug, Default)]
+struct FullReads {
+    asked_at: BTreeMap<Endpoint, Mono>,
 }
 
-impl Read {
-    fn is_empty(self) -> bool {
-        self.lists == 0
+impl FullReads {
+    /// Has the replica that is asked next give every list when its last full read is long ago.
+    fn ask_when_due(&mut self, state: &State) {
+        let replica = state.platform.replica();
+        let now = state.context.clock.now();
+        let asked_at = self.asked_at.entry(replica).or_insert(now);
+        if now.since(*asked_at) >= state.context.settings.platform.full_read {
+            *asked_at = now;
+            state.lists.borrow_mut().cursor.read_in_full(replica);
+        }
     }
 }
 
@@ -78,15 +82,13 @@
 ///
 /// # Errors
 /// When the replica does not answer; the next one is asked the next time.
-pub async fn read_platform(state: &State, wait: Duration) -> Result<Read, PlatformError> {
+pub async fn read_platform(state: &State, wait: Duration) -> Result<TakenLists, PlatformError> {
     let replica = state.platform.replica();
     let after = state.lists.borrow().cursor.after(replica);
     let Changes { replica, revision, lists } = state.platform.changes(after, wait).await?;
     let answer = state.lists.borrow_mut().cursor.answered(replica, after, revision);
     report_behind(state, answer, revision, replica);
-    let read = Read { lists: lists.len() };
-    take_lists(state, lists, &ListSource::Platform(replica));
-    Ok(read)
+    Ok(take_lists(state, lists, &ListSource::Platform(replica)))
 }
 
 fn report_behind(state: &State, answer: Answer, revision: Revision, replica: Endpoint) {
--- a/tests/tests/lists_under_faults.rs
+++ b/tests/tests/lists_under_faults.rs
@@ -1,8 +1,9 @@
 //! Rule lists while the platform, the entries or the links between them fail.
 
 use shallotfork_standin::platform::{Fault, ReplicaMode};
-use shallotfork_tests::{Case, RevisionWatch, Running, wait_until};
+use shallotfork_tests::{Case, Entry, RevisionWatch, Running, wait_until};
 use shallotfork_types::Revision;
+use shallotfork_types::report::AuditOutcome;
 
 /// A valid list that differs from others by its number.
 fn rules(number: u32) -> String {
@@ -44,6 +45,31 @@
     Ok(())
 }
 
+/// One of the platform's replicas serves what it knew before the last change, and each entry comes to
+/// it in turn. Were its list taken, callers would see the old rules come back; the entries must
+/// refuse it and say so.
+#[tokio::test]
+async fn a_stale_replica_does_not_undo_a_change() -> anyhow::Result<()> {
+    let case = Case::new().with_entries(2).with_replicas(2);
+    let case = case.with_setting("platform", "wait_ms", "200");
+    let running = case.with_setting("platform", "full_read_ms", "100").start().await?;
+    let watch = RevisionWatch::start(&running.entries);
+    let old = running.entries[0].status().await?.synced_revision;
+    let new = publish(&running, 1).await?;
+    wait_in_force(&running, new).await?;
+    set_mode(&running, 1, ReplicaMode::Stale { revision: old }).await?;
+    for entry in &running.entries {
+        let refused = async || {
+            let changes = entry.audit().await.unwrap_or_default();
+            changes.iter().any(|change| change.outcome == AuditOutcome::Lower)
+        };
+        wait_until("the old list is refused", refused).await?;
+    }
+    assert!(running.has_rules_everywhere(new).await);
+    assert_eq!(Vec::<String>::new(), watch.falls());
+    Ok(())
+}
+
 /// A new list is in force everywhere; then the platform's replicas fall back to an older state and
 /// an entry is replaced, with no memory. It must ask the other entry before it serves anybody, or
 /// its callers would see the older list come back.
@@ -106,10 +132,11 @@
     Ok(())
 }
 
-async fn has_conflict(entry: &shallotfork_tests::Entry) -> bool {
-    use shallotfork_types::report::AuditOutcome::{ConflictAccepted, ConflictRefused};
+async fn has_conflict(entry: &Entry) -> bool {
     let changes = entry.audit().await.unwrap_or_default();
-    changes.iter().any(|change| matches!(change.outcome, ConflictAccepted | ConflictRefused))
+    let is_conflict =
+        |outcome| matches!(outcome, AuditOutcome::ConflictAccepted | AuditOutcome::ConflictRefused);
+    changes.iter().any(|change| is_conflict(change.outcome))
 }
 
 /// A partition cuts one entry off from the platform and from the other entries; it goes on serving
