--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -9,13 +9,14 @@
 use shallotfork_platform::Platform;
 use shallotfork_revisions::PullGate;
 use shallotfork_types::ServiceName;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::context::Context;
 use crate::control::audit::AuditTrail;
 use crate::control::ledger::Ledger;
 use crate::control::lists::Lists;
 use crate::control::peers::Peers;
+use crate::snapshot::Snapshot;
 use crate::traffic::ServicePool;
 
 /// Control state. A borrow never lives across an await, so tasks of the thread can't collide.
@@ -34,12 +35,16 @@
     pub ledger: RefCell<Ledger>,
     /// Connections to other entries.
     pub peers: Peers,
+    /// Bounds the ends of operations that are reported in the background.
+    pub late_reports: Arc<Semaphore>,
     /// The trail of changes.
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
     pub pools: RefCell<BTreeMap<ServiceName, Arc<ServicePool>>>,
     /// When this process may probe which target.
     pub probes: RefCell<ProbePlan>,
+    /// The snapshot whose targets the plan knows.
+    pub probed: RefCell<Option<Arc<Snapshot>>>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -1,6 +1,7 @@
 //! The pool of one service, shared by the traffic threads.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,9 +11,12 @@
 };
 use shallotfork_measure::LoadReport;
 use shallotfork_timer::Clock;
-use shallotfork_types::{Permille, TargetId};
+use shallotfork_types::{Mono, Permille, TargetId};
 use tokio::sync::oneshot;
 
+/// Shortest wait between two looks at the queue's deadlines.
+const EXPIRY_STEP: Duration = Duration::from_millis(1);
+
 type Place = Result<Assigned, Shed>;
 
 struct Inner {
@@ -23,6 +27,8 @@
 /// Wraps the pure pool in a lock and wakes the requests that wait in it.
 pub struct ServicePool {
     clock: Clock,
+    /// Whether an attempt ended since `take_touched`.
+    touched: AtomicBool,
     inner: Mutex<Inner>,
 }
 
@@ -81,7 +87,7 @@
     /// A pool without targets.
     pub fn new(config: PoolConfig, seed: u64, clock: Clock) -> Arc<Self> {
         let inner = Inner { pool: Pool::new(config, seed), waiting: HashMap::new() };
-        Arc::new(Self { clock, inner: Mutex::new(inner) })
+        Arc::new(Self { clock, touched: AtomicBool::new(false), inner: Mutex::new(inner) })
     }
 
     /// A place for a request that was not sent before; waits in the queue when needed.
@@ -118,8 +124,8 @@
         self.deliver(woken);
     }
 
-    /// Ends the requests that have waited too long; call it often.
-    pub fn expire(self: &Arc<Self>) {
+    /// Ends the requests that have waited too long.
+    fn expire(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut inner = self.lock();
         if inner.pool.next_expiry().is_none_or(|due| due > now) {
@@ -147,6 +153,11 @@
         self.lock().pool.hedge_delay()
     }
 
+    /// Whether an attempt ended since the last call, so that there is news of a target.
+    pub fn take_touched(&self) -> bool {
+        self.touched.swap(false, Ordering::Relaxed)
+    }
+
     /// What is thought of each target.
     pub fn status(&self) -> Vec<TargetStatus> {
         let now = self.clock.now();
@@ -163,9 +174,33 @@
             (Admission::Shed(shed), _) => Err(shed),
             (Admission::Queued(ticket), receiver) => {
                 let _waiting = Waiting { pool: self, ticket };
-                let receiver = receiver.expect("a queued request has a receiver");
-                receiver.await.expect("every ticket is resolved before its sender is dropped")
+                self.wait(receiver.expect("a queued request has a receiver")).await
+            }
+        }
+    }
+
+    /// Waits for a place. Each waiting request looks after the queue's next deadline itself, so
+    /// that a process without waiting requests does nothing at all.
+    async fn wait(self: &Arc<Self>, mut receiver: oneshot::Receiver<Place>) -> Place {
+        loop {
+            self.expire();
+            let due = self.lock().pool.next_expiry();
+            tokio::select! {
+                place = &mut receiver => {
+                    return place.expect("every ticket is resolved before its sender is dropped");
+                }
+                () = self.until(due) => {}
+            }
+        }
+    }
+
+    async fn until(&self, due: Option<Mono>) {
+        match due {
+            Some(due) => {
+                let wait = due.since(self.clock.now()).max(EXPIRY_STEP);
+                tokio::time::sleep(wait).await;
             }
+            None => std::future::pending().await,
         }
     }
 
@@ -179,6 +214,7 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
+        self.touched.store(true, Ordering::Relaxed);
         let now = self.clock.now();
         let mut inner = self.lock();
         let woken = inner.pool.finish(assignment.attempt, outcome, report, now);
