feat(measure,balance): a target's own word that it is leaving counts at once

Ruled out: `Connection: close` as the sign, which servers also send for other reasons; treating it like an ejection, which is ignored when half of a service's targets are out, so that with two targets nothing would change. Change: `named_metrics.draining` above 0 in a load report leaves the target out for 30 s or until a report without it; when all targets of a service say so, only the list counts. Waiting requests that no target is left for are ended.

Not covered: an entry that had no request for the target learns by its own first request, since peers do not share this sign.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -177,10 +177,15 @@
 
     /// Takes a target's account of its load that came with no request's answer, as from a probe.
     pub fn report(&mut self, target: &TargetId, report: LoadReport, now: Mono) {
-        let Some(target) = self.find(target) else { return };
-        let Some(others) = target.report(report, now) else { return };
-        let usual = &mut self.view.others_per_slot;
-        *usual += (others - *usual) * OTHERS_WEIGHT;
+        let found = self.targets.iter_mut().find(|known| known.published.id == *target);
+        let Some(target) = found else { return };
+        if let Some(others) = target.report(report, now, &self.config.target) {
+            let usual = &mut self.view.others_per_slot;
+            *usual += (others - *usual) * OTHERS_WEIGHT;
+        }
+        if report.draining {
+            self.end_those_without_target(now);
+        }
     }
 
     /// Ends waiting requests whose deadline has passed, and uses targets whose time has come.
@@ -234,7 +239,7 @@
         if ask.deadline <= now {
             return Admission::Shed(self.shed(ShedReason::DeadlinePassed, 0));
         }
-        if !self.has_target_for(&ask) {
+        if !self.has_target_for(&ask, now) {
             return Admission::Shed(self.shed(ShedReason::NoTarget, 0));
         }
         let ahead = self.queue.ahead_of(&ask);
@@ -308,7 +313,7 @@
     /// Assigns waiting requests in order while targets have room.
     fn wake(&mut self, now: Mono) -> Vec<Woken> {
         let mut woken = self.take_ended();
-        self.end_those_without_target();
+        self.end_those_without_target(now);
         woken.append(&mut self.ended);
         let first: Vec<Ticket> =
             self.queue.iter().take(WAKE_SCAN_MAX).map(|(ticket, _)| ticket).collect();
@@ -342,8 +347,8 @@
         too_near.then_some(ShedReason::DeadlineTooNear)
     }
 
-    fn end_those_without_target(&mut self) {
-        let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask));
+    fn end_those_without_target(&mut self, now: Mono) {
+        let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask, now));
         let lost: Vec<Ticket> = lost.map(|(ticket, _)| ticket).collect();
         for ticket in lost {
             self.queue.remove(ticket);
@@ -351,8 +356,27 @@
         }
     }
 
-    fn has_target_for(&self, ask: &Ask) -> bool {
-        self.targets.iter().any(|target| may_serve(target, ask))
+    fn has_target_for(&self, ask: &Ask, now: Mono) -> bool {
+        self.serving_for(ask, now).next().is_some()
+    }
+
+    /// Targets that take new work, by what was published and by their own word.
+    ///
+    /// The published list lags behind a target that leaves, which would lose what is sent to it
+    /// last; its own word comes with the first answer. When all say that they leave, somebody
+    /// has to serve still: then only the list counts.
+    fn serving_for<'a>(
+        &'a self,
+        ask: &'a Ask,
+        now: Mono,
+    ) -> impl Iterator<Item = (usize, &'a Target)> + 'a {
+        let mut serving = self.targets.iter().filter(|target| target.is_serving());
+        let all_leave = serving.all(|target| target.says_leaving(now));
+        let takes_work =
+            move |target: &Target| target.is_serving() && (all_leave || !target.says_leaving(now));
+        let wanted = |target: &Target| !ask.exclude.contains(&target.published.id);
+        let targets = self.targets.iter().enumerate();
+        targets.filter(move |(_, target)| takes_work(target) && wanted(target))
     }
 
     fn assign(&mut self, ask: &Ask, now: Mono) -> Option<Assignment> {
@@ -383,7 +407,7 @@
     /// Targets with room. Those ejected are left out, unless that is half of all or more: then
     /// the evidence more likely shows a fault of this process or its network.
     fn candidates(&self, ask: &Ask, now: Mono) -> Vec<Candidate> {
-        let serving = self.targets.iter().enumerate().filter(|(_, t)| may_serve(t, ask));
+        let serving = self.serving_for(ask, now);
         let (ejected, healthy): (Vec<_>, Vec<_>) = serving.partition(|(_, t)| t.is_ejected(now));
         let ignore_evidence = ejected.len() >= healthy.len();
         let ejected = ejected.into_iter().filter(|_| ignore_evidence);
@@ -507,7 +531,3 @@
         self.last_id
     }
 }
-
-fn may_serve(target: &Target, ask: &Ask) -> bool {
-    target.is_serving() && !ask.exclude.contains(&target.published.id)
-}
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -148,6 +148,8 @@
     failures_in_row: u32,
     ejected_until: Option<Mono>,
     ejections: u32,
+    /// Until when its word that it is leaving counts.
+    leaving_until: Option<Mono>,
     /// The ramp; `None` when it gets its whole share.
     ramp: Option<Ramp>,
     reported: Option<Reported>,
@@ -169,6 +171,7 @@
             failures_in_row: 0,
             ejected_until: None,
             ejections: 0,
+            leaving_until: None,
             ramp,
             reported: None,
             heard_at: None,
@@ -205,6 +208,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the target said lately that it is leaving.
+    pub(crate) fn says_leaving(&self, now: Mono) -> bool {
+        self.leaving_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn ejected_until(&self) -> Option<Mono> {
         self.ejected_until
     }
@@ -303,7 +311,13 @@
     }
 
     /// Takes a load report; returns the requests of other processes per slot that it shows.
-    pub(crate) fn report(&mut self, report: LoadReport, now: Mono) -> Option<f64> {
+    pub(crate) fn report(
+        &mut self,
+        report: LoadReport,
+        now: Mono,
+        config: &TargetConfig,
+    ) -> Option<f64> {
+        self.leaving_until = report.draining.then(|| now.plus(config.drain_trust));
         let slots = self.slots();
         let by_use = report.utilisation.map(|used| f64::from(used.value()) / 1000.0 * slots);
         let all = report.in_flight.map(f64::from).or(by_use)?;
--- a/crates/balance/src/target_config.rs
+++ b/crates/balance/src/target_config.rs
@@ -31,6 +31,9 @@
     /// Time after which half of the evidence that a target is slow is forgotten, so that it is
     /// tried again; default 2 s.
     pub forget: Duration,
+    /// How long a target that said it is leaving gets nothing; default 30 s. It may have changed
+    /// its mind, or another server may have taken its address, and nothing else would tell.
+    pub drain_trust: Duration,
     /// Added expected time for a target outside the preferred failure domains; default 1 ms.
     pub far_cost: Duration,
 }
@@ -49,6 +52,7 @@
             ramp: Duration::from_secs(5),
             return_ramp: Duration::from_secs(1),
             forget: Duration::from_secs(2),
+            drain_trust: Duration::from_secs(30),
             far_cost: Duration::from_millis(1),
         }
     }
--- a/crates/measure/src/load_report.rs
+++ b/crates/measure/src/load_report.rs
@@ -21,6 +21,7 @@
 const TEXT_PREFIX: &str = "TEXT ";
 const JSON_PREFIX: &str = "JSON ";
 const IN_FLIGHT: &str = "in_flight";
+const DRAINING: &str = "draining";
 
 /// A target's own account of its load at the time of one answer; every part may be missing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -29,6 +30,8 @@
     pub utilisation: Option<Permille>,
     /// Requests that the target runs or holds in its queue.
     pub in_flight: Option<u32>,
+    /// Whether the target says that it is leaving (`named_metrics.draining` above 0).
+    pub draining: bool,
 }
 
 /// When a header is not a load report; it is then ignored.
@@ -91,7 +94,8 @@
         let application = orca.application_utilization.and_then(utilisation);
         let cpu = orca.cpu_utilization.and_then(utilisation);
         let in_flight = orca.named_metrics.get(IN_FLIGHT).copied().and_then(count);
-        Self { utilisation: application.or(cpu), in_flight }
+        let draining = orca.named_metrics.get(DRAINING).is_some_and(|draining| *draining > 0.0);
+        Self { utilisation: application.or(cpu), in_flight, draining }
     }
 }
 
--- a/crates/measure/tests/load_report.rs
+++ b/crates/measure/tests/load_report.rs
@@ -7,7 +7,11 @@
 const SEED: u64 = 0x10ad;
 
 fn report(utilisation: u32, in_flight: u32) -> LoadReport {
-    LoadReport { utilisation: Some(Permille::new(utilisation)), in_flight: Some(in_flight) }
+    LoadReport {
+        utilisation: Some(Permille::new(utilisation)),
+        in_flight: Some(in_flight),
+        draining: false,
+    }
 }
 
 #[test]
@@ -25,6 +29,17 @@
     assert_eq!(Ok(report(1500, 4)), LoadReport::from_header(text));
 }
 
+#[test]
+fn a_target_says_that_it_is_leaving() {
+    let leaving = LoadReport { draining: true, ..LoadReport::default() };
+    let text = "TEXT named_metrics.draining=1.0";
+    let json = r#"JSON {"named_metrics":{"draining":1}}"#;
+    assert_eq!(Ok(leaving), LoadReport::from_header(text));
+    assert_eq!(Ok(leaving), LoadReport::from_header(json));
+    let staying = LoadReport::from_header("TEXT named_metrics.draining=0");
+    assert_eq!(Ok(LoadReport::default()), staying);
+}
+
 #[test]
 fn impossible_numbers_count_as_missing_or_are_cut() {
     let missing = LoadReport::from_header("TEXT cpu_utilization=-1,named_metrics.in_flight=NaN");
--- a/tests/tests/graceful.rs
+++ b/tests/tests/graceful.rs
@@ -16,6 +16,8 @@
 const WARM_UP: u64 = 50;
 /// Reads through each entry once a target must be left alone.
 const READS_PER_ENTRY: u32 = 10;
+/// Far longer than a target takes to stop.
+const LIST_LAG_MS: u64 = 60_000;
 /// New work may reach a leaving part for this long.
 const LEAVING_MAX_MS: u64 = 3000;
 
@@ -193,6 +195,15 @@
     check_drain(bench).await
 }
 
+/// As above, but the published list lags for longer than the target takes to stop. Its own word
+/// in its answers is the only sign.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_draining_target_is_left_alone_before_it_is_published() -> anyhow::Result<()> {
+    let bench = Bench::start(Case::new().with_entries(2)).await?;
+    bench.running.platform.delay("targets.recipe-desk", LIST_LAG_MS).await?;
+    check_drain(bench).await
+}
+
 /// As above, but one entry cannot reach the platform and can only hear of the drain from its
 /// peers. Callers who use that entry must not keep the target busy either.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
