feat(shallotctl): rules of one service in check and explain; lists refused from the first show

Cause: explain read the general list alone, so it told operators another rule than the entry takes. A list whose first version is bad was in no status, only in the log: seen when a test published a good and a bad version faster than the entry read them.

--- a/crates/revisions/src/tracker.rs
+++ b/crates/revisions/src/tracker.rs
@@ -62,9 +62,10 @@
         versions.refused.filter(|refused| Some(refused.revision) >= versions.revision())
     }
 
-    /// Every list with a version in force, ordered by name.
-    pub fn all_in_force(&self) -> impl Iterator<Item = (&ListName, Version)> {
-        self.lists.iter().filter_map(|(name, versions)| Some((name, versions.in_force?)))
+    /// Every list that was ever offered, ordered by name, with its version in force. A list whose
+    /// versions were all refused has none.
+    pub fn all(&self) -> impl Iterator<Item = (&ListName, Option<Version>)> {
+        self.lists.iter().map(|(name, versions)| (name, versions.in_force))
     }
 }
 
--- a/crates/rules/src/rule_part.rs
+++ b/crates/rules/src/rule_part.rs
@@ -28,6 +28,11 @@
         Self { rules }
     }
 
+    /// Number of rules.
+    pub fn rule_count(&self) -> usize {
+        self.rules.len()
+    }
+
     /// The rules in order.
     pub(crate) fn rules(&self) -> &[Arc<Rule>] {
         &self.rules
--- a/crates/shallotctl/src/args.rs
+++ b/crates/shallotctl/src/args.rs
@@ -97,7 +97,8 @@
             return Ok(Request::Help(help::CHECK));
         }
         let file = self.operand.take().context("FILE is missing")?.into();
-        let config = CheckConfig { file, json: self.json };
+        let service = self.parse("service")?;
+        let config = CheckConfig { file, service, json: self.json };
         self.finish(Request::Check(config))
     }
 
@@ -107,9 +108,10 @@
         }
         let file = self.take("rules");
         let entries = self.entries()?;
-        let source = match (file, entries.entries.len()) {
-            (Some(file), 0) => RulesSource::File(file.into()),
-            (None, 1) => RulesSource::Entry(entries),
+        let part = self.take("service-rules");
+        let source = match (file, part, entries.entries.len()) {
+            (Some(file), part, 0) => RulesSource::Files(file.into(), part.map(Into::into)),
+            (None, None, 1) => RulesSource::Entry(entries),
             _ => bail!("give either --rules FILE or one --entry ADDR"),
         };
         let config = ExplainConfig {
--- a/crates/shallotctl/src/command/explain.rs
+++ b/crates/shallotctl/src/command/explain.rs
@@ -1,10 +1,15 @@
 //! `shallotctl explain`: which rule decides for a request, and why.
 
 use std::fs;
+use std::path::Path;
 
 use anyhow::{Context, Result};
 use serde::Serialize;
-use shallotfork_rules::{Described, Explanation, Latches, Outcome, RuleList, RuleTrace, Unmet};
+use shallotfork_rules::{
+    Described, Explanation, Latches, Outcome, RuleError, RuleList, RulePart, RuleTrace,
+    ServiceIndex, Unmet,
+};
+use shallotfork_types::{ListName, ServiceName};
 
 use super::{ExplainConfig, RulesSource};
 use crate::entries::Entries;
@@ -47,8 +52,8 @@
 /// # Errors
 /// When the rules cannot be read.
 pub async fn explain(config: &ExplainConfig) -> Result<Exit> {
-    let text = read_rules(&config.source).await?;
-    let list = match RuleList::parse(&text) {
+    let texts = read_rules(config).await?;
+    let list = match joined(&texts, &config.service) {
         Ok(list) => list,
         Err(errors) => {
             errors.iter().for_each(|error| eprintln!("{error}"));
@@ -71,15 +76,42 @@
     Ok(Exit::Done)
 }
 
-async fn read_rules(source: &RulesSource) -> Result<String> {
-    match source {
-        RulesSource::File(path) => {
-            fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+/// The general list, and the service's own one if it has any.
+struct Texts {
+    general: String,
+    part: Option<String>,
+}
+
+async fn read_rules(config: &ExplainConfig) -> Result<Texts> {
+    match &config.source {
+        RulesSource::Files(general, part) => Ok(Texts {
+            general: read_file(general)?,
+            part: part.as_deref().map(read_file).transpose()?,
+        }),
+        RulesSource::Entry(entry) => {
+            let entries = Entries::new(entry.clone())?;
+            let general = entries.list(&ListName::Rules).await?;
+            let part = ListName::ServiceRules(config.service.clone());
+            Ok(Texts {
+                general: general.context("no rule list is in force there")?,
+                part: entries.list(&part).await?,
+            })
         }
-        RulesSource::Entry(config) => Entries::new(config.clone())?.rules().await,
     }
 }
 
+fn read_file(path: &Path) -> Result<String> {
+    fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+/// The rules as an entry would go through them.
+fn joined(texts: &Texts, service: &ServiceName) -> Result<RuleList, Vec<RuleError>> {
+    let general = RuleList::parse(&texts.general)?;
+    let part = texts.part.as_deref().map(RulePart::parse).transpose()?;
+    let Some(part) = part else { return Ok(general) };
+    Ok(ServiceIndex::new(&general).rules_for(service, Some(&part)))
+}
+
 fn shown(explanation: &Explanation) -> String {
     let rules: String = explanation.rules.iter().map(|rule| format!("{rule}\n")).collect();
     format!("{rules}\n{}", shown_outcome(&explanation.outcome))
--- a/crates/shallotctl/src/command/explain_config.rs
+++ b/crates/shallotctl/src/command/explain_config.rs
@@ -10,8 +10,8 @@
 /// Where the rules come from.
 #[derive(Debug)]
 pub enum RulesSource {
-    /// A file.
-    File(PathBuf),
+    /// Files: the general list, and the service's own one if it has any.
+    Files(PathBuf, Option<PathBuf>),
     /// The rules in force at an entry.
     Entry(EntriesConfig),
 }
--- a/crates/shallotd/src/control/lists.rs
+++ b/crates/shallotd/src/control/lists.rs
@@ -154,14 +154,14 @@
 
     /// What operators see of each list.
     pub fn status(&self, now: Mono) -> Vec<ListStatus> {
-        let status = |(name, version): (&ListName, Version)| ListStatus {
+        let status = |(name, version): (&ListName, Option<Version>)| ListStatus {
             name: name.clone(),
-            revision: version.revision,
-            digest: version.digest.to_string(),
+            revision: version.map_or(Revision::NONE, |version| version.revision),
+            digest: version.map_or(String::new(), |version| version.digest.to_string()),
             in_force_ms: self.in_force_ms(name, now),
             refused_revision: self.tracker.refused(name).map(|refused| refused.revision),
         };
-        self.tracker.all_in_force().map(status).collect()
+        self.tracker.all().map(status).collect()
     }
 
     fn in_force_ms(&self, name: &ListName, now: Mono) -> u64 {
--- a/crates/shallotd/src/operator/mod.rs
+++ b/crates/shallotd/src/operator/mod.rs
@@ -33,6 +33,9 @@
     pub metrics: MetricsPage,
 }
 
+/// Path of the texts of lists; the list's name follows.
+const LISTS_PATH: &str = "/v1/lists/";
+
 /// The endpoint of the operators' port.
 pub fn operator(operator: Operator) -> impl Endpoint {
     let operator = Arc::new(operator);
@@ -52,9 +55,17 @@
             "/v1/ready" => ready(*self.phase.borrow()),
             "/v1/status" => json(control.status().await),
             "/v1/audit" => json(control.audit().await),
-            "/v1/rules" => text(control.rules().await),
             "/metrics" => self.metrics.answer(control.status().await, &self.context),
-            _ => StatusCode::NOT_FOUND.into_response(),
+            path => self.list(path).await,
+        }
+    }
+
+    /// The text of a list in force.
+    async fn list(&self, path: &str) -> Response {
+        let name = path.strip_prefix(LISTS_PATH).and_then(|name| name.parse().ok());
+        match name {
+            Some(name) => text(self.context.control.list(name).await),
+            None => StatusCode::NOT_FOUND.into_response(),
         }
     }
 
@@ -84,7 +95,7 @@
 fn text(content: Option<String>) -> Response {
     match content {
         Some(content) => content.into_response(),
-        None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
--- a/tests/tests/hostile_input.rs
+++ b/tests/tests/hostile_input.rs
@@ -170,9 +170,14 @@
     let running = start().await?;
     let entry = running.caller_addresses()[0];
     let http = reqwest::Client::new();
-    for path in
-        ["/v1/status", "/v1/audit", "/v1/rules", "/v1/ready", "/metrics", "/v1/entries/../status"]
-    {
+    for path in [
+        "/v1/status",
+        "/v1/audit",
+        "/v1/lists/rules",
+        "/v1/ready",
+        "/metrics",
+        "/v1/entries/../status",
+    ] {
         let itself = http.get(format!("http://{entry}{path}")).send().await?;
         assert_eq!(StatusCode::NOT_FOUND, itself.status(), "{path}");
         assert_eq!("not-run", itself.headers()["shallotfork-verdict"], "{path}");
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -8,7 +8,7 @@
 use shallotfork_types::Endpoint;
 use shallotfork_types::report::{AuditReport, LifeCycleState};
 
-const PAGES: [&str; 5] = ["/v1/ready", "/v1/status", "/v1/audit", "/v1/rules", "/metrics"];
+const PAGES: [&str; 5] = ["/v1/ready", "/v1/status", "/v1/audit", "/v1/lists/rules", "/metrics"];
 const TOKEN: &str = "0123456789abcdef0123456789abcdef";
 
 async fn status_of(
@@ -34,7 +34,7 @@
 
     let status = entry.status().await?;
     let audit: AuditReport = serde_json::from_str(&entry.operator_get("/v1/audit").await?)?;
-    let rules = entry.operator_get("/v1/rules").await?;
+    let rules = entry.operator_get("/v1/lists/rules").await?;
 
     let lists: Vec<String> = status.lists.iter().map(|list| list.name.to_string()).collect();
     let changes: Vec<String> = audit.changes.iter().map(|change| change.list.to_string()).collect();
--- a/tests/tests/shallotctl.rs
+++ b/tests/tests/shallotctl.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use shallotfork_tests::{Case, Running};
+use shallotfork_tests::{Case, Running, wait_until};
 
 const RULES: &str = "\
 [batch-when-busy]
@@ -82,3 +82,21 @@
     assert!(stdout(&explain).contains("[batch-when-busy]: decides"), "{explain:?}");
     Ok(())
 }
+
+/// A service has rules of its own. An operator who asks an entry must be told what the entry does,
+/// which the general list alone does not say.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_is_told_of_a_services_own_rules() -> anyhow::Result<()> {
+    let running = Case::new().with_rules(RULES).start().await?;
+    let own = "[closed]\nthen.refuse = 451\n";
+    running.platform.publish("rules.recipes", own).await?;
+    let request = ["explain", "--service", "recipes", "--caller", "batch"];
+    wait_until("the service's rules are in force", async || {
+        shallotctl(&running, &request)
+            .is_ok_and(|explain| stdout(&explain).contains("[closed]: decides"))
+    })
+    .await?;
+    let other = shallotctl(&running, &["explain", "--service", "cards"])?;
+    assert!(stdout(&other).contains("[everything]: decides"), "{other:?}");
+    Ok(())
+}
