--- a/crates/once/examples/cost.rs
+++ b/crates/once/examples/ledger_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what the ledger costs: processor time of each decision and memory of each operation.
 //!
-//! `cargo run --release -p shallotfork-once --example cost`. Memory is the growth of the resident
+//! `cargo run --release -p shallotfork-once --example ledger_cost`. Memory is the growth of the resident
 //! set, read from /proc/self/statm, so it holds the allocator's overhead too.
 
 use std::error::Error;
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what heartbeats and claims cost: bytes on the wire and processor time of both ends.
 //!
-//! `cargo run --release -p shallotfork-peer --example cost`. Both ends run in this process, so the
+//! `cargo run --release -p shallotfork-peer --example peer_cost`. Both ends run in this process, so the
 //! processor time is the sum of client and server; the ledger behind them is the real one. Bytes
 //! are TCP payload, counted by a relay between the two in a run of its own.
 
