--- a/crates/exchange/tests/answers.rs
+++ b/crates/exchange/tests/answers.rs
@@ -76,6 +76,34 @@
     assert_eq!(vec!["content-length", "kept"], names);
 }
 
+/// reqwest takes a `Url`, whose rules (WHATWG) resolve dot segments and encode a quote in a query;
+/// everything else must arrive as it was asked.
+#[tokio::test]
+async fn the_request_target_arrives_as_it_was_asked() {
+    let same =
+        ["/", "/a/b?x=1&y=%20z", "/%7Ea;v=1/+?", "/?q=/../", "/a//b"].map(|path| (path, path));
+    let rewritten = [("/a/../b/./c", "/b/c"), ("/?q='", "/?q=%27")];
+    for (path, expected) in same.into_iter().chain(rewritten) {
+        let target = RawTarget::start(move |_, mut wire| async move {
+            let head = wire.request().await.unwrap_or_default();
+            let asked = format!("get {} ", expected.to_lowercase());
+            let status = if head.starts_with(&asked) { 200 } else { 400 };
+            let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+            wire.write(answer.as_bytes()).await;
+        })
+        .await;
+        let attempt = RequestBuilder::new(Method::GET).with_path(path).attempt(target.target());
+
+        let actual = exchange().send(attempt).await.expect("an answer");
+
+        assert_eq!(StatusCode::OK, actual.status, "{path}");
+    }
+    let target = RawTarget::start(|_, wire| wire.drain()).await;
+    let star = RequestBuilder::new(Method::OPTIONS).with_path("*").attempt(target.target());
+    let actual = exchange().send(star).await.expect_err("no path");
+    assert_eq!((Verdict::NotRun, &FailureCause::BadRequest), (actual.verdict(), actual.cause()));
+}
+
 /// A target's host corrupts memory: the answer's length is right, its content is not.
 #[tokio::test]
 async fn an_answer_that_differs_from_its_digest_is_not_passed_on() {
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -64,6 +64,11 @@
         self
     }
 
+    pub fn with_path(mut self, path: &'static str) -> Self {
+        self.request.path_and_query = PathAndQuery::from_static(path);
+        self
+    }
+
     pub fn with_header(mut self, name: &'static str, value: &'static str) -> Self {
         self.request.headers.insert(name, HeaderValue::from_static(value));
         self
