--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::limit::ConcurrencyLimit;
 use crate::policy::{Candidate, Chooser};
 use crate::queue::WaitQueue;
-use crate::target::{PoolView, Target};
+use crate::target::{PoolView, Ramp, RampKind, Target};
 use crate::{
     Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolTarget, Resolution,
     Shed, ShedReason, TargetStatus, Ticket, Woken,
@@ -25,6 +25,8 @@
 const OTHERS_WEIGHT: f64 = 0.02;
 /// Share of requests whose latency counts as usual; an older one in flight is a sign of trouble.
 const TAIL_QUANTILE: f64 = 0.98;
+/// Share of attempts that must be expected to end in time for one to be worth sending.
+const LIKELY_QUANTILE: f64 = 0.9;
 /// Answers between two computations of the pool's averages.
 const VIEW_EVERY: u32 = 16;
 /// Waiting requests that are tried when a target gets room; more could only differ in exclusions.
@@ -94,13 +96,14 @@
     /// Takes the list of targets. What is known of those that stay is kept; targets that appear
     /// later than the first list ramp up, as they may be cold.
     pub fn set_targets(&mut self, published: &[PoolTarget], now: Mono) -> Vec<Woken> {
-        let ramp_from = (!self.targets.is_empty()).then_some(now);
+        let cold = Ramp { from: now, kind: RampKind::Cold };
+        let ramp = (!self.targets.is_empty()).then_some(cold);
         let mut known = std::mem::take(&mut self.targets);
         for target in self.subset(published) {
             let place = known.iter().position(|old| old.published.id == target.id);
             let kept = place.map(|place| known.swap_remove(place));
             let kept = kept.map(|old| old.with_published(target.clone(), now));
-            let fresh = || Target::new(target.clone(), self.started_at(&target.id), ramp_from);
+            let fresh = || Target::new(target.clone(), self.started_at(&target.id), ramp);
             let next = kept.unwrap_or_else(fresh);
             self.targets.push(next);
         }
@@ -174,10 +177,15 @@
 
     /// Takes a target's account of its load that came with no request's answer, as from a probe.
     pub fn report(&mut self, target: &TargetId, report: LoadReport, now: Mono) {
-        let Some(target) = self.find(target) else { return };
-        let Some(others) = target.report(report, now) else { return };
-        let usual = &mut self.view.others_per_slot;
-        *usual += (others - *usual) * OTHERS_WEIGHT;
+        let found = self.targets.iter_mut().find(|known| known.published.id == *target);
+        let Some(target) = found else { return };
+        if let Some(others) = target.report(report, now, &self.config.target) {
+            let usual = &mut self.view.others_per_slot;
+            *usual += (others - *usual) * OTHERS_WEIGHT;
+        }
+        if report.draining {
+            self.end_those_without_target(now);
+        }
     }
 
     /// Ends waiting requests whose deadline has passed, and uses targets whose time has come.
@@ -231,7 +239,7 @@
         if ask.deadline <= now {
             return Admission::Shed(self.shed(ShedReason::DeadlinePassed, 0));
         }
-        if !self.has_target_for(&ask) {
+        if !self.has_target_for(&ask, now) {
             return Admission::Shed(self.shed(ShedReason::NoTarget, 0));
         }
         let ahead = self.queue.ahead_of(&ask);
@@ -245,7 +253,7 @@
 
     fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
         let wait = self.expected_wait(ahead + 1);
-        let end = now.plus(wait + self.usual_latency());
+        let end = now.plus(wait + self.likely_latency());
         if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait() {
             return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
         }
@@ -279,6 +287,11 @@
         self.usual_latency().mul_f64(self.config.standing_wait)
     }
 
+    /// Time within which most attempts end.
+    fn likely_latency(&self) -> Duration {
+        self.latencies.quantile(LIKELY_QUANTILE).unwrap_or_else(|| self.usual_latency())
+    }
+
     fn usual_latency(&self) -> Duration {
         Duration::from_micros(self.view.median_us as u64)
     }
@@ -300,14 +313,14 @@
     /// Assigns waiting requests in order while targets have room.
     fn wake(&mut self, now: Mono) -> Vec<Woken> {
         let mut woken = self.take_ended();
-        self.end_those_without_target();
+        self.end_those_without_target(now);
         woken.append(&mut self.ended);
         let first: Vec<Ticket> =
             self.queue.iter().take(WAKE_SCAN_MAX).map(|(ticket, _)| ticket).collect();
         for ticket in first {
             let Some(ask) = self.queue.remove(ticket) else { continue };
-            if ask.deadline <= now {
-                let shed = self.shed(ShedReason::DeadlinePassed, 0);
+            if let Some(reason) = self.too_late(&ask, now) {
+                let shed = self.shed(reason, 0);
                 woken.push(Woken { ticket, resolution: Resolution::Shed(shed) });
                 continue;
             }
@@ -324,8 +337,18 @@
         woken
     }
 
-    fn end_those_without_target(&mut self) {
-        let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask));
+    /// Why a request that gets its turn is not worth sending. One sent with less time left than
+    /// most attempts need takes a slot, times out, and costs its connection too.
+    fn too_late(&self, ask: &Ask, now: Mono) -> Option<ShedReason> {
+        if ask.deadline <= now {
+            return Some(ShedReason::DeadlinePassed);
+        }
+        let too_near = now.plus(self.likely_latency()) > ask.deadline;
+        too_near.then_some(ShedReason::DeadlineTooNear)
+    }
+
+    fn end_those_without_target(&mut self, now: Mono) {
+        let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask, now));
         let lost: Vec<Ticket> = lost.map(|(ticket, _)| ticket).collect();
         for ticket in lost {
             self.queue.remove(ticket);
@@ -333,8 +356,27 @@
         }
     }
 
-    fn has_target_for(&self, ask: &Ask) -> bool {
-        self.targets.iter().any(|target| may_serve(target, ask))
+    fn has_target_for(&self, ask: &Ask, now: Mono) -> bool {
+        self.serving_for(ask, now).next().is_some()
+    }
+
+    /// Targets that take new work, by what was published and by their own word.
+    ///
+    /// The published list lags behind a target that leaves, which would lose what is sent to it
+    /// last; its own word comes with the first answer. When all say that they leave, somebody
+    /// has to serve still: then only the list counts.
+    fn serving_for<'a>(
+        &'a self,
+        ask: &'a Ask,
+        now: Mono,
+    ) -> impl Iterator<Item = (usize, &'a Target)> + 'a {
+        let mut serving = self.targets.iter().filter(|target| target.is_serving());
+        let all_leave = serving.all(|target| target.says_leaving(now));
+        let takes_work =
+            move |target: &Target| target.is_serving() && (all_leave || !target.says_leaving(now));
+        let wanted = |target: &Target| !ask.exclude.contains(&target.published.id);
+        let targets = self.targets.iter().enumerate();
+        targets.filter(move |(_, target)| takes_work(target) && wanted(target))
     }
 
     fn assign(&mut self, ask: &Ask, now: Mono) -> Option<Assignment> {
@@ -365,7 +407,7 @@
     /// Targets with room. Those ejected are left out, unless that is half of all or more: then
     /// the evidence more likely shows a fault of this process or its network.
     fn candidates(&self, ask: &Ask, now: Mono) -> Vec<Candidate> {
-        let serving = self.targets.iter().enumerate().filter(|(_, t)| may_serve(t, ask));
+        let serving = self.serving_for(ask, now);
         let (ejected, healthy): (Vec<_>, Vec<_>) = serving.partition(|(_, t)| t.is_ejected(now));
         let ignore_evidence = ejected.len() >= healthy.len();
         let ejected = ejected.into_iter().filter(|_| ignore_evidence);
@@ -400,6 +442,8 @@
             self.learn_latency(latency);
         }
         self.learn_crowding(running, outcome, now);
+        // One that had little time left when it was sent says nothing against the target.
+        let tail_us = self.view.tail_us;
         let Some(target) = self.find(&running.target) else { return };
         match outcome {
             AttemptOutcome::Answered { latency } => {
@@ -409,7 +453,9 @@
             AttemptOutcome::Shed => target.shed(now, spread, &config),
             AttemptOutcome::TimedOut => {
                 target.at_least(elapsed_us / running.crowding, now);
-                target.failed(now, spread, &config);
+                if elapsed_us > tail_us {
+                    target.failed(now, spread, &config);
+                }
             }
             AttemptOutcome::Cancelled => target.at_least(elapsed_us / running.crowding, now),
         }
@@ -485,7 +531,3 @@
         self.last_id
     }
 }
-
-fn may_serve(target: &Target, ask: &Ask) -> bool {
-    target.is_serving() && !ask.exclude.contains(&target.published.id)
-}
