fix(exchange): no verdict of another request, the caller's host, no stolen headers

The system's headers are now removed from targets' answers. - HTTP/2 requests, which have no Host, reached HTTP/1 targets under the target's own address; an absolute request target left another Host in place. - Connection: host, idempotency-key took these headers from the request.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -18,7 +18,7 @@
 use crate::exchange_config::ExchangeConfig;
 use crate::gate::{ConnectionGate, GateLayer, GateRefusal, with_target};
 use crate::gather::{Gather, GatherError};
-use crate::headers::{DEADLINE_HEADER, deadline_value, strip_hop_by_hop};
+use crate::headers::{DEADLINE_HEADER, deadline_value, strip_hop_by_hop, strip_system_headers};
 use crate::read_whole::WholeRequest;
 use crate::send_mark::{LateError, MarkedBody, SendMark};
 
@@ -147,6 +147,7 @@
             check_answer(&headers, &body)?;
         }
         strip_hop_by_hop(&mut headers);
+        strip_system_headers(&mut headers);
         Ok(WholeAnswer { status, headers, body })
     }
 }
--- a/crates/exchange/src/headers.rs
+++ b/crates/exchange/src/headers.rs
@@ -4,8 +4,8 @@
 
 use http::HeaderMap;
 use http::header::{
-    CONNECTION, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use shallotfork_types::{CallerName, IdempotencyKey};
 
@@ -42,6 +42,10 @@
     PROXY_AUTHENTICATION_INFO,
 ];
 
+/// Meant for the target, even when a caller's `Connection` names them (RFC 9110, 7.6.1, forbids
+/// that). Without them a target would serve another host, or an operation without its key.
+const END_TO_END: [HeaderName; 3] = [HOST, KEY_HEADER, CALLER_HEADER];
+
 /// A session longer than this was not issued by any entry.
 const MAX_SESSION_BYTES: usize = 1024;
 /// A caller that waits longer is treated as one that waits this long: one day.
@@ -58,6 +62,15 @@
     }
 }
 
+/// Removes the headers that only the system's own answers may carry.
+///
+/// A target that hands on an answer of another service would otherwise tell its caller a verdict
+/// on a different request.
+pub(crate) fn strip_system_headers(headers: &mut HeaderMap) {
+    headers.remove(VERDICT_HEADER);
+    headers.remove(REPLAYED_HEADER);
+}
+
 fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
     headers
         .get_all(CONNECTION)
@@ -65,6 +78,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .filter(|name| !END_TO_END.contains(name))
         .collect()
 }
 
--- a/crates/exchange/src/read_whole.rs
+++ b/crates/exchange/src/read_whole.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, Uri};
 use shallotfork_types::{Bytes as Size, ServiceName};
 
 use crate::body_budget::BodyBudget;
@@ -58,6 +58,7 @@
     check_method(&parts.method)?;
     check_framing(&headers, limits)?;
     let service = service_of(&parts.uri, &headers)?;
+    set_host(&parts.uri, &mut headers)?;
     let control = ControlHeaders::take(&mut headers)?;
     let gathering = gather(body, limits, budget);
     let body = tokio::time::timeout(limits.body_timeout, gathering)
@@ -122,6 +123,22 @@
     service_named(name)
 }
 
+/// HTTP/2 sends no `Host`, and an absolute request target overrides it; the target is told the
+/// host that the caller meant.
+fn set_host(uri: &Uri, headers: &mut HeaderMap) -> Result<(), Refusal> {
+    let Some(authority) = uri.authority() else {
+        return Ok(());
+    };
+    let host = match authority.port() {
+        Some(port) => format!("{}:{port}", authority.host()),
+        None => authority.host().to_owned(),
+    };
+    let value = HeaderValue::try_from(host)
+        .map_err(|_| Refusal::BadHost { reason: "it is not visible ASCII".to_owned() })?;
+    headers.insert(HOST, value);
+    Ok(())
+}
+
 fn service_named(name: &str) -> Result<ServiceName, Refusal> {
     name.parse().map_err(|error| Refusal::BadHost { reason: format!("{error}") })
 }
--- a/crates/exchange/tests/answers.rs
+++ b/crates/exchange/tests/answers.rs
@@ -104,6 +104,18 @@
     assert_eq!((Verdict::NotRun, &FailureCause::BadRequest), (actual.verdict(), actual.cause()));
 }
 
+/// A target runs an order, calls another service for it, and hands on the headers of a problem that
+/// the other service's entry made. The caller would read "not run" of an order that ran.
+#[tokio::test]
+async fn a_targets_answer_carries_no_verdict_of_the_system() {
+    let answered = "HTTP/1.1 502 Bad Gateway\r\nshallotfork-verdict: not-run\r\n\
+        shallotfork-replayed: true\r\ncontent-length: 0\r\n\r\n";
+    let actual = answer(Method::POST, answered).await;
+    assert_eq!(StatusCode::BAD_GATEWAY, actual.status);
+    assert!(!actual.headers.contains_key("shallotfork-verdict"));
+    assert!(!actual.headers.contains_key("shallotfork-replayed"));
+}
+
 /// A target's host corrupts memory: the answer's length is right, its content is not.
 #[tokio::test]
 async fn an_answer_that_differs_from_its_digest_is_not_passed_on() {
--- a/crates/exchange/tests/requests.rs
+++ b/crates/exchange/tests/requests.rs
@@ -34,6 +34,43 @@
     insta::assert_snapshot!(body);
 }
 
+/// HTTP/2 names the service in `:authority` and sends no `Host`; an absolute request target goes
+/// before `Host`. A target that is told another host, or its own address, serves the wrong site.
+#[tokio::test]
+async fn the_authority_becomes_the_host() {
+    let front = Front::plain().await;
+    let client = reqwest::Client::builder()
+        .http2_prior_knowledge()
+        .resolve("orders", front.address)
+        .build()
+        .expect("client");
+    let url = format!("http://orders:{}/card", front.address.port());
+    let http2 = client.post(url).body("mill").send().await.expect("an answer");
+    let http2 = http2.text().await.expect("a body");
+    let host = format!("host: orders:{}\n", front.address.port());
+    assert!(http2.starts_with("POST /card of orders\n") && http2.contains(&host), "{http2}");
+
+    let absolute = "GET http://orders/card HTTP/1.1\r\nhost: other\r\n\r\n";
+    let absolute = front.ask(absolute).await;
+    assert!(absolute.contains("GET /card of orders\nhost: orders\n"), "{absolute}");
+}
+
+/// A caller's `Connection` names headers that are meant for the target, so that the entry removes
+/// them and the target serves another host, or an order without its key.
+#[tokio::test]
+async fn connection_cannot_take_the_host_or_the_key() {
+    let front = Front::plain().await;
+    let named = "POST /card HTTP/1.1\r\nhost: orders\r\nidempotency-key: order-9\r\n\
+        shallotfork-caller: bakery\r\n\
+        connection: Host, idempotency-key, shallotfork-caller\r\n\r\n";
+    let actual = front.ask(named).await;
+    for kept in
+        ["\nhost: orders\n", "\nidempotency-key: order-9\n", "\nshallotfork-caller: bakery\n"]
+    {
+        assert!(actual.contains(kept), "{actual}");
+    }
+}
+
 #[tokio::test]
 async fn malformed_requests_get_a_clear_4xx() {
     let front = Front::plain().await;
