perf(shallotd): announce a list as soon as it takes effect

Cause: each entry on the way waited up to a heartbeat period.

An entry now exchanges heartbeats with its chosen peers when a list takes effect, at most every 250 ms. The cost is up to 5 more exchanges an entry and change.

--- a/crates/shallotd/src/control/lists_take.rs
+++ b/crates/shallotd/src/control/lists_take.rs
@@ -30,6 +30,7 @@
     if all.changed {
         set_members(state);
         publish(state);
+        state.lists_changed.notify_one();
     }
     all
 }
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -16,6 +16,9 @@
 /// many again. A node's cost stays the same however large the fleet grows.
 const HEARTBEAT_PEERS_MAX: usize = 5;
 
+/// Shortest time between two announcements, so that a burst of changes costs no burst of heartbeats.
+const ANNOUNCE_SPACING: Duration = Duration::from_millis(250);
+
 /// A tick that is late by this many heartbeats means that the process was paused.
 const PAUSED_HEARTBEATS: u32 = 2;
 
@@ -40,6 +43,20 @@
     }
 }
 
+/// Exchanges heartbeats at once when a list takes effect, for as long as the process runs.
+///
+/// The fingerprint in them tells entries that cannot reach the platform that there is something to
+/// read. Waiting for the next regular heartbeat would cost each entry on the way up to a period.
+pub async fn announce_lists(state: Rc<State>) {
+    loop {
+        state.lists_changed.notified().await;
+        for entry in chosen(&state) {
+            tokio::task::spawn_local(beat(Rc::clone(&state), entry));
+        }
+        tokio::time::sleep(ANNOUNCE_SPACING).await;
+    }
+}
+
 /// An exchange informs both sides, so of two that chose each other only the first to wake speaks.
 fn is_due(state: &State, entry: &EntryVm, period: Duration) -> bool {
     let heard_at = state.view.borrow().heard_at(&entry.vm);
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -9,7 +9,7 @@
 use shallotfork_platform::Platform;
 use shallotfork_revisions::PullGate;
 use shallotfork_types::ServiceName;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::context::Context;
 use crate::control::audit::AuditTrail;
@@ -25,6 +25,8 @@
     pub context: Arc<Context>,
     /// Where lists are published.
     pub platform: Box<dyn Platform>,
+    /// Wakes what announces a list that has taken effect.
+    pub lists_changed: Notify,
     /// When the lists of peers are read.
     pub pulls: RefCell<PullGate>,
     /// Published lists in force.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -17,7 +17,7 @@
 use shallotfork_timer::TimerService;
 use shallotfork_types::ListName;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc, watch as watch_channel};
+use tokio::sync::{Notify, Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
 
 use crate::context::Context;
@@ -26,7 +26,7 @@
 use crate::control::handoff::seal;
 use crate::control::ledger::Ledger;
 use crate::control::lists::Lists;
-use crate::control::members::{heartbeats, tell_leaving, untold_wait};
+use crate::control::members::{announce_lists, heartbeats, tell_leaving, untold_wait};
 use crate::control::peer_calls::PeerCalls;
 use crate::control::peers::Peers;
 use crate::control::probes::{probe_plan, probes};
@@ -85,6 +85,7 @@
     );
     tokio::task::spawn_local(server.serve());
     tokio::task::spawn_local(watch(Rc::clone(&state)));
+    tokio::task::spawn_local(announce_lists(Rc::clone(&state)));
     tokio::task::spawn_local(heartbeats(Rc::clone(&state), timer.clone()));
     tokio::task::spawn_local(probes(Rc::clone(&state), timer));
     answer_commands(state, commands).await;
@@ -108,6 +109,7 @@
     let peers = Peers::new(key, own_id(&context), peer_config(&context));
     State {
         platform,
+        lists_changed: Notify::new(),
         pulls: RefCell::new(PullGate::new(PULL_REPEAT)),
         lists: RefCell::new(Lists::default()),
         view: RefCell::new(view),
--- /dev/null
+++ b/tests/examples/list_spread.rs
@@ -0,0 +1,69 @@
+//! Measures how long a published rule list takes until every entry has it in force.
+//!
+//! `cargo run --release -p shallotfork-tests --example list_spread -- ENTRIES CHANGES`
+
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use futures::future::join_all;
+use shallotfork_standin::platform::{Fault, ReplicaMode};
+use shallotfork_tests::{Case, Running};
+use shallotfork_types::Revision;
+
+const DEFAULT_ENTRIES: usize = 14;
+const DEFAULT_CHANGES: u32 = 20;
+const POLL: Duration = Duration::from_millis(2);
+
+/// Which entries reach the platform.
+#[derive(Debug, Clone, Copy)]
+enum Reach {
+    All,
+    OneOnly,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let mut args = std::env::args().skip(1);
+    let entries = args.next().map_or(Ok(DEFAULT_ENTRIES), |text| text.parse())?;
+    let changes = args.next().map_or(Ok(DEFAULT_CHANGES), |text| text.parse())?;
+    println!("entries {entries}, changes {changes}; milliseconds from publishing to in force");
+    println!("{:<28} {:>8} {:>8} {:>8}", "platform reached by", "median", "p90", "most");
+    for reach in [Reach::All, Reach::OneOnly] {
+        let mut times_ms = measure(entries, changes, reach).await?;
+        times_ms.sort_unstable();
+        let at = |permille: usize| times_ms[(times_ms.len() - 1) * permille / 1000];
+        println!("{:<28} {:>8} {:>8} {:>8}", format!("{reach:?}"), at(500), at(900), at(1000));
+    }
+    Ok(())
+}
+
+async fn measure(entries: usize, changes: u32, reach: Reach) -> anyhow::Result<Vec<u128>> {
+    let case = Case::new().with_entries(entries).with_replica_for_each_entry();
+    let running = case.start().await?;
+    if matches!(reach, Reach::OneOnly) {
+        for replica in 1..entries {
+            let down = Fault::Mode(ReplicaMode::Down);
+            running.platform.fault(Some(replica), down).await?;
+        }
+    }
+    let mut times_ms = Vec::new();
+    let mut revision = running.entries[0].rules_revision().await;
+    for number in 0..changes {
+        let rules = format!("[everything]\nthen.deadline_ms = {}\n", 1000 + number);
+        let published = running.platform.publish_over("rules", &rules, revision).await?;
+        let begin = Instant::now();
+        revision = published.context("somebody else published")?;
+        wait_everywhere(&running, revision).await;
+        times_ms.push(begin.elapsed().as_millis());
+    }
+    Ok(times_ms)
+}
+
+async fn wait_everywhere(running: &Running, revision: Revision) {
+    let waits = running.entries.iter().map(async |entry| {
+        while entry.rules_revision().await < revision {
+            tokio::time::sleep(POLL).await;
+        }
+    });
+    join_all(waits).await;
+}
