perf(shallotd): a starting process reads one peer's lists, not all

With the platform down every peer's fingerprint differs from that of an empty process, so that it read the same lists from up to 16 peers at once. Heartbeats still go out together; the reads follow one by one and stop being needed after the first.

--- a/crates/shallotd/src/control/lists_start.rs
+++ b/crates/shallotd/src/control/lists_start.rs
@@ -5,8 +5,9 @@
 
 use futures::future::join_all;
 use shallotfork_membership::{EntryVm, heartbeat_peers};
+use shallotfork_peer::PeerClient;
 use shallotfork_platform::{Backoff, BackoffConfig};
-use shallotfork_types::Revision;
+use shallotfork_types::{ListsDigest, Revision};
 
 use crate::control::lists_pull::read_lists;
 use crate::control::members::own_heartbeat;
@@ -14,8 +15,11 @@
 use crate::control::state::State;
 use crate::control::watch::read_platform;
 
-/// How long answers of peers are waited for; one that is paused must not hold up the start.
-const PEERS_WAIT_MAX: Duration = Duration::from_secs(2);
+/// How long the lists of peers are waited for.
+const PEERS_WAIT_MAX: Duration = Duration::from_secs(4);
+
+/// How long answers to heartbeats are waited for; a peer that is paused must not hold up the start.
+const GREETING_WAIT_MAX: Duration = Duration::from_secs(1);
 
 /// Peers asked at once; the highest version is soon known to all that can reach each other.
 const PEERS_MAX: usize = 16;
@@ -53,21 +57,39 @@
     }
 }
 
+/// Reads the lists of peers that have others than the platform gave, one after another: once the
+/// first has been read, the others mostly have nothing else. Reading all lists of all peers,
+/// megabytes each, would make the restart of a rack a storm.
 async fn ask_peers(state: &Rc<State>) {
     let entries = state.view.borrow().entries();
     let peers = heartbeat_peers(&state.context.identity.vm, &entries, PEERS_MAX);
-    let asked = peers.into_iter().map(|entry| ask_peer(state, entry));
-    let _late = tokio::time::timeout(PEERS_WAIT_MAX, join_all(asked)).await;
+    let asked = async {
+        let greeted = peers.into_iter().map(|entry| greet(state, entry));
+        for peer in join_all(greeted).await.into_iter().flatten() {
+            read_if_other(state, &peer).await;
+        }
+    };
+    let _late = tokio::time::timeout(PEERS_WAIT_MAX, asked).await;
 }
 
-/// Reads the lists of a peer that has others than the platform gave.
-///
-/// A peer that cannot be reached is left out: without it, others or the platform must do. Reading
-/// all lists of all peers, megabytes each, would make the restart of a rack a storm.
-async fn ask_peer(state: &Rc<State>, entry: EntryVm) {
-    let Ok(client) = state.peers.client(&entry).await else { return };
-    let Ok(beat) = client.heartbeat(&own_heartbeat(state)).await else { return };
-    if beat.lists_digest != state.lists.borrow().digest() {
-        let _unread = read_lists(state, &client, Revision::NONE).await;
+/// A peer that answered a heartbeat.
+struct Greeted {
+    client: Rc<PeerClient>,
+    digest: ListsDigest,
+}
+
+/// A peer that cannot be reached is left out: without it, others or the platform must do.
+async fn greet(state: &Rc<State>, entry: EntryVm) -> Option<Greeted> {
+    let greeted = async {
+        let client = state.peers.client(&entry).await.ok()?;
+        let beat = client.heartbeat(&own_heartbeat(state)).await.ok()?;
+        Some(Greeted { client, digest: beat.lists_digest })
+    };
+    tokio::time::timeout(GREETING_WAIT_MAX, greeted).await.ok().flatten()
+}
+
+async fn read_if_other(state: &Rc<State>, peer: &Greeted) {
+    if peer.digest != state.lists.borrow().digest() {
+        let _unread = read_lists(state, &peer.client, Revision::NONE).await;
     }
 }
--- a/tests/examples/list_spread.rs
+++ b/tests/examples/list_spread.rs
@@ -1,4 +1,5 @@
-//! Measures how long a published rule list takes until every entry has it in force.
+//! Measures how long a published rule list takes until every entry has it in force, and what
+//! reading the platform costs while nothing changes.
 //!
 //! `cargo run --release -p shallotfork-tests --example list_spread -- ENTRIES CHANGES`
 
@@ -6,12 +7,13 @@
 
 use anyhow::Context;
 use futures::future::join_all;
-use shallotfork_standin::platform::{Fault, ReplicaMode};
+use shallotfork_standin::platform::{CallCounts, Fault, ReplicaMode};
 use shallotfork_tests::{Case, Running};
 use shallotfork_types::Revision;
 
 const DEFAULT_ENTRIES: usize = 14;
 const DEFAULT_CHANGES: u32 = 20;
+const IDLE: Duration = Duration::from_secs(65);
 const POLL: Duration = Duration::from_millis(2);
 
 /// Which entries reach the platform.
@@ -34,9 +36,22 @@
         let at = |permille: usize| times_ms[(times_ms.len() - 1) * permille / 1000];
         println!("{:<28} {:>8} {:>8} {:>8}", format!("{reach:?}"), at(500), at(900), at(1000));
     }
+    let counts = idle_calls(entries).await?;
+    println!(
+        "idle for {IDLE:?}: {} calls to the platform by {entries} entries, {} bytes of lists",
+        counts.total, counts.sent_bytes
+    );
     Ok(())
 }
 
+/// Calls to the platform while nothing changes.
+async fn idle_calls(entries: usize) -> anyhow::Result<CallCounts> {
+    let running = Case::new().with_entries(entries).with_replicas(2).start().await?;
+    running.platform.reset_counts().await?;
+    tokio::time::sleep(IDLE).await;
+    running.platform.counts().await
+}
+
 async fn measure(entries: usize, changes: u32, reach: Reach) -> anyhow::Result<Vec<u128>> {
     let case = Case::new().with_entries(entries).with_replica_for_each_entry();
     let running = case.start().await?;
