fix(exchange): a caller whose body is refused sees the answer

Cause: an entry that refuses a body (over the limit, or the budget for bodies is full) answers before it has read it and closes. The kernel then sends a reset for the bytes that still arrive, and the reset drops the answer at the caller, who sees a broken connection in place of 503 or 413.

Tried first: reading every refused body on at once. Change: at most 8 are read on at the same time, within the limits of size and time for bodies; the others wait, open and unread, with their answer sent. A caller who waits for 100 Continue is not invited to send.

--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -4,6 +4,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use shallotfork_types::Bytes;
+use tokio::sync::Semaphore;
+
+/// Refused bodies that are read to their end at the same time; each takes a buffer of its
+/// connection, which no budget counts.
+const DISCARDS_MAX: usize = 8;
 
 /// Counts the bytes of all bodies held by the process and refuses more than its limit.
 ///
@@ -18,12 +23,17 @@
 struct Shared {
     limit_bytes: u64,
     held_bytes: AtomicU64,
+    discards: Arc<Semaphore>,
 }
 
 impl BodyBudget {
     /// A budget of `limit` bytes, none of them held.
     pub fn new(limit: Bytes) -> Self {
-        let shared = Shared { limit_bytes: limit.value(), held_bytes: AtomicU64::new(0) };
+        let shared = Shared {
+            limit_bytes: limit.value(),
+            held_bytes: AtomicU64::new(0),
+            discards: Arc::new(Semaphore::new(DISCARDS_MAX)),
+        };
         Self { shared: Arc::new(shared) }
     }
 
@@ -32,6 +42,11 @@
         Bytes::new(self.shared.held_bytes.load(Ordering::Relaxed))
     }
 
+    /// Turns to read a refused body to its end.
+    pub(crate) fn discards(&self) -> Arc<Semaphore> {
+        Arc::clone(&self.shared.discards)
+    }
+
     /// An empty permit, which grows as a body arrives.
     pub fn permit(&self) -> BodyPermit {
         BodyPermit { shared: Arc::clone(&self.shared), size_bytes: 0 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body_budget;
 mod digest;
+mod discard;
 mod exchange;
 mod exchange_config;
 mod gate;
--- a/crates/exchange/src/read_whole.rs
+++ b/crates/exchange/src/read_whole.rs
@@ -1,9 +1,10 @@
 //! Takes a caller's request in, whole.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{Stream, StreamExt};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri};
@@ -11,6 +12,7 @@
 
 use crate::body_budget::BodyBudget;
 use crate::digest::{DigestCheck, check_digest};
+use crate::discard::{DiscardLimits, discard};
 use crate::gather::{Gather, GatherError};
 use crate::headers::{ControlHeaders, strip_hop_by_hop};
 use crate::refusal::Refusal;
@@ -54,12 +56,31 @@
     budget: &BodyBudget,
 ) -> Result<WholeRequest, Refusal> {
     let (parts, body) = request.into_parts();
+    let mut pieces = Box::pin(body.into_bytes_stream());
+    // Reading the body would tell a caller who waits for 100 Continue to send it.
+    let waits = parts.headers.contains_key(EXPECT);
+    let read = read_parts(parts, &mut pieces, limits, budget).await;
+    let is_too_much = matches!(read, Err(Refusal::BodyTooLarge { .. } | Refusal::BudgetFull));
+    if is_too_much && !waits {
+        let size_max_bytes = limits.body_max.value();
+        let limits = DiscardLimits { size_max_bytes, timeout: limits.body_timeout };
+        discard(pieces, limits, budget.discards());
+    }
+    read
+}
+
+async fn read_parts(
+    parts: poem::RequestParts,
+    pieces: &mut (impl Stream<Item = io::Result<Bytes>> + Unpin),
+    limits: &BodyLimits,
+    budget: &BodyBudget,
+) -> Result<WholeRequest, Refusal> {
     let mut headers = parts.headers;
     check_method(&parts.method)?;
     check_framing(&headers, limits)?;
     let service = service_of(&parts.uri, &headers)?;
     let control = ControlHeaders::take(&mut headers)?;
-    let gathering = gather(body, limits, budget);
+    let gathering = gather(pieces, limits, budget);
     let body = tokio::time::timeout(limits.body_timeout, gathering)
         .await
         .map_err(|_| Refusal::BodyTimeout { limit: limits.body_timeout })??;
@@ -127,12 +148,11 @@
 }
 
 async fn gather(
-    body: poem::Body,
+    pieces: &mut (impl Stream<Item = io::Result<Bytes>> + Unpin),
     limits: &BodyLimits,
     budget: &BodyBudget,
 ) -> Result<Bytes, Refusal> {
     let mut gather = Gather::new(limits.body_max.value(), budget.permit());
-    let mut pieces = std::pin::pin!(body.into_bytes_stream());
     while let Some(piece) = pieces.next().await {
         let piece = piece.map_err(|_| Refusal::BodyIncomplete)?;
         gather.push(piece).map_err(|error| match error {
