--- a/tests/tests/whole_and_own.rs
+++ b/tests/tests/whole_and_own.rs
@@ -7,12 +7,8 @@
 use shallotfork_standin::caller::{Call, Caller, CallerConfig, Report};
 use shallotfork_standin::net::ConnectionFaults;
 use shallotfork_standin::target::{Noise, TargetFaults};
-use shallotfork_tests::{
-    Case, Relay, RelayFaults, Running, Traffic, TrafficConfig, TrafficReport, wait_until,
-};
+use shallotfork_tests::{Case, Running, Traffic, TrafficConfig, TrafficReport, wait_until};
 use shallotfork_types::{IdempotencyKey, ServiceName, Verdict};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 /// Distance of the positions tried; it is prime, so that it falls in step with nothing.
 const CUT_STEP: usize = 7;
@@ -110,68 +106,6 @@
     Ok(())
 }
 
-/// A target closes the connection while it reads a request, at any byte, as one that restarts
-/// does. What it had not read whole it did not run, whatever the caller is told; an order it read
-/// whole must not run a second time.
-#[tokio::test]
-async fn a_request_cut_at_any_byte_runs_once_at_most() -> anyhow::Result<()> {
-    let bench = Bench::start(two_targets()).await?;
-    let mut failed = 0;
-    for cut_at in cuts().skip(1) {
-        let connections = ConnectionFaults {
-            close_after_read_bytes: Some(cut_at),
-            ..ConnectionFaults::default()
-        };
-        let faults = TargetFaults { connections, ..TargetFaults::default() };
-        for target in &bench.running.targets {
-            target.set_faults(faults).await?;
-        }
-
-        failed += u32::from(bench.check_cut(&format!("request-{cut_at}")).await?.is_some());
-    }
-    assert!(failed > 0, "no cut fell into a request");
-    Ok(())
-}
-
-/// The network between entry and target breaks at any byte towards the target, so that the
-/// target holds half a request and waits for the rest.
-#[tokio::test]
-async fn a_network_cut_at_any_byte_runs_once_at_most() -> anyhow::Result<()> {
-    let bench = Bench::start(two_targets().with_target_relays()).await?;
-    let relays = bench.running.targets.iter().filter_map(|target| target.relay.as_ref());
-    let relays: Vec<&Relay> = relays.collect();
-    let mut failed = 0;
-    for cut_at in cuts() {
-        let cut = RelayFaults { cut_to_server_at_bytes: Some(cut_at), ..RelayFaults::default() };
-        relays.iter().for_each(|relay| relay.set_faults(cut));
-
-        failed += u32::from(bench.check_cut(&format!("network-{cut_at}")).await?.is_some());
-    }
-    assert!(failed > 0, "no cut fell into a request");
-    Ok(())
-}
-
-/// A restorer's upload breaks off half way. The target must not see any of it.
-#[tokio::test]
-async fn half_an_upload_never_reaches_a_target() -> anyhow::Result<()> {
-    let bench = Bench::start(Case::new().with_service("order-desk", 1)).await?;
-    let entry = bench.running.caller_addresses()[0];
-    for head in ["content-length: 100000", "transfer-encoding: chunked"] {
-        let mut upload = TcpStream::connect(entry.address()).await?;
-        let head = format!("PUT /dossiers/7 HTTP/1.1\r\nhost: order-desk\r\n{head}\r\n\r\n");
-        upload.write_all(head.as_bytes()).await?;
-        upload.write_all(b"2710\r\n").await?;
-        upload.write_all(&[b'x'; 10_000]).await?;
-        drop(upload);
-    }
-
-    // A later request that has its answer shows that the target would have seen the others.
-    assert!(bench.read("after").await?.success().is_some());
-    let records = bench.running.records().await?;
-    assert_eq!(1, records[0].arrived, "{records:?}");
-    Ok(())
-}
-
 /// Targets straggle, answer late and out of order, drop answers half way and fail fast, in turns
 /// of milliseconds, while callers read and order, some of them giving up early. Entries hedge and
 /// retry. No answer may be short, mixed or another's, and no order may run twice.
