fix(balance): no decision follows a single load report, which may be old

Cause: with reports 200 ms old the limit on requests in flight fell and rose with them, and requests waited at entries before free targets.

Change: the limit follows the lowest latency of a window against that of quiet times; reports of other processes' load count only as a long average, and not at all at a process's own (home) targets, where it knows most requests itself; one request in flight at targets that are others' homes.

--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -1,27 +1,54 @@
 //! How many requests this process may have in flight to all targets together.
 
+use shallotfork_types::Mono;
+use std::time::Duration;
+
 /// Lowest limit: with less than one, the service would not be tried any more.
 const LIMIT_MIN: f64 = 1.0;
-/// Part that a crowded answer takes off the limit.
-const DECREASE: f64 = 0.04;
-/// What an answer without crowding adds to the limit while requests wait.
-const INCREASE: f64 = 0.1;
+/// Answers in a window; its lowest latency is then unlikely to be a chance find.
+const WINDOW_ANSWERS: u32 = 20;
+/// A window lasts at least this long, so that a change shows in the latencies of the next one.
+const WINDOW_MIN: Duration = Duration::from_millis(50);
+/// What is left of the limit after a window in which every request waited at its target.
+const DECREASE: f64 = 0.85;
+/// Growth of the limit in a window without waits, while requests wait here.
+const INCREASE_SHARE: f64 = 0.05;
+const INCREASE: f64 = 0.5;
+/// A wait counts from this part of the usual latency.
+const WAIT_PART: f64 = 0.5;
+/// How fast the lowest latency of quiet times is forgotten, a window.
+const FORGET: f64 = 0.01;
 
-/// Additive increase, multiplicative decrease by what answers say of crowding at targets.
+/// Lowers the limit while even the quickest answers show a wait at the targets.
+///
+/// Gates alone don't bound the queues at targets: fourteen processes that each keep a few requests
+/// at a target with two slots queue dozens there, where no deadline or priority is looked at. The
+/// lowest latency of a window rises with the queue that every request meets, and not with chance
+/// waits of some. All processes see the same queues, so each goes down to its share without
+/// knowing how many there are.
 ///
-/// Gates alone don't bound the queues at targets: fourteen processes that each keep two requests
-/// at a target with two slots queue 26 there, where no deadline or priority is looked at. All
-/// processes see the same crowding, so each goes down to its share without knowing how many
-/// there are, as flows do that share a link.
+/// Load reports are not used: they may be old, and a limit that follows old reports swings.
 #[derive(Debug)]
 pub(crate) struct ConcurrencyLimit {
     limit: f64,
     max: f64,
+    window_from: Mono,
+    answers: u32,
+    lowest_us: f64,
+    /// Lowest latency of windows in which nothing waited.
+    quiet_us: Option<f64>,
 }
 
 impl ConcurrencyLimit {
     pub(crate) fn new() -> Self {
-        Self { limit: LIMIT_MIN, max: LIMIT_MIN }
+        Self {
+            limit: LIMIT_MIN,
+            max: LIMIT_MIN,
+            window_from: Mono::ZERO,
+            answers: 0,
+            lowest_us: f64::INFINITY,
+            quiet_us: None,
+        }
     }
 
     /// Takes the sum of the gates, which the limit never passes; it starts there.
@@ -36,11 +63,32 @@
         (running as f64) < self.limit
     }
 
-    pub(crate) fn answered(&mut self, crowded: bool, waiting: bool) {
-        if crowded {
-            self.limit = (self.limit * (1.0 - DECREASE)).max(LIMIT_MIN);
+    /// Takes the latency of an answer; `usual_us` is the usual one without waiting, `waiting`
+    /// whether requests wait here.
+    pub(crate) fn answered(&mut self, latency_us: f64, usual_us: f64, waiting: bool, now: Mono) {
+        self.answers += 1;
+        self.lowest_us = self.lowest_us.min(latency_us);
+        if self.answers < WINDOW_ANSWERS || now.since(self.window_from) < WINDOW_MIN {
+            return;
+        }
+        self.adjust(usual_us, waiting);
+        self.window_from = now;
+        self.answers = 0;
+        self.lowest_us = f64::INFINITY;
+    }
+
+    fn adjust(&mut self, usual_us: f64, waiting: bool) {
+        let quiet_us = *self.quiet_us.get_or_insert(self.lowest_us);
+        if self.lowest_us < quiet_us {
+            self.quiet_us = Some(self.lowest_us);
+        } else if !waiting {
+            self.quiet_us = Some(quiet_us + (self.lowest_us - quiet_us) * FORGET);
+        }
+        if self.lowest_us > quiet_us + usual_us * WAIT_PART {
+            self.limit = (self.limit * DECREASE).max(LIMIT_MIN);
         } else if waiting {
-            self.limit = (self.limit + INCREASE).min(self.max);
+            let grown = self.limit * (1.0 + INCREASE_SHARE) + INCREASE;
+            self.limit = grown.min(self.max);
         }
     }
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -416,8 +416,10 @@
         let config = self.config.target.clone();
         if let AttemptOutcome::Answered { latency } = outcome {
             self.learn_latency(latency);
+            let usual_us = self.view.median_us;
+            let waiting = !self.queue.is_empty();
+            self.limit.answered(elapsed_us, usual_us, waiting, now);
         }
-        self.learn_crowding(running, outcome, now);
         // One that had little time left when it was sent says nothing against the target.
         let tail_us = self.view.tail_us;
         let Some(target) = self.find(&running.target) else { return };
@@ -437,24 +439,9 @@
         }
     }
 
-    fn learn_crowding(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
-        let config = self.config.target.clone();
-        let slow_us = self.view.median_us * config.crowded_factor;
-        let Some(target) = self.find(&running.target) else { return };
-        let reported = target.is_crowded(now, &config);
-        let crowded = match outcome {
-            AttemptOutcome::Answered { latency } => {
-                reported.unwrap_or(latency.as_micros() as f64 > slow_us)
-            }
-            AttemptOutcome::Shed => true,
-            _ => return,
-        };
-        self.limit.answered(crowded, !self.queue.is_empty());
-    }
-
     fn gates(&self) -> u32 {
-        let gate = |target: &Target| target.published.slots + self.config.target.gate_extra;
-        self.targets.iter().filter(|target| target.is_serving()).map(gate).sum()
+        let serving = self.targets.iter().filter(|target| target.is_serving());
+        serving.map(|target| target.whole_gate(&self.config.target)).sum()
     }
 
     fn learn_latency(&mut self, latency: Duration) {
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -10,6 +10,8 @@
 
 /// Weight of a new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.15;
+/// Weight of a new report in the moving average.
+const REPORT_WEIGHT: f64 = 0.02;
 /// Weight of a new outcome in the moving share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// Expected cost of a failure, as a multiple of the usual latency.
@@ -130,10 +132,8 @@
 
 #[derive(Debug)]
 struct Reported {
-    /// Requests of other processes.
+    /// Requests of other processes on average; below zero when reports are behind own requests.
     others: f64,
-    /// Requests of all processes.
-    all: f64,
     at: Mono,
 }
 
@@ -152,6 +152,8 @@
     ramp: Option<Ramp>,
     reported: Option<Reported>,
     heard_at: Option<Mono>,
+    /// When it last refused for overload.
+    shed_at: Option<Mono>,
 }
 
 impl Target {
@@ -172,6 +174,7 @@
             ramp,
             reported: None,
             heard_at: None,
+            shed_at: None,
         }
     }
 
@@ -227,12 +230,23 @@
 
     /// Requests in flight that this process may have at the target.
     pub(crate) fn gate(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> u32 {
-        let whole = self.published.slots.saturating_add(config.gate_extra).max(1);
+        let whole = self.whole_gate(config);
         let slowed = f64::from(whole) / self.slowness(now, view, config);
         let gate = (slowed * self.ramp(now, config)).ceil() as u32;
         gate.min(self.published.connections_share).max(1)
     }
 
+    /// Requests in flight that this process may have at the target when nothing is wrong with it.
+    ///
+    /// One at targets that are other processes' homes: all of them together could otherwise fill
+    /// a target's queue far beyond what its slots can serve in time.
+    pub(crate) fn whole_gate(&self, config: &TargetConfig) -> u32 {
+        if !self.published.home {
+            return config.gate_away;
+        }
+        self.published.slots.saturating_add(config.gate_extra).max(1)
+    }
+
     /// Expected time of one more request, in microseconds.
     pub(crate) fn cost_us(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
         let service_us = view.median_us * self.slowness(now, view, config);
@@ -247,13 +261,26 @@
         (occupancy / self.slots()).max(1.0)
     }
 
-    /// Requests of other processes: the report as far as it is fresh, else the pool's mean.
+    /// Requests of other processes: none at this process's own targets, at others what reports have
+    /// shown on average, as far as they are recent, else the pool's mean.
+    ///
+    /// At its own targets a process knows most of what is in flight exactly and at once. There a
+    /// report only adds what it is behind by, and processes that all follow it swing together.
     pub(crate) fn others(&self, now: Mono, view: &PoolView, config: &TargetConfig) -> f64 {
-        let usual = if self.published.home { 0.0 } else { view.others_per_slot * self.slots() };
+        if self.published.home {
+            return self.refusing(now, view);
+        }
+        let usual = view.others_per_slot * self.slots();
         let Some(reported) = &self.reported else { return usual };
-        let age = now.since(reported.at).as_secs_f64() / config.report_fade.as_secs_f64();
-        let weight = (-age).exp();
-        reported.others * weight + usual * (1.0 - weight)
+        let weight = fade(now.since(reported.at), config.report_fade);
+        reported.others.max(0.0) * weight + usual * (1.0 - weight) + self.refusing(now, view)
+    }
+
+    /// Requests that a refusal for overload just now stands for.
+    fn refusing(&self, now: Mono, view: &PoolView) -> f64 {
+        let Some(shed_at) = self.shed_at else { return 0.0 };
+        let lasts = Duration::from_micros(view.median_us as u64);
+        SHED_OCCUPANCY * self.slots() * fade(now.since(shed_at), lasts)
     }
 
     /// The target's latency as a multiple of the pool's median; 1 when it isn't clearly slower.
@@ -294,22 +321,20 @@
         f64::from(self.published.slots.max(1))
     }
 
-    /// Whether the last report, if fresh, shows more requests than the slots and a few can hold.
-    pub(crate) fn is_crowded(&self, now: Mono, config: &TargetConfig) -> Option<bool> {
-        let reported = self.reported.as_ref()?;
-        let fresh = now.since(reported.at) <= config.report_fade;
-        let most = self.published.slots.saturating_add(config.crowded_extra);
-        fresh.then(|| reported.all >= f64::from(most))
-    }
-
     /// Takes a load report; returns the requests of other processes per slot that it shows.
+    ///
+    /// A report may describe the target as it was a while ago, and how long ago is not known. So
+    /// only the average counts, from which own requests in flight, taken at the same moments,
+    /// cancel out; a single report says nothing.
     pub(crate) fn report(&mut self, report: LoadReport, now: Mono) -> Option<f64> {
         let slots = self.slots();
         let by_use = report.utilisation.map(|used| f64::from(used.value()) / 1000.0 * slots);
         let all = report.in_flight.map(f64::from).or(by_use)?;
-        let others = (all - f64::from(self.running())).max(0.0);
-        self.reported = Some(Reported { others, all, at: now });
-        Some(others / slots)
+        let others = all - f64::from(self.running());
+        let known = self.reported.as_ref().map_or(others, |reported| reported.others);
+        let average = known + (others - known) * REPORT_WEIGHT;
+        self.reported = Some(Reported { others: average, at: now });
+        Some(average.max(0.0) / slots)
     }
 
     pub(crate) fn answered(&mut self, service_us: f64, now: Mono) {
@@ -346,8 +371,7 @@
 
     pub(crate) fn shed(&mut self, now: Mono, spread: f64, config: &TargetConfig) {
         self.heard_at = Some(now);
-        let others = SHED_OCCUPANCY * self.slots();
-        self.reported = Some(Reported { others, all: others, at: now });
+        self.shed_at = Some(now);
         self.failed(now, spread, config);
     }
 
@@ -362,3 +386,8 @@
         self.ramp = Some(Ramp { from: until, kind: RampKind::Returning });
     }
 }
+
+/// From one at no age towards zero; a third at `scale`.
+fn fade(age: Duration, scale: Duration) -> f64 {
+    (-age.as_secs_f64() / scale.as_secs_f64().max(f64::MIN_POSITIVE)).exp()
+}
--- a/crates/balance/src/target_config.rs
+++ b/crates/balance/src/target_config.rs
@@ -8,13 +8,10 @@
     /// Requests beyond the target's slots that may be in flight to it from this process. They
     /// hide the time between an answer and the next request, and wait at the target; default 1.
     pub gate_extra: u32,
-    /// Requests beyond a target's slots, of all processes, from which it counts as crowded;
-    /// default 3.
-    pub crowded_extra: u32,
-    /// Without reports, an answer that took this multiple of the lowest recent median counts as
-    /// from a crowded target; default 3.
-    pub crowded_factor: f64,
-    /// Age at which a load report counts for a third; default 150 ms.
+    /// Requests that may be in flight from this process to a target that is another's home;
+    /// default 1.
+    pub gate_away: u32,
+    /// Age at which a load report counts for a third; default 2 s.
     pub report_fade: Duration,
     /// A target counts as slow from this multiple of the pool's median latency; default 2.
     pub slow_factor: f64,
@@ -39,9 +36,8 @@
     fn default() -> Self {
         Self {
             gate_extra: 1,
-            crowded_extra: 3,
-            crowded_factor: 3.0,
-            report_fade: Duration::from_millis(150),
+            gate_away: 1,
+            report_fade: Duration::from_secs(2),
             slow_factor: 2.0,
             failures_max: 3,
             ejection_first: Duration::from_millis(200),
