--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -9,7 +9,7 @@
 use shallotfork_platform::Platform;
 use shallotfork_revisions::PullGate;
 use shallotfork_types::ServiceName;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::context::Context;
 use crate::control::audit::AuditTrail;
@@ -35,6 +35,10 @@
     pub ledger: RefCell<Ledger>,
     /// Connections to other entries.
     pub peers: Peers,
+    /// Bounds the ends of operations that are reported in the background.
+    pub late_reports: Arc<Semaphore>,
+    /// Bounds the look-ups at peers of ledgers whose issuer is gone.
+    pub lookups: Semaphore,
     /// The trail of changes.
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
@@ -42,7 +46,7 @@
     /// When this process may probe which target.
     pub probes: RefCell<ProbePlan>,
     /// The snapshot whose targets the plan knows.
-    pub probed: RefCell<Option<Arc<Snapshot>>>,
+    pub probed: RefCell<Arc<Snapshot>>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
