fix(shallotd,balance): spread callers over a service's entries, cut standing queues by deadline

And a queue that stood for 300 ms was cut at five usual latencies, 100 ms, although callers wait a second: 14% of orders were refused at first, and came back a second later by Retry-After.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -254,7 +254,7 @@
     fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
         let wait = self.expected_wait(ahead + 1);
         let end = now.plus(wait + self.likely_latency());
-        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait() {
+        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait(&ask, now) {
             return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
         }
         if self.queue.len() >= self.config.queue_max {
@@ -283,8 +283,8 @@
         now.since(since) > self.config.standing_after
     }
 
-    fn standing_wait(&self) -> Duration {
-        self.usual_latency().mul_f64(self.config.standing_wait)
+    fn standing_wait(&self, ask: &Ask, now: Mono) -> Duration {
+        ask.deadline.since(now).mul_f64(self.config.standing_wait)
     }
 
     /// Time within which most attempts end.
--- a/crates/balance/src/pool_config.rs
+++ b/crates/balance/src/pool_config.rs
@@ -19,7 +19,8 @@
     /// When requests have waited without a break for this long, the queue no longer absorbs a
     /// burst but adds its length to every latency; default 300 ms.
     pub standing_after: Duration,
-    /// The longest expected wait in such a queue, as a multiple of the usual latency; default 5.
+    /// The longest expected wait in such a queue, as a part of the time to the deadline; default a
+    /// third.
     pub standing_wait: f64,
     /// Hedges as a share of first attempts; default 25‰.
     pub hedge_share: Permille,
@@ -46,7 +47,7 @@
             gated: true,
             queue_max: 512,
             standing_after: Duration::from_millis(300),
-            standing_wait: 5.0,
+            standing_wait: 1.0 / 3.0,
             hedge_share: Permille::new(25),
             hedge_burst: 5,
             hedge_quantile: 0.95,
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -87,6 +87,8 @@
     let gate = TargetGate::new(connection_budget(&settings), clock);
     let now = Arc::new(move || clock.now());
     let exchange = Exchange::new(exchange_config, bodies.clone(), Arc::new(gate.clone()), now)?;
+    // Callers that ask many entries once each would otherwise all be sent to the same one.
+    let first_turn = identity.incarnation.value();
     let context = Arc::new(Context {
         settings,
         identity,
@@ -98,7 +100,7 @@
         gate,
         bodies,
         in_flight: InFlight::default(),
-        turns: AtomicU64::new(0),
+        turns: AtomicU64::new(first_turn),
         claims: AtomicU64::new(0),
     });
     let (ready, is_ready) = watch::channel(false);
