fix(balance): the limit follows waits of a whole usual latency, measured in quiet times

Cause: near saturation the lowest of 20 latencies often shows half a usual wait, and the limit then fell below what keeps all slots busy.

The usual latency itself rose with the crowd, so that a wait of three latencies no longer counted (in flight 40 instead of 3 in an_entry_takes_less_of_crowded_targets..., seen failing): it is now kept from quiet times, like the lowest one.

--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -14,9 +14,10 @@
 /// Growth of the limit in a window without waits, while requests wait here.
 const INCREASE_SHARE: f64 = 0.05;
 const INCREASE: f64 = 0.5;
-/// A wait counts from this part of the usual latency.
-const WAIT_PART: f64 = 0.5;
-/// How fast the lowest latency of quiet times is forgotten, a window.
+/// A wait counts from this multiple of the usual latency. Half of it costs 1.5% of goodput near
+/// saturation; more lets queues at targets grow when many entries serve a service.
+const WAIT_PART: f64 = 1.0;
+/// How fast the latencies of quiet times rise to higher ones, a window.
 const FORGET: f64 = 0.01;
 
 /// Lowers the limit while even the quickest answers show a wait at the targets.
@@ -35,8 +36,31 @@
     window_from: Mono,
     answers: u32,
     lowest_us: f64,
-    /// Lowest latency of windows in which nothing waited.
-    quiet_us: Option<f64>,
+    quiet: Option<Quiet>,
+}
+
+/// Latencies, in microseconds, while nothing waits at the targets.
+#[derive(Debug, Clone, Copy)]
+struct Quiet {
+    /// The lowest of a window.
+    lowest_us: f64,
+    usual_us: f64,
+}
+
+impl Quiet {
+    /// Falls at once and rises slowly, and not while requests wait: then the latencies are those of
+    /// the crowd.
+    fn learn(self, seen: Self, waiting: bool) -> Self {
+        let follow = |known: f64, seen: f64| match seen < known {
+            true => seen,
+            false if waiting => known,
+            false => known + (seen - known) * FORGET,
+        };
+        Self {
+            lowest_us: follow(self.lowest_us, seen.lowest_us),
+            usual_us: follow(self.usual_us, seen.usual_us),
+        }
+    }
 }
 
 impl ConcurrencyLimit {
@@ -47,7 +71,7 @@
             window_from: Mono::ZERO,
             answers: 0,
             lowest_us: f64::INFINITY,
-            quiet_us: None,
+            quiet: None,
         }
     }
 
@@ -78,13 +102,10 @@
     }
 
     fn adjust(&mut self, usual_us: f64, waiting: bool) {
-        let quiet_us = *self.quiet_us.get_or_insert(self.lowest_us);
-        if self.lowest_us < quiet_us {
-            self.quiet_us = Some(self.lowest_us);
-        } else if !waiting {
-            self.quiet_us = Some(quiet_us + (self.lowest_us - quiet_us) * FORGET);
-        }
-        if self.lowest_us > quiet_us + usual_us * WAIT_PART {
+        let seen = Quiet { lowest_us: self.lowest_us, usual_us };
+        let quiet = *self.quiet.get_or_insert(seen);
+        self.quiet = Some(quiet.learn(seen, waiting));
+        if self.lowest_us > quiet.lowest_us + quiet.usual_us * WAIT_PART {
             self.limit = (self.limit * DECREASE).max(LIMIT_MIN);
         } else if waiting {
             let grown = self.limit * (1.0 + INCREASE_SHARE) + INCREASE;
