--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -254,7 +254,7 @@
     fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
         let wait = self.expected_wait(ahead + 1);
         let end = now.plus(wait + self.likely_latency());
-        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait() {
+        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait(&ask, now) {
             return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
         }
         if self.queue.len() >= self.config.queue_max {
@@ -283,8 +283,8 @@
         now.since(since) > self.config.standing_after
     }
 
-    fn standing_wait(&self) -> Duration {
-        self.usual_latency().mul_f64(self.config.standing_wait)
+    fn standing_wait(&self, ask: &Ask, now: Mono) -> Duration {
+        ask.deadline.since(now).mul_f64(self.config.standing_wait)
     }
 
     /// Time within which most attempts end.
@@ -440,8 +440,10 @@
         let config = self.config.target.clone();
         if let AttemptOutcome::Answered { latency } = outcome {
             self.learn_latency(latency);
+            let usual_us = self.view.median_us;
+            let waiting = !self.queue.is_empty();
+            self.limit.answered(elapsed_us, usual_us, waiting, now);
         }
-        self.learn_crowding(running, outcome, now);
         // One that had little time left when it was sent says nothing against the target.
         let tail_us = self.view.tail_us;
         let Some(target) = self.find(&running.target) else { return };
@@ -461,24 +463,9 @@
         }
     }
 
-    fn learn_crowding(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
-        let config = self.config.target.clone();
-        let slow_us = self.view.median_us * config.crowded_factor;
-        let Some(target) = self.find(&running.target) else { return };
-        let reported = target.is_crowded(now, &config);
-        let crowded = match outcome {
-            AttemptOutcome::Answered { latency } => {
-                reported.unwrap_or(latency.as_micros() as f64 > slow_us)
-            }
-            AttemptOutcome::Shed => true,
-            _ => return,
-        };
-        self.limit.answered(crowded, !self.queue.is_empty());
-    }
-
     fn gates(&self) -> u32 {
-        let gate = |target: &Target| target.published.slots + self.config.target.gate_extra;
-        self.targets.iter().filter(|target| target.is_serving()).map(gate).sum()
+        let serving = self.targets.iter().filter(|target| target.is_serving());
+        serving.map(|target| target.whole_gate(&self.config.target)).sum()
     }
 
     fn learn_latency(&mut self, latency: Duration) {
