--- a/tests/examples/added_time.rs
+++ b/tests/examples/added_time.rs
@@ -4,9 +4,10 @@
 //! in every request that fell into it. Direct and proxied seconds take turns within one run; the
 //! machine's own noise meets both. Arguments: the rates a second to run.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
+use anyhow::{Context, ensure};
 use hdrhistogram::Histogram;
 use shallotfork_exchange::{ServeConfig, ServeControl, serve};
 use shallotfork_standin::caller::plain_client;
@@ -34,13 +35,18 @@
     addresses: Vec<Endpoint>,
     client: reqwest::Client,
     latency_us: Histogram<u64>,
-    failed: u64,
+    failures: BTreeMap<String, u64>,
 }
 
 impl Path {
     fn new(addresses: Vec<Endpoint>) -> anyhow::Result<Self> {
         let latency_us = Histogram::new(SIGNIFICANT_DIGITS)?;
-        Ok(Self { addresses, client: plain_client(TIMEOUT)?, latency_us, failed: 0 })
+        Ok(Self {
+            addresses,
+            client: plain_client(TIMEOUT)?,
+            latency_us,
+            failures: BTreeMap::new(),
+        })
     }
 
     /// Sends at `rate` a second for one round.
@@ -57,13 +63,15 @@
                 let address = addresses[number as usize % addresses.len()];
                 let (client, sender) = (client.clone(), sender.clone());
                 runtime.spawn(async move {
-                    let succeeded = read(&client, address).await;
-                    let _receiver_gone = sender.send((due.elapsed(), succeeded));
+                    let end = read(&client, address).await;
+                    let _receiver_gone = sender.send((due.elapsed(), end));
                 });
             }
         });
-        while let Some((latency, succeeded)) = ends.recv().await {
-            self.failed += u64::from(!succeeded);
+        while let Some((latency, end)) = ends.recv().await {
+            if let Err(error) = end {
+                *self.failures.entry(error.to_string()).or_default() += 1;
+            }
             self.latency_us.record(u64::try_from(latency.as_micros())?)?;
         }
         sending.join().map_err(|_| anyhow::anyhow!("the sender failed"))
@@ -74,10 +82,14 @@
     }
 }
 
-async fn read(client: &reqwest::Client, address: Endpoint) -> bool {
+async fn read(client: &reqwest::Client, address: Endpoint) -> anyhow::Result<()> {
     let sending = client.get(format!("http://{address}/card")).header("host", SERVICE).send();
-    let Ok(response) = sending.await else { return false };
-    response.status().is_success() && response.bytes().await.is_ok()
+    let response = sending.await?;
+    let status = response.status();
+    let body = response.text().await?;
+    let reason = body.split(",\"verdict\"").next().unwrap_or_default();
+    ensure!(status.is_success(), "{status}: {reason}");
+    Ok(())
 }
 
 #[tokio::main]
@@ -114,7 +126,7 @@
     running.platform.publish(&format!("targets.{SERVICE}"), &targets).await?;
     let client = plain_client(TIMEOUT)?;
     let entry = running.caller_addresses()[0];
-    wait_until("the targets are known", async || read(&client, entry).await).await?;
+    wait_until("the targets are known", async || read(&client, entry).await.is_ok()).await?;
     Ok(addresses)
 }
 
@@ -139,9 +151,12 @@
         proxied_p50.saturating_sub(direct_p50),
         proxied_p99.saturating_sub(direct_p99),
         cpu_us / proxied.latency_us.len().max(1),
-        direct.failed,
-        proxied.failed,
+        direct.failures.values().sum::<u64>(),
+        proxied.failures.values().sum::<u64>(),
     );
+    for (failure, count) in direct.failures.iter().chain(&proxied.failures) {
+        println!("  {count} times {failure}");
+    }
     Ok(())
 }
 
