fix(exchange): a refusal of headers also reaches a sender that sends on

Cause: only bodies over a limit were read on after a refusal; a request refused for its headers left its body unread, and the reset that the kernel sends for it took the 400 with it. The test saw a broken pipe before. Now every refusal but that of a body which ended or stalled reads on, within the same limits.

--- a/crates/exchange/src/read_whole.rs
+++ b/crates/exchange/src/read_whole.rs
@@ -60,8 +60,9 @@
     // Reading the body would tell a caller who waits for 100 Continue to send it.
     let waits = parts.headers.contains_key(EXPECT);
     let read = read_parts(parts, &mut pieces, limits, budget).await;
-    let is_too_much = matches!(read, Err(Refusal::BodyTooLarge { .. } | Refusal::BudgetFull));
-    if is_too_much && !waits {
+    let has_ended =
+        matches!(read, Ok(_) | Err(Refusal::BodyTimeout { .. } | Refusal::BodyIncomplete));
+    if !has_ended && !waits {
         let size_max_bytes = limits.body_max.value();
         let limits = DiscardLimits { size_max_bytes, timeout: limits.body_timeout };
         discard(pieces, limits, budget.discards());
--- a/crates/exchange/tests/requests.rs
+++ b/crates/exchange/tests/requests.rs
@@ -16,6 +16,8 @@
 const GEN_SIZE: usize = 64;
 const SEED: u64 = 0x5ba1;
 const CASES: u64 = 300;
+/// More than the kernel's buffers of one connection take.
+const LARGE: Bytes = Bytes::from_mib(32);
 
 #[tokio::test]
 async fn a_whole_request_loses_only_what_was_meant_for_this_hop() {
@@ -183,6 +185,21 @@
     assert_eq!(Bytes::new(0), front.echo.budget.held());
 }
 
+/// A restorer sends a dossier with a malformed key, and reads the answer once all is sent, as
+/// simple clients do. A connection that is closed with bytes unread is reset by the kernel, and
+/// the reset takes the answer with it: the restorer sees a broken connection and tries again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_reaches_a_sender_that_sends_on() {
+    let front = Front::start(Echo::new().with_body_max(LARGE), ServeConfig::default()).await;
+    let size = LARGE.value();
+    let mut stream = front.connect().await;
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\nidempotency-key: a b\r\n";
+    let head = format!("{head}content-length: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("write the head");
+    stream.write_all(&vec![b'x'; size as usize]).await.expect("write the body");
+    assert_eq!("400", status(&read_to_end(stream).await));
+}
+
 /// Many callers upload at once, more than the process has memory for.
 #[tokio::test]
 async fn bodies_over_the_process_limit_are_told_to_come_back() {
--- a/crates/exchange/tests/support/front.rs
+++ b/crates/exchange/tests/support/front.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    pub fn with_body_max(mut self, body_max: Bytes) -> Self {
+        self.limits.body_max = body_max;
+        self
+    }
+
     pub fn with_body_timeout(mut self, timeout: Duration) -> Self {
         self.limits.body_timeout = timeout;
         self
