feat(shallotd): a read that meets a target in trouble is tried at another

Cause: a target that answers errors at once had them passed on to callers until it was left out. Ruled out: leaving it out at the first error, as single errors are ordinary. Change: an idempotent request without a key that is answered 500, 502, 503 or 504 is tried at another target, within the rule's retries and the retry budget; when none is left, the caller gets the target's own answer. Of two hedged attempts the one that is well wins. Everything else is passed on as before. dispatch.rs loses its failures to unserved.rs.

--- a/crates/shallotd/src/traffic/dispatch.rs
+++ b/crates/shallotd/src/traffic/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::snapshot::{Service, Snapshot};
 use crate::traffic::operation::{Executed, operation, run_once};
 use crate::traffic::service_pool::Assigned;
+use crate::traffic::unserved::{Unserved, is_trouble};
 
 /// Header in which a target reports its load with an answer.
 const LOAD_REPORT_HEADER: &str = "endpoint-load-metrics";
@@ -123,7 +124,7 @@
 
 async fn attempt_until_answered(job: &Job) -> Executed {
     let mut tried: BTreeSet<TargetId> = BTreeSet::new();
-    let mut last: Option<AttemptFailure> = None;
+    let mut last: Option<Unserved> = None;
     let mut may_have_run = false;
     loop {
         let ask = ask(job, &tried);
@@ -134,26 +135,25 @@
         let assigned = match (place, last) {
             (Ok(assigned), _) => assigned,
             (Err(shed), None) => return Err(shed_problem(shed)),
-            (Err(_), Some(failure)) => return Err(failure_problem(&failure, may_have_run)),
+            (Err(_), Some(unserved)) => return unserved.into_executed(may_have_run),
         };
         tried.insert(assigned.target().clone());
-        let failure = match attempt_hedged(job, assigned, &mut tried).await {
+        let unserved = match attempt_hedged(job, assigned, &mut tried).await {
             Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
+            Err(unserved) => unserved,
         };
-        may_have_run |= failure.verdict() != Verdict::NotRun;
+        may_have_run |= unserved.verdict() != Verdict::NotRun;
         let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-        if attempts > job.outcome.retries || !may_repeat(job, &failure) {
-            return Err(failure_problem(&failure, may_have_run));
+        if attempts > job.outcome.retries || !may_repeat(job, &unserved) {
+            return unserved.into_executed(may_have_run);
         }
-        last = Some(failure);
+        last = Some(unserved);
     }
 }
 
 /// A request that may have run is only sent again when a second run does no harm.
-fn may_repeat(job: &Job, failure: &AttemptFailure) -> bool {
-    let useful = !matches!(failure.cause(), FailureCause::BadRequest | FailureCause::TooLate);
-    useful && (job.repeatable || failure.verdict() == Verdict::NotRun)
+fn may_repeat(job: &Job, unserved: &Unserved) -> bool {
+    unserved.may_pass() && (job.repeatable || unserved.verdict() == Verdict::NotRun)
 }
 
 fn ask(job: &Job, tried: &BTreeSet<TargetId>) -> Ask {
@@ -178,7 +178,7 @@
     job: &Job,
     assigned: Assigned,
     tried: &mut BTreeSet<TargetId>,
-) -> Result<WholeAnswer, AttemptFailure> {
+) -> Result<WholeAnswer, Unserved> {
     let name = assigned.attempt();
     let first = pin!(attempt(job, assigned));
     let Some(delay) = hedge_delay(job) else { return first.await };
@@ -196,7 +196,7 @@
 }
 
 /// Of two failed attempts, the one that says more: `not-run` holds only when both prove it.
-fn worse(first: AttemptFailure, second: AttemptFailure) -> AttemptFailure {
+fn worse(first: Unserved, second: Unserved) -> Unserved {
     if second.verdict() == Verdict::NotRun { first } else { second }
 }
 
@@ -206,12 +206,12 @@
     allowed.then(|| job.service.pool.hedge_delay()).flatten()
 }
 
-async fn attempt(job: &Job, assigned: Assigned) -> Result<WholeAnswer, AttemptFailure> {
+async fn attempt(job: &Job, assigned: Assigned) -> Result<WholeAnswer, Unserved> {
     let Some(target) = job.service.targets.by_id.get(assigned.target()) else {
         // The list changed between choice and sending: the target is gone from this snapshot.
         let gone = TargetAddress::new(job.context.identity.callers);
         let attempt = Attempt::new(gone, Arc::clone(&job.request), job.deadline);
-        return Err(attempt.not_run(FailureCause::ConnectFailed));
+        return Err(Unserved::Failed(attempt.not_run(FailureCause::ConnectFailed)));
     };
     let attempt = Attempt::new(address(target), Arc::clone(&job.request), job.deadline);
     let sent_at = job.context.clock.now();
@@ -219,7 +219,10 @@
     let latency = job.context.clock.now().since(sent_at);
     let report = result.as_ref().ok().and_then(load_report);
     assigned.finish(attempt_outcome(&result, latency), report);
-    result
+    match result {
+        Ok(answer) if job.repeatable && is_trouble(&answer) => Err(Unserved::Error(answer)),
+        other => other.map_err(Unserved::Failed),
+    }
 }
 
 fn address(target: &TargetInfo) -> TargetAddress {
@@ -259,12 +262,3 @@
     };
     not_run(status, shed.reason.as_str()).with_retry_after(shed.retry_after)
 }
-
-fn failure_problem(failure: &AttemptFailure, may_have_run: bool) -> Problem {
-    let verdict = if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
-    let problem = Problem::new(failure.status(), verdict).with_detail(&failure.cause().to_string());
-    match failure.cause() {
-        FailureCause::Shed { retry_after: Some(wait) } => problem.with_retry_after(*wait),
-        _ => problem,
-    }
-}
--- a/crates/shallotd/src/traffic/mod.rs
+++ b/crates/shallotd/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod in_flight;
 mod operation;
 mod service_pool;
+mod unserved;
 
 pub use connection_gate::{GateTarget, TargetGate};
 pub use dispatch::load_report;
