fix(exchange): read refused bodies on by turns, and end those connections

Causes: the time limit ran while a body waited for its turn (1 s in that test), and connections kept their read buffers after the refusal. Changes: the limit starts with the turn; 4 bodies at a time in place of 8; a refusal of a request that was not taken in says Connection: close on HTTP/1.1.

--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -8,7 +8,7 @@
 
 /// Refused bodies that are read to their end at the same time; each takes a buffer of its
 /// connection, which no budget counts.
-const DISCARDS_MAX: usize = 8;
+const DISCARDS_MAX: usize = 4;
 
 /// Counts the bytes of all bodies held by the process and refuses more than its limit.
 ///
--- a/crates/exchange/src/discard.rs
+++ b/crates/exchange/src/discard.rs
@@ -32,9 +32,10 @@
     let reading = async move {
         // The semaphore is never closed. Meanwhile the connection is open and nothing is read.
         let _turn = turns.acquire().await;
-        read_on(body, limits.size_max_bytes).await;
+        let reading = read_on(body, limits.size_max_bytes);
+        let _timed_out = tokio::time::timeout(limits.timeout, reading).await;
     };
-    tokio::spawn(tokio::time::timeout(limits.timeout, reading));
+    tokio::spawn(reading);
 }
 
 async fn read_on<E>(mut body: impl Stream<Item = Result<Bytes, E>> + Unpin, mut left_bytes: u64) {
--- a/crates/shallotd/src/traffic/front.rs
+++ b/crates/shallotd/src/traffic/front.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::header::HOST;
+use http::Version;
+use http::header::{CONNECTION, HOST, HeaderValue};
 use poem::{Request, Response};
 use shallotfork_exchange::{BodyLimits, read_whole};
 
@@ -31,13 +32,25 @@
         return entries(context, &request).await;
     }
     let limits = body_limits(context);
+    let version = request.version();
     let operation = named_operation(request.headers());
     match read_whole(request, &limits, &context.bodies).await {
         Ok(whole) => dispatch(context, whole).await,
-        Err(refusal) => refuse(context, operation, refusal.problem()).await.into_response(),
+        Err(refusal) => {
+            with_close(refuse(context, operation, refusal.problem()).await.into_response(), version)
+        }
     }
 }
 
+/// Ends a connection whose request was not taken in, so that hundreds of refused uploads do not
+/// keep their read buffers; HTTP/2 has no such header.
+fn with_close(mut response: Response, version: Version) -> Response {
+    if version < Version::HTTP_2 {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 fn is_for_system(request: &Request) -> bool {
     let authority = request.uri().authority().map(|authority| authority.as_str());
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
