refactor(balance): pool split by job; waking costs no scan of the queue

Waking walked the whole queue for requests without a target, and tried 32 waiting requests after each answer.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -1,39 +1,30 @@
 //! The state of one service's targets, queue and budgets in one process.
 
+mod choice;
+mod learn;
+mod waiting;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use shallotfork_measure::LoadReport;
-use shallotfork_types::{Mono, Permille, TargetId, rendezvous_weight};
+use shallotfork_types::{Mono, Permille, TargetId};
 
 use crate::budget::ShareBudget;
 use crate::latency::LatencyHistogram;
 use crate::limit::ConcurrencyLimit;
-use crate::policy::{Candidate, Chooser};
+use crate::policy::Chooser;
 use crate::queue::WaitQueue;
 use crate::target::{PoolView, Ramp, RampKind, Target};
 use crate::{
-    Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolTarget, Resolution,
-    Shed, ShedReason, TargetStatus, Ticket, Woken,
+    Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolTarget, ShedReason,
+    TargetStatus, Ticket, Woken,
 };
 
-/// Weight of a new latency in the pool's mean.
-const MEAN_WEIGHT: f64 = 0.02;
 /// Weight of a new report in the mean number of requests of other processes.
 const OTHERS_WEIGHT: f64 = 0.02;
-/// Share of requests whose latency counts as usual; an older one in flight is a sign of trouble.
-const TAIL_QUANTILE: f64 = 0.98;
-/// Share of attempts that must be expected to end in time for one to be worth sending.
-const LIKELY_QUANTILE: f64 = 0.9;
-/// Answers between two computations of the pool's averages.
-const VIEW_EVERY: u32 = 16;
-/// Waiting requests that are tried when a target gets room; more could only differ in exclusions.
-const WAKE_SCAN_MAX: usize = 32;
-/// Bounds of the advice when to come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(20);
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
 
 #[derive(Debug)]
 struct Running {
@@ -108,6 +99,7 @@
             self.targets.push(next);
         }
         self.limit.set_max(self.gates());
+        self.end_those_without_target(now);
         self.wake(now)
     }
 
@@ -193,6 +185,7 @@
         while let Some(ticket) = self.queue.pop_expired(now) {
             self.end(ticket, ShedReason::DeadlinePassed);
         }
+        self.end_those_without_target(now);
         self.wake(now)
     }
 
@@ -235,274 +228,6 @@
         self.targets.iter().map(|target| target.status(now)).collect()
     }
 
-    fn place(&mut self, ask: Ask, now: Mono) -> Admission {
-        if ask.deadline <= now {
-            return Admission::Shed(self.shed(ShedReason::DeadlinePassed, 0));
-        }
-        if !self.has_target_for(&ask, now) {
-            return Admission::Shed(self.shed(ShedReason::NoTarget, 0));
-        }
-        let ahead = self.queue.ahead_of(&ask);
-        if ahead == 0
-            && let Some(assignment) = self.assign(&ask, now)
-        {
-            return Admission::Send(assignment);
-        }
-        self.enqueue(ask, ahead, now)
-    }
-
-    fn enqueue(&mut self, ask: Ask, ahead: usize, now: Mono) -> Admission {
-        let wait = self.expected_wait(ahead + 1);
-        let end = now.plus(wait + self.likely_latency());
-        if end > ask.deadline || self.is_standing(now) && wait > self.standing_wait(&ask, now) {
-            return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, ahead));
-        }
-        if self.queue.len() >= self.config.queue_max {
-            let Some(last) = self.queue.last_after(&ask) else {
-                return Admission::Shed(self.shed(ShedReason::QueueFull, ahead));
-            };
-            self.queue.remove(last);
-            self.end(last, ShedReason::QueueFull);
-        }
-        let ticket = Ticket(self.next_id());
-        self.queue.push(ticket, ask);
-        self.waiting_since.get_or_insert(now);
-        Admission::Queued(ticket)
-    }
-
-    /// Little's law: with the gates full, an attempt ends every (mean latency / in flight).
-    fn expected_wait(&self, place: usize) -> Duration {
-        let in_flight = self.attempts.len().max(1) as f64;
-        Duration::from_micros((self.mean_us * place as f64 / in_flight) as u64)
-    }
-
-    /// Whether requests have waited for so long that the cause is no burst. A queue that stands
-    /// serves no more requests than a short one, but makes each of them late.
-    fn is_standing(&self, now: Mono) -> bool {
-        let since = self.waiting_since.unwrap_or(now);
-        now.since(since) > self.config.standing_after
-    }
-
-    fn standing_wait(&self, ask: &Ask, now: Mono) -> Duration {
-        ask.deadline.since(now).mul_f64(self.config.standing_wait)
-    }
-
-    /// Time within which most attempts end.
-    fn likely_latency(&self) -> Duration {
-        self.latencies.quantile(LIKELY_QUANTILE).unwrap_or_else(|| self.usual_latency())
-    }
-
-    fn usual_latency(&self) -> Duration {
-        Duration::from_micros(self.view.median_us as u64)
-    }
-
-    fn shed(&self, reason: ShedReason, ahead: usize) -> Shed {
-        let drained = self.expected_wait(ahead + 1);
-        Shed { retry_after: drained.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX), reason }
-    }
-
-    fn end(&mut self, ticket: Ticket, reason: ShedReason) {
-        let shed = self.shed(reason, self.queue.len());
-        self.ended.push(Woken { ticket, resolution: Resolution::Shed(shed) });
-    }
-
-    fn take_ended(&mut self) -> Vec<Woken> {
-        std::mem::take(&mut self.ended)
-    }
-
-    /// Assigns waiting requests in order while targets have room.
-    fn wake(&mut self, now: Mono) -> Vec<Woken> {
-        let mut woken = self.take_ended();
-        self.end_those_without_target(now);
-        woken.append(&mut self.ended);
-        let first: Vec<Ticket> =
-            self.queue.iter().take(WAKE_SCAN_MAX).map(|(ticket, _)| ticket).collect();
-        for ticket in first {
-            let Some(ask) = self.queue.remove(ticket) else { continue };
-            if let Some(reason) = self.too_late(&ask, now) {
-                let shed = self.shed(reason, 0);
-                woken.push(Woken { ticket, resolution: Resolution::Shed(shed) });
-                continue;
-            }
-            match self.assign(&ask, now) {
-                Some(assignment) => {
-                    woken.push(Woken { ticket, resolution: Resolution::Send(assignment) });
-                }
-                None => self.queue.push(ticket, ask),
-            }
-        }
-        if self.queue.is_empty() {
-            self.waiting_since = None;
-        }
-        woken
-    }
-
-    /// Why a request that gets its turn is not worth sending. One sent with less time left than
-    /// most attempts need takes a slot, times out, and costs its connection too.
-    fn too_late(&self, ask: &Ask, now: Mono) -> Option<ShedReason> {
-        if ask.deadline <= now {
-            return Some(ShedReason::DeadlinePassed);
-        }
-        let too_near = now.plus(self.likely_latency()) > ask.deadline;
-        too_near.then_some(ShedReason::DeadlineTooNear)
-    }
-
-    fn end_those_without_target(&mut self, now: Mono) {
-        let lost = self.queue.iter().filter(|(_, ask)| !self.has_target_for(ask, now));
-        let lost: Vec<Ticket> = lost.map(|(ticket, _)| ticket).collect();
-        for ticket in lost {
-            self.queue.remove(ticket);
-            self.end(ticket, ShedReason::NoTarget);
-        }
-    }
-
-    fn has_target_for(&self, ask: &Ask, now: Mono) -> bool {
-        self.serving_for(ask, now).next().is_some()
-    }
-
-    /// Targets that take new work, by what was published and by their own word.
-    ///
-    /// The published list lags behind a target that leaves, which would lose what is sent to it
-    /// last; its own word comes with the first answer. When all say that they leave, somebody
-    /// has to serve still: then only the list counts.
-    fn serving_for<'a>(
-        &'a self,
-        ask: &'a Ask,
-        now: Mono,
-    ) -> impl Iterator<Item = (usize, &'a Target)> + 'a {
-        let mut serving = self.targets.iter().filter(|target| target.is_serving());
-        let all_leave = serving.all(|target| target.says_leaving(now));
-        let takes_work =
-            move |target: &Target| target.is_serving() && (all_leave || !target.says_leaving(now));
-        let wanted = |target: &Target| !ask.exclude.contains(&target.published.id);
-        let targets = self.targets.iter().enumerate();
-        targets.filter(move |(_, target)| takes_work(target) && wanted(target))
-    }
-
-    fn assign(&mut self, ask: &Ask, now: Mono) -> Option<Assignment> {
-        if self.config.gated && !self.limit.has_room(self.attempts.len()) {
-            return None;
-        }
-        let candidates = self.candidates(ask, now);
-        let chosen = self.chooser.choose(&candidates)?;
-        Some(self.start(chosen, now))
-    }
-
-    /// Whether a hedge would run there at once, as far as this process can tell. Elsewhere it
-    /// would wait behind first attempts and slow them down.
-    fn is_free(&self, target: &Target, now: Mono) -> bool {
-        target.crowding(now, &self.view, &self.config.target) <= 1.0
-    }
-
-    fn start(&mut self, chosen: usize, now: Mono) -> Assignment {
-        let crowding = self.targets[chosen].crowding(now, &self.view, &self.config.target);
-        let attempt = AttemptId(self.next_id());
-        self.targets[chosen].start(attempt, now);
-        let target = self.targets[chosen].published.id.clone();
-        let running = Running { target: target.clone(), started: now, crowding };
-        self.attempts.insert(attempt, running);
-        Assignment { attempt, target }
-    }
-
-    /// Targets with room. Those ejected are left out, unless that is half of all or more: then
-    /// the evidence more likely shows a fault of this process or its network.
-    fn candidates(&self, ask: &Ask, now: Mono) -> Vec<Candidate> {
-        let serving = self.serving_for(ask, now);
-        let (ejected, healthy): (Vec<_>, Vec<_>) = serving.partition(|(_, t)| t.is_ejected(now));
-        let ignore_evidence = ejected.len() >= healthy.len();
-        let ejected = ejected.into_iter().filter(|_| ignore_evidence);
-        let open = healthy.into_iter().chain(ejected).filter(|(_, t)| self.has_room(t, now));
-        let mut candidates: Vec<Candidate> =
-            open.map(|(index, target)| self.candidate(index, target, ask, now)).collect();
-        candidates.sort_unstable_by_key(|candidate| candidate.index);
-        candidates
-    }
-
-    fn has_room(&self, target: &Target, now: Mono) -> bool {
-        if !self.config.gated {
-            return true;
-        }
-        target.running() < target.gate(now, &self.view, &self.config.target)
-    }
-
-    fn candidate(&self, index: usize, target: &Target, ask: &Ask, now: Mono) -> Candidate {
-        let config = &self.config.target;
-        let domain = &target.published.failure_domain;
-        let rank = ask.prefer.iter().position(|near| near == domain).unwrap_or(ask.prefer.len());
-        let far_us = config.far_cost.as_micros() as f64 * rank as f64;
-        let cost = target.cost_us(now, &self.view, config) + far_us;
-        Candidate { index, running: target.running(), cost }
-    }
-
-    fn learn(&mut self, running: &Running, outcome: AttemptOutcome, now: Mono) {
-        let spread = self.chooser.fraction();
-        let elapsed_us = now.since(running.started).as_micros() as f64;
-        let config = self.config.target.clone();
-        if let AttemptOutcome::Answered { latency } = outcome {
-            self.learn_latency(latency);
-            let usual_us = self.view.median_us;
-            let waiting = !self.queue.is_empty();
-            self.limit.answered(elapsed_us, usual_us, waiting, now);
-        }
-        // One that had little time left when it was sent says nothing against the target.
-        let tail_us = self.view.tail_us;
-        let Some(target) = self.find(&running.target) else { return };
-        match outcome {
-            AttemptOutcome::Answered { latency } => {
-                target.answered(latency.as_micros() as f64 / running.crowding, now);
-            }
-            AttemptOutcome::Failed => target.failed(now, spread, &config),
-            AttemptOutcome::Shed => target.shed(now, spread, &config),
-            AttemptOutcome::TimedOut => {
-                target.at_least(elapsed_us / running.crowding, now);
-                if elapsed_us > tail_us {
-                    target.failed(now, spread, &config);
-                }
-            }
-            AttemptOutcome::Cancelled => target.at_least(elapsed_us / running.crowding, now),
-        }
-    }
-
-    fn gates(&self) -> u32 {
-        let serving = self.targets.iter().filter(|target| target.is_serving());
-        serving.map(|target| target.whole_gate(&self.config.target)).sum()
-    }
-
-    fn learn_latency(&mut self, latency: Duration) {
-        self.latencies.record(latency);
-        self.mean_us += (latency.as_micros() as f64 - self.mean_us) * MEAN_WEIGHT;
-        self.answers_since_view += 1;
-        if self.answers_since_view >= VIEW_EVERY {
-            self.answers_since_view = 0;
-            self.update_view();
-        }
-    }
-
-    fn update_view(&mut self) {
-        let mut latencies: Vec<f64> = self.targets.iter().filter_map(Target::latency_us).collect();
-        latencies.sort_by(f64::total_cmp);
-        if let Some(median_us) = latencies.get(latencies.len() / 2) {
-            self.view.median_us = median_us.max(1.0);
-        }
-        if let Some(tail) = self.latencies.quantile(TAIL_QUANTILE) {
-            self.view.tail_us = tail.as_micros() as f64;
-        }
-    }
-
-    fn subset<'a>(&self, published: &'a [PoolTarget]) -> Vec<&'a PoolTarget> {
-        let mut all: Vec<&PoolTarget> = published.iter().collect();
-        if all.len() <= self.config.subset_max {
-            return all;
-        }
-        let own = self.config.subset_of.as_ref().map_or("", |vm| vm.as_str());
-        all.sort_by_cached_key(|target| {
-            let usable = target.state == crate::TargetState::Serving;
-            std::cmp::Reverse((usable, target.home, rendezvous_weight(own, target.id.as_str())))
-        });
-        all.truncate(self.config.subset_max);
-        all
-    }
-
     /// Attempts in flight to a target that left the list and came back.
     fn started_at(&self, target: &TargetId) -> BTreeSet<(Mono, AttemptId)> {
         let running = self.attempts.iter().filter(|(_, running)| running.target == *target);
