--- a/crates/settings/src/sections/callers.rs
+++ b/crates/settings/src/sections/callers.rs
@@ -16,7 +16,7 @@
         advertise: Option<Endpoint> = "advertise", Optional, "203.0.113.7:8080";
         /// How long callers may keep an answer that names entries.
         keep_for: Duration = "keep_for_ms", Default("2000"), "2000";
-        /// Connections of callers held at once; further ones are closed.
+        /// Connections of callers held at once; further ones wait.
         connections_max: usize = "connections_max", Default("4096"), "4096";
         /// Largest body of one request or answer.
         body_max: Bytes = "body_max", Default("8MiB"), "8MiB";
