--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -106,6 +106,17 @@
     pub resolution: Resolution,
 }
 
+/// What a pool was asked for so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PoolCounts {
+    /// Requests that were not sent before, refused ones included.
+    pub firsts: u64,
+    /// Retries within the budget.
+    pub retries: u64,
+    /// Hedges sent.
+    pub hedges: u64,
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,7 +18,8 @@
 mod target_config;
 
 pub use admission::{
-    Admission, Assignment, AttemptId, AttemptOutcome, Resolution, Shed, ShedReason, Ticket, Woken,
+    Admission, Assignment, AttemptId, AttemptOutcome, PoolCounts, Resolution, Shed, ShedReason,
+    Ticket, Woken,
 };
 pub use ask::{Ask, Priority};
 pub use group::{GroupEntry, GroupSize, ServiceGroup};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -19,8 +19,8 @@
 use crate::queue::WaitQueue;
 use crate::target::{PoolView, Ramp, RampKind, Target};
 use crate::{
-    Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolTarget, ShedReason,
-    TargetStatus, Ticket, Woken,
+    Admission, Ask, Assignment, AttemptId, AttemptOutcome, PoolConfig, PoolCounts, PoolTarget,
+    ShedReason, TargetStatus, Ticket, Woken,
 };
 
 /// Weight of a new report in the mean number of requests of other processes.
@@ -223,6 +223,15 @@
         Some(Permille::new((wanted / f64::from(slots) * 1000.0) as u32))
     }
 
+    /// What was asked for so far, for operators.
+    pub fn counts(&self) -> PoolCounts {
+        PoolCounts {
+            firsts: self.retries.firsts(),
+            retries: self.retries.taken(),
+            hedges: self.hedges.taken(),
+        }
+    }
+
     /// What is thought of each target, for operators.
     pub fn status(&self, now: Mono) -> Vec<TargetStatus> {
         self.targets.iter().map(|target| target.status(now)).collect()
--- a/crates/shallotd/src/control/probes.rs
+++ b/crates/shallotd/src/control/probes.rs
@@ -95,6 +95,7 @@
     let Some(attempt) = attempt(context, target) else { return };
     let taken = state.probes.borrow_mut().take(&id, context.clock.now());
     let Some(permit) = taken else { return };
+    state.probes_sent.update(|sent| sent + 1);
     let result = context.exchange.send(attempt).await;
     finish(&state, permit, &result);
     if let Some(report) = result.as_ref().ok().and_then(load_report) {
--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -29,11 +29,27 @@
         lists: lists.status(now),
         targets,
         sessions: state.ledger.borrow().status(),
-        budgets: BudgetStatus { platform_calls: state.platform.calls(), ..BudgetStatus::default() },
+        budgets: budgets(state),
         entries: entries.collect(),
     }
 }
 
+/// Sums over the services served.
+fn budgets(state: &State) -> BudgetStatus {
+    let mut total = BudgetStatus {
+        probes: state.probes_sent.get(),
+        platform_calls: state.platform.calls(),
+        ..BudgetStatus::default()
+    };
+    for service in state.context.snapshot().services.values() {
+        let counts = service.pool.counts();
+        total.attempts += counts.firsts;
+        total.retries += counts.retries;
+        total.hedges += counts.hedges;
+    }
+    total
+}
+
 /// The trail of changes.
 pub fn audit(state: &State) -> AuditReport {
     let vm = state.context.identity.vm.clone();
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -49,6 +49,8 @@
     pub probes: RefCell<ProbePlan>,
     /// The snapshot whose targets the plan knows.
     pub probed: RefCell<Arc<Snapshot>>,
+    /// Probes sent so far.
+    pub probes_sent: Cell<u64>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -119,6 +119,7 @@
         audit: RefCell::new(AuditTrail::default()),
         pools: RefCell::new(BTreeMap::new()),
         probes: RefCell::new(probe_plan(&context)),
+        probes_sent: Cell::new(0),
         probed: RefCell::default(),
         leaving: Cell::new(false),
         ready,
--- a/crates/shallotd/src/traffic/service_pool.rs
+++ b/crates/shallotd/src/traffic/service_pool.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use shallotfork_balance::{
-    Admission, Ask, Assignment, AttemptId, AttemptOutcome, Pool, PoolConfig, PoolTarget,
-    Resolution, Shed, TargetStatus, Ticket, Woken,
+    Admission, Ask, Assignment, AttemptId, AttemptOutcome, Pool, PoolConfig, PoolCounts,
+    PoolTarget, Resolution, Shed, TargetStatus, Ticket, Woken,
 };
 use shallotfork_measure::LoadReport;
 use shallotfork_timer::Clock;
@@ -158,6 +158,11 @@
         self.touched.swap(false, Ordering::Relaxed)
     }
 
+    /// What was asked for so far.
+    pub fn counts(&self) -> PoolCounts {
+        self.lock().pool.counts()
+    }
+
     /// What is thought of each target.
     pub fn status(&self) -> Vec<TargetStatus> {
         let now = self.clock.now();
--- a/tests/tests/budget.rs
+++ b/tests/tests/budget.rs
@@ -111,6 +111,9 @@
     let after = probes(running.records().await?);
     traffic.stop().await;
     assert_eq!(before, after);
+    let budgets = running.entries[0].status().await?.budgets;
+    assert_eq!(after, budgets.probes);
+    assert!(budgets.attempts > 1000, "operators see {} attempts", budgets.attempts);
     Ok(())
 }
 
