feat(shallotctl): rules of one service in check and explain

watch also shows entries with a higher revision in force than the one asked for: after a restore of the platform a list published below that revision has no effect.

--- a/crates/rules/src/rule_part.rs
+++ b/crates/rules/src/rule_part.rs
@@ -24,6 +24,11 @@
         parser::parse_part(text)
     }
 
+    /// Number of rules.
+    pub fn rule_count(&self) -> usize {
+        self.rules.len()
+    }
+
     pub(crate) fn new(rules: Vec<Arc<Rule>>) -> Self {
         Self { rules }
     }
--- a/crates/shallotctl/src/args.rs
+++ b/crates/shallotctl/src/args.rs
@@ -97,7 +97,7 @@
             return Ok(Request::Help(help::CHECK));
         }
         let file = self.operand.take().context("FILE is missing")?.into();
-        let config = CheckConfig { file, json: self.json };
+        let config = CheckConfig { file, service: self.parse("service")?, json: self.json };
         self.finish(Request::Check(config))
     }
 
@@ -106,10 +106,11 @@
             return Ok(Request::Help(help::EXPLAIN));
         }
         let file = self.take("rules");
+        let service_file = self.take("service-rules").map(Into::into);
         let entries = self.entries()?;
         let source = match (file, entries.entries.len()) {
-            (Some(file), 0) => RulesSource::File(file.into()),
-            (None, 1) => RulesSource::Entry(entries),
+            (Some(file), 0) => RulesSource::Files(file.into(), service_file),
+            (None, 1) if service_file.is_none() => RulesSource::Entry(entries),
             _ => bail!("give either --rules FILE or one --entry ADDR"),
         };
         let config = ExplainConfig {
--- a/crates/shallotctl/src/command/check.rs
+++ b/crates/shallotctl/src/command/check.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use serde::Serialize;
-use shallotfork_rules::{RuleError, RuleList};
+use shallotfork_rules::{RuleError, RuleList, RulePart};
 
 use super::CheckConfig;
 use crate::exit::Exit;
@@ -31,27 +31,27 @@
 pub fn check(config: &CheckConfig) -> Result<Exit> {
     let path = config.file.display();
     let text = fs::read_to_string(&config.file).with_context(|| format!("cannot read {path}"))?;
-    let parsed = RuleList::parse(&text);
+    let parsed = match &config.service {
+        Some(_) => RulePart::parse(&text).map(|part| part.rule_count()),
+        None => RuleList::parse(&text).map(|list| list.rule_count()),
+    };
     let exit = if parsed.is_ok() { Exit::Done } else { Exit::No };
     if config.json {
         println!("{}", serde_json::to_string_pretty(&to_json(parsed))?);
         return Ok(exit);
     }
     match parsed {
-        Ok(list) => println!("{path}: valid, {} rules", list.rule_count()),
+        Ok(rules) => println!("{path}: valid, {rules} rules"),
         Err(errors) => errors.iter().for_each(|error| println!("{path}: {error}")),
     }
     Ok(exit)
 }
 
-fn to_json(parsed: Result<RuleList, Vec<RuleError>>) -> CheckJson {
-    let rules = parsed.as_ref().map_or(0, RuleList::rule_count);
+fn to_json(parsed: Result<usize, Vec<RuleError>>) -> CheckJson {
+    let valid = parsed.is_ok();
+    let rules = parsed.as_ref().copied().unwrap_or(0);
     let errors = parsed.err().unwrap_or_default();
-    CheckJson {
-        valid: rules > 0,
-        rules,
-        errors: errors.into_iter().map(RuleErrorJson::from).collect(),
-    }
+    CheckJson { valid, rules, errors: errors.into_iter().map(RuleErrorJson::from).collect() }
 }
 
 impl From<RuleError> for RuleErrorJson {
--- a/crates/shallotctl/src/command/explain.rs
+++ b/crates/shallotctl/src/command/explain.rs
@@ -1,10 +1,15 @@
 //! `shallotctl explain`: which rule decides for a request, and why.
 
 use std::fs;
+use std::path::Path;
 
 use anyhow::{Context, Result};
 use serde::Serialize;
-use shallotfork_rules::{Described, Explanation, Latches, Outcome, RuleList, RuleTrace, Unmet};
+use shallotfork_rules::{
+    Described, Explanation, Latches, Outcome, RuleError, RuleList, RulePart, RuleTrace,
+    ServiceIndex, Unmet,
+};
+use shallotfork_types::{ListName, ServiceName};
 
 use super::{ExplainConfig, RulesSource};
 use crate::entries::Entries;
@@ -47,8 +52,8 @@
 /// # Errors
 /// When the rules cannot be read.
 pub async fn explain(config: &ExplainConfig) -> Result<Exit> {
-    let text = read_rules(&config.source).await?;
-    let list = match RuleList::parse(&text) {
+    let texts = read_rules(config).await?;
+    let list = match texts.parse(&config.service) {
         Ok(list) => list,
         Err(errors) => {
             errors.iter().for_each(|error| eprintln!("{error}"));
@@ -71,15 +76,41 @@
     Ok(Exit::Done)
 }
 
-async fn read_rules(source: &RulesSource) -> Result<String> {
-    match source {
-        RulesSource::File(path) => {
-            fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+/// The lists that decide requests of one service.
+struct RuleTexts {
+    general: String,
+    service: Option<String>,
+}
+
+impl RuleTexts {
+    /// Joins both lists as the entries do.
+    fn parse(&self, service: &ServiceName) -> Result<RuleList, Vec<RuleError>> {
+        let general = RuleList::parse(&self.general)?;
+        let part = self.service.as_deref().map(RulePart::parse).transpose()?;
+        Ok(ServiceIndex::new(&general).rules_for(service, part.as_ref()))
+    }
+}
+
+async fn read_rules(config: &ExplainConfig) -> Result<RuleTexts> {
+    match &config.source {
+        RulesSource::Files(general, service) => {
+            let general = read_file(general)?;
+            let service = service.as_deref().map(read_file).transpose()?;
+            Ok(RuleTexts { general, service })
+        }
+        RulesSource::Entry(entries) => {
+            let entries = Entries::new(entries.clone())?;
+            let general = entries.list(&ListName::Rules).await?.context("no rules in force")?;
+            let own = ListName::ServiceRules(config.service.clone());
+            Ok(RuleTexts { general, service: entries.list(&own).await? })
         }
-        RulesSource::Entry(config) => Entries::new(config.clone())?.rules().await,
     }
 }
 
+fn read_file(path: &Path) -> Result<String> {
+    fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
 fn shown(explanation: &Explanation) -> String {
     let rules: String = explanation.rules.iter().map(|rule| format!("{rule}\n")).collect();
     format!("{rules}\n{}", shown_outcome(&explanation.outcome))
--- a/crates/shallotctl/src/command/explain_config.rs
+++ b/crates/shallotctl/src/command/explain_config.rs
@@ -10,8 +10,8 @@
 /// Where the rules come from.
 #[derive(Debug)]
 pub enum RulesSource {
-    /// A file.
-    File(PathBuf),
+    /// Files with the general rules and, if there is one, the service's own list.
+    Files(PathBuf, Option<PathBuf>),
     /// The rules in force at an entry.
     Entry(EntriesConfig),
 }
--- a/crates/shallotctl/src/command/watch.rs
+++ b/crates/shallotctl/src/command/watch.rs
@@ -107,6 +107,13 @@
     }
 }
 
+impl Progress {
+    /// Whether the revision asked for is in force, rather than a higher one or none.
+    fn is_exactly(&self, asked: Revision) -> bool {
+        matches!(self, Self::InForce { revision, .. } if *revision == asked)
+    }
+}
+
 /// Entries that have different contents under one revision have not settled yet.
 fn in_conflict(entries: &[EntryProgress]) -> bool {
     let mut versions = BTreeSet::new();
@@ -142,7 +149,8 @@
     let done = round.entries.iter().filter(in_force).count();
     let all = round.entries.len();
     println!("{} revision {}: in force on {done} of {all} entries", config.list, config.revision);
-    for entry in round.entries.iter().filter(|entry| !in_force(entry)) {
+    let exact = Progress::is_exactly;
+    for entry in round.entries.iter().filter(|entry| !exact(&entry.progress, config.revision)) {
         println!("  {}: {}", entry.entry, shown(&entry.progress));
     }
     if round.state == RoundState::Conflict {
--- a/crates/shallotctl/src/entries.rs
+++ b/crates/shallotctl/src/entries.rs
@@ -4,10 +4,10 @@
 
 use anyhow::{Context, Result, ensure};
 use futures::future::join_all;
-use reqwest::{Client, redirect, retry};
+use reqwest::{Client, Response, StatusCode, redirect, retry};
 use serde::de::DeserializeOwned;
-use shallotfork_types::Endpoint;
 use shallotfork_types::report::{AuditReport, StatusReport};
+use shallotfork_types::{Endpoint, ListName};
 
 use crate::entries_config::EntriesConfig;
 
@@ -58,13 +58,17 @@
         self.all("/v1/audit").await
     }
 
-    /// The text of the rule list in force at the first entry.
+    /// The text of a list in force at the first entry; `None` when none is.
     ///
     /// # Errors
     /// When no entry is given, or it does not answer.
-    pub async fn rules(&self) -> Result<String> {
+    pub async fn list(&self, name: &ListName) -> Result<Option<String>> {
         let entry = self.config.entries.first().context("no entry given")?;
-        self.text(*entry, "/v1/rules").await
+        let response = self.get(*entry, &format!("/v1/lists/{name}")).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        read(response).await.map(Some)
     }
 
     async fn all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
@@ -81,13 +85,20 @@
     }
 
     async fn text(&self, entry: Endpoint, path: &str) -> Result<String> {
+        read(self.get(entry, path).await?).await
+    }
+
+    async fn get(&self, entry: Endpoint, path: &str) -> Result<Response> {
         let mut request = self.client.get(format!("http://{entry}{path}"));
         if let Some(token) = &self.token {
             request = request.bearer_auth(token);
         }
-        let response = request.send().await.context("no answer")?;
-        let status = response.status();
-        ensure!(status.is_success(), "status {status}");
-        response.text().await.context("answer was cut off")
+        request.send().await.context("no answer")
     }
 }
+
+async fn read(response: Response) -> Result<String> {
+    let status = response.status();
+    ensure!(status.is_success(), "status {status}");
+    response.text().await.context("answer was cut off")
+}
--- a/crates/shallotctl/src/help.rs
+++ b/crates/shallotctl/src/help.rs
@@ -24,10 +24,12 @@
 
 /// Text for `shallotctl check --help`.
 pub const CHECK: &str = "\
-Usage: shallotctl check [--json] FILE
+Usage: shallotctl check [--service NAME] [--json] FILE
 
 Reads a rule list exactly as the entries do and lists every error with its line.
 
+  --service NAME  check FILE as the list rules.NAME, which goes before the general one
+
 Example:
   shallotctl check rules.ini && publish rules.ini
 
@@ -40,7 +42,8 @@
 
 Shows each rule in turn, which of its conditions do not hold, and which rule decides.
 
-  --rules FILE       take the rules from a file
+  --rules FILE       take the general rules from a file
+  --service-rules FILE  take the service's own list from a file, with --rules
   --entry ADDR       take the rules in force at an entry (operators' port)
   --token-file FILE  token for the operators' port
   --service NAME     the service that the request asks for
@@ -76,7 +79,7 @@
 Waits until every entry has this revision of a list in force, or a higher one, and says how far
 each one is. Ends early when an entry has refused it.
 
-  --list NAME        rules (the default), vms or targets.SERVICE
+  --list NAME        rules (the default), rules.SERVICE, vms or targets.SERVICE
   --for-ms N         how long to wait, 30000 by default
   --token-file FILE  token for the operators' port
   --timeout-ms N     how long one entry may take to answer, 2000 by default
--- a/crates/shallotctl/tests/shallotctl/offline.rs
+++ b/crates/shallotctl/tests/shallotctl/offline.rs
@@ -46,6 +46,19 @@
     assert_eq!((0, 0), (evening.code, busy.code));
 }
 
+/// A service has a list of its own. Explained by the general list alone, the operator would be told
+/// a rule that never decides.
+#[test]
+fn explain_puts_the_services_own_rules_first() {
+    let general = file("general.ini", RULES);
+    let own = file("own.ini", "[closed-for-stocktake]\nwhen.caller = batch\nthen.refuse = 503\n");
+    assert_eq!(0, shallotctl(&["check", "--service", "orders", &own]).code);
+    assert_eq!(1, shallotctl(&["check", &own]).code);
+    let request = ["explain", "--service", "orders", "--caller", "batch", "--rules", &general];
+    let run = shallotctl(&[&request[..], &["--service-rules", &own]].concat());
+    assert!(run.stdout.contains("[closed-for-stocktake]: decides"), "{}", run.stdout);
+}
+
 #[test]
 fn wrong_command_lines_have_their_own_exit_code() {
     let wrong: [&[&str]; 9] = [
--- a/crates/shallotctl/tests/shallotctl/online.rs
+++ b/crates/shallotctl/tests/shallotctl/online.rs
@@ -90,6 +90,15 @@
     assert_eq!(0, run.code);
 }
 
+/// The platform was restored and an operator publishes revision 7 again, below revision 9 which is
+/// in force. The list has no effect, and the operator must see which one has.
+#[test]
+fn watch_shows_a_higher_revision_in_force() {
+    let run = ask(&["watch", "7"], &[entry(&[Status::new("e1", 9)])]);
+    let expected = "rules revision 7: in force on 1 of 1 entries\n  E1: revision 9 in force\n";
+    assert_eq!((expected, 0), (run.stdout.as_str(), run.code));
+}
+
 #[test]
 fn watch_ends_when_the_revision_was_refused() {
     let run = ask(&["watch", "7"], &[entry(&[Status::new("e1", 6).with_refused(7)])]);
--- a/crates/shallotd/src/control/command.rs
+++ b/crates/shallotd/src/control/command.rs
@@ -1,6 +1,7 @@
 //! Questions of the traffic threads to the control thread.
 
 use shallotfork_once::{ClaimId, Completion, OperationId, Session};
+use shallotfork_types::ListName;
 use shallotfork_types::report::{AuditReport, StatusReport};
 use tokio::sync::{mpsc, oneshot};
 
@@ -20,8 +21,8 @@
     Status(oneshot::Sender<StatusReport>),
     /// The trail of changes.
     Audit(oneshot::Sender<AuditReport>),
-    /// The text of the rule list in force; `None` until one was accepted.
-    Rules(oneshot::Sender<Option<String>>),
+    /// The text of a list in force.
+    List(ListName, oneshot::Sender<Option<String>>),
     /// Take this VM out of answers and tell the peers.
     Leave(oneshot::Sender<()>),
     /// Seal the ledger and hand it to peers.
@@ -79,9 +80,9 @@
         self.ask(Command::Audit).await
     }
 
-    /// The text of the rule list in force; `None` when there is none.
-    pub async fn rules(&self) -> Option<String> {
-        self.ask(Command::Rules).await.flatten()
+    /// The text of a list in force; `None` when there is none.
+    pub async fn list(&self, name: ListName) -> Option<String> {
+        self.ask(|reply| Command::List(name, reply)).await.flatten()
     }
 
     /// Takes this VM out of answers and tells the peers.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -15,7 +15,6 @@
 use shallotfork_platform::{HttpPlatform, HttpPlatformConfig, Platform};
 use shallotfork_revisions::PullGate;
 use shallotfork_timer::TimerService;
-use shallotfork_types::ListName;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
@@ -204,8 +203,8 @@
         Command::Audit(reply) => {
             let _gone = reply.send(report::audit(state));
         }
-        Command::Rules(reply) => {
-            let _gone = reply.send(state.lists.borrow().text(&ListName::Rules));
+        Command::List(name, reply) => {
+            let _gone = reply.send(state.lists.borrow().text(&name));
         }
         Command::Leave(reply) => {
             let state = Rc::clone(state);
--- a/crates/shallotd/src/operator/mod.rs
+++ b/crates/shallotd/src/operator/mod.rs
@@ -13,6 +13,7 @@
 use poem::web::Json;
 use poem::{Endpoint, IntoResponse, Request, Response};
 use shallotfork_events::{OPERATOR_REFUSED, event};
+use shallotfork_types::ListName;
 use tokio::sync::watch;
 
 use crate::context::Context;
@@ -21,6 +22,8 @@
 pub use metrics_page::MetricsPage;
 pub use token::OperatorToken;
 
+const LISTS_PATH: &str = "/v1/lists/";
+
 /// What the operators' port answers from.
 pub struct Operator {
     /// Shared state of the process.
@@ -52,9 +55,19 @@
             "/v1/ready" => ready(*self.phase.borrow()),
             "/v1/status" => json(control.status().await),
             "/v1/audit" => json(control.audit().await),
-            "/v1/rules" => text(control.rules().await),
+            "/v1/rules" => text(control.list(ListName::Rules).await),
             "/metrics" => self.metrics.answer(control.status().await, &self.context),
-            _ => StatusCode::NOT_FOUND.into_response(),
+            path => self.list(path).await,
+        }
+    }
+
+    /// The text of any list in force, by its published name.
+    async fn list(&self, path: &str) -> Response {
+        let name = path.strip_prefix(LISTS_PATH).and_then(|name| name.parse().ok());
+        let Some(name) = name else { return StatusCode::NOT_FOUND.into_response() };
+        match self.context.control.list(name).await {
+            Some(content) => content.into_response(),
+            None => StatusCode::NOT_FOUND.into_response(),
         }
     }
 
--- a/tests/tests/shallotctl.rs
+++ b/tests/tests/shallotctl.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use shallotfork_tests::{Case, Running};
+use shallotfork_tests::{Case, Running, wait_until};
 
 const RULES: &str = "\
 [batch-when-busy]
@@ -80,5 +80,10 @@
     let explain = shallotctl(&running, &request)?;
     assert_eq!(Some(0), explain.status.code(), "{explain:?}");
     assert!(stdout(&explain).contains("[batch-when-busy]: decides"), "{explain:?}");
-    Ok(())
+
+    running.platform.publish("rules.recipes", "[closed]\nthen.refuse = 503\n").await?;
+    wait_until("the service's own list decides", async || {
+        shallotctl(&running, &request).is_ok_and(|run| stdout(&run).contains("[closed]: decides"))
+    })
+    .await
 }
