--- a/crates/balance/src/target_config.rs
+++ b/crates/balance/src/target_config.rs
@@ -8,13 +8,10 @@
     /// Requests beyond the target's slots that may be in flight to it from this process. They
     /// hide the time between an answer and the next request, and wait at the target; default 1.
     pub gate_extra: u32,
-    /// Requests beyond a target's slots, of all processes, from which it counts as crowded;
-    /// default 3.
-    pub crowded_extra: u32,
-    /// Without reports, an answer that took this multiple of the lowest recent median counts as
-    /// from a crowded target; default 3.
-    pub crowded_factor: f64,
-    /// Age at which a load report counts for a third; default 150 ms.
+    /// Requests that may be in flight from this process to a target that is another's home;
+    /// default 1.
+    pub gate_away: u32,
+    /// Age at which a load report counts for a third; default 2 s.
     pub report_fade: Duration,
     /// A target counts as slow from this multiple of the pool's median latency; default 2.
     pub slow_factor: f64,
@@ -31,6 +28,9 @@
     /// Time after which half of the evidence that a target is slow is forgotten, so that it is
     /// tried again; default 2 s.
     pub forget: Duration,
+    /// How long a target that said it is leaving gets nothing; default 30 s. It may have changed
+    /// its mind, or another server may have taken its address, and nothing else would tell.
+    pub drain_trust: Duration,
     /// Added expected time for a target outside the preferred failure domains; default 1 ms.
     pub far_cost: Duration,
 }
@@ -39,9 +39,8 @@
     fn default() -> Self {
         Self {
             gate_extra: 1,
-            crowded_extra: 3,
-            crowded_factor: 3.0,
-            report_fade: Duration::from_millis(150),
+            gate_away: 1,
+            report_fade: Duration::from_secs(2),
             slow_factor: 2.0,
             failures_max: 3,
             ejection_first: Duration::from_millis(200),
@@ -49,6 +48,7 @@
             ramp: Duration::from_secs(5),
             return_ramp: Duration::from_secs(1),
             forget: Duration::from_secs(2),
+            drain_trust: Duration::from_secs(30),
             far_cost: Duration::from_millis(1),
         }
     }
--- a/crates/rules/src/rule_part.rs
+++ b/crates/rules/src/rule_part.rs
@@ -24,15 +24,15 @@
         parser::parse_part(text)
     }
 
+    pub(crate) fn new(rules: Vec<Arc<Rule>>) -> Self {
+        Self { rules }
+    }
+
     /// Number of rules.
     pub fn rule_count(&self) -> usize {
         self.rules.len()
     }
 
-    pub(crate) fn new(rules: Vec<Arc<Rule>>) -> Self {
-        Self { rules }
-    }
-
     /// The rules in order.
     pub(crate) fn rules(&self) -> &[Arc<Rule>] {
         &self.rules
--- a/crates/shallotctl/src/command/check.rs
+++ b/crates/shallotctl/src/command/check.rs
@@ -31,9 +31,9 @@
 pub fn check(config: &CheckConfig) -> Result<Exit> {
     let path = config.file.display();
     let text = fs::read_to_string(&config.file).with_context(|| format!("cannot read {path}"))?;
-    let parsed = match &config.service {
-        Some(_) => RulePart::parse(&text).map(|part| part.rule_count()),
+    let parsed = match config.service {
         None => RuleList::parse(&text).map(|list| list.rule_count()),
+        Some(_) => RulePart::parse(&text).map(|part| part.rule_count()),
     };
     let exit = if parsed.is_ok() { Exit::Done } else { Exit::No };
     if config.json {
@@ -48,8 +48,8 @@
 }
 
 fn to_json(parsed: Result<usize, Vec<RuleError>>) -> CheckJson {
-    let valid = parsed.is_ok();
     let rules = parsed.as_ref().copied().unwrap_or(0);
+    let valid = parsed.is_ok();
     let errors = parsed.err().unwrap_or_default();
     CheckJson { valid, rules, errors: errors.into_iter().map(RuleErrorJson::from).collect() }
 }
--- a/crates/shallotctl/src/command/check_config.rs
+++ b/crates/shallotctl/src/command/check_config.rs
@@ -9,7 +9,7 @@
 pub struct CheckConfig {
     /// File with the rule list.
     pub file: PathBuf,
-    /// The service that the list is for; the general list when left out.
+    /// The service whose own rules the file holds; a general list by default.
     pub service: Option<ServiceName>,
     /// Output for scripts.
     pub json: bool,
--- a/crates/shallotctl/src/command/explain.rs
+++ b/crates/shallotctl/src/command/explain.rs
@@ -53,7 +53,7 @@
 /// When the rules cannot be read.
 pub async fn explain(config: &ExplainConfig) -> Result<Exit> {
     let texts = read_rules(config).await?;
-    let list = match texts.parse(&config.service) {
+    let list = match joined(&texts, &config.service) {
         Ok(list) => list,
         Err(errors) => {
             errors.iter().for_each(|error| eprintln!("{error}"));
@@ -76,33 +76,26 @@
     Ok(Exit::Done)
 }
 
-/// The lists that decide requests of one service.
-struct RuleTexts {
+/// The general list, and the service's own one if it has any.
+struct Texts {
     general: String,
-    service: Option<String>,
+    part: Option<String>,
 }
 
-impl RuleTexts {
-    /// Joins both lists as the entries do.
-    fn parse(&self, service: &ServiceName) -> Result<RuleList, Vec<RuleError>> {
-        let general = RuleList::parse(&self.general)?;
-        let part = self.service.as_deref().map(RulePart::parse).transpose()?;
-        Ok(ServiceIndex::new(&general).rules_for(service, part.as_ref()))
-    }
-}
-
-async fn read_rules(config: &ExplainConfig) -> Result<RuleTexts> {
+async fn read_rules(config: &ExplainConfig) -> Result<Texts> {
     match &config.source {
-        RulesSource::Files(general, service) => {
-            let general = read_file(general)?;
-            let service = service.as_deref().map(read_file).transpose()?;
-            Ok(RuleTexts { general, service })
-        }
-        RulesSource::Entry(entries) => {
-            let entries = Entries::new(entries.clone())?;
-            let general = entries.list(&ListName::Rules).await?.context("no rules in force")?;
-            let own = ListName::ServiceRules(config.service.clone());
-            Ok(RuleTexts { general, service: entries.list(&own).await? })
+        RulesSource::Files(general, part) => Ok(Texts {
+            general: read_file(general)?,
+            part: part.as_deref().map(read_file).transpose()?,
+        }),
+        RulesSource::Entry(entry) => {
+            let entries = Entries::new(entry.clone())?;
+            let general = entries.list(&ListName::Rules).await?;
+            let part = ListName::ServiceRules(config.service.clone());
+            Ok(Texts {
+                general: general.context("no rule list is in force there")?,
+                part: entries.list(&part).await?,
+            })
         }
     }
 }
@@ -111,6 +104,14 @@
     fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
 }
 
+/// The rules as an entry would go through them.
+fn joined(texts: &Texts, service: &ServiceName) -> Result<RuleList, Vec<RuleError>> {
+    let general = RuleList::parse(&texts.general)?;
+    let part = texts.part.as_deref().map(RulePart::parse).transpose()?;
+    let Some(part) = part else { return Ok(general) };
+    Ok(ServiceIndex::new(&general).rules_for(service, Some(&part)))
+}
+
 fn shown(explanation: &Explanation) -> String {
     let rules: String = explanation.rules.iter().map(|rule| format!("{rule}\n")).collect();
     format!("{rules}\n{}", shown_outcome(&explanation.outcome))
--- a/crates/shallotctl/src/command/explain_config.rs
+++ b/crates/shallotctl/src/command/explain_config.rs
@@ -10,7 +10,7 @@
 /// Where the rules come from.
 #[derive(Debug)]
 pub enum RulesSource {
-    /// Files with the general rules and, if there is one, the service's own list.
+    /// Files: the general list, and the service's own one if it has any.
     Files(PathBuf, Option<PathBuf>),
     /// The rules in force at an entry.
     Entry(EntriesConfig),
--- a/crates/shallotctl/src/command/watch.rs
+++ b/crates/shallotctl/src/command/watch.rs
@@ -105,9 +105,7 @@
             _ => Self::Waiting { revision },
         }
     }
-}
 
-impl Progress {
     /// Whether the revision asked for is in force, rather than a higher one or none.
     fn is_exactly(&self, asked: Revision) -> bool {
         matches!(self, Self::InForce { revision, .. } if *revision == asked)
--- a/crates/shallotctl/src/entries.rs
+++ b/crates/shallotctl/src/entries.rs
@@ -58,7 +58,7 @@
         self.all("/v1/audit").await
     }
 
-    /// The text of a list in force at the first entry; `None` when none is.
+    /// The text of a list in force at the first entry; `None` when it has none of that name.
     ///
     /// # Errors
     /// When no entry is given, or it does not answer.
@@ -68,7 +68,7 @@
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        read(response).await.map(Some)
+        whole_text(response).await.map(Some)
     }
 
     async fn all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
@@ -85,7 +85,7 @@
     }
 
     async fn text(&self, entry: Endpoint, path: &str) -> Result<String> {
-        read(self.get(entry, path).await?).await
+        whole_text(self.get(entry, path).await?).await
     }
 
     async fn get(&self, entry: Endpoint, path: &str) -> Result<Response> {
@@ -97,7 +97,7 @@
     }
 }
 
-async fn read(response: Response) -> Result<String> {
+async fn whole_text(response: Response) -> Result<String> {
     let status = response.status();
     ensure!(status.is_success(), "status {status}");
     response.text().await.context("answer was cut off")
--- a/crates/shallotctl/src/help.rs
+++ b/crates/shallotctl/src/help.rs
@@ -28,10 +28,11 @@
 
 Reads a rule list exactly as the entries do and lists every error with its line.
 
-  --service NAME  check FILE as the list rules.NAME, which goes before the general one
+  --service NAME  FILE holds the rules of this service alone, to be published as rules.NAME
 
 Example:
   shallotctl check rules.ini && publish rules.ini
+  shallotctl check --service orders rules.orders.ini
 
 Exit codes: 0 valid, 1 not valid, 2 wrong command line, 3 FILE cannot be read.
 ";
@@ -43,7 +44,7 @@
 Shows each rule in turn, which of its conditions do not hold, and which rule decides.
 
   --rules FILE       take the general rules from a file
-  --service-rules FILE  take the service's own list from a file, with --rules
+  --service-rules FILE  with --rules: the service's own rules, which go before the general ones
   --entry ADDR       take the rules in force at an entry (operators' port)
   --token-file FILE  token for the operators' port
   --service NAME     the service that the request asks for
--- a/crates/shallotd/src/control/command.rs
+++ b/crates/shallotd/src/control/command.rs
@@ -21,7 +21,7 @@
     Status(oneshot::Sender<StatusReport>),
     /// The trail of changes.
     Audit(oneshot::Sender<AuditReport>),
-    /// The text of a list in force.
+    /// The text of a list in force; `None` until one was accepted.
     List(ListName, oneshot::Sender<Option<String>>),
     /// Take this VM out of answers and tell the peers.
     Leave(oneshot::Sender<()>),
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -39,6 +39,8 @@
     pub peers: Peers,
     /// Bounds the ends of operations that are reported in the background.
     pub late_reports: Arc<Semaphore>,
+    /// Bounds the look-ups at peers of ledgers whose issuer is gone.
+    pub lookups: Semaphore,
     /// The trail of changes.
     pub audit: RefCell<AuditTrail>,
     /// Pools of the services with published targets.
@@ -46,7 +48,7 @@
     /// When this process may probe which target.
     pub probes: RefCell<ProbePlan>,
     /// The snapshot whose targets the plan knows.
-    pub probed: RefCell<Option<Arc<Snapshot>>>,
+    pub probed: RefCell<Arc<Snapshot>>,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
     /// Whether a rule list is in force.
--- a/crates/shallotd/src/operator/mod.rs
+++ b/crates/shallotd/src/operator/mod.rs
@@ -13,7 +13,6 @@
 use poem::web::Json;
 use poem::{Endpoint, IntoResponse, Request, Response};
 use shallotfork_events::{OPERATOR_REFUSED, event};
-use shallotfork_types::ListName;
 use tokio::sync::watch;
 
 use crate::context::Context;
@@ -22,8 +21,6 @@
 pub use metrics_page::MetricsPage;
 pub use token::OperatorToken;
 
-const LISTS_PATH: &str = "/v1/lists/";
-
 /// What the operators' port answers from.
 pub struct Operator {
     /// Shared state of the process.
@@ -36,6 +33,9 @@
     pub metrics: MetricsPage,
 }
 
+/// Path of the texts of lists; the list's name follows.
+const LISTS_PATH: &str = "/v1/lists/";
+
 /// The endpoint of the operators' port.
 pub fn operator(operator: Operator) -> impl Endpoint {
     let operator = Arc::new(operator);
@@ -55,18 +55,16 @@
             "/v1/ready" => ready(*self.phase.borrow()),
             "/v1/status" => json(control.status().await),
             "/v1/audit" => json(control.audit().await),
-            "/v1/rules" => text(control.list(ListName::Rules).await),
             "/metrics" => self.metrics.answer(control.status().await, &self.context),
             path => self.list(path).await,
         }
     }
 
-    /// The text of any list in force, by its published name.
+    /// The text of a list in force.
     async fn list(&self, path: &str) -> Response {
         let name = path.strip_prefix(LISTS_PATH).and_then(|name| name.parse().ok());
-        let Some(name) = name else { return StatusCode::NOT_FOUND.into_response() };
-        match self.context.control.list(name).await {
-            Some(content) => content.into_response(),
+        match name {
+            Some(name) => text(self.context.control.list(name).await),
             None => StatusCode::NOT_FOUND.into_response(),
         }
     }
@@ -97,7 +95,7 @@
 fn text(content: Option<String>) -> Response {
     match content {
         Some(content) => content.into_response(),
-        None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
