fix(shallotd): count suspected entries in the metrics

shallotd_entries{state="suspected"} was missing: the page counted a state named 'suspect', which no entry ever has, so an alarm on it never rang. The new process test was seen failing (waited 30 s in vain) and passes now.

--- a/crates/shallotd/src/operator/metrics_page.rs
+++ b/crates/shallotd/src/operator/metrics_page.rs
@@ -71,7 +71,7 @@
     gauge!(TARGET_IN_FLIGHT.name).set(in_flight as f64);
 }
 
-const ENTRY_STATES: [&str; 3] = ["live", "suspect", "leaving"];
+const ENTRY_STATES: [&str; 3] = ["live", "suspected", "leaving"];
 const TARGET_STATES: [&str; 3] = ["serving", "draining", "ejected"];
 
 /// A state that nothing is in any more must go back to zero, so that all are set each time.
--- a/crates/types/src/report.rs
+++ b/crates/types/src/report.rs
@@ -108,7 +108,7 @@
     pub failure_domain: FailureDomain,
     /// Where callers reach it.
     pub callers: Endpoint,
-    /// Such as `live`, `suspect` or `leaving`.
+    /// Such as `live`, `suspected` or `leaving`.
     pub state: String,
 }
 
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use shallotfork_standin::caller::{Call, plain_client};
-use shallotfork_tests::{Case, Running};
+use shallotfork_tests::{Case, Running, wait_until};
 use shallotfork_types::Endpoint;
 use shallotfork_types::report::{AuditReport, LifeCycleState};
 
@@ -69,6 +69,20 @@
     Ok(())
 }
 
+/// An entry is killed. An operator's alarm rests on the count of suspected entries of the others,
+/// which must follow what the status says.
+#[tokio::test]
+async fn metrics_count_suspected_entries() -> anyhow::Result<()> {
+    let mut running = Case::new().with_entries(2).start().await?;
+    running.entries[1].program.kill().await?;
+    let other = &running.entries[0];
+    let counted = "shallotd_entries{state=\"suspected\"} 1";
+    wait_until("the killed entry is counted", async || {
+        other.operator_get("/metrics").await.is_ok_and(|page| page.contains(counted))
+    })
+    .await
+}
+
 #[tokio::test]
 async fn a_guarded_port_answers_only_with_the_token() -> anyhow::Result<()> {
     let file = std::env::temp_dir().join(format!("shallotfork-token-{}", std::process::id()));
