fix(shallotd): status counts attempts, retries, hedges and probes

shallotctl status showed 0 in these columns whatever was sent, since nothing counted. Now traffic and probes count what goes to targets. The new process test was seen failing with the counts of traffic left out (0 attempts for 3 requests).

--- a/crates/shallotd/src/context.rs
+++ b/crates/shallotd/src/context.rs
@@ -12,7 +12,7 @@
 use crate::control::ControlHandle;
 use crate::identity::Identity;
 use crate::snapshot::Snapshot;
-use crate::traffic::{InFlight, TargetGate};
+use crate::traffic::{InFlight, SentCounts, TargetGate};
 
 /// Shared state of the process; control writes the snapshot, everybody else reads.
 pub struct Context {
@@ -34,6 +34,8 @@
     pub gate: TargetGate,
     /// Memory for bodies.
     pub bodies: BodyBudget,
+    /// Requests sent to targets.
+    pub sent: SentCounts,
     /// Requests in flight.
     pub in_flight: InFlight,
     /// Rotates the entries named in answers.
--- a/crates/shallotd/src/control/probes.rs
+++ b/crates/shallotd/src/control/probes.rs
@@ -20,7 +20,7 @@
 use crate::control::state::State;
 use crate::control::target_changes::target_changes;
 use crate::snapshot::Service;
-use crate::traffic::load_report;
+use crate::traffic::{Sent, load_report};
 
 /// How often due probes are looked for.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -95,6 +95,7 @@
     let Some(attempt) = attempt(context, target) else { return };
     let taken = state.probes.borrow_mut().take(&id, context.clock.now());
     let Some(permit) = taken else { return };
+    context.sent.add(Sent::Probe);
     let result = context.exchange.send(attempt).await;
     finish(&state, permit, &result);
     if let Some(report) = result.as_ref().ok().and_then(load_report) {
--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -7,6 +7,7 @@
 
 use crate::control::state::State;
 use crate::snapshot::Service;
+use crate::traffic::Sent;
 
 /// The state as it is now.
 pub fn status(state: &State) -> StatusReport {
@@ -29,7 +30,13 @@
         lists: lists.status(now),
         targets,
         sessions: state.ledger.borrow().status(),
-        budgets: BudgetStatus { platform_calls: state.platform.calls(), ..BudgetStatus::default() },
+        budgets: BudgetStatus {
+            attempts: context.sent.get(Sent::Attempt),
+            retries: context.sent.get(Sent::Retry),
+            hedges: context.sent.get(Sent::Hedge),
+            probes: context.sent.get(Sent::Probe),
+            platform_calls: state.platform.calls(),
+        },
         entries: entries.collect(),
     }
 }
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -31,7 +31,7 @@
 use crate::lifecycle::{Process, Starting};
 use crate::operator::{MetricsPage, Operator, OperatorToken, operator};
 use crate::snapshot::Snapshot;
-use crate::traffic::{InFlight, TargetGate, front};
+use crate::traffic::{InFlight, SentCounts, TargetGate, front};
 
 /// Reads and checks a settings file.
 ///
@@ -99,6 +99,7 @@
         exchange,
         gate,
         bodies,
+        sent: SentCounts::default(),
         in_flight: InFlight::default(),
         turns: AtomicU64::new(first_turn),
         claims: AtomicU64::new(0),
--- a/crates/shallotd/src/traffic/dispatch.rs
+++ b/crates/shallotd/src/traffic/dispatch.rs
@@ -19,6 +19,7 @@
 
 use crate::context::Context;
 use crate::snapshot::{Service, Snapshot};
+use crate::traffic::Sent;
 use crate::traffic::operation::{Executed, operation, run_once};
 use crate::traffic::service_pool::Assigned;
 
@@ -127,6 +128,7 @@
     let mut may_have_run = false;
     loop {
         let ask = ask(job, &tried);
+        let sent = if last.is_none() { Sent::Attempt } else { Sent::Retry };
         let place = match last {
             None => job.service.pool.admit(ask).await,
             Some(_) => job.service.pool.retry(ask).await,
@@ -136,6 +138,7 @@
             (Err(shed), None) => return Err(shed_problem(shed)),
             (Err(_), Some(failure)) => return Err(failure_problem(&failure, may_have_run)),
         };
+        job.context.sent.add(sent);
         tried.insert(assigned.target().clone());
         let failure = match attempt_hedged(job, assigned, &mut tried).await {
             Ok(answer) => return Ok(answer),
@@ -187,6 +190,7 @@
         Either::Right(((), first)) => first,
     };
     let Some(second) = job.service.pool.hedge(name, ask(job, tried)) else { return first.await };
+    job.context.sent.add(Sent::Hedge);
     tried.insert(second.target().clone());
     match select(first, pin!(attempt(job, second))).await {
         Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
--- a/crates/shallotd/src/traffic/mod.rs
+++ b/crates/shallotd/src/traffic/mod.rs
@@ -7,10 +7,12 @@
 mod front;
 mod in_flight;
 mod operation;
+mod sent_counts;
 mod service_pool;
 
 pub use connection_gate::{GateTarget, TargetGate};
 pub use dispatch::load_report;
 pub use front::front;
 pub use in_flight::InFlight;
+pub use sent_counts::{Sent, SentCounts};
 pub use service_pool::ServicePool;
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -69,6 +69,32 @@
     Ok(())
 }
 
+/// An operator judges by the status whether retries, hedges and probes stay within their budgets.
+/// Counts that stay at zero whatever is sent would hide a storm of them.
+#[tokio::test]
+async fn status_counts_what_is_sent_to_targets() -> anyhow::Result<()> {
+    let case = Case::new().with_service("recipe-desk", 1).with_setting("vm", "probe_shares", "1");
+    let running = case.start().await?;
+    let entry = &running.entries[0];
+    let call = Call::get("recipe-desk".parse()?, "/card");
+    for _ in 0..3 {
+        running.caller()?.send_to(entry.ready.callers, &call).await;
+    }
+    let budgets = entry.status().await?.budgets;
+    assert_eq!((3, 0), (budgets.attempts, budgets.retries), "{budgets:?}");
+    // Probes begin only after an answer that came when the process knew the target.
+    let caller = running.caller()?;
+    wait_until("a probe is counted", async || {
+        let counted = entry.status().await.is_ok_and(|status| status.budgets.probes > 0);
+        if !counted {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            caller.send_to(entry.ready.callers, &call).await;
+        }
+        counted
+    })
+    .await
+}
+
 /// An entry is killed. An operator's alarm rests on the count of suspected entries of the others,
 /// which must follow what the status says.
 #[tokio::test]
