--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use shallotfork_standin::caller::{Call, plain_client};
-use shallotfork_tests::{Case, Running};
+use shallotfork_tests::{Case, Running, wait_until};
 use shallotfork_types::Endpoint;
 use shallotfork_types::report::{AuditReport, LifeCycleState};
 
@@ -69,6 +69,46 @@
     Ok(())
 }
 
+/// An operator judges by the status whether retries, hedges and probes stay within their budgets.
+/// Counts that stay at zero whatever is sent would hide a storm of them.
+#[tokio::test]
+async fn status_counts_what_is_sent_to_targets() -> anyhow::Result<()> {
+    let case = Case::new().with_service("recipe-desk", 1).with_setting("vm", "probe_shares", "1");
+    let running = case.start().await?;
+    let entry = &running.entries[0];
+    let call = Call::get("recipe-desk".parse()?, "/card");
+    for _ in 0..3 {
+        running.caller()?.send_to(entry.ready.callers, &call).await;
+    }
+    let budgets = entry.status().await?.budgets;
+    assert_eq!((3, 0), (budgets.attempts, budgets.retries), "{budgets:?}");
+    // Probes begin only after an answer that came when the process knew the target.
+    let caller = running.caller()?;
+    wait_until("a probe is counted", async || {
+        let counted = entry.status().await.is_ok_and(|status| status.budgets.probes > 0);
+        if !counted {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            caller.send_to(entry.ready.callers, &call).await;
+        }
+        counted
+    })
+    .await
+}
+
+/// An entry is killed. An operator's alarm rests on the count of suspected entries of the others,
+/// which must follow what the status says.
+#[tokio::test]
+async fn metrics_count_suspected_entries() -> anyhow::Result<()> {
+    let mut running = Case::new().with_entries(2).start().await?;
+    running.entries[1].program.kill().await?;
+    let other = &running.entries[0];
+    let counted = "shallotd_entries{state=\"suspected\"} 1";
+    wait_until("the killed entry is counted", async || {
+        other.operator_get("/metrics").await.is_ok_and(|page| page.contains(counted))
+    })
+    .await
+}
+
 #[tokio::test]
 async fn a_guarded_port_answers_only_with_the_token() -> anyhow::Result<()> {
     let file = std::env::temp_dir().join(format!("shallotfork-token-{}", std::process::id()));
