--- a/tests/examples/added_time.rs
+++ b/crates/bench/examples/added_time.rs
@@ -9,6 +9,7 @@
 
 use anyhow::{Context, ensure};
 use hdrhistogram::Histogram;
+use shallotfork_bench::{processor_time, resident};
 use shallotfork_exchange::{ServeConfig, ServeControl, serve};
 use shallotfork_standin::caller::plain_client;
 use shallotfork_tests::{Case, Running, wait_until};
@@ -26,7 +27,6 @@
 const ROUND: Duration = Duration::from_secs(1);
 const TIMEOUT: Duration = Duration::from_secs(10);
 const CONNECTIONS: usize = 1000;
-const TICKS_PER_SECOND: u64 = 100;
 const SIGNIFICANT_DIGITS: u8 = 3;
 const REQUEST: &[u8] = b"GET /card HTTP/1.1\r\nhost: fast-desk\r\n\r\n";
 
@@ -163,17 +163,11 @@
 
 /// Processor time of the entry since its start.
 fn cpu_used_us(running: &Running) -> anyhow::Result<u64> {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", pid(running)?))?;
-    let fields = stat.rsplit(')').next().context("a process state")?;
-    let ticks: Vec<u64> =
-        fields.split_whitespace().skip(11).take(2).filter_map(|field| field.parse().ok()).collect();
-    Ok(ticks.iter().sum::<u64>() * 1_000_000 / TICKS_PER_SECOND)
+    Ok(u64::try_from(processor_time(pid(running)?)?.as_micros())?)
 }
 
 fn resident_kib(running: &Running) -> anyhow::Result<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", pid(running)?))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("VmRSS")?;
-    Ok(line.trim().trim_end_matches(" kB").trim().parse()?)
+    Ok(resident(pid(running)?)?.value() / 1024)
 }
 
 fn pid(running: &Running) -> anyhow::Result<u32> {
--- a/tests/examples/fleet_cost.rs
+++ b/crates/bench/examples/fleet_cost.rs
@@ -2,19 +2,16 @@
 //! bytes between entries and from the platform, at several sizes of fleet and lists.
 //!
 //! Only lists are published; no target runs, since entries do not call targets unasked.
-//! `cargo build --release --workspace && cargo run --release -p shallotfork-tests --example
+//! `cargo build --release --workspace && cargo run --release -p shallotfork-bench --example
 //! fleet_cost -- ENTRIES SERVICES TARGETS_PER_SERVICE CHANGES_PER_S SECONDS`
 
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, ensure};
+use shallotfork_bench::{control_thread_time, processor_time, resident};
 use shallotfork_standin::platform::Changes;
 use shallotfork_tests::{Case, Entry, Running, wait_until};
 
-/// Clock ticks in a second, as the kernel counts processor time for programs.
-const TICKS_PER_S: f64 = 100.0;
-const PAGE_BYTES: u64 = 4096;
-
 struct Sizes {
     entries: usize,
     services: usize,
@@ -170,9 +167,9 @@
         value(&page, &format!("shallotd_peer_bytes_total{{direction=\"{direction}\"}} "))
     };
     Ok(Account {
-        control_s: control_thread_s(pid)?,
-        all_s: ticks(&format!("/proc/{pid}/stat"))?,
-        resident_bytes: resident(pid)?,
+        control_s: control_thread_time(pid)?.as_secs_f64(),
+        all_s: processor_time(pid)?.as_secs_f64(),
+        resident_bytes: resident(pid)?.value(),
         peer_bytes: peer("sent") + peer("received"),
         platform_bytes: value(&page, "shallotd_platform_bytes_total "),
         platform_calls: value(&page, "shallotd_platform_calls "),
@@ -184,31 +181,6 @@
     line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
 }
 
-fn control_thread_s(pid: u32) -> Result<f64> {
-    for task in std::fs::read_dir(format!("/proc/{pid}/task"))? {
-        let path = task?.path();
-        if std::fs::read_to_string(path.join("comm"))?.trim() == "control" {
-            return ticks(&path.join("stat").display().to_string());
-        }
-    }
-    anyhow::bail!("no control thread");
-}
-
-/// User and system time; the fields behind the name in brackets, which may hold blanks.
-fn ticks(path: &str) -> Result<f64> {
-    let stat = std::fs::read_to_string(path)?;
-    let (_, fields) = stat.rsplit_once(')').context("stat names the program")?;
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    let (user, system): (f64, f64) = (fields[11].parse()?, fields[12].parse()?);
-    Ok((user + system) / TICKS_PER_S)
-}
-
-fn resident(pid: u32) -> Result<u64> {
-    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm"))?;
-    let pages = statm.split_whitespace().nth(1).context("statm has a second field")?;
-    Ok(pages.parse::<u64>()? * PAGE_BYTES)
-}
-
 fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(0.0)
--- a/demo.sh
+++ b/demo.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --workspace --bins --locked
-cargo run --package shallotfork-tests --example demo --locked
+cargo run --package shallotfork-bench --example demo --locked
