--- a/crates/shallotd/src/control/report.rs
+++ b/crates/shallotd/src/control/report.rs
@@ -7,7 +7,6 @@
 
 use crate::control::state::State;
 use crate::snapshot::Service;
-use crate::traffic::Sent;
 
 /// The state as it is now.
 pub fn status(state: &State) -> StatusReport {
@@ -30,17 +29,27 @@
         lists: lists.status(now),
         targets,
         sessions: state.ledger.borrow().status(),
-        budgets: BudgetStatus {
-            attempts: context.sent.get(Sent::Attempt),
-            retries: context.sent.get(Sent::Retry),
-            hedges: context.sent.get(Sent::Hedge),
-            probes: context.sent.get(Sent::Probe),
-            platform_calls: state.platform.calls(),
-        },
+        budgets: budgets(state),
         entries: entries.collect(),
     }
 }
 
+/// Sums over the services served.
+fn budgets(state: &State) -> BudgetStatus {
+    let mut total = BudgetStatus {
+        probes: state.probes_sent.get(),
+        platform_calls: state.platform.calls(),
+        ..BudgetStatus::default()
+    };
+    for service in state.context.snapshot().services.values() {
+        let counts = service.pool.counts();
+        total.attempts += counts.firsts;
+        total.retries += counts.retries;
+        total.hedges += counts.hedges;
+    }
+    total
+}
+
 /// The trail of changes.
 pub fn audit(state: &State) -> AuditReport {
     let vm = state.context.identity.vm.clone();
