--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -41,6 +41,7 @@
   enum State {
     live @0;
     leaving @1;
+    starting @2;
   }
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -23,6 +23,8 @@
 /// Whether a process takes on new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerState {
+    /// It has no rule list yet and serves nobody.
+    Starting,
     /// It does.
     Live,
     /// A planned stop is under way.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5825,6 +5825,7 @@
     pub enum State {
         Live = 0,
         Leaving = 1,
+        Starting = 2,
     }
 
     impl ::capnp::introspect::Introspect for State {
@@ -5839,6 +5840,7 @@
             match value {
                 0 => ::core::result::Result::Ok(Self::Live),
                 1 => ::core::result::Result::Ok(Self::Leaving),
+                2 => ::core::result::Result::Ok(Self::Starting),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -5851,7 +5853,7 @@
         const TYPE_ID: u64 = 0xb40a_6975_e672_c108u64;
     }
     mod state {
-    pub(crate) static ENCODED_NODE: [::capnp::Word; 26] = [
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
         ::capnp::word(21, 0, 0, 0, 2, 0, 0, 0),
@@ -5861,7 +5863,7 @@
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(29, 0, 0, 0, 55, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5869,15 +5871,20 @@
         ::capnp::word(98, 101, 97, 116, 46, 83, 116, 97),
         ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-        ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(108, 105, 118, 101, 0, 0, 0, 0),
         ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+        ::capnp::word(115, 116, 97, 114, 116, 105, 110, 103),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
         ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -163,6 +163,7 @@
 
 fn write_state(state: PeerState) -> schema::heartbeat::State {
     match state {
+        PeerState::Starting => schema::heartbeat::State::Starting,
         PeerState::Live => schema::heartbeat::State::Live,
         PeerState::Leaving => schema::heartbeat::State::Leaving,
     }
@@ -170,6 +171,7 @@
 
 fn read_state(state: schema::heartbeat::State) -> PeerState {
     match state {
+        schema::heartbeat::State::Starting => PeerState::Starting,
         schema::heartbeat::State::Live => PeerState::Live,
         schema::heartbeat::State::Leaving => PeerState::Leaving,
     }
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -101,11 +101,10 @@
 /// What this process says of itself, with the news that is due.
 pub fn own_heartbeat(state: &State) -> Heartbeat {
     let identity = &state.context.identity;
-    let leaving = state.leaving.get();
     let lists = state.lists.borrow();
     let mut view = state.view.borrow_mut();
     Heartbeat {
-        state: peer_state(leaving),
+        state: own_state(state),
         failure_domain: identity.failure_domain.clone(),
         callers: identity.callers,
         peers: identity.peers,
@@ -119,6 +118,13 @@
     }
 }
 
+fn own_state(state: &State) -> PeerState {
+    if !*state.ready.borrow() {
+        return PeerState::Starting;
+    }
+    peer_state(state.leaving.get())
+}
+
 fn peer_state(leaving: bool) -> PeerState {
     if leaving { PeerState::Leaving } else { PeerState::Live }
 }
@@ -150,7 +156,13 @@
 }
 
 /// Takes what a peer says of itself.
+///
+/// A process that is starting is not counted: it would be named to callers, whom it can only
+/// refuse, and would end the suspicion of the run that it replaces.
 pub fn heard(state: &State, peer: &PeerId, beat: &Heartbeat) {
+    if beat.state == PeerState::Starting {
+        return;
+    }
     let listed = ListedVm {
         vm: peer.vm.clone(),
         failure_domain: beat.failure_domain.clone(),
