fix(shallotd): no full read of a peer that is merely behind

Cause: after a change the entry that had it first read all lists of each peer whose heartbeat still showed the old ones: 39 KB/s a node in the 15 s after 120 lists were published (3 entries). Change: a peer at an earlier revision is left to read from here; contents that differ under one revision still show once both are at it.

--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -27,6 +27,9 @@
         return;
     }
     tokio::time::sleep(PLATFORM_FIRST).await;
+    if is_behind(&state, &beat) {
+        return;
+    }
     let pair = DigestPair { own: state.lists.borrow().digest(), peer: beat.lists_digest };
     let peer = &client.peer().vm;
     let now = state.context.clock.now();
@@ -51,6 +54,15 @@
     }
 }
 
+/// Whether the peer was at an earlier revision when it sent the heartbeat.
+///
+/// It reads what is new from here, or has read it by now. Reading its lists as well, all of them
+/// since the difference has no revision, would cost megabytes at each change. Once it has caught
+/// up, another content under one revision shows as a difference at the same revision.
+fn is_behind(state: &State, beat: &Heartbeat) -> bool {
+    beat.synced_revision < state.lists.borrow().cursor.complete()
+}
+
 /// What is new at a peer that knows later revisions; else everything, since the difference lies in
 /// what both have.
 fn pull_after(state: &State, beat: &Heartbeat) -> Revision {
