perf(shallotd): announce changes only to entries without the platform; three heartbeat peers

Change: heartbeats say whether the sender has lost the platform; only such entries are told of a change at once.

--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -146,6 +146,7 @@
         round: 0,
         news: Vec::new(),
         lists_digest: ListsDigest::new(9),
+        platform_lost: false,
         restart_safe: false,
         loads: Vec::new(),
     })
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -37,6 +37,7 @@
   round @8 :UInt32;
   news @9 :List(News);
   listsDigest @10 :UInt64;
+  platformLost @11 :Bool;
 
   enum State {
     live @0;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -53,6 +53,9 @@
     pub synced_revision: Revision,
     /// Fingerprint of the lists in force at the sender; differs when a list or its content does.
     pub lists_digest: ListsDigest,
+    /// Whether the sender cannot read the platform, or reads a replica that is behind, so that it
+    /// depends on peers for what is published.
+    pub platform_lost: bool,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5395,6 +5395,10 @@
         pub fn get_lists_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_platform_lost(self) -> bool {
+            self.reader.get_bool_field(17)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5577,6 +5581,14 @@
         pub fn set_lists_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_platform_lost(self) -> bool {
+            self.builder.get_bool_field(17)
+        }
+        #[inline]
+        pub fn set_platform_lost(&mut self, value: bool)  {
+            self.builder.set_bool_field(17, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5588,7 +5600,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 198] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 214] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -5598,7 +5610,7 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5608,84 +5620,91 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -5787,6 +5806,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 116, 102, 111, 114, 109),
+            ::capnp::word(76, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5801,6 +5829,7 @@
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::news::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5814,9 +5843,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,3,8,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,11,3,8,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -127,6 +127,7 @@
     to.set_seen_revision(beat.seen_revision.value());
     to.set_synced_revision(beat.synced_revision.value());
     to.set_lists_digest(beat.lists_digest.value());
+    to.set_platform_lost(beat.platform_lost);
     to.set_restart_safe(beat.restart_safe);
     to.set_failure_domain(beat.failure_domain.as_str());
     to.set_callers(&beat.callers.to_string()[..]);
@@ -188,6 +189,7 @@
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
         lists_digest: ListsDigest::new(from.get_lists_digest()),
+        platform_lost: from.get_platform_lost(),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
     })
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -199,6 +199,7 @@
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(8),
         lists_digest: ListsDigest::new(7),
+        platform_lost: true,
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
     }
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -14,7 +14,7 @@
 
 /// Peers that a process chooses to exchange heartbeats with; in a large fleet it is chosen by as
 /// many again. A node's cost stays the same however large the fleet grows.
-const HEARTBEAT_PEERS_MAX: usize = 5;
+const HEARTBEAT_PEERS_MAX: usize = 3;
 
 /// Shortest time between two announcements, so that a burst of changes costs no burst of heartbeats.
 const ANNOUNCE_SPACING: Duration = Duration::from_millis(250);
@@ -47,10 +47,14 @@
 ///
 /// The fingerprint in them tells entries that cannot reach the platform that there is something to
 /// read. Waiting for the next regular heartbeat would cost each entry on the way up to a period.
+/// Entries that read the platform themselves are left out: they know as soon as this one does, and
+/// an exchange with each at every change would cost as much as the regular heartbeats.
 pub async fn announce_lists(state: Rc<State>) {
     loop {
         state.lists_changed.notified().await;
-        for entry in chosen(&state) {
+        let mut blind = chosen(&state);
+        blind.retain(|entry| state.blind.borrow().contains(&entry.vm));
+        for entry in blind {
             tokio::task::spawn_local(beat(Rc::clone(&state), entry));
         }
         tokio::time::sleep(ANNOUNCE_SPACING).await;
@@ -113,11 +117,21 @@
         seen_revision: lists.cursor.highest(),
         synced_revision: lists.cursor.complete(),
         lists_digest: lists.digest(),
+        platform_lost: state.platform_lost.get(),
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
     }
 }
 
+fn note_blind(state: &State, peer: &PeerId, beat: &Heartbeat) {
+    let mut blind = state.blind.borrow_mut();
+    if beat.platform_lost {
+        blind.insert(peer.vm.clone());
+    } else {
+        blind.remove(&peer.vm);
+    }
+}
+
 fn own_state(state: &State) -> PeerState {
     if !*state.ready.borrow() {
         return PeerState::Starting;
@@ -163,6 +177,7 @@
     if beat.state == PeerState::Starting {
         return;
     }
+    note_blind(state, peer, beat);
     let listed = ListedVm {
         vm: peer.vm.clone(),
         failure_domain: beat.failure_domain.clone(),
--- a/crates/shallotd/src/control/state.rs
+++ b/crates/shallotd/src/control/state.rs
@@ -1,14 +1,14 @@
 //! The state that only the control thread touches.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use shallotfork_measure::ProbePlan;
 use shallotfork_membership::View;
 use shallotfork_platform::Platform;
 use shallotfork_revisions::PullGate;
-use shallotfork_types::ServiceName;
+use shallotfork_types::{ServiceName, VmId};
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::context::Context;
@@ -25,6 +25,10 @@
     pub context: Arc<Context>,
     /// Where lists are published.
     pub platform: Box<dyn Platform>,
+    /// Whether the platform cannot be read, or only a replica that is behind.
+    pub platform_lost: Cell<bool>,
+    /// Entries that say the same of themselves.
+    pub blind: RefCell<BTreeSet<VmId>>,
     /// Wakes what announces a list that has taken effect.
     pub lists_changed: Notify,
     /// When the lists of peers are read.
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -122,6 +122,8 @@
         probes_sent: Cell::new(0),
         probed: RefCell::default(),
         leaving: Cell::new(false),
+        platform_lost: Cell::new(false),
+        blind: RefCell::default(),
         ready,
         context,
     }
--- a/crates/shallotd/src/control/watch.rs
+++ b/crates/shallotd/src/control/watch.rs
@@ -32,6 +32,8 @@
     loop {
         full_reads.ask_when_due(&state);
         let read = read_platform(&state, wait(&state)).await;
+        let behind = state.lists.borrow().cursor.is_behind(state.platform.replica());
+        state.platform_lost.set(read.is_err() || behind);
         match read {
             Ok(read) => {
                 if backoff.failures() > 0 {
