--- a/crates/bench/examples/list_spread.rs
+++ b/crates/bench/examples/list_spread.rs
@@ -1,7 +1,7 @@
 //! Measures how long a published rule list takes until every entry has it in force, and what
 //! reading the platform costs while nothing changes.
 //!
-//! `cargo run --release -p shallotfork-tests --example list_spread -- ENTRIES CHANGES`
+//! `cargo run --release -p shallotfork-bench --example list_spread -- ENTRIES CHANGES`
 
 use std::time::{Duration, Instant};
 
--- a/crates/bench/examples/order_cost.rs
+++ b/crates/bench/examples/order_cost.rs
@@ -1,7 +1,7 @@
 //! Prints the time of an order without a key, at the entry that issued its session, and at another
 //! one, taken in turn in one run.
 //!
-//! `cargo build --release --bins && cargo run --release -p shallotfork-tests --example order_cost`
+//! `cargo build --release --bins && cargo run --release -p shallotfork-bench --example order_cost`
 
 use std::time::{Duration, Instant};
 
--- a/crates/bench/examples/scenario/main.rs
+++ b/crates/bench/examples/scenario/main.rs
@@ -1,6 +1,6 @@
 //! Runs a scenario file against real processes and prints a table.
 //!
-//! `cargo run --release -p shallotfork-tests --example scenario -- FILE [--policies A,B]
+//! `cargo run --release -p shallotfork-bench --example scenario -- FILE [--policies A,B]
 //! [--load PERMILLE] [--rounds N] [--length-ms N] [--plot FILE.svg]`
 //!
 //! A policy is one of the settings' `[balance] policy`, with `@N` for `entries_per_service`.
