--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,8 @@
 mod pool;
 mod pool_config;
 mod queue;
+mod retry_window;
+mod slots;
 mod target;
 mod target_config;
 
@@ -26,5 +28,10 @@
 pub use policy::{Policy, UnknownPolicy};
 pub use pool::Pool;
 pub use pool_config::PoolConfig;
+pub use retry_window::{RetryAllowance, RetryWindow};
+pub use slots::{
+    LoadFigures, Pace, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget,
+    SlotTargetStatus, WorkClass,
+};
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- /dev/null
+++ b/crates/balance/src/slots/config.rs
@@ -0,0 +1,58 @@
+//! Settings of a [`SlotPool`](super::SlotPool).
+
+use std::time::Duration;
+
+/// How a pool judges targets and when it refuses.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SlotPoolConfig {
+    /// Work of a class before its first answer; default 100 ms, between the 36 and 210 ms that the
+    /// users' requests take.
+    pub first_guess: Duration,
+    /// How long a target's own word on its pace says something; default 150 ms, the length of the
+    /// phases in which neighbours on the same host slow it down.
+    pub pace_memory: Duration,
+    /// Age of the last report after which an idle target is worth a probe; default 50 ms: halving
+    /// it gained nothing measurable, doubling it cost a tenth of the answers in good time.
+    pub probe_after: Duration,
+    /// Part of its objective that a request may wait for its slot before it is sent back to return
+    /// later, in thousandths; default 125, up to which the wait costs its caller little.
+    pub wait_permille: u32,
+    /// Part of the time until its deadline that a request which can't be answered within its
+    /// objective any more may wait, in thousandths; default 250.
+    pub late_wait_permille: u32,
+    /// Requests that may wait at once; default 4096, bounded by memory only.
+    pub queue_max: usize,
+    /// Shortest advice when to come back; default 150 ms.
+    pub retry_after_min: Duration,
+    /// Longest advice when to come back; default 2 s.
+    pub retry_after_max: Duration,
+    /// Failures in a row after which a target is left out; default 3.
+    pub failures_max: u32,
+    /// First time for which a failing target is left out; doubles with each further failure;
+    /// default 400 ms, a few times the usual work.
+    pub ejection: Duration,
+    /// Longest time for which a failing target is left out; default 4 s.
+    pub ejection_max: Duration,
+    /// An attempt that runs for this many times its expected time says that its target hangs;
+    /// default 6, beyond the factor of 5 by which neighbours slow a target down.
+    pub overdue_factor: f64,
+}
+
+impl Default for SlotPoolConfig {
+    fn default() -> Self {
+        Self {
+            first_guess: Duration::from_millis(100),
+            pace_memory: Duration::from_millis(150),
+            probe_after: Duration::from_millis(50),
+            wait_permille: 125,
+            late_wait_permille: 250,
+            queue_max: 4096,
+            retry_after_min: Duration::from_millis(150),
+            retry_after_max: Duration::from_secs(2),
+            failures_max: 3,
+            ejection: Duration::from_millis(400),
+            ejection_max: Duration::from_secs(4),
+            overdue_factor: 6.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/slots/estimate.rs
@@ -0,0 +1,139 @@
+//! How long a request would take at a target.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use shallotfork_types::{Mono, ParseError};
+
+use super::WorkClass;
+
+/// Weight of a new sample in the mean work of a class.
+const WORK_WEIGHT: f64 = 0.05;
+/// Weight of a new sample in what a second request beside the first one costs.
+const CROWDING_WEIGHT: f64 = 0.02;
+/// What a target's last free slot costs before it has been measured, as a multiple of the time at
+/// a target with a slot to spare.
+const CROWDING_GUESS: f64 = 1.4;
+/// Bounds of the measured cost; noise must not turn it into a gain.
+const CROWDING_BOUNDS: (f64, f64) = (1.0, 3.0);
+/// Weight of a new report in the mean pace.
+const PACE_WEIGHT: f64 = 0.01;
+/// Samples are cut at this multiple of the estimate, so that a single hang moves no mean.
+const SAMPLE_MAX: f64 = 4.0;
+
+/// How long work takes at a target now, in thousandths of the usual time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Pace(u32);
+
+impl Pace {
+    /// The usual pace.
+    pub const USUAL: Self = Self(1000);
+
+    /// Wraps thousandths of the usual time.
+    pub fn new(permille: u32) -> Self {
+        Self(permille)
+    }
+
+    /// As a factor of time.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl fmt::Display for Pace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}‰", self.0)
+    }
+}
+
+impl FromStr for Pace {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let digits = text.strip_suffix('‰').unwrap_or(text);
+        digits.parse().map(Self).map_err(|_| ParseError::new("thousandths", text))
+    }
+}
+
+/// What the pool has learnt about all its targets together.
+#[derive(Debug)]
+pub(super) struct Learnt {
+    first_guess_us: f64,
+    /// Mean time of a class at a target of usual speed and pace with a slot to spare.
+    work_us: BTreeMap<WorkClass, f64>,
+    /// Mean over all classes, for one that is new.
+    any_work_us: Option<f64>,
+    /// What the last free slot of a target costs.
+    crowding: f64,
+    /// Mean of the paces that targets report.
+    pace: f64,
+}
+
+impl Learnt {
+    pub(super) fn new(first_guess: Duration) -> Self {
+        Self {
+            first_guess_us: first_guess.as_micros() as f64,
+            work_us: BTreeMap::new(),
+            any_work_us: None,
+            crowding: CROWDING_GUESS,
+            pace: 1.0,
+        }
+    }
+
+    pub(super) fn work_us(&self, class: &WorkClass) -> f64 {
+        let any = self.any_work_us.unwrap_or(self.first_guess_us);
+        self.work_us.get(class).copied().unwrap_or(any)
+    }
+
+    /// Mean time of a request in a slot, whatever its class.
+    pub(super) fn usual_us(&self) -> f64 {
+        self.any_work_us.unwrap_or(self.first_guess_us) * self.pace
+    }
+
+    pub(super) fn crowding(&self, crowded: bool) -> f64 {
+        if crowded { self.crowding } else { 1.0 }
+    }
+
+    pub(super) fn mean_pace(&self) -> f64 {
+        self.pace
+    }
+
+    pub(super) fn saw_pace(&mut self, pace: Pace) {
+        self.pace += (pace.factor() - self.pace) * PACE_WEIGHT;
+    }
+
+    /// Takes a time measured at a target whose speed and pace were believed to be these.
+    pub(super) fn saw_time(&mut self, class: &WorkClass, time_us: f64, pace: f64, crowded: bool) {
+        let known = self.work_us.contains_key(class);
+        let work_us = self.work_us(class);
+        let expected_us = work_us * pace * self.crowding(crowded);
+        let ratio = (time_us / expected_us).min(if known { SAMPLE_MAX } else { f64::MAX });
+        if crowded && known {
+            let crowding = self.crowding * (1.0 + (ratio - 1.0) * CROWDING_WEIGHT);
+            self.crowding = crowding.clamp(CROWDING_BOUNDS.0, CROWDING_BOUNDS.1);
+        }
+        let sample_us = work_us * ratio;
+        let weight = if known { WORK_WEIGHT } else { 1.0 };
+        self.work_us.insert(class.clone(), work_us + (sample_us - work_us) * weight);
+        let any = self.any_work_us.get_or_insert(sample_us);
+        *any += (sample_us - *any) * WORK_WEIGHT;
+    }
+}
+
+/// A target's last word on its pace.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PaceReport {
+    pub(super) pace: Pace,
+    pub(super) at: Mono,
+}
+
+impl PaceReport {
+    /// The pace to expect now: the report counts less with age, the mean of all targets more.
+    pub(super) fn expected(self, now: Mono, memory: Duration, mean: f64) -> f64 {
+        let age_us = now.since(self.at).as_micros() as f64;
+        let trust = (-age_us / memory.as_micros() as f64).exp();
+        mean + (self.pace.factor() - mean) * trust
+    }
+}
--- /dev/null
+++ b/crates/balance/src/slots/pool.rs
@@ -0,0 +1,299 @@
+//! Gives out the slots of one service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use shallotfork_types::{Mono, TargetId};
+
+use super::config::SlotPoolConfig;
+use super::estimate::Learnt;
+use super::queue::SlotQueue;
+use super::target::{LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus, Target};
+use super::{SlotAsk, WorkClass};
+use crate::{Admission, Assignment, AttemptId, Resolution, Shed, ShedReason, Ticket, Woken};
+
+/// Decides for one service which request goes to which target, and when.
+///
+/// - At most as many requests are at a target as it has slots, so that none waits there, where it
+///   could neither be reordered nor taken back.
+/// - Requests that can still be answered within their objective go first, then those that come
+///   back after a refusal, then the rest; within each by rank, then by arrival.
+/// - A request that has waited for its whole allowance is refused at once with the time when a
+///   slot is expected, rather than kept until its caller gives up.
+/// - When all serving targets look bad, the evidence is ignored rather than serving nobody.
+#[derive(Debug)]
+pub struct SlotPool {
+    config: SlotPoolConfig,
+    targets: BTreeMap<TargetId, Target>,
+    attempts: BTreeMap<AttemptId, TargetId>,
+    queue: SlotQueue,
+    learnt: Learnt,
+    last_id: u64,
+}
+
+impl SlotPool {
+    /// A pool without targets.
+    pub fn new(config: SlotPoolConfig) -> Self {
+        let learnt = Learnt::new(config.first_guess);
+        Self {
+            config,
+            targets: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            queue: SlotQueue::default(),
+            learnt,
+            last_id: 0,
+        }
+    }
+
+    /// Takes the published targets; what is known of those that stay is kept.
+    pub fn set_targets(&mut self, published: Vec<SlotTarget>, now: Mono) -> Vec<Woken> {
+        let mut known = std::mem::take(&mut self.targets);
+        for target in published {
+            let id = target.id.clone();
+            let next = match known.remove(&id) {
+                Some(old) => old.with_published(target),
+                None => Target::new(target, now),
+            };
+            self.targets.insert(id, next);
+        }
+        self.wake(now)
+    }
+
+    /// Forgets what is known of a target that has started again.
+    pub fn restarted(&mut self, id: &TargetId, now: Mono) {
+        let Some(old) = self.targets.remove(id) else { return };
+        self.targets.insert(id.clone(), Target::new(old.published, now));
+    }
+
+    /// Decides about a request.
+    pub fn admit(&mut self, ask: SlotAsk, now: Mono) -> Admission {
+        if ask.deadline <= now {
+            return Admission::Shed(self.shed(ShedReason::DeadlinePassed, now));
+        }
+        if !self.has_target_for(&ask) {
+            return Admission::Shed(self.shed(ShedReason::NoTarget, now));
+        }
+        let ahead = self.queue.iter().filter(|(_, other)| self.goes_before(other, &ask, now));
+        let ahead = ahead.count();
+        if ahead == 0
+            && let Some(assignment) = self.assign(&ask, now)
+        {
+            return Admission::Send(assignment);
+        }
+        let start = now.plus(self.expected_wait(ahead));
+        if self.queue.len() >= self.config.queue_max {
+            return Admission::Shed(self.shed(ShedReason::QueueFull, now));
+        }
+        if start > self.wait_end(&ask, now) {
+            return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now));
+        }
+        let ticket = Ticket(self.next_id());
+        self.queue.push(ticket, ask);
+        Admission::Queued(ticket)
+    }
+
+    /// The refusal of a request that targets have turned away.
+    pub fn refusal(&self, now: Mono) -> Shed {
+        self.shed(ShedReason::NoTarget, now)
+    }
+
+    /// A second target for a request that is in flight, if one is free now.
+    pub fn spare(&mut self, ask: &SlotAsk, now: Mono) -> Option<Assignment> {
+        if !self.queue.is_empty() {
+            return None;
+        }
+        self.assign(ask, now)
+    }
+
+    /// Takes an attempt back, learns from its outcome and gives its slot to a waiting request.
+    pub fn finish(
+        &mut self,
+        attempt: AttemptId,
+        outcome: SlotOutcome,
+        figures: Option<LoadFigures>,
+        now: Mono,
+    ) -> Vec<Woken> {
+        let Some(id) = self.attempts.remove(&attempt) else { return Vec::new() };
+        if let Some(target) = self.targets.get_mut(&id) {
+            if let Some(running) = target.end(attempt) {
+                target.learn(&running, outcome, &self.config, &mut self.learnt, now);
+            }
+            if let Some(figures) = figures {
+                target.report(figures, &mut self.learnt, now);
+            }
+        }
+        self.wake(now)
+    }
+
+    /// Takes a target's account of its load that came with a probe's answer.
+    pub fn report(&mut self, id: &TargetId, figures: LoadFigures, now: Mono) -> Vec<Woken> {
+        let Some(target) = self.targets.get_mut(id) else { return Vec::new() };
+        target.report(figures, &mut self.learnt, now);
+        self.wake(now)
+    }
+
+    /// Gives up a place in the queue.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
+    }
+
+    /// Refuses those who have waited long enough and uses targets whose time has come.
+    pub fn expire(&mut self, now: Mono) -> Vec<Woken> {
+        self.wake(now)
+    }
+
+    /// When to call `expire` next; `None` while nothing waits.
+    pub fn next_expiry(&self, now: Mono) -> Option<Mono> {
+        let ends = self.queue.iter().map(|(_, ask)| self.wait_end(ask, ask.arrived));
+        let first = ends.min()?;
+        let returning = self.targets.values().filter_map(Target::ejected_until);
+        let returning = returning.filter(|until| *until > now).min();
+        Some(returning.map_or(first, |at| at.min(first)))
+    }
+
+    /// Idle targets whose pace would have to be guessed; each counts as probed from now on.
+    pub fn due_probes(&mut self, now: Mono) -> Vec<TargetId> {
+        let mut due = Vec::new();
+        for (id, target) in &mut self.targets {
+            if target.published.serving && target.wants_probe(now, &self.config) {
+                target.probed(now);
+                due.push(id.clone());
+            }
+        }
+        due
+    }
+
+    /// Requests waiting here.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Attempts in flight.
+    pub fn running(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Expected time of a class at a target of usual speed.
+    pub fn usual_time(&self, class: &WorkClass) -> Duration {
+        Duration::from_micros((self.learnt.work_us(class) * self.learnt.mean_pace()) as u64)
+    }
+
+    /// What is thought of each target, for operators.
+    pub fn status(&self, now: Mono) -> Vec<SlotTargetStatus> {
+        self.targets.values().map(|target| target.status(now)).collect()
+    }
+
+    fn has_target_for(&self, ask: &SlotAsk) -> bool {
+        self.targets.iter().any(|(id, t)| t.published.serving && !ask.exclude.contains(id))
+    }
+
+    /// Whether the request could still be answered within its objective by a target of usual
+    /// speed.
+    fn is_in_time(&self, ask: &SlotAsk, now: Mono) -> bool {
+        now.plus(Duration::from_micros(self.learnt.work_us(&ask.class) as u64)) <= ask.objective
+    }
+
+    fn order(&self, ask: &SlotAsk, now: Mono) -> (bool, bool, u32, Mono) {
+        (!self.is_in_time(ask, now), !ask.returning, ask.rank, ask.arrived)
+    }
+
+    fn goes_before(&self, other: &SlotAsk, ask: &SlotAsk, now: Mono) -> bool {
+        self.order(other, now) <= self.order(ask, now)
+    }
+
+    /// When a request has waited long enough.
+    fn wait_end(&self, ask: &SlotAsk, now: Mono) -> Mono {
+        let share = |whole: Duration, permille: u32| whole * permille / 1000;
+        let work = Duration::from_micros(self.learnt.work_us(&ask.class) as u64);
+        let until_objective = ask.objective.since(ask.arrived);
+        let until_deadline = ask.deadline.since(ask.arrived);
+        let late = ask.arrived.plus(share(until_deadline, self.config.late_wait_permille));
+        if ask.returning || !self.is_in_time(ask, now) {
+            return late;
+        }
+        let fresh = ask.arrived.plus(share(until_objective, self.config.wait_permille));
+        let slack = ask.arrived.plus(until_objective.saturating_sub(work));
+        fresh.max(slack.min(fresh))
+    }
+
+    /// Little's law: with all slots taken, one gets free every (usual time / slots).
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        let slots: u32 = serving.map(|target| target.published.slots).sum();
+        let spacing_us = self.learnt.usual_us() / f64::from(slots.max(1));
+        Duration::from_micros((spacing_us * (ahead as f64 + 1.0)) as u64)
+    }
+
+    fn shed(&self, reason: ShedReason, now: Mono) -> Shed {
+        let returning = self.targets.values().filter_map(Target::ejected_until);
+        let returning = returning.filter(|until| *until > now).min();
+        let wait = match (reason, returning) {
+            (ShedReason::NoTarget, Some(until)) => until.since(now),
+            _ => self.expected_wait(self.queue.len()),
+        };
+        let wait = wait.clamp(self.config.retry_after_min, self.config.retry_after_max);
+        Shed { retry_after: wait, reason }
+    }
+
+    fn assign(&mut self, ask: &SlotAsk, now: Mono) -> Option<Assignment> {
+        let (config, learnt) = (&self.config, &self.learnt);
+        let open = self.targets.iter().filter(|(id, target)| {
+            target.published.serving && !ask.exclude.contains(id) && target.free_slots(now) > 0
+        });
+        let (good, bad): (Vec<_>, Vec<_>) = open
+            .partition(|(_, target)| !target.is_ejected(now) && !target.is_overdue(now, config));
+        let candidates = if self.ignores_evidence(now) && good.is_empty() { bad } else { good };
+        let cost = |target: &Target| target.cost_us(ask, now, config, learnt);
+        let best = candidates.into_iter().min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)));
+        let id = best?.0.clone();
+        let attempt = AttemptId(self.next_id());
+        let target = self.targets.get_mut(&id)?;
+        target.start(attempt, &ask.class, now, &self.config, &self.learnt);
+        self.attempts.insert(attempt, id.clone());
+        Some(Assignment { attempt, target: id })
+    }
+
+    /// Whether so many targets look bad that the fault is more likely this process's own.
+    fn ignores_evidence(&self, now: Mono) -> bool {
+        let serving = || self.targets.values().filter(|target| target.published.serving);
+        let bad = serving().filter(|t| t.is_ejected(now) || t.is_overdue(now, &self.config));
+        bad.count() * 2 > serving().count()
+    }
+
+    fn wake(&mut self, now: Mono) -> Vec<Woken> {
+        let mut woken = Vec::new();
+        let mut order: Vec<Ticket> = self.queue.iter().map(|(ticket, _)| ticket).collect();
+        let asks = &self.queue;
+        let keys: BTreeMap<Ticket, _> =
+            asks.iter().map(|(ticket, ask)| (ticket, self.order(ask, now))).collect();
+        order.sort_by_key(|ticket| keys.get(ticket).copied());
+        for ticket in order {
+            let Some(ask) = self.queue.remove(ticket) else { continue };
+            if let Some(resolution) = self.resolve(&ask, now) {
+                woken.push(Woken { ticket, resolution });
+            } else {
+                self.queue.push(ticket, ask);
+            }
+        }
+        woken
+    }
+
+    fn resolve(&mut self, ask: &SlotAsk, now: Mono) -> Option<Resolution> {
+        if ask.deadline <= now {
+            return Some(Resolution::Shed(self.shed(ShedReason::DeadlinePassed, now)));
+        }
+        if !self.has_target_for(ask) {
+            return Some(Resolution::Shed(self.shed(ShedReason::NoTarget, now)));
+        }
+        if let Some(assignment) = self.assign(ask, now) {
+            return Some(Resolution::Send(assignment));
+        }
+        let waited_out = self.wait_end(ask, now) <= now;
+        waited_out.then(|| Resolution::Shed(self.shed(ShedReason::DeadlineTooNear, now)))
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
--- /dev/null
+++ b/crates/balance/src/slots/target.rs
@@ -0,0 +1,313 @@
+//! What a [`SlotPool`](super::SlotPool) knows of one target.
+
+use std::time::Duration;
+
+use shallotfork_types::{FailureDomain, Mono, TargetId};
+
+use super::config::SlotPoolConfig;
+use super::estimate::{Learnt, Pace, PaceReport};
+use super::{SlotAsk, WorkClass};
+use crate::AttemptId;
+
+/// Weight of a new sample in a target's own speed.
+const SPEED_WEIGHT: f64 = 0.15;
+/// Bounds of a target's speed as a factor of time.
+const SPEED_BOUNDS: (f64, f64) = (0.5, 10.0);
+/// A single sample counts at most this much; it is one hang or one phase of noise.
+const SPEED_SAMPLE_MAX: f64 = 6.0;
+/// Weight of a new outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// What a failure costs a caller, as a multiple of the time of an answer.
+const FAILURE_COST: f64 = 6.0;
+/// How long a target's account of requests from other processes counts.
+const OTHERS_MEMORY: Duration = Duration::from_millis(500);
+/// How much slower a target is for some seconds after its start, until it has been measured.
+const COLD_FACTOR: f64 = 2.0;
+/// Doublings of the time for which a target is left out.
+const DOUBLINGS_MAX: u32 = 6;
+
+/// A target as published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SlotTarget {
+    /// The target.
+    pub id: TargetId,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub serving: bool,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+}
+
+/// What a target says of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadFigures {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// How long work takes there at this moment, if it says so.
+    pub pace: Option<Pace>,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotOutcome {
+    /// A whole answer that is no server error came after this time.
+    Answered {
+        /// From sending to the last byte of the answer.
+        latency: Duration,
+    },
+    /// A server error, or an answer that is not whole or not its own.
+    Failed,
+    /// No connection could be opened.
+    Unreachable,
+    /// It said that it has no room.
+    Full,
+    /// Another target answers at its address.
+    Misdirected,
+    /// No answer came in time.
+    TimedOut,
+    /// Given up for a reason that is not the target's.
+    Cancelled,
+}
+
+/// What a pool thinks of a target, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SlotTargetStatus {
+    /// The target.
+    pub id: TargetId,
+    /// Whether it takes new work, as published.
+    pub serving: bool,
+    /// Requests in flight from this process.
+    pub running: usize,
+    /// Its own speed as a factor of time; 1 is the mean of the pool.
+    pub speed: f64,
+    /// Whether it is left out for failures.
+    pub ejected: bool,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Running {
+    pub(super) attempt: AttemptId,
+    pub(super) class: WorkClass,
+    pub(super) started: Mono,
+    pub(super) pace: f64,
+    pub(super) crowded: bool,
+    pub(super) expected_us: f64,
+}
+
+#[derive(Debug)]
+struct Others {
+    count: u32,
+    at: Mono,
+}
+
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) published: SlotTarget,
+    pub(super) running: Vec<Running>,
+    pace: Option<PaceReport>,
+    speed: f64,
+    failures: f64,
+    failures_in_row: u32,
+    ejections: u32,
+    ejected_until: Option<Mono>,
+    others: Option<Others>,
+    cold_until: Mono,
+    probed_at: Option<Mono>,
+}
+
+impl Target {
+    pub(super) fn new(published: SlotTarget, now: Mono) -> Self {
+        let cold_until = now.plus(published.cold_for);
+        Self {
+            published,
+            running: Vec::new(),
+            pace: None,
+            speed: 1.0,
+            failures: 0.0,
+            failures_in_row: 0,
+            ejections: 0,
+            ejected_until: None,
+            others: None,
+            cold_until,
+            probed_at: None,
+        }
+    }
+
+    /// The same target as published now.
+    pub(super) fn with_published(self, published: SlotTarget) -> Self {
+        Self { published, ..self }
+    }
+
+    pub(super) fn is_ejected(&self, now: Mono) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    pub(super) fn ejected_until(&self) -> Option<Mono> {
+        self.ejected_until
+    }
+
+    /// Whether an attempt runs so much longer than expected that the target seems to hang.
+    pub(super) fn is_overdue(&self, now: Mono, config: &SlotPoolConfig) -> bool {
+        self.running.iter().any(|running| {
+            let passed_us = now.since(running.started).as_micros() as f64;
+            passed_us > running.expected_us * config.overdue_factor
+        })
+    }
+
+    pub(super) fn free_slots(&self, now: Mono) -> u32 {
+        let own = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.published.slots.saturating_sub(own.saturating_add(self.others(now)))
+    }
+
+    /// Requests of other processes there, by its last report.
+    fn others(&self, now: Mono) -> u32 {
+        let fresh = self.others.as_ref().filter(|others| now.since(others.at) < OTHERS_MEMORY);
+        fresh.map_or(0, |others| others.count)
+    }
+
+    /// Whether one more request takes the last slot.
+    pub(super) fn would_crowd(&self, now: Mono) -> bool {
+        self.published.slots > 1 && self.free_slots(now) <= 1
+    }
+
+    pub(super) fn pace(&self, now: Mono, config: &SlotPoolConfig, learnt: &Learnt) -> f64 {
+        let mean = learnt.mean_pace();
+        let report = self.pace;
+        report.map_or(mean, |report| report.expected(now, config.pace_memory, mean))
+    }
+
+    /// Expected time of a request of this class if it were sent now, in microseconds.
+    pub(super) fn expected_us(
+        &self,
+        class: &WorkClass,
+        now: Mono,
+        config: &SlotPoolConfig,
+        learnt: &Learnt,
+    ) -> f64 {
+        let crowding = learnt.crowding(self.would_crowd(now));
+        let cold = if self.cold_until > now { COLD_FACTOR } else { 1.0 };
+        let speed = self.speed.max(cold);
+        learnt.work_us(class) * self.pace(now, config, learnt) * speed * crowding
+    }
+
+    /// The expected time with the risk of a failure added, by which targets are compared.
+    pub(super) fn cost_us(
+        &self,
+        ask: &SlotAsk,
+        now: Mono,
+        config: &SlotPoolConfig,
+        learnt: &Learnt,
+    ) -> f64 {
+        let risk = 1.0 + self.failures * FAILURE_COST;
+        self.expected_us(&ask.class, now, config, learnt) * risk
+    }
+
+    pub(super) fn start(
+        &mut self,
+        attempt: AttemptId,
+        class: &WorkClass,
+        now: Mono,
+        config: &SlotPoolConfig,
+        learnt: &Learnt,
+    ) {
+        let crowded = self.would_crowd(now);
+        let pace = self.pace(now, config, learnt);
+        let expected_us = self.expected_us(class, now, config, learnt);
+        let class = class.clone();
+        self.running.push(Running { attempt, class, started: now, pace, crowded, expected_us });
+    }
+
+    pub(super) fn end(&mut self, attempt: AttemptId) -> Option<Running> {
+        let place = self.running.iter().position(|running| running.attempt == attempt)?;
+        Some(self.running.swap_remove(place))
+    }
+
+    pub(super) fn learn(
+        &mut self,
+        running: &Running,
+        outcome: SlotOutcome,
+        config: &SlotPoolConfig,
+        learnt: &mut Learnt,
+        now: Mono,
+    ) {
+        match outcome {
+            SlotOutcome::Answered { latency } => self.answered(running, latency, learnt, now),
+            SlotOutcome::Cancelled => {}
+            SlotOutcome::Failed => self.failed(config.failures_max, config, now),
+            SlotOutcome::Unreachable | SlotOutcome::TimedOut | SlotOutcome::Misdirected => {
+                self.failed(1, config, now);
+            }
+            // With a slot free by our count it either serves somebody else or refuses on its own
+            // account; both call for a pause.
+            SlotOutcome::Full => self.failed(2, config, now),
+        }
+    }
+
+    fn answered(&mut self, running: &Running, latency: Duration, learnt: &mut Learnt, now: Mono) {
+        self.failures -= self.failures * FAILURE_WEIGHT;
+        self.failures_in_row = 0;
+        self.ejections = 0;
+        self.ejected_until = None;
+        let time_us = latency.as_micros() as f64;
+        let cold = self.cold_until > now;
+        let usual_us =
+            learnt.work_us(&running.class) * running.pace * learnt.crowding(running.crowded);
+        let ratio = (time_us / usual_us).min(SPEED_SAMPLE_MAX);
+        self.speed += (ratio - self.speed) * SPEED_WEIGHT;
+        self.speed = self.speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        if !cold {
+            learnt.saw_time(&running.class, time_us, running.pace, running.crowded);
+        }
+    }
+
+    fn failed(&mut self, tolerated: u32, config: &SlotPoolConfig, now: Mono) {
+        self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+        self.failures_in_row += 1;
+        if self.failures_in_row < tolerated {
+            return;
+        }
+        let pause = config.ejection * 2u32.pow(self.ejections.min(DOUBLINGS_MAX));
+        self.ejections += 1;
+        self.ejected_until = Some(now.plus(pause.min(config.ejection_max)));
+    }
+
+    /// Takes a report of a moment at which only the requests counted here were at the target.
+    pub(super) fn report(&mut self, figures: LoadFigures, learnt: &mut Learnt, now: Mono) {
+        if let Some(pace) = figures.pace {
+            self.pace = Some(PaceReport { pace, at: now });
+            learnt.saw_pace(pace);
+        }
+        let own = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let there = figures.running.saturating_add(figures.waiting);
+        self.others = Some(Others { count: there.saturating_sub(own), at: now });
+    }
+
+    /// Whether a probe would tell something: its pace would be guessed otherwise.
+    pub(super) fn wants_probe(&self, now: Mono, config: &SlotPoolConfig) -> bool {
+        let stale = |at: Mono| now.since(at) >= config.probe_after;
+        let unknown = self.pace.is_none_or(|report| stale(report.at));
+        let due = self.probed_at.is_none_or(stale);
+        unknown && due && !self.is_ejected(now) && self.free_slots(now) > 0
+    }
+
+    pub(super) fn probed(&mut self, now: Mono) {
+        self.probed_at = Some(now);
+    }
+
+    pub(super) fn status(&self, now: Mono) -> SlotTargetStatus {
+        SlotTargetStatus {
+            id: self.published.id.clone(),
+            serving: self.published.serving,
+            running: self.running.len(),
+            speed: self.speed,
+            ejected: self.is_ejected(now),
+        }
+    }
+}
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -7,7 +7,7 @@
 mod logger;
 
 pub use catalogue::{ALL, *};
-pub use logger::{LogConfig, logger};
+pub use logger::{LogConfig, LogOutput, logger};
 pub use slog;
 
 /// Severity of an event.
--- a/crates/events/src/logger.rs
+++ b/crates/events/src/logger.rs
@@ -1,27 +1,43 @@
 //! The JSON logger.
 
-use std::io;
+use std::io::{self, Write};
 use std::sync::Mutex;
 
 use slog::{Drain, Logger, o};
 
-/// What every log line carries besides its event.
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogOutput {
+    /// Standard error, for programs that write something else to standard output.
+    #[default]
+    StandardError,
+    /// Standard output.
+    StandardOutput,
+}
+
+/// What every log line carries besides its event, and where it goes.
 #[derive(Debug)]
 pub struct LogConfig {
     /// Name of the VM.
     pub vm: String,
     /// Incarnation of the process, as text.
     pub incarnation: String,
+    /// Where the lines go.
+    pub output: LogOutput,
 }
 
-/// Lines kept while standard error is slow; further ones are dropped and counted.
+/// Lines kept while the output is slow; further ones are dropped and counted.
 const QUEUE_LINES: usize = 4096;
 
-/// Starts a logger that writes JSON lines to standard error from a thread of its own.
+/// Starts a logger that writes JSON lines from a thread of its own.
 ///
 /// Traffic threads never wait for the writer: when its queue is full, lines are dropped.
 pub fn logger(config: &LogConfig) -> (Logger, slog_async::AsyncGuard) {
-    let json = slog_json::Json::default(io::stderr());
+    let output: Box<dyn Write + Send> = match config.output {
+        LogOutput::StandardError => Box::new(io::stderr()),
+        LogOutput::StandardOutput => Box::new(io::stdout()),
+    };
+    let json = slog_json::Json::default(output);
     let drain = Mutex::new(json).map(slog::Fuse);
     let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(QUEUE_LINES)
--- a/crates/exchange/src/attempt.rs
+++ b/crates/exchange/src/attempt.rs
@@ -162,6 +162,8 @@
     AnswerDigestDiffers,
     /// The answer is not a final one, for instance a switch of protocols.
     AnswerNotFinal,
+    /// The answer belongs to another request; the target sent more answers than it was asked for.
+    AnswerForeign,
 }
 
 impl fmt::Display for FailureCause {
@@ -180,6 +182,7 @@
             Self::BudgetFull => "too many bodies are held at the moment",
             Self::AnswerDigestDiffers => "the target's answer differs from its Content-Digest",
             Self::AnswerNotFinal => "the target's answer is not a final one",
+            Self::AnswerForeign => "the target's answer belongs to another request",
         })
     }
 }
@@ -193,7 +196,7 @@
 }
 
 impl AttemptFailure {
-    fn new(verdict: Verdict, cause: FailureCause) -> Self {
+    pub(crate) fn new(verdict: Verdict, cause: FailureCause) -> Self {
         Self { verdict, cause }
     }
 
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -14,6 +14,9 @@
 mod gate;
 mod gather;
 mod headers;
+mod link;
+mod link_config;
+mod links;
 mod problem;
 mod read_whole;
 mod refusal;
@@ -31,6 +34,8 @@
     CALLER_HEADER, ControlHeaders, DEADLINE_HEADER, KEY_HEADER, REPLAYED_HEADER, SESSION_HEADER,
     VERDICT_HEADER,
 };
+pub use link_config::LinkConfig;
+pub use links::{AnswerOwner, LinkRequest, OwnerFn, TargetLinks};
 pub use problem::Problem;
 pub use read_whole::{BodyLimits, WholeRequest, read_whole};
 pub use refusal::Refusal;
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,117 @@
+//! What the parts of one process share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use shallotfork_balance::SlotPoolConfig;
+use shallotfork_events::slog::Logger;
+use shallotfork_exchange::{BodyBudget, TargetLinks};
+use shallotfork_lifecycle::Phase;
+use shallotfork_routes::{Route, RouteName, Splitter};
+use shallotfork_timer::Clock;
+use shallotfork_types::{Incarnation, ServiceName};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::settings::GatewaySettings;
+use crate::snapshot::{Fleet, Published};
+use crate::traffic::ServiceSlots;
+
+/// Shared by the control thread and the traffic threads.
+pub struct Context {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Header names and forms of the platform.
+    pub dialect: Dialect,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The logger.
+    pub log: Logger,
+    /// State of the life cycle.
+    pub phase: watch::Receiver<Phase>,
+    /// What is published.
+    pub published: ArcSwap<Published>,
+    /// Which entries live.
+    pub fleet: ArcSwap<Fleet>,
+    /// Connections to targets.
+    pub links: TargetLinks,
+    /// Bytes of bodies held.
+    pub bodies: BodyBudget,
+    /// Slots of each service.
+    pub services: Services,
+    /// Shares of services within a route.
+    pub splitter: Mutex<Splitter>,
+    /// Longest deadline seen on each route.
+    pub patience: Patience,
+}
+
+impl Context {
+    /// The service for the next request of a route.
+    pub fn choose_service(&self, route: &Route) -> ServiceName {
+        lock(&self.splitter).next(route)
+    }
+
+    /// The slots of a service.
+    pub fn slots(&self, service: &ServiceName) -> Arc<ServiceSlots> {
+        let window = self.settings.retry_window;
+        self.services
+            .get(service, || ServiceSlots::new(SlotPoolConfig::default(), window, self.clock))
+    }
+
+    /// Whether callers are told to come here.
+    pub fn is_serving(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving
+    }
+}
+
+/// The slots of each service; a service comes into being when it is first named.
+#[derive(Debug, Default)]
+pub struct Services {
+    by_name: Mutex<HashMap<ServiceName, Arc<ServiceSlots>>>,
+}
+
+impl Services {
+    /// The slots of a service, made by `new` if it is not known yet.
+    pub fn get(
+        &self,
+        service: &ServiceName,
+        new: impl FnOnce() -> Arc<ServiceSlots>,
+    ) -> Arc<ServiceSlots> {
+        let mut by_name = lock(&self.by_name);
+        Arc::clone(by_name.entry(service.clone()).or_insert_with(new))
+    }
+
+    /// Every service known.
+    pub fn all(&self) -> Vec<(ServiceName, Arc<ServiceSlots>)> {
+        let by_name = lock(&self.by_name);
+        by_name.iter().map(|(name, slots)| (name.clone(), Arc::clone(slots))).collect()
+    }
+}
+
+/// The longest deadline that callers of each route have sent.
+///
+/// Callers of one kind all start with the same patience. One that arrives with less has been
+/// refused before and has come back; that much of its time is gone already.
+#[derive(Debug, Default)]
+pub struct Patience {
+    longest: Mutex<HashMap<RouteName, Duration>>,
+}
+
+impl Patience {
+    /// How long a caller with this deadline has been waiting before it came here.
+    pub fn waited(&self, route: &RouteName, deadline: Duration) -> Duration {
+        let mut longest = lock(&self.longest);
+        let known = longest.entry(route.clone()).or_insert(deadline);
+        *known = deadline.max(*known);
+        known.saturating_sub(deadline)
+    }
+}
+
+/// Takes a lock whose holders never leave its content half changed.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/control/publish.rs
@@ -0,0 +1,123 @@
+//! Hands what is published to the traffic threads.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use shallotfork_balance::SlotTarget;
+use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, event};
+use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
+use shallotfork_routes::{Offer, RouteTable};
+use shallotfork_types::{Revision, ServiceName, TargetId};
+
+use crate::control::state::State;
+use crate::feed::{Decoded, FeedChanges, RawItem};
+use crate::snapshot::Published;
+
+/// Takes everything that a full read brought, which began at `revision`.
+pub fn take_all(
+    state: &State,
+    items: &[RawItem],
+    decode: impl Fn(&RawItem) -> Decoded,
+    revision: Revision,
+) {
+    let changes = take_routes(state, items, decode);
+    let now = state.context.clock.now();
+    let changed = state.roster.borrow_mut().replace(changes, revision, now);
+    publish(state, &changed);
+}
+
+/// Takes what a watch brought.
+pub fn take_changes(state: &State, changes: &FeedChanges, decode: impl Fn(&RawItem) -> Decoded) {
+    let targets = take_routes(state, &changes.items, decode);
+    let now = state.context.clock.now();
+    let changed = state.roster.borrow_mut().apply(targets, now);
+    publish(state, &changed);
+}
+
+/// Ends targets that have been missing for too long.
+pub fn expire_targets(state: &State) {
+    let changed = state.roster.borrow_mut().expire(state.context.clock.now());
+    if !changed.is_empty() {
+        publish(state, &changed);
+    }
+}
+
+/// Takes the routes among the items and returns the changes of targets.
+fn take_routes(
+    state: &State,
+    items: &[RawItem],
+    decode: impl Fn(&RawItem) -> Decoded,
+) -> Vec<Change> {
+    let mut targets = Vec::new();
+    for item in items {
+        match decode(item) {
+            Decoded::Routes(table) => offer(state, table, item.revision),
+            Decoded::BadRoutes(reason) => {
+                event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
+                    "revision" => item.revision.value());
+            }
+            Decoded::Target(change) => targets.push(change),
+            Decoded::Ignored => {}
+        }
+    }
+    targets
+}
+
+fn offer(state: &State, table: RouteTable, revision: Revision) {
+    let (version, routes) = (table.version(), table.routes().count());
+    if state.in_force.borrow_mut().offer(table) == Offer::Accepted {
+        event!(state.context.log, ROUTES_ACCEPTED, "version" => version.number(),
+            "routes" => routes, "revision" => revision.value());
+    }
+}
+
+/// Publishes routes and targets as they are known now.
+pub fn publish(state: &State, changed: &[RosterChange]) {
+    let context = &state.context;
+    for change in changed {
+        event!(context.log, TARGET_CHANGED, "change" => format!("{change:?}"));
+        match change {
+            RosterChange::Restarted(id) => {
+                context.links.forget(id);
+                context.services.all().iter().for_each(|(_, slots)| slots.restarted(id));
+            }
+            RosterChange::Left(id) => context.links.forget(id),
+            _ => {}
+        }
+    }
+    let roster = state.roster.borrow();
+    let targets: HashMap<TargetId, TargetEntry> =
+        roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
+    let by_service = by_service(&targets);
+    let published = Published {
+        table: state.in_force.borrow().table().cloned(),
+        targets: Arc::new(targets),
+        platform_lost_at: state.platform_lost_at.get(),
+    };
+    context.published.store(Arc::new(published));
+    for (service, targets) in by_service {
+        context.slots(&service).set_targets(targets);
+    }
+    let gone = context.services.all().into_iter();
+    let gone = gone.filter(|(service, _)| !has_target(&context.published.load(), service));
+    gone.for_each(|(_, slots)| slots.set_targets(Vec::new()));
+}
+
+fn has_target(published: &Published, service: &ServiceName) -> bool {
+    published.targets.values().any(|entry| entry.service == *service)
+}
+
+fn by_service(targets: &HashMap<TargetId, TargetEntry>) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
+    let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
+    for (id, entry) in targets {
+        let target = SlotTarget {
+            id: id.clone(),
+            failure_domain: entry.failure_domain.clone(),
+            slots: entry.slots,
+            serving: entry.availability == Availability::Serving,
+            cold_for: entry.cold_for,
+        };
+        by_service.entry(entry.service.clone()).or_default().push(target);
+    }
+    by_service
+}
--- /dev/null
+++ b/crates/gateway/src/control/state.rs
@@ -0,0 +1,72 @@
+//! State of the control thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use shallotfork_membership::{Announcement, EntryVm, ListedVm, View};
+use shallotfork_peer::PeerState;
+use shallotfork_roster::Roster;
+use shallotfork_routes::InForce;
+use shallotfork_types::{Endpoint, Mono, VmId};
+
+use crate::context::Context;
+use crate::control::peers::Peers;
+
+/// All state that only the control thread touches.
+///
+/// No borrow is held across an await, so that tasks of the thread never meet a borrowed cell.
+pub struct State {
+    /// Shared with the traffic threads.
+    pub context: Arc<Context>,
+    /// Which entries live.
+    pub view: RefCell<View>,
+    /// Connections to other entries.
+    pub peers: Peers,
+    /// The routes in force.
+    pub in_force: RefCell<InForce>,
+    /// The targets.
+    pub roster: RefCell<Roster>,
+    /// Since when the platform has not answered.
+    pub platform_lost_at: Cell<Option<Mono>>,
+    /// Entries that say that they can't read the platform.
+    pub blind: RefCell<BTreeSet<VmId>>,
+    /// Entries that say that they know no routes yet.
+    pub starting: RefCell<BTreeSet<VmId>>,
+    /// Whether a planned stop is under way.
+    pub leaving: Cell<bool>,
+    /// Whether routes and targets have been read once.
+    pub synced: Cell<bool>,
+    /// The most entries that were live at one time.
+    pub known: Cell<usize>,
+    /// Beliefs that were last logged.
+    pub logged: RefCell<Vec<EntryVm>>,
+    /// The entry that callers were last told to use.
+    pub named: Cell<Option<Endpoint>>,
+}
+
+impl State {
+    /// Where this process stands in its life.
+    pub fn own_state(&self) -> PeerState {
+        if self.leaving.get() {
+            return PeerState::Leaving;
+        }
+        if self.synced.get() { PeerState::Live } else { PeerState::Starting }
+    }
+}
+
+/// What this process says of itself.
+pub fn own_announcement(context: &Context) -> Announcement {
+    let settings = &context.settings;
+    Announcement {
+        listed: ListedVm {
+            vm: settings.vm.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            callers: settings.ports.callers,
+            peers: settings.ports.peers,
+            leaving: false,
+        },
+        incarnation: context.incarnation,
+        round: 0,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/thread.rs
@@ -0,0 +1,177 @@
+//! Starts the control thread and runs its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::TcpListener as StdListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use shallotfork_membership::{View, ViewConfig};
+use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
+use shallotfork_roster::{Roster, RosterConfig};
+use shallotfork_routes::InForce;
+use shallotfork_timer::{Schedule, TimerService};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+use crate::context::Context;
+use crate::control::beats::{beats, tell_leaving};
+use crate::control::handler::Handler;
+use crate::control::peers::Peers;
+use crate::control::publish::expire_targets;
+use crate::control::reader::read_on;
+use crate::control::state::{State, own_announcement};
+use crate::feed::Feed;
+
+/// Silence after which a watched entry is suspected: three heartbeats and the way.
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+/// Time to open a connection to an entry or to have an answer; shorter than the silence after which
+/// it is suspected.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often lapsed targets and idle connections are looked after.
+const TIDY: Duration = Duration::from_millis(250);
+/// Heartbeats that carry the same news; each reaches three entries at the head of the ranking, who
+/// pass it on to all that call them.
+const NEWS_SENDS: u32 = 12;
+/// News in one heartbeat; a restart of half of a large fleet is told within a few.
+const NEWS_MAX: usize = 24;
+
+/// What the control thread takes over from start-up.
+pub struct ControlParts {
+    /// Shared with the traffic threads.
+    pub context: Arc<Context>,
+    /// Requests of the traffic side.
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    /// Bound port for other entries.
+    pub peers: StdListener,
+    /// The key that entries prove to each other.
+    pub key: PeerKey,
+    /// The platform.
+    pub feed: Arc<dyn Feed>,
+    /// Becomes true when routes are in force.
+    pub ready: watch::Sender<bool>,
+}
+
+/// A request to the control thread.
+#[derive(Debug)]
+pub enum Command {
+    /// Tell everybody that this process leaves; answered once all were told.
+    Leave(oneshot::Sender<()>),
+}
+
+/// Talks to the control thread.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl ControlHandle {
+    /// A handle, and the receiver for the thread.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Command>) {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        (Self { commands }, receiver)
+    }
+
+    /// Tells everybody that this process leaves.
+    pub async fn leave(&self) {
+        let (told, done) = oneshot::channel();
+        // A thread that has ended has nobody left to tell.
+        let _ended = self.commands.send(Command::Leave(told));
+        let _ended = done.await;
+    }
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// When the thread or its runtime can't be started.
+pub fn start(parts: ControlParts) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || LocalSet::new().block_on(&runtime, run(parts)))
+        .context("cannot start the control thread")?;
+    Ok(())
+}
+
+async fn run(parts: ControlParts) {
+    let ControlParts { context, mut commands, peers, key, feed, ready } = parts;
+    let listener = match TcpListener::from_std(peers) {
+        Ok(listener) => listener,
+        // The traffic side waits for `ready`, sees its end, and reports the failure.
+        Err(_) => return,
+    };
+    let own = PeerId::new(context.settings.vm.clone(), context.incarnation);
+    let state = Rc::new(new_state(context, &key, &own));
+    let server = PeerServer::new(
+        listener,
+        key,
+        own,
+        peer_config(),
+        Rc::new(Handler { state: Rc::clone(&state) }),
+    );
+    tokio::task::spawn_local(server.serve());
+    tokio::task::spawn_local(read_on(Rc::clone(&state), feed));
+    let timer = TimerService::new(state.context.clock);
+    tokio::task::spawn_local(beats(Rc::clone(&state), timer.clone()));
+    let mut tidy = timer.subscribe(Schedule::new(TIDY));
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(Command::Leave(told)) => {
+                    let state = Rc::clone(&state);
+                    tokio::task::spawn_local(async move {
+                        tell_leaving(&state).await;
+                        let _gone = told.send(());
+                    });
+                }
+                None => return,
+            },
+            _ = tidy.tick() => {
+                expire_targets(&state);
+                state.context.links.tidy();
+            }
+        }
+        if state.synced.get() {
+            ready.send_replace(true);
+        }
+    }
+}
+
+fn new_state(context: Arc<Context>, key: &PeerKey, own: &PeerId) -> State {
+    let now = context.clock.now();
+    let view_config = ViewConfig {
+        suspect_after: SUSPECT_AFTER,
+        news_sends: NEWS_SENDS,
+        news_max: NEWS_MAX,
+        ..ViewConfig::default()
+    };
+    let view = View::new(view_config, &own_announcement(&context), now);
+    State {
+        view: RefCell::new(view),
+        peers: Peers::new(key.clone(), own.clone(), peer_config()),
+        in_force: RefCell::new(InForce::new()),
+        roster: RefCell::new(Roster::new(RosterConfig::default())),
+        platform_lost_at: Cell::new(None),
+        blind: RefCell::new(BTreeSet::new()),
+        starting: RefCell::new(BTreeSet::new()),
+        leaving: Cell::new(false),
+        synced: Cell::new(false),
+        known: Cell::new(1),
+        logged: RefCell::new(Vec::new()),
+        named: Cell::new(None),
+        context,
+    }
+}
+
+fn peer_config() -> PeerConfig {
+    PeerConfig {
+        handshake_timeout: PEER_TIMEOUT,
+        call_timeout: PEER_TIMEOUT,
+        ..PeerConfig::default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dialect.rs
@@ -0,0 +1,57 @@
+//! What callers and targets are spoken to in: header names, paths and forms of a platform.
+
+use std::time::Duration;
+
+use http::HeaderName;
+use shallotfork_balance::LoadFigures;
+use shallotfork_types::Endpoint;
+
+/// Names of the headers by which a platform's callers, entries and targets understand each other.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Identifies one attempt of a caller; echoed by targets.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender still waits.
+    pub deadline_ms: HeaderName,
+    /// The only target that may run the request; any other answers 421.
+    pub expected_target: HeaderName,
+    /// By which a caller knows the answer to be its target's own.
+    pub signature: HeaderName,
+    /// On an answer that says that the request did not run.
+    pub not_run: HeaderName,
+    /// A target's account of its load.
+    pub load: HeaderName,
+}
+
+/// Paths that are not those of any route.
+#[derive(Debug, Clone)]
+pub struct Paths {
+    /// Whether this process takes new work.
+    pub readiness: String,
+    /// Which addresses a caller should use.
+    pub directory: String,
+}
+
+/// What a caller who asks for addresses says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DirectoryQuery {
+    /// The host that it wants to reach.
+    pub host: Option<String>,
+    /// The failure domain that it is in or near to.
+    pub failure_domain: Option<String>,
+}
+
+/// The whole dialect of a platform.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Header names.
+    pub headers: HeaderNames,
+    /// Paths.
+    pub paths: Paths,
+    /// Reads a target's account of its load; `None` when it is not in the platform's form.
+    pub load_figures: fn(&str) -> Option<LoadFigures>,
+    /// Reads the query of a caller who asks for addresses.
+    pub directory_query: fn(&str) -> DirectoryQuery,
+    /// Writes the answer to it: addresses, and how long to keep them.
+    pub directory_answer: fn(&[Endpoint], Duration) -> String,
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! An entry process for platforms that publish routes and targets one by one.
+//!
+//! Control state lives on one thread ([`control`]): what is published, and which other entries
+//! live. Traffic threads ([`traffic`]) read snapshots that control publishes. A platform is a
+//! [`Feed`] that is read and a [`Dialect`] that is spoken; nothing here knows its names.
+
+mod context;
+mod control;
+mod dialect;
+mod feed;
+mod leave;
+mod metrics_page;
+mod run;
+mod settings;
+mod snapshot;
+mod traffic;
+
+pub use dialect::{Dialect, DirectoryQuery, HeaderNames, Paths};
+pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
+pub use run::{Program, run};
+pub use settings::{GatewaySettings, Ports};
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,176 @@
+//! Start-up and shutdown of the process.
+
+use std::net::TcpListener as StdListener;
+use std::sync::{Arc, Mutex};
+
+use anyhow::{Context as _, Result};
+use arc_swap::ArcSwap;
+use poem::endpoint::make_sync;
+use poem::{IntoEndpoint, endpoint::make};
+use rand::RngExt;
+use shallotfork_events::{LogConfig, LogOutput, logger};
+use shallotfork_exchange::{BodyBudget, LinkConfig, ServeConfig, ServeControl, TargetLinks, serve};
+use shallotfork_lifecycle::{Process, Starting};
+use shallotfork_peer::PeerKey;
+use shallotfork_routes::Splitter;
+use shallotfork_timer::{Clock, TimerService};
+use shallotfork_types::{Endpoint, Incarnation};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::context::{Context, Patience, Services};
+use crate::control::{ControlHandle, ControlParts, start};
+use crate::dialect::Dialect;
+use crate::feed::Feed;
+use crate::leave::leave;
+use crate::metrics_page::MetricsPage;
+use crate::settings::GatewaySettings;
+use crate::snapshot::{Fleet, Published};
+use crate::traffic::{directory, front, probes, readiness};
+
+/// What a platform's adapter brings.
+pub struct Program {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Header names and forms.
+    pub dialect: Dialect,
+    /// The platform.
+    pub feed: Arc<dyn Feed>,
+}
+
+struct Listeners {
+    callers: StdListener,
+    readiness: StdListener,
+    peers: StdListener,
+    directory: StdListener,
+    metrics: StdListener,
+}
+
+/// Runs the process until it is told to stop.
+///
+/// # Errors
+/// When a port can't be bound, or a part of the process can't be started.
+pub fn run(program: Program) -> Result<()> {
+    let Program { settings, dialect, feed } = program;
+    let incarnation = Incarnation::new(rand::rng().random());
+    let log_config = LogConfig {
+        vm: settings.vm.to_string(),
+        incarnation: incarnation.to_string(),
+        output: LogOutput::StandardOutput,
+    };
+    let (log, _flush) = logger(&log_config);
+    let listeners = bind(&settings)?;
+    let key = PeerKey::new(&settings.fleet_key).context("the fleet's key is too short")?;
+    let metrics = MetricsPage::install()?;
+    let process = Process::new(log.clone());
+    let bodies = BodyBudget::new(settings.bodies_max);
+    let threads = settings.traffic_threads.max(1);
+    let context = Arc::new(Context {
+        settings,
+        incarnation,
+        dialect,
+        clock: Clock::new(),
+        log,
+        phase: process.watch(),
+        published: ArcSwap::from_pointee(Published::default()),
+        fleet: ArcSwap::from_pointee(Fleet::default()),
+        links: TargetLinks::new(LinkConfig::default(), bodies.clone()),
+        bodies,
+        services: Services::default(),
+        splitter: Mutex::new(Splitter::new()),
+        patience: Patience::default(),
+    });
+    let (control, commands) = ControlHandle::new();
+    let (ready, is_ready) = watch::channel(false);
+    start(ControlParts {
+        context: Arc::clone(&context),
+        commands,
+        peers: listeners.peers.try_clone()?,
+        key,
+        feed,
+        ready,
+    })?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
+    runtime.block_on(serve_all(context, control, process, listeners, metrics, is_ready))
+}
+
+fn bind(settings: &GatewaySettings) -> Result<Listeners> {
+    let bind = |endpoint: Endpoint, what: &str| -> Result<StdListener> {
+        let listener = StdListener::bind(endpoint.address())
+            .with_context(|| format!("cannot bind the {what} port {endpoint}"))?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    let ports = &settings.ports;
+    Ok(Listeners {
+        callers: bind(ports.callers, "callers'")?,
+        readiness: bind(ports.readiness, "readiness")?,
+        peers: bind(ports.peers, "peers'")?,
+        directory: bind(ports.directory, "directory")?,
+        metrics: bind(ports.metrics, "metrics")?,
+    })
+}
+
+async fn serve_all(
+    context: Arc<Context>,
+    control: ControlHandle,
+    process: Process<Starting>,
+    listeners: Listeners,
+    metrics: MetricsPage,
+    mut is_ready: watch::Receiver<bool>,
+) -> Result<()> {
+    let mut stop = Stop::new()?;
+    let shared = Arc::clone(&context);
+    serve_aside(listeners.readiness, make_sync(move |request| readiness(&shared, &request)))?;
+    let shared = Arc::clone(&context);
+    serve_aside(listeners.directory, make_sync(move |request| directory(&shared, &request)))?;
+    serve_aside(listeners.metrics, make_sync(move |_| metrics.render()))?;
+    let callers = ServeControl::new();
+    let shared = Arc::clone(&context);
+    let endpoint = make(move |request| front(Arc::clone(&shared), request));
+    let listener = TcpListener::from_std(listeners.callers)?;
+    tokio::spawn(serve(listener, endpoint, ServeConfig::default(), callers.clone()));
+    tokio::spawn(probes(Arc::clone(&context), TimerService::new(context.clock)));
+    tokio::select! {
+        ready = is_ready.wait_for(|ready| *ready) => drop(ready.context("control has ended")?),
+        () = stop.asked() => return Ok(()),
+    }
+    let process = process.serve();
+    stop.asked().await;
+    leave(&context, &control, process.leave(), &callers).await;
+    Ok(())
+}
+
+/// Serves a port that needs no planned stop.
+fn serve_aside<E>(listener: StdListener, endpoint: E) -> Result<()>
+where
+    E: IntoEndpoint + Send + 'static,
+    E::Endpoint: 'static,
+{
+    let listener = TcpListener::from_std(listener)?;
+    tokio::spawn(serve(listener, endpoint, ServeConfig::default(), ServeControl::new()));
+    Ok(())
+}
+
+/// Signals that ask for a planned stop.
+struct Stop {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Stop {
+    fn new() -> Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn asked(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/job.rs
@@ -0,0 +1,88 @@
+//! One caller's request on its way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use shallotfork_balance::{SlotAsk, WorkClass};
+use shallotfork_exchange::WholeRequest;
+use shallotfork_routes::{Repeat, Route};
+use shallotfork_types::{Mono, ServiceName, TargetId};
+
+use crate::context::Context;
+
+/// A caller that waited less than this before it came here has not been refused: its deadline
+/// differs from the longest one by the time on the way.
+const RETURNING_AFTER: Duration = Duration::from_millis(50);
+/// Kept back from a deadline, so that the answer reaches its caller before it gives up; three
+/// times the way between callers and entries.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// What is known of a request once its route is found.
+pub struct Job {
+    /// Shared parts of the process.
+    pub context: Arc<Context>,
+    /// The request, whole.
+    pub request: WholeRequest,
+    /// The caller's name for this attempt.
+    pub request_id: String,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that serves it.
+    pub service: ServiceName,
+    /// When it arrived.
+    pub arrived: Mono,
+    /// An answer until then is worth most.
+    pub objective: Mono,
+    /// The final answer is due then.
+    pub deadline: Mono,
+    /// How long the caller had waited before.
+    pub waited: Duration,
+}
+
+impl Job {
+    /// Works out the times of a request.
+    pub fn new(
+        context: Arc<Context>,
+        request: WholeRequest,
+        request_id: String,
+        route: Arc<Route>,
+        arrived: Mono,
+    ) -> Self {
+        let patience = deadline_of(&context, &request.headers).unwrap_or(route.timeout);
+        let waited = context.patience.waited(&route.name, patience);
+        let objective = arrived.plus(route.latency_objective.saturating_sub(waited));
+        let deadline = arrived.plus(patience.saturating_sub(WAY_BACK).min(route.timeout));
+        let service = context.choose_service(&route);
+        Self { context, request, request_id, route, service, arrived, objective, deadline, waited }
+    }
+
+    /// Whether a second run does no harm.
+    pub fn is_repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Time left at `now`.
+    pub fn left(&self, now: Mono) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Requests of one route take about the same time.
+    pub fn class(&self) -> WorkClass {
+        WorkClass::new(self.route.name.as_str())
+    }
+
+    /// What it asks of the service's slots.
+    pub fn ask(&self, tried: &[TargetId]) -> SlotAsk {
+        SlotAsk::new(self.class(), self.arrived, self.objective, self.deadline)
+            .with_rank(self.route.urgency.rank())
+            .with_returning(self.waited >= RETURNING_AFTER || !tried.is_empty())
+            .with_exclude(tried.to_vec())
+    }
+}
+
+/// How long the caller says it waits.
+fn deadline_of(context: &Context, headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(&context.dialect.headers.deadline_ms)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/mod.rs
@@ -0,0 +1,15 @@
+//! Requests of callers, and what goes to targets.
+
+mod attempts;
+mod directory;
+mod front;
+mod job;
+mod judge;
+mod probes;
+mod refusal;
+mod service_slots;
+
+pub use directory::{directory, readiness};
+pub use front::front;
+pub use probes::probes;
+pub use service_slots::ServiceSlots;
--- /dev/null
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -0,0 +1,248 @@
+//! The slots of one service, shared by the traffic threads.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use shallotfork_balance::{
+    Admission, Assignment, AttemptId, LoadFigures, Resolution, RetryAllowance, RetryWindow, Shed,
+    SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget, Ticket, Woken, WorkClass,
+};
+use shallotfork_timer::Clock;
+use shallotfork_types::{Mono, TargetId};
+use tokio::sync::oneshot;
+
+use crate::context::lock;
+
+/// Shortest wait between two looks at the queue.
+const EXPIRY_STEP: Duration = Duration::from_millis(2);
+/// A service without a request for this long needs no probes.
+const IDLE_AFTER: Duration = Duration::from_secs(1);
+
+type Place = Result<Assigned, Shed>;
+
+/// Wraps the pure pool in a lock and wakes the requests that wait in it.
+#[derive(Debug)]
+pub struct ServiceSlots {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pool: SlotPool,
+    repeats: RetryWindow,
+    waiting: HashMap<Ticket, oneshot::Sender<Place>>,
+    asked_at: Option<Mono>,
+}
+
+/// Leave to send one attempt; gives the slot back when dropped.
+///
+/// A caller that hangs up drops its request anywhere; without the drop the slot would count as
+/// taken for ever.
+#[derive(Debug)]
+pub struct Assigned {
+    slots: Arc<ServiceSlots>,
+    assignment: Assignment,
+    ended: bool,
+}
+
+impl Assigned {
+    /// Where to send the attempt.
+    pub fn target(&self) -> &TargetId {
+        &self.assignment.target
+    }
+
+    /// Reports how the attempt ended, with the load that the target reported in its answer.
+    pub fn finish(mut self, outcome: SlotOutcome, figures: Option<LoadFigures>) {
+        self.ended = true;
+        self.slots.finish(self.assignment.attempt, outcome, figures);
+    }
+}
+
+impl Drop for Assigned {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.slots.finish(self.assignment.attempt, SlotOutcome::Cancelled, None);
+        }
+    }
+}
+
+/// Takes a request out of the queue when its caller hangs up.
+struct Waiting<'a> {
+    slots: &'a ServiceSlots,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.slots.lock();
+        if inner.waiting.remove(&self.ticket).is_some() {
+            inner.pool.cancel(self.ticket);
+        }
+    }
+}
+
+impl ServiceSlots {
+    /// A service without targets.
+    pub fn new(config: SlotPoolConfig, retry_window: Duration, clock: Clock) -> Arc<Self> {
+        let inner = Inner {
+            pool: SlotPool::new(config),
+            repeats: RetryWindow::new(retry_window),
+            waiting: HashMap::new(),
+            asked_at: None,
+        };
+        Arc::new(Self { clock, inner: Mutex::new(inner) })
+    }
+
+    /// Counts a request of a caller, for the limit on repeated sends.
+    pub fn count_request(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.repeats.request(now);
+        inner.asked_at = Some(now);
+    }
+
+    /// Takes leave to send a request once more.
+    pub fn try_repeat(&self, allowance: RetryAllowance) -> bool {
+        let now = self.clock.now();
+        self.lock().repeats.try_repeat(allowance, now)
+    }
+
+    /// A slot for a request; waits for it when needed.
+    ///
+    /// # Errors
+    /// The refusal, with the time after which the caller may come back.
+    pub async fn admit(self: &Arc<Self>, ask: SlotAsk) -> Place {
+        let now = self.clock.now();
+        let (admission, receiver) = self.lock().place(ask, now);
+        match (admission, receiver) {
+            (Admission::Send(assignment), _) => Ok(self.assigned(assignment)),
+            (Admission::Shed(shed), _) => Err(shed),
+            (Admission::Queued(ticket), receiver) => {
+                let _waiting = Waiting { slots: self, ticket };
+                self.wait(receiver.expect("a queued request has a receiver")).await
+            }
+        }
+    }
+
+    /// What to tell a caller whose request reached targets but ran at none of them.
+    pub fn shed(&self) -> Shed {
+        let now = self.clock.now();
+        self.lock().pool.refusal(now)
+    }
+
+    /// A slot at a second target for a request in flight, if one is free and nobody waits.
+    pub fn spare(self: &Arc<Self>, ask: &SlotAsk) -> Option<Assigned> {
+        let now = self.clock.now();
+        let assignment = self.lock().pool.spare(ask, now)?;
+        Some(self.assigned(assignment))
+    }
+
+    /// Takes the published targets.
+    pub fn set_targets(self: &Arc<Self>, targets: Vec<SlotTarget>) {
+        let now = self.clock.now();
+        let woken = self.lock().pool.set_targets(targets, now);
+        self.deliver(woken);
+    }
+
+    /// Forgets what is known of a target that has started again.
+    pub fn restarted(&self, target: &TargetId) {
+        let now = self.clock.now();
+        self.lock().pool.restarted(target, now);
+    }
+
+    /// Takes a target's account of its load that came with a probe's answer.
+    pub fn report(self: &Arc<Self>, target: &TargetId, figures: LoadFigures) {
+        let now = self.clock.now();
+        let woken = self.lock().pool.report(target, figures, now);
+        self.deliver(woken);
+    }
+
+    /// Targets to probe now; none while the service is not used.
+    pub fn due_probes(&self) -> Vec<TargetId> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let used = inner.asked_at.is_some_and(|at| now.since(at) < IDLE_AFTER);
+        if used { inner.pool.due_probes(now) } else { Vec::new() }
+    }
+
+    /// Usual time of a class of requests.
+    pub fn usual_time(&self, class: &WorkClass) -> Duration {
+        self.lock().pool.usual_time(class)
+    }
+
+    /// Waits for a place. Each waiting request looks after the queue's next end itself, so that a
+    /// process without waiting requests does nothing at all.
+    async fn wait(self: &Arc<Self>, mut receiver: oneshot::Receiver<Place>) -> Place {
+        loop {
+            let due = self.expire();
+            tokio::select! {
+                place = &mut receiver => {
+                    return place.expect("every ticket is resolved before its sender is dropped");
+                }
+                () = tokio::time::sleep(due) => {}
+            }
+        }
+    }
+
+    /// Ends those who have waited long enough; returns when to look again.
+    fn expire(self: &Arc<Self>) -> Duration {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let due = inner.pool.next_expiry(now).is_some_and(|due| due <= now);
+        let woken = if due { inner.pool.expire(now) } else { Vec::new() };
+        let next = inner.pool.next_expiry(now);
+        drop(inner);
+        self.deliver(woken);
+        next.map_or(IDLE_AFTER, |next| next.since(now)).max(EXPIRY_STEP)
+    }
+
+    fn assigned(self: &Arc<Self>, assignment: Assignment) -> Assigned {
+        Assigned { slots: Arc::clone(self), assignment, ended: false }
+    }
+
+    fn finish(
+        self: &Arc<Self>,
+        attempt: AttemptId,
+        outcome: SlotOutcome,
+        figures: Option<LoadFigures>,
+    ) {
+        let now = self.clock.now();
+        let woken = self.lock().pool.finish(attempt, outcome, figures, now);
+        self.deliver(woken);
+    }
+
+    /// Hands out places with the lock released: a receiver that is gone drops its place, which
+    /// takes the lock again.
+    fn deliver(self: &Arc<Self>, woken: Vec<Woken>) {
+        for Woken { ticket, resolution } in woken {
+            let place = match resolution {
+                Resolution::Send(assignment) => Ok(self.assigned(assignment)),
+                Resolution::Shed(shed) => Err(shed),
+            };
+            let sender = self.lock().waiting.remove(&ticket);
+            if let Some(sender) = sender {
+                let _gone = sender.send(place);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+}
+
+impl Inner {
+    /// Asks the pool and, for a queued request, makes the channel that wakes it, in one step: the
+    /// ticket could be woken as soon as the lock is released.
+    fn place(&mut self, ask: SlotAsk, now: Mono) -> (Admission, Option<oneshot::Receiver<Place>>) {
+        let admission = self.pool.admit(ask, now);
+        let Admission::Queued(ticket) = admission else {
+            return (admission, None);
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        (admission, Some(receiver))
+    }
+}
--- a/crates/shallotd/src/lifecycle.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -1,7 +1,7 @@
 //! The life cycle of the process: starting, serving, leaving, stopped.
 //!
-//! Each state is a type, so that for example nothing can be announced as serving before a rule
-//! list is in force, and nothing can go back from leaving to serving.
+//! Each state is a type, so that for example nothing can be announced as serving before a list
+//! is in force, and nothing can go back from leaving to serving.
 
 use shallotfork_events::{LEAVING, SERVING, STARTED, STOPPED, event, slog::Logger};
 use tokio::sync::watch;
@@ -9,7 +9,7 @@
 /// The state as seen by the parts of the process that only watch it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
-    /// No rule list is in force yet.
+    /// Nothing published is in force yet.
     Starting,
     /// Callers are served.
     Serving,
@@ -31,7 +31,7 @@
     }
 }
 
-/// State of a process that has no rule list yet.
+/// State of a process that knows nothing published yet.
 #[derive(Debug)]
 pub struct Starting;
 
@@ -59,7 +59,7 @@
         Self { log, phase, _state: Starting }
     }
 
-    /// A rule list is in force: callers may be served.
+    /// What is published is in force: callers may be served.
     pub fn serve(self) -> Process<Serving> {
         event!(self.log, SERVING);
         self.enter(Phase::Serving, Serving)
@@ -75,7 +75,7 @@
 }
 
 impl Process<Leaving> {
-    /// Nothing is in flight any more and the ledger was handed over.
+    /// Nothing is in flight any more.
     pub fn stop(self) {
         event!(self.log, STOPPED);
         self.phase.send_replace(Phase::Stopped);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -180,6 +180,11 @@
         news
     }
 
+    /// News of every VM, for one that has just joined and knows nobody.
+    pub fn all_news(&self) -> Vec<News> {
+        self.members.values().filter_map(Member::news).collect()
+    }
+
     /// Every VM with the belief about it, in order of name.
     pub fn entries(&self) -> Vec<EntryVm> {
         self.members.values().map(Member::entry).collect()
--- /dev/null
+++ b/crates/routes/tests/routes.rs
@@ -0,0 +1,152 @@
+//! Tables, their order of versions, and shares of services.
+
+#![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quickcheck::{QuickCheck, TestResult};
+use shallotfork_routes::{
+    CallerLimits, InForce, Offer, Repeat, Route, RouteName, RouteTable, ServiceSpec, Splitter,
+    TableError, TableVersion, Urgency, WeightedService,
+};
+use shallotfork_types::{Bytes, ServiceName};
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+fn route(name: &str, prefix: &str, parts: &[(&str, u32)]) -> Route {
+    let part =
+        |(name, weight): &(&str, u32)| WeightedService { service: service(name), weight: *weight };
+    Route {
+        name: RouteName::new(name).unwrap(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(2),
+        latency_objective: Duration::from_millis(400),
+        urgency: Urgency::new(1),
+        attempts_max: 2,
+        services: parts.iter().map(part).collect(),
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> Result<RouteTable, Vec<TableError>> {
+    let spec = || ServiceSpec { health_path: "/health".to_owned(), connections_max: 200 };
+    let services = BTreeMap::from([(service("a"), spec()), (service("b"), spec())]);
+    let limits = CallerLimits {
+        header_max: Bytes::from_kib(16),
+        body_max: Bytes::from_mib(64),
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RouteTable::new(TableVersion::new(version), routes, services, limits)
+}
+
+fn name(found: Option<&Arc<Route>>) -> Option<&str> {
+    found.map(|route| route.name.as_str())
+}
+
+#[test]
+fn the_longest_prefix_decides() {
+    let routes = vec![
+        route("all", "/", &[("a", 1)]),
+        route("orders", "/orders/", &[("a", 1)]),
+        route("express", "/orders/express/", &[("b", 1)]),
+    ];
+    let table = table(1, routes).unwrap();
+    assert_eq!(name(table.find("shop.example", "/orders/express/7")), Some("express"));
+    assert_eq!(name(table.find("shop.example", "/orders/7")), Some("orders"));
+    assert_eq!(name(table.find("shop.example", "/orders")), Some("all"));
+    assert_eq!(name(table.find("other.example", "/orders/7")), None);
+}
+
+#[test]
+fn a_bad_table_is_refused_with_every_reason() {
+    let mut never_waits = route("hasty", "/hasty/", &[("a", 1)]);
+    never_waits.timeout = Duration::ZERO;
+    let mut never = route("never", "/never/", &[("a", 0)]);
+    never.attempts_max = 0;
+    let routes = vec![
+        never_waits,
+        never,
+        route("open", "/open", &[("gone", 1)]),
+        route("twice", "/same/", &[("a", 1)]),
+        route("twice", "/same/", &[("a", 1)]),
+    ];
+    let errors = table(1, routes).unwrap_err();
+    let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        texts,
+        [
+            "route hasty: the timeout is zero",
+            "route never: no service with a weight",
+            "route never: no attempt is allowed",
+            "route open: unknown service gone",
+            "route open: the prefix does not start and end with a slash",
+            "route twice occurs twice",
+            "routes twice and twice cover the same requests",
+        ]
+    );
+}
+
+/// An operator moves a route to another service. A full read that is seconds old then brings the
+/// old table again; without the guard, requests would go to the old service once more.
+#[test]
+fn an_older_table_never_comes_back() {
+    let mut in_force = InForce::new();
+    let of = |version| table(version, vec![route("r", "/", &[("a", 1)])]).unwrap();
+    assert_eq!(in_force.offer(of(5)), Offer::Accepted);
+    assert_eq!(in_force.offer(of(9)), Offer::Accepted);
+    assert_eq!(in_force.offer(of(5)), Offer::Older { in_force: TableVersion::new(9) });
+    assert_eq!(in_force.offer(of(9)), Offer::Known);
+    assert_eq!(in_force.table().map(|table| table.version()), Some(TableVersion::new(9)));
+}
+
+/// Over any number of requests each service's count differs from its share by at most the number
+/// of services.
+#[test]
+fn shares_follow_the_weights_at_every_moment() {
+    fn property(weights: Vec<u8>, requests: u8) -> TestResult {
+        let total: u32 = weights.iter().map(|weight| u32::from(*weight)).sum();
+        if total == 0 || weights.len() < 2 {
+            return TestResult::discard();
+        }
+        let names: Vec<String> = (0..weights.len()).map(|index| format!("s{index}")).collect();
+        let parts: Vec<(&str, u32)> =
+            names.iter().map(String::as_str).zip(weights.iter().map(|w| u32::from(*w))).collect();
+        let route = route("split", "/", &parts);
+        let mut splitter = Splitter::new();
+        let mut counts: BTreeMap<ServiceName, u32> = BTreeMap::new();
+        for _ in 0..requests {
+            *counts.entry(splitter.next(&route)).or_default() += 1;
+        }
+        let near = parts.iter().all(|(name, weight)| {
+            let count = counts.get(&service(name)).copied().unwrap_or(0);
+            let due = f64::from(requests) * f64::from(*weight) / f64::from(total);
+            (f64::from(count) - due).abs() <= parts.len() as f64
+        });
+        TestResult::from_bool(near)
+    }
+    QuickCheck::new().tests(500).quickcheck(property as fn(Vec<u8>, u8) -> TestResult);
+}
+
+#[test]
+fn new_weights_hold_from_the_next_request() {
+    let mut splitter = Splitter::new();
+    let even = route("split", "/", &[("a", 1), ("b", 1)]);
+    splitter.next(&even);
+    let only_b = route("split", "/", &[("a", 0), ("b", 7)]);
+    assert!((0..20).all(|_| splitter.next(&only_b) == service("b")));
+}
+
+/// An operator tries a route whose objective lies beyond its timeout; refusing the whole table for
+/// it would leave every other change of that version out of force.
+#[test]
+fn an_objective_beyond_the_timeout_is_no_fault() {
+    let mut route = route("patient", "/", &[("a", 1)]);
+    route.latency_objective = route.timeout * 2;
+    assert!(table(1, vec![route]).is_ok());
+}
--- a/crates/shallotd/src/leave.rs
+++ b/crates/shallotd/src/leave.rs
@@ -5,7 +5,7 @@
 use shallotfork_exchange::ServeControl;
 
 use crate::context::Context;
-use crate::lifecycle::{Leaving, Process};
+use shallotfork_lifecycle::{Leaving, Process};
 
 /// Stops the process without cutting off a request.
 ///
--- a/crates/shallotd/src/lib.rs
+++ b/crates/shallotd/src/lib.rs
@@ -9,7 +9,6 @@
 mod control;
 mod identity;
 mod leave;
-mod lifecycle;
 pub mod metrics_catalogue;
 mod operator;
 mod run;
--- a/crates/shallotd/src/operator/mod.rs
+++ b/crates/shallotd/src/operator/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::lifecycle::Phase;
+use shallotfork_lifecycle::Phase;
 
 pub use metrics_page::MetricsPage;
 pub use token::OperatorToken;
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -10,7 +10,7 @@
 use poem::endpoint::make;
 use rand::RngExt;
 use serde::Serialize;
-use shallotfork_events::{LogConfig, logger};
+use shallotfork_events::{LogConfig, LogOutput, logger};
 use shallotfork_exchange::{
     BodyBudget, Exchange, ExchangeConfig, ServeConfig, ServeControl, serve,
 };
@@ -28,10 +28,10 @@
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::identity::Identity;
 use crate::leave::leave;
-use crate::lifecycle::{Process, Starting};
 use crate::operator::{MetricsPage, Operator, OperatorToken, operator};
 use crate::snapshot::Snapshot;
 use crate::traffic::{InFlight, TargetGate, front};
+use shallotfork_lifecycle::{Process, Starting};
 
 /// Reads and checks a settings file.
 ///
@@ -75,8 +75,11 @@
     let token = settings.operators.token_file.as_deref().map(OperatorToken::load).transpose()?;
     let metrics = MetricsPage::install()?;
     print_ready_line(&identity, &ports)?;
-    let log_config =
-        LogConfig { vm: identity.vm.to_string(), incarnation: identity.incarnation.to_string() };
+    let log_config = LogConfig {
+        vm: identity.vm.to_string(),
+        incarnation: identity.incarnation.to_string(),
+        output: LogOutput::StandardError,
+    };
     let (log, _guard) = logger(&log_config);
     let process = Process::new(log.clone());
     let (control, commands) = ControlHandle::new();
