feat(gateway): settings are read again at SIGHUP and when they change silently

Ruled out: reload by restart, which cuts what is in flight. Change: the adapter hands a reload function to the gateway; changed seeds take effect.

--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -77,8 +77,8 @@
     let own = state.context.settings.ports.peers;
     let entries = state.view.borrow().entries();
     let any = entries.choose(&mut rand::rng()).map(|entry| entry.peers);
-    let seeds = state.context.settings.seeds.iter().copied();
-    seeds.chain(any).filter(|endpoint| *endpoint != own).collect()
+    let seeds = state.seeds.borrow().clone();
+    seeds.into_iter().chain(any).filter(|endpoint| *endpoint != own).collect()
 }
 
 /// Exchanges heartbeats with one entry.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -31,6 +31,8 @@
     pub platform_lost_at: Cell<Option<Mono>>,
     /// Entries that say that they can't read the platform.
     pub blind: RefCell<BTreeSet<VmId>>,
+    /// Where other entries may be found.
+    pub seeds: RefCell<Vec<Endpoint>>,
     /// Entries that say that they know no routes yet.
     pub starting: RefCell<BTreeSet<VmId>>,
     /// Whether a planned stop is under way.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -14,6 +14,7 @@
 use shallotfork_roster::{Roster, RosterConfig};
 use shallotfork_routes::InForce;
 use shallotfork_timer::{Schedule, TimerService};
+use shallotfork_types::Endpoint;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
@@ -61,6 +62,8 @@
 pub enum Command {
     /// Tell everybody that this process leaves; answered once all were told.
     Leave(oneshot::Sender<()>),
+    /// Other entries may be found at these addresses from now on.
+    SetSeeds(Vec<Endpoint>),
 }
 
 /// Talks to the control thread.
@@ -76,6 +79,12 @@
         (Self { commands }, receiver)
     }
 
+    /// Replaces the addresses at which other entries may be found.
+    pub fn set_seeds(&self, seeds: Vec<Endpoint>) {
+        // A thread that has ended looks for nobody.
+        let _ended = self.commands.send(Command::SetSeeds(seeds));
+    }
+
     /// Tells everybody that this process leaves.
     pub async fn leave(&self) {
         let (told, done) = oneshot::channel();
@@ -129,6 +138,7 @@
                         let _gone = told.send(());
                     });
                 }
+                Some(Command::SetSeeds(seeds)) => *state.seeds.borrow_mut() = seeds,
                 None => return,
             },
             _ = tidy.tick() => {
@@ -158,6 +168,7 @@
         roster: RefCell::new(Roster::new(RosterConfig::default())),
         platform_lost_at: Cell::new(None),
         blind: RefCell::new(BTreeSet::new()),
+        seeds: RefCell::new(context.settings.seeds.clone()),
         starting: RefCell::new(BTreeSet::new()),
         leaving: Cell::new(false),
         synced: Cell::new(false),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod dialect;
 mod feed;
+mod follow_settings;
 mod leave;
 mod metrics_page;
 mod run;
@@ -17,5 +18,5 @@
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, Paths};
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
-pub use run::{Program, run};
+pub use run::{Program, ReloadFn, run};
 pub use settings::{GatewaySettings, Ports};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
 use crate::feed::Feed;
+use crate::follow_settings::follow_settings;
 use crate::leave::leave;
 use crate::metrics_page::MetricsPage;
 use crate::settings::GatewaySettings;
@@ -37,8 +38,13 @@
     pub dialect: Dialect,
     /// The platform.
     pub feed: Arc<dyn Feed>,
+    /// Reads the settings again, as the platform may change them while the process runs.
+    pub reload: ReloadFn,
 }
 
+/// Reads the settings as they are now.
+pub type ReloadFn = Arc<dyn Fn() -> Result<GatewaySettings> + Send + Sync>;
+
 struct Listeners {
     callers: StdListener,
     readiness: StdListener,
@@ -52,7 +58,7 @@
 /// # Errors
 /// When a port can't be bound, or a part of the process can't be started.
 pub fn run(program: Program) -> Result<()> {
-    let Program { settings, dialect, feed } = program;
+    let Program { settings, dialect, feed, reload } = program;
     let incarnation = Incarnation::new(rand::rng().random());
     let log_config = LogConfig {
         vm: settings.vm.to_string(),
@@ -93,7 +99,8 @@
     })?;
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
-    runtime.block_on(serve_all(context, control, process, listeners, metrics, is_ready))
+    let parts = Parts { context, control, process, listeners, metrics, is_ready, reload };
+    runtime.block_on(serve_all(parts))
 }
 
 fn bind(settings: &GatewaySettings) -> Result<Listeners> {
@@ -113,15 +120,20 @@
     })
 }
 
-async fn serve_all(
+struct Parts {
     context: Arc<Context>,
     control: ControlHandle,
     process: Process<Starting>,
     listeners: Listeners,
     metrics: MetricsPage,
-    mut is_ready: watch::Receiver<bool>,
-) -> Result<()> {
+    is_ready: watch::Receiver<bool>,
+    reload: ReloadFn,
+}
+
+async fn serve_all(parts: Parts) -> Result<()> {
+    let Parts { context, control, process, listeners, metrics, mut is_ready, reload } = parts;
     let mut stop = Stop::new()?;
+    tokio::spawn(follow_settings(Arc::clone(&context), control.clone(), reload)?);
     let shared = Arc::clone(&context);
     serve_aside(listeners.readiness, make_sync(move |request| readiness(&shared, &request)))?;
     let shared = Arc::clone(&context);
