--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,7 @@
+//! A platform that publishes items under keys: how it is read, and what was read last.
+
+mod archive;
+mod feed;
+
+pub use archive::{Archive, Told};
+pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
--- /dev/null
+++ b/crates/feed/tests/archive.rs
@@ -0,0 +1,82 @@
+//! What entries tell each other of published items.
+
+use quickcheck::QuickCheck;
+use shallotfork_feed::{Archive, FeedChanges, RawItem};
+use shallotfork_types::Revision;
+
+fn item(key: u8, revision: u64, content: Option<&str>) -> RawItem {
+    let content = content.map(|text| text.as_bytes().to_vec());
+    RawItem { key: format!("key-{key}"), revision: Revision::new(revision), content }
+}
+
+fn changes(items: Vec<RawItem>, revision: u64) -> FeedChanges {
+    FeedChanges { items, revision: Revision::new(revision) }
+}
+
+fn first() -> Archive {
+    let mut archive = Archive::new();
+    archive.replace(&[item(1, 3, Some("a")), item(2, 5, Some("b"))], Revision::new(6));
+    archive
+}
+
+#[test]
+fn who_knows_nothing_is_told_everything() {
+    let told = first().after(Revision::NONE);
+    assert!(told.whole);
+    assert_eq!(told.changes, changes(vec![item(1, 3, Some("a")), item(2, 5, Some("b"))], 6));
+}
+
+/// A server leaves while an entry can't read the platform. It must hear of the removal from the
+/// other entries, or it goes on sending requests there.
+#[test]
+fn who_knows_a_part_is_told_the_rest_with_removals() {
+    let mut archive = first();
+    archive.apply(&changes(vec![item(1, 8, None)], 9));
+    let told = archive.after(Revision::new(6));
+    assert!(!told.whole);
+    assert_eq!(told.changes, changes(vec![item(1, 8, None)], 9));
+}
+
+#[test]
+fn who_was_away_for_too_long_is_told_everything() {
+    let told = first().after(Revision::new(2));
+    assert!(told.whole);
+}
+
+#[test]
+fn a_full_read_keeps_what_came_later_than_it() {
+    let mut archive = first();
+    archive.apply(&changes(vec![item(3, 9, Some("c"))], 9));
+    archive.replace(&[item(1, 3, Some("a"))], Revision::new(7));
+    let keys: Vec<String> =
+        archive.after(Revision::NONE).changes.items.into_iter().map(|item| item.key).collect();
+    assert_eq!(keys, ["key-1", "key-3"]);
+    assert_eq!(archive.position(), Revision::new(9));
+}
+
+/// An entry that is told by another one, at whatever moments, ends with the same items.
+#[test]
+fn a_follower_ends_with_the_same_items() {
+    fn property(steps: Vec<(u8, bool, bool)>) -> bool {
+        let (mut source, mut follower) = (first(), Archive::new());
+        for (revision, (key, removed, tell)) in (7..).zip(steps) {
+            let content = if removed { None } else { Some("x") };
+            source.apply(&changes(vec![item(key % 8, revision, content)], revision));
+            if tell {
+                follow(&source, &mut follower);
+            }
+        }
+        follow(&source, &mut follower);
+        source.after(Revision::NONE) == follower.after(Revision::NONE)
+    }
+    QuickCheck::new().tests(400).quickcheck(property as fn(Vec<(u8, bool, bool)>) -> bool);
+}
+
+fn follow(source: &Archive, follower: &mut Archive) {
+    let told = source.after(follower.position());
+    if told.whole {
+        follower.replace(&told.changes.items, told.changes.revision);
+    } else {
+        follower.apply(&told.changes);
+    }
+}
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -9,14 +9,24 @@
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::{Endpoint, ListsDigest, Revision, VmId};
+use shallotfork_types::{Endpoint, ListsDigest, VmId};
 
-use crate::control::naming::{name_entries, ranked, suspected_leaders};
+use crate::control::naming::{is_reader, name_entries, ranked, readers, suspected_leaders};
+use crate::control::reader::note_sight;
+use crate::control::relay::{knows_more, pull};
 use crate::control::state::State;
 
-/// Time between two heartbeats to the same entry. With the silence after which an entry is
-/// suspected, 0.5 s, callers are sent elsewhere within a second of a loss.
+/// Time between two heartbeats among the first entries of the ranking. With the silence after
+/// which an entry is suspected, callers are sent elsewhere within a second of a loss.
 const PERIOD: Duration = Duration::from_millis(150);
+/// Silence after which one of them is suspected: three heartbeats and the way.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+/// Entries whose heartbeats the first ones can take at the shortest period; in a larger fleet the
+/// others send theirs less often, such that the first ones take no more.
+const ENTRIES_PER_PERIOD: usize = 20;
+/// Longest period of the others, in heartbeats of the first ones: routes and targets reach them
+/// within it, and the users allow two seconds.
+const PERIODS_MAX: usize = 6;
 /// Entries at the head of the ranking that everyone watches: the one that callers use, and those
 /// that would follow it.
 const WATCHED: usize = 3;
@@ -37,13 +47,19 @@
             event!(state.context.log, RESUMED, "late_ms" => late_ms);
             state.view.borrow_mut().resumed(tick.now);
         }
+        let periods = periods(&state);
+        let silence = SUSPECT_AFTER.max(PERIOD * periods * 3);
+        state.view.borrow_mut().set_suspect_after(silence);
         let watched = watched(&state);
         let names: BTreeSet<VmId> = watched.iter().map(|entry| entry.vm.clone()).collect();
         state.view.borrow_mut().watch(&names, tick.now);
         state.view.borrow_mut().expire(tick.now);
-        let mut called: BTreeSet<Endpoint> = watched.iter().map(|entry| entry.peers).collect();
+        let mut called: BTreeSet<Endpoint> = BTreeSet::new();
+        if count.is_multiple_of(periods) {
+            called.extend(watched.iter().map(|entry| entry.peers));
+        }
         if count.is_multiple_of(OUTREACH_EVERY) {
-            state.peers.keep_only(&called);
+            state.peers.keep_only(&watched.iter().map(|entry| entry.peers).collect());
             called.extend(outreach(&state));
             called.extend(suspected_leaders(&state).into_iter().map(|entry| entry.peers));
         }
@@ -55,6 +71,16 @@
     }
 }
 
+/// How many periods lie between two heartbeats of this entry.
+fn periods(state: &State) -> u32 {
+    if is_reader(state) {
+        return 1;
+    }
+    let entries = state.view.borrow().entries().len();
+    let periods = entries.div_ceil(ENTRIES_PER_PERIOD).clamp(1, PERIODS_MAX);
+    u32::try_from(periods).unwrap_or(u32::MAX)
+}
+
 /// Says at once to every entry that this process is leaving.
 pub async fn tell_leaving(state: &Rc<State>) {
     state.leaving.set(true);
@@ -70,8 +96,14 @@
 /// Entries whose silence has to be noticed soon.
 fn watched(state: &State) -> Vec<EntryVm> {
     let own = &state.context.settings.vm;
-    let ranked = ranked(state);
-    ranked.into_iter().filter(|entry| entry.vm != *own).take(WATCHED).collect()
+    // Before anybody serves, the readers are the ones to hear from.
+    let first = ranked(state).into_iter().chain(readers(state));
+    let mut names = BTreeSet::new();
+    first
+        .filter(|entry| names.insert(entry.vm.clone()))
+        .filter(|entry| entry.vm != *own)
+        .take(WATCHED)
+        .collect()
 }
 
 fn outreach(state: &State) -> Vec<Endpoint> {
@@ -90,6 +122,9 @@
     match client.heartbeat(&own).await {
         Ok(answer) => {
             heard(&state, client.peer(), &answer);
+            if knows_more(&state, &answer) && !is_reader(&state) {
+                pull(Rc::clone(&state), client).await;
+            }
         }
         // The view notices the silence; the next heartbeat opens a new connection.
         Err(_) => state.peers.drop_client(endpoint),
@@ -120,12 +155,13 @@
         peers: settings.ports.peers,
         round: view.own_round(),
         news: news.into_iter().map(peer_news).collect(),
-        seen_revision: Revision::NONE,
-        synced_revision: Revision::NONE,
+        seen_revision: state.archive.borrow().position(),
+        synced_revision: state.archive.borrow().position(),
         lists_digest: ListsDigest::default(),
-        platform_lost: state.platform_lost_at.get().is_some(),
+        platform_lost: state.sight.borrow().is_blind(),
         restart_safe: true,
         loads: Vec::new(),
+        strength: settings.strength,
     }
 }
 
@@ -145,6 +181,7 @@
             callers: beat.callers,
             peers: beat.peers,
             leaving: beat.state == PeerState::Leaving,
+            strength: beat.strength,
         },
         incarnation: peer.incarnation,
         round: beat.round,
@@ -152,12 +189,22 @@
     state.view.borrow_mut().heard(&about, now);
     note(&mut state.starting.borrow_mut(), &peer.vm, beat.state == PeerState::Starting);
     note(&mut state.blind.borrow_mut(), &peer.vm, beat.platform_lost);
+    note_source(state, peer, beat);
     for news in &beat.news {
         state.view.borrow_mut().told(&told_news(news), now);
     }
     if known { Audience::Known } else { Audience::New }
 }
 
+/// Those who read the platform say whether it answers them.
+fn note_source(state: &State, peer: &PeerId, beat: &Heartbeat) {
+    if !readers(state).iter().any(|entry| entry.vm == peer.vm) {
+        return;
+    }
+    state.sight.borrow_mut().told(!beat.platform_lost, state.context.clock.now());
+    note_sight(state);
+}
+
 fn note(entries: &mut BTreeSet<VmId>, entry: &VmId, holds: bool) {
     if holds {
         entries.insert(entry.clone());
@@ -177,6 +224,7 @@
         failure_domain: about.listed.failure_domain,
         callers: about.listed.callers,
         peers: about.listed.peers,
+        strength: about.listed.strength,
     }
 }
 
@@ -188,6 +236,7 @@
             callers: news.callers,
             peers: news.peers,
             leaving: news.state == PeerState::Leaving,
+            strength: news.strength,
         },
         incarnation: news.about.incarnation,
         round: news.round,
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -11,6 +11,7 @@
 use shallotfork_types::Revision;
 
 use crate::control::beats::{heard, own_heartbeat};
+use crate::control::relay::told;
 use crate::control::state::State;
 
 /// Answers heartbeats. On a platform without sessions there are no operations to claim, so that
@@ -55,8 +56,8 @@
         None
     }
 
-    async fn changes(&self, _after: Revision) -> Changes {
-        Changes { revision: Revision::NONE, values: Vec::new() }
+    async fn changes(&self, after: Revision) -> Changes {
+        told(&self.state, after)
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,12 +1,12 @@
 //! The control thread: what is published, and which entries live.
 
 mod beats;
-mod fleet_order;
 mod handler;
 mod naming;
 mod peers;
 mod publish;
 mod reader;
+mod relay;
 mod state;
 mod thread;
 
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -8,9 +8,14 @@
 use shallotfork_types::VmId;
 
 use crate::control::beats::is_live;
-use crate::control::fleet_order::{Candidate, fleet_order};
+use crate::control::publish::publish;
 use crate::control::state::State;
 use crate::snapshot::{Fleet, NamedEntry};
+use shallotfork_fleet::{Candidate, active_count, fleet_order};
+
+/// Entries that read the platform. Three of them lose no time when one or two are lost; each costs
+/// a call for every change.
+const READERS: usize = 3;
 
 /// Live entries, best first; this process only once it can serve.
 pub fn ranked(state: &State) -> Vec<EntryVm> {
@@ -24,6 +29,23 @@
     in_order(state, &entries)
 }
 
+/// Entries that read the platform, for themselves and for all others. Unlike the ones that callers
+/// are sent to, they may still be starting: somebody has to read first.
+pub fn readers(state: &State) -> Vec<EntryVm> {
+    let own = &state.context.settings.vm;
+    let mut entries = state.view.borrow().entries();
+    entries.retain(|entry| if entry.vm == *own { !state.leaving.get() } else { is_live(entry) });
+    let mut order = in_order(state, &entries);
+    order.truncate(READERS);
+    order
+}
+
+/// Whether this entry is one of them.
+pub fn is_reader(state: &State) -> bool {
+    let own = &state.context.settings.vm;
+    readers(state).iter().any(|entry| entry.vm == *own)
+}
+
 /// Suspected entries that would come first if they were live.
 ///
 /// A suspicion that was wrong, or is no longer right, is taken back by a heartbeat; nobody sends
@@ -38,9 +60,10 @@
 fn in_order(state: &State, entries: &[EntryVm]) -> Vec<EntryVm> {
     let own = &state.context.settings.vm;
     let blind = state.blind.borrow();
-    let own_blind = state.platform_lost_at.get().is_some();
+    let own_blind = state.sight.borrow().is_blind();
     let candidates = entries.iter().map(|entry| Candidate {
         vm: entry.vm.clone(),
+        strength: entry.strength,
         blind: if entry.vm == *own { own_blind } else { blind.contains(&entry.vm) },
     });
     let order = fleet_order(candidates.collect());
@@ -56,7 +79,11 @@
     let live = order.len();
     state.known.set(state.known.get().max(live));
     let own = &state.context.settings.vm;
-    let active = order.first().is_none_or(|entry| entry.vm == *own);
+    let targets = state.context.published.load().targets.len();
+    let count = active_count(targets, live);
+    let leaders: Vec<VmId> = order.iter().take(count).map(|entry| entry.vm.clone()).collect();
+    let active = leaders.is_empty() || leaders.contains(own);
+    let changed = state.active.replace(leaders.clone()) != leaders;
     let order: Vec<NamedEntry> = order
         .into_iter()
         .map(|entry| NamedEntry { callers: entry.callers, failure_domain: entry.failure_domain })
@@ -67,8 +94,11 @@
         event!(state.context.log, ACTIVE_CHANGED, "entry" => entry, "live" => live,
             "known" => state.known.get());
     }
-    let fleet = Fleet { order, active, live, known: state.known.get() };
+    let fleet = Fleet { order, active, active_count: count, live, known: state.known.get() };
     state.context.fleet.store(Arc::new(fleet));
+    if changed {
+        publish(state, &[]);
+    }
 }
 
 fn log_beliefs(state: &State) {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -7,28 +7,30 @@
 use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, event};
 use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
 use shallotfork_routes::{Offer, RouteTable};
-use shallotfork_types::{Revision, ServiceName, TargetId};
+use shallotfork_types::{Revision, ServiceName, TargetId, VmId};
 
+use crate::control::reader::note_sight;
 use crate::control::state::State;
-use crate::feed::{Decoded, FeedChanges, RawItem};
 use crate::snapshot::Published;
+use shallotfork_feed::{Decoded, FeedChanges, RawItem};
+use shallotfork_fleet::owner;
 
 /// Takes everything that a full read brought, which began at `revision`.
-pub fn take_all(
-    state: &State,
-    items: &[RawItem],
-    decode: impl Fn(&RawItem) -> Decoded,
-    revision: Revision,
-) {
-    let changes = take_routes(state, items, decode);
+pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
+    state.archive.borrow_mut().replace(items, revision);
+    let changes = take_routes(state, items);
     let now = state.context.clock.now();
     let changed = state.roster.borrow_mut().replace(changes, revision, now);
     publish(state, &changed);
 }
 
-/// Takes what a watch brought.
-pub fn take_changes(state: &State, changes: &FeedChanges, decode: impl Fn(&RawItem) -> Decoded) {
-    let targets = take_routes(state, &changes.items, decode);
+/// Takes what has changed since the position of the archive.
+pub fn take_changes(state: &State, changes: &FeedChanges) {
+    state.archive.borrow_mut().apply(changes);
+    if changes.items.is_empty() {
+        return;
+    }
+    let targets = take_routes(state, &changes.items);
     let now = state.context.clock.now();
     let changed = state.roster.borrow_mut().apply(targets, now);
     publish(state, &changed);
@@ -36,6 +38,7 @@
 
 /// Ends targets that have been missing for too long.
 pub fn expire_targets(state: &State) {
+    note_sight(state);
     let changed = state.roster.borrow_mut().expire(state.context.clock.now());
     if !changed.is_empty() {
         publish(state, &changed);
@@ -43,14 +46,10 @@
 }
 
 /// Takes the routes among the items and returns the changes of targets.
-fn take_routes(
-    state: &State,
-    items: &[RawItem],
-    decode: impl Fn(&RawItem) -> Decoded,
-) -> Vec<Change> {
+fn take_routes(state: &State, items: &[RawItem]) -> Vec<Change> {
     let mut targets = Vec::new();
     for item in items {
-        match decode(item) {
+        match state.feed.decode(item) {
             Decoded::Routes(table) => offer(state, table, item.revision),
             Decoded::BadRoutes(reason) => {
                 event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
@@ -88,11 +87,11 @@
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
-    let by_service = by_service(&targets);
+    let by_service = by_service(&targets, &Owners::new(state));
     let published = Published {
         table: state.in_force.borrow().table().cloned(),
         targets: Arc::new(targets),
-        platform_lost_at: state.platform_lost_at.get(),
+        platform_lost_at: state.away_since.get(),
     };
     context.published.store(Arc::new(published));
     for (service, targets) in by_service {
@@ -107,17 +106,42 @@
     published.targets.values().any(|entry| entry.service == *service)
 }
 
-fn by_service(targets: &HashMap<TargetId, TargetEntry>) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
+/// Which targets this entry sends requests to.
+struct Owners {
+    own: VmId,
+    active: Vec<VmId>,
+}
+
+impl Owners {
+    fn new(state: &State) -> Self {
+        Self { own: state.context.settings.vm.clone(), active: state.active.borrow().clone() }
+    }
+
+    /// An entry that callers are not sent to serves those who come with old answers, at any
+    /// target.
+    fn may_use(&self, target: &TargetId) -> bool {
+        let active = self.active.contains(&self.own);
+        !active || owner(target, &self.active).is_none_or(|owner| *owner == self.own)
+    }
+}
+
+fn by_service(
+    targets: &HashMap<TargetId, TargetEntry>,
+    owners: &Owners,
+) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
     for (id, entry) in targets {
-        let target = SlotTarget {
+        let targets = by_service.entry(entry.service.clone()).or_default();
+        if !owners.may_use(id) {
+            continue;
+        }
+        targets.push(SlotTarget {
             id: id.clone(),
             failure_domain: entry.failure_domain.clone(),
             slots: entry.slots,
             serving: entry.availability == Availability::Serving,
             cold_for: entry.cold_for,
-        };
-        by_service.entry(entry.service.clone()).or_default().push(target);
+        });
     }
     by_service
 }
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -1,7 +1,6 @@
 //! Reads what the platform publishes, and goes on reading.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -9,10 +8,10 @@
 use shallotfork_types::Revision;
 use tokio::time::timeout;
 
-use crate::control::naming::name_entries;
+use crate::control::naming::{is_reader, name_entries};
 use crate::control::publish::{publish, take_all, take_changes};
 use crate::control::state::State;
-use crate::feed::{Feed, FeedError, Freshness, RawItem};
+use shallotfork_feed::{FeedError, Freshness, RawItem};
 
 /// How long a watch waits for a change. Entries lapse after three missed writes, 4.5 s at the
 /// users'; a watch that ends before tells that the platform was away while they did.
@@ -25,71 +24,103 @@
 const GATHER: Duration = Duration::from_millis(150);
 /// First pause after a failed call, doubled with each further one.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+/// Pause of an entry that could not read, and whose place among the readers another one has taken,
+/// before it tries whether it can read again.
+const BLIND_PAUSE: Duration = Duration::from_millis(2000);
+/// Time in which other entries are found before this one may take itself to be the only one, and
+/// read the platform although others do.
+const START_WAIT: Duration = Duration::from_millis(500);
+/// How often an entry that does not read looks whether it should.
+const ROLE_LOOK: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call; at the return of the platform all entries are back within
 /// this time.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 
-/// Reads for as long as the process runs.
-pub async fn read_on(state: Rc<State>, feed: Arc<dyn Feed>) {
+/// Reads for as long as the process runs, whenever this entry is one of the readers.
+pub async fn read_on(state: Rc<State>) {
     let mut backoff = BACKOFF_FIRST;
-    let mut position: Option<Revision> = None;
+    let mut history_lost = false;
+    first_fill(&state).await;
+    tokio::time::sleep(START_WAIT).await;
     loop {
-        let step = match position {
-            None => full_read(&state, feed.as_ref()).await,
-            Some(after) => watch(&state, feed.as_ref(), after).await,
+        let reads = is_reader(&state);
+        if !reads && !state.sight.borrow().is_blind() {
+            tokio::time::sleep(ROLE_LOOK).await;
+            continue;
+        }
+        let position = state.archive.borrow().position();
+        let step = if history_lost || position == Revision::NONE {
+            full_read(&state, Freshness::Latest).await
+        } else {
+            watch(&state, position).await
         };
         match step {
-            Ok(revision) => {
+            Ok(()) => {
                 platform_answers(&state);
                 backoff = BACKOFF_FIRST;
-                position = Some(revision);
+                history_lost = false;
             }
             Err(FeedError::HistoryLost) => {
                 platform_answers(&state);
-                position = None;
+                history_lost = true;
             }
             Err(error) => {
                 platform_fails(&state, &error);
                 let jitter = rand::rng().random_range(0.5..1.0);
-                tokio::time::sleep(backoff.mul_f64(jitter)).await;
+                let pause = if reads { backoff } else { BLIND_PAUSE };
+                tokio::time::sleep(pause.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX);
             }
         }
     }
 }
 
+/// Reads everything once, at a tenth of the price, before this entry knows whether it is a reader.
+///
+/// What it brings may be seconds old; the readers, or the platform's watch, tell what has changed
+/// since. After a loss of all entries at once, each can serve as soon as it has started.
+async fn first_fill(state: &State) {
+    if let Err(error) = full_read(state, Freshness::MayBeStale).await {
+        platform_fails(state, &error);
+    }
+}
+
 /// Reads everything. Pages are no snapshot, so that watching goes on from the first one's
 /// revision: what changed meanwhile is told again.
-async fn full_read(state: &State, feed: &dyn Feed) -> Result<Revision, FeedError> {
+async fn full_read(state: &State, freshness: Freshness) -> Result<(), FeedError> {
     let mut items: Vec<RawItem> = Vec::new();
     let mut after: Option<String> = None;
     let mut first: Option<Revision> = None;
     loop {
-        let page = in_time(PAGE_TIMEOUT, feed.page(after.as_deref(), Freshness::Latest)).await?;
+        let page = state.feed.page(after.as_deref(), freshness);
+        let page = in_time(PAGE_TIMEOUT, page).await?;
         let began = *first.get_or_insert(page.revision);
         items.extend(page.items);
         let Some(next) = page.next_after else {
             platform_answers(state);
-            take_all(state, &items, |item| feed.decode(item), began);
+            take_all(state, &items, began);
             note_synced(state);
-            return Ok(began);
+            return Ok(());
         };
         after = Some(next);
     }
 }
 
-async fn watch(state: &State, feed: &dyn Feed, after: Revision) -> Result<Revision, FeedError> {
-    let changes = in_time(WATCH_WAIT + CALL_SLACK, feed.changes(after, WATCH_WAIT)).await?;
-    if !changes.items.is_empty() {
-        take_changes(state, &changes, |item| feed.decode(item));
+async fn watch(state: &State, after: Revision) -> Result<(), FeedError> {
+    let changes = state.feed.changes(after, WATCH_WAIT);
+    let changes = in_time(WATCH_WAIT + CALL_SLACK, changes).await?;
+    let changed = !changes.items.is_empty();
+    platform_answers(state);
+    take_changes(state, &changes);
+    if changed {
         note_synced(state);
         tokio::time::sleep(GATHER).await;
     }
-    Ok(changes.revision.max(after))
+    Ok(())
 }
 
 /// A process that knows routes can serve.
-fn note_synced(state: &State) {
+pub fn note_synced(state: &State) {
     if !state.synced.get() && state.in_force.borrow().table().is_some() {
         state.synced.set(true);
         name_entries(state);
@@ -105,22 +136,34 @@
 }
 
 fn platform_fails(state: &State, error: &FeedError) {
-    if state.platform_lost_at.get().is_some() {
-        return;
+    let first = state.sight.borrow_mut().failed(state.context.clock.now());
+    if first {
+        event!(state.context.log, PLATFORM_LOST, "reason" => error.to_string());
+        note_sight(state);
+        name_entries(state);
     }
-    event!(state.context.log, PLATFORM_LOST, "reason" => error.to_string());
-    state.platform_lost_at.set(Some(state.context.clock.now()));
-    state.roster.borrow_mut().platform_lost();
-    publish(state, &[]);
-    name_entries(state);
 }
 
 fn platform_answers(state: &State) {
-    let Some(lost_at) = state.platform_lost_at.take() else { return };
+    let lost_at = state.sight.borrow_mut().answered();
+    note_sight(state);
+    if let Some(lost_at) = lost_at {
+        let away = state.context.clock.now().since(lost_at);
+        let away_ms = u64::try_from(away.as_millis()).unwrap_or(u64::MAX);
+        event!(state.context.log, PLATFORM_BACK, "away_ms" => away_ms);
+        name_entries(state);
+    }
+}
+
+/// Takes into force whether the platform counts as away now.
+pub fn note_sight(state: &State) {
     let now = state.context.clock.now();
-    let away_ms = u64::try_from(now.since(lost_at).as_millis()).unwrap_or(u64::MAX);
-    event!(state.context.log, PLATFORM_BACK, "away_ms" => away_ms);
-    state.roster.borrow_mut().platform_back(now);
+    let away_since = state.sight.borrow().away_since(now);
+    let before = state.away_since.replace(away_since);
+    match (before, away_since) {
+        (None, Some(_)) => state.roster.borrow_mut().platform_lost(),
+        (Some(_), None) => state.roster.borrow_mut().platform_back(now),
+        _ => return,
+    }
     publish(state, &[]);
-    name_entries(state);
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -12,6 +12,9 @@
 
 use crate::context::Context;
 use crate::control::peers::Peers;
+use shallotfork_feed::Archive;
+use shallotfork_feed::Feed;
+use shallotfork_fleet::PlatformSight;
 
 /// All state that only the control thread touches.
 ///
@@ -27,8 +30,18 @@
     pub in_force: RefCell<InForce>,
     /// The targets.
     pub roster: RefCell<Roster>,
-    /// Since when the platform has not answered.
-    pub platform_lost_at: Cell<Option<Mono>>,
+    /// The platform.
+    pub feed: Arc<dyn Feed>,
+    /// Published items as last seen.
+    pub archive: RefCell<Archive>,
+    /// Whether another entry is being asked for published items.
+    pub pulling: Cell<bool>,
+    /// Whether the platform answers.
+    pub sight: RefCell<PlatformSight>,
+    /// Since when the platform has counted as away; `None` while it does not.
+    pub away_since: Cell<Option<Mono>>,
+    /// Entries that callers are sent to.
+    pub active: RefCell<Vec<VmId>>,
     /// Entries that say that they can't read the platform.
     pub blind: RefCell<BTreeSet<VmId>>,
     /// Where other entries may be found.
@@ -67,6 +80,7 @@
             callers: settings.ports.callers,
             peers: settings.ports.peers,
             leaving: false,
+            strength: settings.strength,
         },
         incarnation: context.incarnation,
         round: 0,
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -20,16 +20,16 @@
 use tokio::task::LocalSet;
 
 use crate::context::Context;
-use crate::control::beats::{beats, tell_leaving};
+use crate::control::beats::{SUSPECT_AFTER, beats, tell_leaving};
 use crate::control::handler::Handler;
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
 use crate::control::state::{State, own_announcement};
-use crate::feed::Feed;
+use shallotfork_feed::Archive;
+use shallotfork_feed::Feed;
+use shallotfork_fleet::PlatformSight;
 
-/// Silence after which a watched entry is suspected: three heartbeats and the way.
-const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
 /// it is suspected.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -115,7 +115,7 @@
         Err(_) => return,
     };
     let own = PeerId::new(context.settings.vm.clone(), context.incarnation);
-    let state = Rc::new(new_state(context, &key, &own));
+    let state = Rc::new(new_state(context, feed, &key, &own));
     let server = PeerServer::new(
         listener,
         key,
@@ -124,7 +124,7 @@
         Rc::new(Handler { state: Rc::clone(&state) }),
     );
     tokio::task::spawn_local(server.serve());
-    tokio::task::spawn_local(read_on(Rc::clone(&state), feed));
+    tokio::task::spawn_local(read_on(Rc::clone(&state)));
     let timer = TimerService::new(state.context.clock);
     tokio::task::spawn_local(beats(Rc::clone(&state), timer.clone()));
     let mut tidy = timer.subscribe(Schedule::new(TIDY));
@@ -152,10 +152,11 @@
     }
 }
 
-fn new_state(context: Arc<Context>, key: &PeerKey, own: &PeerId) -> State {
+fn new_state(context: Arc<Context>, feed: Arc<dyn Feed>, key: &PeerKey, own: &PeerId) -> State {
     let now = context.clock.now();
     let view_config = ViewConfig {
         suspect_after: SUSPECT_AFTER,
+        evidence_for: SUSPECT_AFTER,
         news_sends: NEWS_SENDS,
         news_max: NEWS_MAX,
         ..ViewConfig::default()
@@ -166,7 +167,12 @@
         peers: Peers::new(key.clone(), own.clone(), peer_config()),
         in_force: RefCell::new(InForce::new()),
         roster: RefCell::new(Roster::new(RosterConfig::default())),
-        platform_lost_at: Cell::new(None),
+        feed,
+        archive: RefCell::new(Archive::new()),
+        pulling: Cell::new(false),
+        sight: RefCell::new(PlatformSight::new()),
+        away_since: Cell::new(None),
+        active: RefCell::new(Vec::new()),
         blind: RefCell::new(BTreeSet::new()),
         seeds: RefCell::new(context.settings.seeds.clone()),
         starting: RefCell::new(BTreeSet::new()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,11 @@
 //!
 //! Control state lives on one thread ([`control`]): what is published, and which other entries
 //! live. Traffic threads ([`traffic`]) read snapshots that control publishes. A platform is a
-//! [`Feed`] that is read and a [`Dialect`] that is spoken; nothing here knows its names.
+//! [`Feed`](shallotfork_feed::Feed) that is read and a [`Dialect`] that is spoken; nothing here knows its names.
 
 mod context;
 mod control;
 mod dialect;
-mod feed;
 mod follow_settings;
 mod leave;
 mod metrics_page;
@@ -17,6 +16,5 @@
 mod traffic;
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, Paths};
-pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
 pub use run::{Program, ReloadFn, run};
 pub use settings::{GatewaySettings, Ports};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,13 +22,13 @@
 use crate::context::{Context, Patience, Services};
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
-use crate::feed::Feed;
 use crate::follow_settings::follow_settings;
 use crate::leave::leave;
 use crate::metrics_page::MetricsPage;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
 use crate::traffic::{directory, front, probes, readiness};
+use shallotfork_feed::Feed;
 
 /// What a platform's adapter brings.
 pub struct Program {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Bytes, Endpoint, FailureDomain, Permille, VmId};
+use shallotfork_types::{Bytes, Endpoint, FailureDomain, PerSecond, Permille, VmId};
 
 /// Where the process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub vm: VmId,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// Requests a second that this VM could carry, by its processor and its link.
+    pub strength: PerSecond,
     /// Where it listens.
     pub ports: Ports,
     /// Peer ports of some entries, which may be down or out of date.
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -32,8 +32,10 @@
 pub struct Fleet {
     /// Live entries in the order in which callers should use them.
     pub order: Vec<NamedEntry>,
-    /// Whether this process is the one that callers are sent to.
+    /// Whether callers are sent to this process.
     pub active: bool,
+    /// How many of the first entries callers are sent to.
+    pub active_count: usize,
     /// Entries that are live as far as this process knows, itself included.
     pub live: usize,
     /// The most entries known at one time.
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -12,18 +12,21 @@
 
 /// Answers a caller who asks for addresses.
 ///
-/// One address is named: a process that sees all requests of a service fills its slots far better
-/// than several that share them. The answer is kept for a short time, so that callers follow soon
+/// As few addresses are named as can carry everything: a process that sees all requests of a
+/// service fills its slots far better than several that share them. The answer is kept for a short time, so that callers follow soon
 /// when the named entry is lost.
 pub fn directory(context: &Arc<Context>, request: &poem::Request) -> poem::Response {
     if request.uri().path() != context.dialect.paths.directory {
         return StatusCode::NOT_FOUND.into_response();
     }
     let fleet = context.fleet.load();
-    // Nobody is known before the first heartbeats; this process serves as well as any.
-    let own = context.settings.ports.callers;
-    let named: Endpoint = fleet.order.first().map_or(own, |entry| entry.callers);
-    let answer = (context.dialect.directory_answer)(&[named], context.settings.answer_keep);
+    let active = fleet.order.iter().take(fleet.active_count.max(1));
+    let mut named: Vec<Endpoint> = active.map(|entry| entry.callers).collect();
+    if named.is_empty() {
+        // Nobody is known before the first heartbeats; this process serves as well as any.
+        named.push(context.settings.ports.callers);
+    }
+    let answer = (context.dialect.directory_answer)(&named, context.settings.answer_keep);
     answer.with_content_type(JSON).into_response()
 }
 
--- a/crates/membership/src/entry_vm.rs
+++ b/crates/membership/src/entry_vm.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use shallotfork_types::{Endpoint, FailureDomain, Incarnation, VmId};
+use shallotfork_types::{Endpoint, FailureDomain, Incarnation, PerSecond, VmId};
 
 /// One VM of the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub peers: Endpoint,
     /// Whether it is said to be leaving.
     pub leaving: bool,
+    /// Requests that it could carry, by its own word; zero when it does not say.
+    pub strength: PerSecond,
 }
 
 /// What a VM says of itself in a heartbeat, after it proved the peer key.
@@ -75,4 +77,6 @@
     pub incarnation: Option<Incarnation>,
     /// The belief.
     pub state: EntryState,
+    /// Requests that it could carry, by its own word; zero when it does not say.
+    pub strength: PerSecond,
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -151,6 +151,7 @@
             peers: self.listed.peers,
             incarnation: self.incarnation,
             state: self.state(),
+            strength: self.listed.strength,
         }
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,7 @@
 //! The membership view of one process.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use shallotfork_types::{Mono, Revision, VmId};
 
@@ -59,6 +60,12 @@
         }
     }
 
+    /// Changes the silence after which a watched VM is suspected, as the time between heartbeats
+    /// changes with the size of the fleet.
+    pub fn set_suspect_after(&mut self, silence: Duration) {
+        self.config.suspect_after = silence;
+    }
+
     /// Expects heartbeats of these VMs from now on, and of no others.
     pub fn watch(&mut self, watched: &BTreeSet<VmId>, now: Mono) {
         for (vm, member) in &mut self.members {
@@ -71,7 +78,7 @@
         if from.listed.vm == self.own {
             return false;
         }
-        let fresh = self.config.suspect_after;
+        let fresh = self.config.evidence_for;
         let member = self.member(&from.listed, now);
         let before = member.entry();
         let counted = member.heard(from, fresh, now);
@@ -92,7 +99,7 @@
             self.refute(news);
             return;
         }
-        let fresh = self.config.suspect_after;
+        let fresh = self.config.evidence_for;
         let known = self.members.contains_key(&vm);
         let changed = self.member(&news.about.listed, now).told(news, fresh, now);
         if changed || !known {
--- a/crates/membership/src/view_config.rs
+++ b/crates/membership/src/view_config.rs
@@ -7,6 +7,8 @@
 pub struct ViewConfig {
     /// Silence after which a watched VM is suspected; default 2 s, four heartbeats.
     pub suspect_after: Duration,
+    /// How long a VM's own heartbeat outweighs what others tell of it; default 2 s.
+    pub evidence_for: Duration,
     /// Silence after which a VM that the platform does not list is forgotten; default 60 s.
     pub forget_after: Duration,
     /// Heartbeats that carry the same piece of news; default 12, enough for a fleet of hundreds.
@@ -19,6 +21,7 @@
     fn default() -> Self {
         Self {
             suspect_after: Duration::from_secs(2),
+            evidence_for: Duration::from_secs(2),
             forget_after: Duration::from_secs(60),
             news_sends: 12,
             news_max: 8,
--- a/crates/membership/tests/news.rs
+++ b/crates/membership/tests/news.rs
@@ -8,7 +8,7 @@
 use shallotfork_membership::{
     Announcement, EntryState, ListedVm, View, ViewConfig, heartbeat_peers,
 };
-use shallotfork_types::{Incarnation, Mono, Revision, VmId};
+use shallotfork_types::{Incarnation, Mono, PerSecond, Revision, VmId};
 
 const PEERS: usize = 3;
 const PERIOD: Duration = Duration::from_millis(500);
@@ -30,6 +30,7 @@
         callers: format!("127.0.0.1:{port}").parse().unwrap(),
         peers: format!("127.0.0.2:{port}").parse().unwrap(),
         leaving: false,
+        strength: PerSecond::default(),
     }
 }
 
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -10,7 +10,7 @@
 use shallotfork_membership::{
     Announcement, EntryState, ListedVm, Preference, View, ViewConfig, entries_for,
 };
-use shallotfork_types::{Incarnation, Mono, Revision, ServiceName, VmId};
+use shallotfork_types::{Incarnation, Mono, PerSecond, Revision, ServiceName, VmId};
 
 const SEED: u64 = 0x3e3b;
 const GROUP_SIZE: u32 = 4;
@@ -27,6 +27,7 @@
         callers: format!("127.0.0.1:{port}").parse().unwrap(),
         peers: format!("127.0.0.1:{}", port + 1000).parse().unwrap(),
         leaving: false,
+        strength: PerSecond::default(),
     }
 }
 
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -20,7 +20,8 @@
     Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer, PeerState,
 };
 use shallotfork_types::{
-    Endpoint, FailureDomain, IdempotencyKey, Incarnation, ListsDigest, Mono, Revision, VmId,
+    Endpoint, FailureDomain, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Revision,
+    VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -68,7 +69,7 @@
     }
 
     async fn changes(&self, after: Revision) -> Changes {
-        Changes { revision: after, values: Vec::new() }
+        Changes { revision: after, values: Vec::new(), whole: false }
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
@@ -149,6 +150,7 @@
         platform_lost: false,
         restart_safe: false,
         loads: Vec::new(),
+        strength: PerSecond::default(),
     })
 }
 
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -38,6 +38,7 @@
   news @9 :List(News);
   listsDigest @10 :UInt64;
   platformLost @11 :Bool;
+  strengthPerS @12 :UInt32;
 
   enum State {
     live @0;
@@ -57,6 +58,7 @@
   failureDomain @5 :Text;
   callers @6 :Text;
   peers @7 :Text;
+  strengthPerS @8 :UInt32;
 }
 
 struct LoadHint {
@@ -106,12 +108,15 @@
 struct Changes {
   revision @0 :UInt64;
   values @1 :List(Value);
+  whole @2 :Bool;
+  # Values that are not listed do not exist any more.
 }
 
 struct Value {
   name @0 :Text;
   revision @1 :UInt64;
   content @2 :Data;
+  removed @3 :Bool;
 }
 
 struct SealedLedger {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,7 +1,8 @@
 //! What processes tell each other, besides what `shallotfork-once` defines.
 
 use shallotfork_types::{
-    Endpoint, FailureDomain, Incarnation, ListsDigest, Permille, Revision, TargetId, VmId,
+    Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision, TargetId,
+    VmId,
 };
 
 /// One run of the process on one VM, proved by the handshake.
@@ -60,6 +61,8 @@
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
     pub loads: Vec<LoadHint>,
+    /// Requests that the sender's VM could carry; zero when it does not say.
+    pub strength: PerSecond,
 }
 
 /// What the sender of a heartbeat knows of a third VM.
@@ -79,6 +82,8 @@
     pub callers: Endpoint,
     /// Where peers connect to it.
     pub peers: Endpoint,
+    /// Requests that its VM could carry; zero when it does not say.
+    pub strength: PerSecond,
 }
 
 /// Load that a target reported to the sender.
@@ -99,6 +104,8 @@
     pub revision: Revision,
     /// The changed values.
     pub values: Vec<ValueChange>,
+    /// Whether these are all values, so that others do not exist any more.
+    pub whole: bool,
 }
 
 /// One published value.
@@ -108,6 +115,8 @@
     pub name: String,
     /// Revision of its last change.
     pub revision: Revision,
-    /// The whole content.
+    /// The whole content; empty when it was removed.
     pub content: Vec<u8>,
+    /// Whether it is no longer published.
+    pub removed: bool,
 }
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5399,11 +5399,15 @@
         pub fn get_platform_lost(self) -> bool {
             self.reader.get_bool_field(17)
         }
+        #[inline]
+        pub fn get_strength_per_s(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5589,6 +5593,14 @@
         pub fn set_platform_lost(&mut self, value: bool)  {
             self.builder.set_bool_field(17, value);
         }
+        #[inline]
+        pub fn get_strength_per_s(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_strength_per_s(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5600,17 +5612,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 214] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 230] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5620,91 +5632,98 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -5815,6 +5834,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 110, 103, 116, 104),
+            ::capnp::word(80, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5830,6 +5858,7 @@
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::news::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5843,9 +5872,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,11,3,8,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,11,3,8,1,0,12,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -6031,11 +6060,15 @@
         pub fn has_peers(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_strength_per_s(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6181,6 +6214,14 @@
         pub fn has_peers(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_strength_per_s(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_strength_per_s(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6192,79 +6233,86 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(227, 140, 14, 207, 194, 180, 106, 130),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 112, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6332,6 +6380,15 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 110, 103, 116, 104),
+            ::capnp::word(80, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6343,6 +6400,7 @@
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6356,9 +6414,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,7,2,3,4,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,7,2,3,8,4,0];
         pub(crate) const TYPE_ID: u64 = 0x826a_b4c2_cf0e_8ce3;
     }
 }
@@ -8255,11 +8313,15 @@
         pub fn has_values(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_whole(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8333,6 +8395,14 @@
         pub fn has_values(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_whole(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_whole(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8344,38 +8414,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 49, 144, 145, 226, 178, 165, 223),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 97, 110, 103),
             ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -8397,11 +8474,20 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 104, 111, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8415,9 +8501,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0xdfa5_b2e2_9190_3139;
     }
 }
@@ -8503,11 +8589,15 @@
         pub fn has_content(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8597,6 +8687,14 @@
         pub fn has_content(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_removed(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_removed(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8608,45 +8706,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(220, 255, 120, 104, 3, 192, 255, 203),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 86, 97, 108, 117, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8672,12 +8777,21 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8691,9 +8805,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0xcbff_c003_6878_ffdc;
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -9,7 +9,8 @@
     SealedLedger, SealedOperation, SealedSession, Secret,
 };
 use shallotfork_types::{
-    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, Permille, Revision, TargetId,
+    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille, Revision,
+    TargetId,
 };
 
 use crate::key::NONCE_BYTES;
@@ -129,6 +130,7 @@
     to.set_lists_digest(beat.lists_digest.value());
     to.set_platform_lost(beat.platform_lost);
     to.set_restart_safe(beat.restart_safe);
+    to.set_strength_per_s(beat.strength.value());
     to.set_failure_domain(beat.failure_domain.as_str());
     to.set_callers(&beat.callers.to_string()[..]);
     to.set_peers(&beat.peers.to_string()[..]);
@@ -160,6 +162,7 @@
     to.set_failure_domain(news.failure_domain.as_str());
     to.set_callers(&news.callers.to_string()[..]);
     to.set_peers(&news.peers.to_string()[..]);
+    to.set_strength_per_s(news.strength.value());
 }
 
 fn write_state(state: PeerState) -> schema::heartbeat::State {
@@ -192,6 +195,7 @@
         platform_lost: from.get_platform_lost(),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
+        strength: PerSecond::new(from.get_strength_per_s()),
     })
 }
 
@@ -204,6 +208,7 @@
         failure_domain: from.get_failure_domain()?.to_str()?.parse().map_err(invalid)?,
         callers: from.get_callers()?.to_str()?.parse().map_err(invalid)?,
         peers: from.get_peers()?.to_str()?.parse().map_err(invalid)?,
+        strength: PerSecond::new(from.get_strength_per_s()),
     })
 }
 
@@ -215,18 +220,21 @@
 
 pub(crate) fn write_changes(changes: &Changes, mut to: schema::changes::Builder<'_>) {
     to.set_revision(changes.revision.value());
+    to.set_whole(changes.whole);
     let mut values = to.init_values(length(changes.values.len()));
     for (index, change) in (0..).zip(&changes.values) {
         let mut value = values.reborrow().get(index);
         value.set_name(&change.name[..]);
         value.set_revision(change.revision.value());
         value.set_content(&change.content);
+        value.set_removed(change.removed);
     }
 }
 
 pub(crate) fn read_changes(from: schema::changes::Reader<'_>) -> Result<Changes> {
     let values = from.get_values()?.iter().map(read_value).collect::<Result<_>>()?;
-    Ok(Changes { revision: Revision::new(from.get_revision()), values })
+    let revision = Revision::new(from.get_revision());
+    Ok(Changes { revision, values, whole: from.get_whole() })
 }
 
 fn read_value(from: schema::value::Reader<'_>) -> Result<ValueChange> {
@@ -234,6 +242,7 @@
         name: from.get_name()?.to_string()?,
         revision: Revision::new(from.get_revision()),
         content: from.get_content()?.to_vec(),
+        removed: from.get_removed(),
     })
 }
 
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -17,8 +17,8 @@
     PeerNews, PeerServer, PeerState, ValueChange,
 };
 use shallotfork_types::{
-    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, Permille, Revision, TargetId,
-    VmId,
+    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille, Revision,
+    TargetId, VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -166,8 +166,9 @@
         name: "rules".to_owned(),
         revision: Revision::new(7),
         content: b"[default]".to_vec(),
+        removed: false,
     };
-    Changes { revision: Revision::new(8), values: vec![value] }
+    Changes { revision: Revision::new(8), values: vec![value], whole: true }
 }
 
 fn kept() -> Arc<KeptAnswer> {
@@ -184,6 +185,7 @@
         failure_domain: "coolgardie".parse().unwrap(),
         callers: "127.0.0.1:9080".parse().unwrap(),
         peers: "127.0.0.1:9081".parse().unwrap(),
+        strength: PerSecond::new(900),
     }
 }
 
@@ -202,6 +204,7 @@
         platform_lost: true,
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
+        strength: PerSecond::new(700),
     }
 }
 
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -102,7 +102,7 @@
         return Ok(());
     }
     let values = outranked.into_iter().map(value_change).collect();
-    client.push(&Changes { revision, values }).await
+    client.push(&Changes { revision, values, whole: false }).await
 }
 
 /// A published list as a peer's value.
@@ -111,6 +111,7 @@
         name: list.name.to_string(),
         revision: list.revision,
         content: list.content.into_bytes(),
+        removed: false,
     }
 }
 
--- a/crates/shallotd/src/control/lists_take.rs
+++ b/crates/shallotd/src/control/lists_take.rs
@@ -3,6 +3,7 @@
 use metrics::counter;
 use shallotfork_membership::ListedVm;
 use shallotfork_platform::{PublishedList, VmState};
+use shallotfork_types::PerSecond;
 
 use crate::control::lists::Taken;
 use crate::control::lists_source::ListSource;
@@ -57,6 +58,7 @@
             callers: vm.callers,
             peers: vm.peers,
             leaving: vm.state == VmState::Leaving,
+            strength: PerSecond::default(),
         })
         .collect();
     state.view.borrow_mut().set_published(*revision, &listed, state.context.clock.now());
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -7,6 +7,7 @@
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News, heartbeat_peers};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
+use shallotfork_types::PerSecond;
 
 use crate::control::lists_pull::pull_lists;
 use crate::control::publish::publish;
@@ -120,6 +121,8 @@
         platform_lost: state.platform_lost.get(),
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
+        // Entries of one fleet of this kind are all alike.
+        strength: PerSecond::default(),
     }
 }
 
@@ -153,6 +156,7 @@
         failure_domain: listed.failure_domain,
         callers: listed.callers,
         peers: listed.peers,
+        strength: listed.strength,
     }
 }
 
@@ -163,6 +167,7 @@
         callers: told.callers,
         peers: told.peers,
         leaving: told.state == PeerState::Leaving,
+        strength: told.strength,
     };
     let incarnation = told.about.incarnation;
     let about = Announcement { listed, incarnation, round: told.round };
@@ -184,6 +189,7 @@
         callers: beat.callers,
         peers: beat.peers,
         leaving: beat.state == PeerState::Leaving,
+        strength: beat.strength,
     };
     let from = Announcement { listed, incarnation: peer.incarnation, round: beat.round };
     let now = state.context.clock.now();
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -81,7 +81,7 @@
     async fn changes(&self, after: Revision) -> Changes {
         let lists = self.state.lists.borrow();
         let values = lists.newer_than(after).into_iter().map(value_change).collect();
-        Changes { revision: lists.cursor.complete(), values }
+        Changes { revision: lists.cursor.complete(), values, whole: false }
     }
 
     async fn push(&self, from: &PeerId, changes: Changes) {
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -15,6 +15,7 @@
 use shallotfork_platform::{HttpPlatform, HttpPlatformConfig, Platform};
 use shallotfork_revisions::PullGate;
 use shallotfork_timer::TimerService;
+use shallotfork_types::PerSecond;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, mpsc, watch as watch_channel};
 use tokio::task::LocalSet;
@@ -137,6 +138,7 @@
         callers: identity.callers,
         peers: identity.peers,
         leaving: false,
+        strength: PerSecond::default(),
     };
     Announcement { listed, incarnation: identity.incarnation, round: 0 }
 }
--- a/crates/slopes/src/members.rs
+++ b/crates/slopes/src/members.rs
@@ -7,7 +7,7 @@
 use shallotfork_membership::{
     Announcement, ListedVm, Preference, View, ViewConfig, entries_for, service_group,
 };
-use shallotfork_types::{Incarnation, Mono, Revision, ServiceName, TargetId};
+use shallotfork_types::{Incarnation, Mono, PerSecond, Revision, ServiceName, TargetId};
 
 use crate::lists::TARGETS_PER_SERVICE;
 use crate::measure::time;
@@ -22,6 +22,7 @@
         callers: format!("10.0.0.1:{port}").parse()?,
         peers: format!("10.0.0.2:{port}").parse()?,
         leaving: false,
+        strength: PerSecond::default(),
     };
     Ok(Announcement { listed, incarnation: Incarnation::new(index as u64), round: 0 })
 }
