feat(gateway): entries look for each other at once after a start

Change: heartbeats to the seeds at once and at each period of the first 1.8 s; answers of the directory are kept for 0.4 s in the first 2.5 s.

--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -33,11 +33,15 @@
 /// Heartbeats between two to the seeds and to an entry chosen at random, by which parts of a fleet
 /// that were cut from each other find together again.
 const OUTREACH_EVERY: u32 = 7;
+/// Heartbeats after the start that all go to the seeds too. After a loss of all entries each one
+/// knows only itself, and names itself to callers, until it has found the others.
+const FIRST_OUTREACHES: u32 = 12;
 /// A tick that is late by this much means that the process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(400);
 
 /// Exchanges heartbeats at regular intervals for as long as the process runs.
 pub async fn beats(state: Rc<State>, timer: TimerService) {
+    tokio::task::spawn_local(first_beats(Rc::clone(&state)));
     let schedule = Schedule::new(PERIOD).with_jitter(PERIOD / 10);
     let mut ticks = timer.subscribe(schedule);
     let mut count: u32 = 0;
@@ -58,7 +62,7 @@
         if count.is_multiple_of(periods) {
             called.extend(watched.iter().map(|entry| entry.peers));
         }
-        if count.is_multiple_of(OUTREACH_EVERY) {
+        if count < FIRST_OUTREACHES || count.is_multiple_of(OUTREACH_EVERY) {
             state.peers.keep_only(&watched.iter().map(|entry| entry.peers).collect());
             called.extend(outreach(&state));
             called.extend(suspected_leaders(&state).into_iter().map(|entry| entry.peers));
@@ -71,6 +75,13 @@
     }
 }
 
+/// Looks for the others at once, without waiting for the first period.
+async fn first_beats(state: Rc<State>) {
+    let calls = outreach(&state).into_iter().map(|endpoint| beat(Rc::clone(&state), endpoint));
+    futures::future::join_all(calls).await;
+    name_entries(&state);
+}
+
 /// How many periods lie between two heartbeats of this entry.
 fn periods(state: &State) -> u32 {
     if is_reader(state) {
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -1,13 +1,18 @@
 //! Which entry a caller should use, and whether this one takes new work.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use poem::IntoResponse;
-use shallotfork_types::Endpoint;
+use shallotfork_types::{Endpoint, Mono};
 
 use crate::context::Context;
 
+/// Time after its start in which a process may not know all others.
+const YOUNG_FOR: Duration = Duration::from_millis(2500);
+/// How long an answer is kept that was given in that time.
+const YOUNG_KEEP: Duration = Duration::from_millis(400);
 const JSON: &str = "application/json";
 
 /// Answers a caller who asks for addresses.
@@ -26,10 +31,19 @@
         // Nobody is known before the first heartbeats; this process serves as well as any.
         named.push(context.settings.ports.callers);
     }
-    let answer = (context.dialect.directory_answer)(&named, context.settings.answer_keep);
+    let keep = answer_keep(context);
+    let answer = (context.dialect.directory_answer)(&named, keep);
     answer.with_content_type(JSON).into_response()
 }
 
+/// How long a caller may keep an answer: shorter while this process may not know the fleet yet, and
+/// so names another entry than the rest does.
+fn answer_keep(context: &Context) -> Duration {
+    let young = context.clock.now() < Mono::ZERO.plus(YOUNG_FOR);
+    let keep = context.settings.answer_keep;
+    if young { keep.min(YOUNG_KEEP) } else { keep }
+}
+
 /// Says whether this process takes new work.
 pub fn readiness(context: &Arc<Context>, request: &poem::Request) -> StatusCode {
     if request.uri().path() != context.dialect.paths.readiness {
