feat(gateway): a line for each failed attempt and each change of belief about a target; lines bounded

What it gives: from a request's id to the targets it was sent to, what each attempt brought and why, the version of the routes, the age of what was known; 400 lines a second about requests that went well, the rest counted.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -30,8 +30,8 @@
 pub use pool_config::PoolConfig;
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use slots::{
-    LoadFigures, Pace, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget,
-    SlotTargetStatus, WorkClass,
+    Belief, BeliefChange, LoadFigures, Pace, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig,
+    SlotTarget, SlotTargetStatus, WorkClass,
 };
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -16,4 +16,4 @@
 pub use config::SlotPoolConfig;
 pub use estimate::Pace;
 pub use pool::SlotPool;
-pub use target::{LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus};
+pub use target::{Belief, BeliefChange, LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus};
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -8,7 +8,7 @@
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
 use super::queue::SlotQueue;
-use super::target::{LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus, Target};
+use super::target::{Belief, LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus, Target};
 use super::{SlotAsk, WorkClass};
 use crate::{Admission, Assignment, AttemptId, Resolution, Shed, ShedReason, Ticket, Woken};
 
@@ -43,6 +43,8 @@
     attempts: BTreeMap<AttemptId, TargetId>,
     queue: SlotQueue,
     learnt: Learnt,
+    /// Changes of belief that nobody has taken yet.
+    beliefs: Vec<Belief>,
     last_id: u64,
 }
 
@@ -56,6 +58,7 @@
             attempts: BTreeMap::new(),
             queue: SlotQueue::default(),
             learnt,
+            beliefs: Vec::new(),
             last_id: 0,
         }
     }
@@ -134,7 +137,9 @@
         let Some(id) = self.attempts.remove(&attempt) else { return Vec::new() };
         if let Some(target) = self.targets.get_mut(&id) {
             if let Some(running) = target.end(attempt) {
-                target.learn(&running, outcome, &self.config, &mut self.learnt, now);
+                let change = target.learn(&running, outcome, &self.config, &mut self.learnt, now);
+                let belief = change.map(|change| Belief { target: id.clone(), change });
+                self.beliefs.extend(belief);
             }
             if let Some(figures) = figures {
                 target.report(without_the_answered(figures), &mut self.learnt, now);
@@ -193,7 +198,8 @@
     /// A target did not answer when it was asked for its pace.
     pub fn unanswered(&mut self, id: &TargetId, now: Mono) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.unanswered(&self.config, now);
+            let change = target.unanswered(&self.config, now);
+            self.beliefs.extend(change.map(|change| Belief { target: id.clone(), change }));
         }
     }
 
@@ -213,6 +219,11 @@
         due
     }
 
+    /// What has changed in the beliefs about targets since the last call.
+    pub fn take_beliefs(&mut self) -> Vec<Belief> {
+        std::mem::take(&mut self.beliefs)
+    }
+
     /// Requests waiting here.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -84,6 +84,29 @@
     Cancelled,
 }
 
+/// A change of what a pool thinks of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Belief {
+    /// The target.
+    pub target: TargetId,
+    /// What has changed.
+    pub change: BeliefChange,
+}
+
+/// What has changed in the belief about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeliefChange {
+    /// It is left out for a while.
+    Ejected {
+        /// Failures in a row that decided it.
+        failures: u32,
+        /// For how long.
+        pause: Duration,
+    },
+    /// It has answered again.
+    Returned,
+}
+
 /// What a pool thinks of a target, for operators.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SlotTargetStatus {
@@ -305,13 +328,13 @@
         config: &SlotPoolConfig,
         learnt: &mut Learnt,
         now: Mono,
-    ) {
+    ) -> Option<BeliefChange> {
         match outcome {
             SlotOutcome::Answered { latency } => self.answered(running, latency, learnt, now),
-            SlotOutcome::Cancelled => {}
+            SlotOutcome::Cancelled => None,
             SlotOutcome::Failed => self.failed(config.failures_max, config, now),
             SlotOutcome::Unreachable | SlotOutcome::TimedOut | SlotOutcome::Misdirected => {
-                self.failed(1, config, now);
+                self.failed(1, config, now)
             }
             // With a slot free by our count it either serves somebody else or refuses on its own
             // account; both call for a pause.
@@ -319,33 +342,60 @@
         }
     }
 
-    fn answered(&mut self, running: &Running, latency: Duration, learnt: &mut Learnt, now: Mono) {
+    fn answered(
+        &mut self,
+        running: &Running,
+        latency: Duration,
+        learnt: &mut Learnt,
+        now: Mono,
+    ) -> Option<BeliefChange> {
+        let returned = self.ejections > 0;
         self.failures -= self.failures * FAILURE_WEIGHT;
         self.failures_in_row = 0;
         self.ejections = 0;
         self.ejected_until = None;
-        let time_us = latency.as_micros() as f64;
-        let cold = self.cold_until > now;
         // Without the pace it can't be told whether the target or its neighbours took the time.
-        let Some(pace) = running.pace else { return };
+        if let Some(pace) = running.pace {
+            self.measure(running, latency, pace, learnt, now);
+        }
+        returned.then_some(BeliefChange::Returned)
+    }
+
+    fn measure(
+        &mut self,
+        running: &Running,
+        latency: Duration,
+        pace: f64,
+        learnt: &mut Learnt,
+        now: Mono,
+    ) {
+        let time_us = latency.as_micros() as f64;
         let usual_us = learnt.work_us(&running.class) * pace * learnt.crowding(running.crowded);
         let ratio = (time_us / usual_us).min(SPEED_SAMPLE_MAX);
         self.speed += (ratio - self.speed) * SPEED_WEIGHT;
         self.speed = self.speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        let cold = self.cold_until > now;
         if !cold {
             learnt.saw_time(&running.class, time_us, pace, running.crowded);
         }
     }
 
-    fn failed(&mut self, tolerated: u32, config: &SlotPoolConfig, now: Mono) {
+    fn failed(
+        &mut self,
+        tolerated: u32,
+        config: &SlotPoolConfig,
+        now: Mono,
+    ) -> Option<BeliefChange> {
         self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
         self.failures_in_row += 1;
         if self.failures_in_row < tolerated {
-            return;
+            return None;
         }
         let pause = config.ejection * 2u32.pow(self.ejections.min(DOUBLINGS_MAX));
+        let pause = pause.min(config.ejection_max);
         self.ejections += 1;
-        self.ejected_until = Some(now.plus(pause.min(config.ejection_max)));
+        self.ejected_until = Some(now.plus(pause));
+        Some(BeliefChange::Ejected { failures: self.failures_in_row, pause })
     }
 
     /// Takes a report of a moment at which only the requests counted here were at the target.
@@ -364,8 +414,12 @@
         self.pace.is_none_or(|report| now.since(report.at) >= after)
     }
 
-    pub(super) fn unanswered(&mut self, config: &SlotPoolConfig, now: Mono) {
-        self.failed(UNANSWERED_MAX, config, now);
+    pub(super) fn unanswered(
+        &mut self,
+        config: &SlotPoolConfig,
+        now: Mono,
+    ) -> Option<BeliefChange> {
+        self.failed(UNANSWERED_MAX, config, now)
     }
 
     /// Whether a probe would tell something: its pace would be guessed otherwise.
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -45,5 +45,6 @@
     CALLER_REFUSED = 7001 Info "request refused";
     REQUEST_ANSWERED = 7002 Info "request answered";
     REQUEST_NOT_ANSWERED = 7003 Warning "request not answered: it may have run";
+    ATTEMPT_FAILED = 7004 Warning "attempt at a target brought no answer to pass on";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
+use crate::line_budget::LineBudget;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
 use crate::traffic::ServiceSlots;
@@ -52,6 +53,8 @@
     pub patience: Patience,
     /// Usual size of each route's answers.
     pub answer_sizes: AnswerSizes,
+    /// Bounds the lines about requests that went well.
+    pub lines: LineBudget,
 }
 
 impl Context {
@@ -65,7 +68,9 @@
         let window = self.settings.retry_window;
         let near = Some(self.settings.failure_domain.clone());
         let config = || SlotPoolConfig { near, ..SlotPoolConfig::default() };
-        self.services.get(service, || ServiceSlots::new(config(), window, self.clock))
+        self.services.get(service, || {
+            ServiceSlots::new(service.clone(), config(), window, self.clock, self.log.clone())
+        })
     }
 
     /// Whether callers are told to come here.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod follow_settings;
 mod leave;
+mod line_budget;
 mod metrics_page;
 mod run;
 mod settings;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use shallotfork_peer::PeerKey;
 use shallotfork_routes::Splitter;
 use shallotfork_timer::{Clock, TimerService};
-use shallotfork_types::{Endpoint, Incarnation};
+use shallotfork_types::{Endpoint, Incarnation, PerSecond};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -26,12 +26,17 @@
 use crate::dialect::Dialect;
 use crate::follow_settings::follow_settings;
 use crate::leave::leave;
+use crate::line_budget::LineBudget;
 use crate::metrics_page::MetricsPage;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
 use crate::traffic::{directory, front, may_begin_early, probes, readiness};
 use shallotfork_feed::Feed;
 
+/// Lines a second about requests that went well: about as many requests as the users' busiest entry
+/// answers today, so that in the ordinary case each can be followed by its id.
+const REQUEST_LINES: PerSecond = PerSecond::new(400);
+
 /// What a platform's adapter brings.
 pub struct Program {
     /// Settings.
@@ -89,6 +94,7 @@
         splitter: Mutex::new(Splitter::new()),
         patience: Patience::default(),
         answer_sizes: AnswerSizes::default(),
+        lines: LineBudget::new(REQUEST_LINES),
     });
     let (control, commands) = ControlHandle::new();
     let (ready, is_ready) = watch::channel(false);
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -9,9 +9,10 @@
 use http::header::HeaderValue;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::Full;
-use shallotfork_balance::{RetryAllowance, Shed};
-use shallotfork_exchange::{AnswerOwner, LinkRequest, WholeAnswer};
-use shallotfork_types::{Permille, TargetId};
+use shallotfork_balance::{RetryAllowance, Shed, SlotOutcome};
+use shallotfork_events::{ATTEMPT_FAILED, event};
+use shallotfork_exchange::{AnswerOwner, AttemptFailure, LinkRequest, WholeAnswer};
+use shallotfork_types::{Permille, TargetId, Verdict};
 
 use crate::context::Context;
 use crate::traffic::job::Job;
@@ -61,6 +62,16 @@
     pub queued: Duration,
 }
 
+impl Course {
+    /// When the caller is told to come back.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match &self.ended {
+            Ended::Refused(shed) | Ended::NotRun(shed) => Some(shed.retry_after),
+            Ended::Answered(_) | Ended::MayHaveRun { .. } => None,
+        }
+    }
+}
+
 /// Serves a request.
 pub async fn attempts(job: &Job) -> Course {
     let context = &job.context;
@@ -249,9 +260,36 @@
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let figures = result.as_ref().ok().and_then(|answer| figures(&context.dialect, answer));
     assigned.finish(outcome, figures);
+    report(job, &target, &result, outcome, latency);
     attempt_end(&context.dialect, result)
 }
 
+/// Logs an attempt that brought no answer to pass on.
+fn report(
+    job: &Job,
+    target: &TargetId,
+    result: &Result<WholeAnswer, AttemptFailure>,
+    outcome: SlotOutcome,
+    latency: Duration,
+) {
+    if matches!(outcome, SlotOutcome::Answered { .. }) {
+        return;
+    }
+    let (verdict, cause) = match result {
+        Ok(answer) => (Verdict::Ran, format!("status {}", answer.status.as_u16())),
+        Err(failure) => (failure.verdict(), failure.cause().to_string()),
+    };
+    event!(job.context.log, ATTEMPT_FAILED,
+        "request" => &job.request_id,
+        "service" => job.service.as_str(),
+        "target" => target.as_str(),
+        "outcome" => format!("{outcome:?}"),
+        "cause" => cause,
+        "verdict" => verdict.as_str(),
+        "took_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
+    );
+}
+
 /// The request for one target: what is left of the deadline, and who alone may run it.
 fn outgoing(job: &Job, target: &TargetId, left: Duration) -> Option<Request<Full<Bytes>>> {
     let names = &job.context.dialect.headers;
--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -12,6 +12,7 @@
 use shallotfork_types::{Bytes, TargetId};
 
 use crate::context::Context;
+use crate::line_budget::LineLeave;
 use crate::traffic::attempts::{Course, Ended, attempts};
 use crate::traffic::job::Job;
 use crate::traffic::refusal::{bad_request, may_have_run, no_route, not_run};
@@ -133,17 +134,29 @@
         Ended::MayHaveRun { timed_out: false } => ("lost", REQUEST_NOT_ANSWERED),
     };
     counter!("shallotfork_requests", "outcome" => outcome).increment(1);
+    let context = &job.context;
+    let left_out = match context.lines.ask(context.clock.now()) {
+        LineLeave::Write { left_out } => left_out,
+        LineLeave::LeaveOut if event == REQUEST_ANSWERED => return,
+        LineLeave::LeaveOut => 0,
+    };
+    let published = context.published.load();
+    let away = published.platform_lost_at.map(|at| context.clock.now().since(at));
     let targets: Vec<&str> = course.tried.iter().map(TargetId::as_str).collect();
-    event!(job.context.log, event,
+    event!(context.log, event,
         "request" => &job.request_id,
         "route" => job.route.name.as_str(),
+        "version" => published.table.as_ref().map_or(0, |table| table.version().number()),
         "service" => job.service.as_str(),
         "outcome" => outcome,
         "targets" => targets.join(","),
+        "retry_after_ms" => course.retry_after().map_or(0, millis),
         "waited_before_ms" => millis(job.waited),
         "queued_ms" => millis(course.queued),
         "took_ms" => millis(took),
-        "left_ms" => millis(job.left(job.context.clock.now())),
+        "left_ms" => millis(job.left(context.clock.now())),
+        "platform_away_ms" => away.map_or(0, millis),
+        "left_out" => left_out,
     );
 }
 
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use shallotfork_balance::{
-    Admission, Assignment, AttemptId, LoadFigures, Resolution, RetryAllowance, RetryWindow, Shed,
-    SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget, Ticket, Woken, WorkClass,
+    Admission, Assignment, AttemptId, Belief, BeliefChange, LoadFigures, Resolution,
+    RetryAllowance, RetryWindow, Shed, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget,
+    Ticket, Woken, WorkClass,
 };
+use shallotfork_events::slog::Logger;
+use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
 use shallotfork_timer::Clock;
-use shallotfork_types::{Mono, TargetId};
+use shallotfork_types::{Mono, ServiceName, TargetId};
 use tokio::sync::oneshot;
 
 use crate::context::lock;
@@ -24,7 +27,9 @@
 /// Wraps the pure pool in a lock and wakes the requests that wait in it.
 #[derive(Debug)]
 pub struct ServiceSlots {
+    name: ServiceName,
     clock: Clock,
+    log: Logger,
     inner: Mutex<Inner>,
 }
 
@@ -91,14 +96,20 @@
 
 impl ServiceSlots {
     /// A service without targets.
-    pub fn new(config: SlotPoolConfig, retry_window: Duration, clock: Clock) -> Arc<Self> {
+    pub fn new(
+        name: ServiceName,
+        config: SlotPoolConfig,
+        retry_window: Duration,
+        clock: Clock,
+        log: Logger,
+    ) -> Arc<Self> {
         let inner = Inner {
             pool: SlotPool::new(config),
             repeats: RetryWindow::new(retry_window),
             waiting: HashMap::new(),
             asked_at: None,
         };
-        Arc::new(Self { clock, inner: Mutex::new(inner) })
+        Arc::new(Self { name, clock, log, inner: Mutex::new(inner) })
     }
 
     /// Counts a request of a caller, for the limit on repeated sends.
@@ -180,7 +191,11 @@
     /// A target did not answer when it was asked for its pace.
     pub fn unanswered(&self, target: &TargetId) {
         let now = self.clock.now();
-        self.lock().pool.unanswered(target, now);
+        let mut inner = self.lock();
+        inner.pool.unanswered(target, now);
+        let beliefs = inner.pool.take_beliefs();
+        drop(inner);
+        self.report_beliefs(&beliefs);
     }
 
     /// Targets to probe now; none while the service is not used.
@@ -233,10 +248,30 @@
         figures: Option<LoadFigures>,
     ) {
         let now = self.clock.now();
-        let woken = self.lock().pool.finish(attempt, outcome, figures, now);
+        let mut inner = self.lock();
+        let woken = inner.pool.finish(attempt, outcome, figures, now);
+        let beliefs = inner.pool.take_beliefs();
+        drop(inner);
+        self.report_beliefs(&beliefs);
         self.deliver(woken);
     }
 
+    fn report_beliefs(&self, beliefs: &[Belief]) {
+        for Belief { target, change } in beliefs {
+            let (service, target) = (self.name.as_str(), target.as_str());
+            match change {
+                BeliefChange::Ejected { failures, pause } => {
+                    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                    event!(self.log, TARGET_EJECTED, "service" => service, "target" => target,
+                        "failures" => *failures, "pause_ms" => pause_ms);
+                }
+                BeliefChange::Returned => {
+                    event!(self.log, TARGET_RETURNED, "service" => service, "target" => target);
+                }
+            }
+        }
+    }
+
     /// Hands out places with the lock released: a receiver that is gone drops its place, which
     /// takes the lock again.
     fn deliver(self: &Arc<Self>, woken: Vec<Woken>) {
