feat(balance): equal targets in an order of each entry's own; targets filled by others are passed over

The first request of a process was sent without asking the target. Change: ties are broken by a weight of entry and target; the first target is asked too; a target whose report shows more requests than slots is passed over.

--- a/crates/balance/src/slots/config.rs
+++ b/crates/balance/src/slots/config.rs
@@ -26,6 +26,9 @@
     /// Part of the time until its deadline that a request which can't be answered within its
     /// objective any more may wait, in thousandths; default 250.
     pub late_wait_permille: u32,
+    /// Name of this process. Targets that are equal otherwise are taken in an order that differs
+    /// from process to process; processes that all began with the same one would fill it.
+    pub name: String,
     /// The failure domain of this process; `None` when all are equally near.
     pub near: Option<FailureDomain>,
     /// What a KiB that crosses failure domains costs, as time by which targets are compared;
@@ -59,6 +62,7 @@
             probe_after: Duration::from_millis(25),
             wait_permille: 125,
             late_wait_permille: 250,
+            name: String::new(),
             near: None,
             far_cost_per_kib: Duration::from_millis(2),
             queue_max: 4096,
--- a/crates/balance/src/slots/estimate.rs
+++ b/crates/balance/src/slots/estimate.rs
@@ -69,7 +69,8 @@
     crowding: f64,
     /// Mean of the paces that targets report.
     pace: f64,
-    has_paces: bool,
+    /// Whether any target has told its pace; `None` before one was asked.
+    has_paces: Option<bool>,
 }
 
 impl Learnt {
@@ -80,7 +81,7 @@
             any_work_us: None,
             crowding: CROWDING_GUESS,
             pace: 1.0,
-            has_paces: false,
+            has_paces: None,
         }
     }
 
@@ -94,9 +95,13 @@
         self.any_work_us.unwrap_or(self.first_guess_us)
     }
 
-    /// Whether targets tell their pace at all.
-    pub(super) fn has_paces(&self) -> bool {
-        self.has_paces
+    /// Whether targets tell their pace, as far as is known.
+    pub(super) fn may_have_paces(&self) -> bool {
+        self.has_paces.unwrap_or(true)
+    }
+
+    pub(super) fn untold(&mut self) {
+        self.has_paces.get_or_insert(false);
     }
 
     pub(super) fn crowding(&self, crowded: bool) -> f64 {
@@ -108,7 +113,7 @@
     }
 
     pub(super) fn saw_pace(&mut self, pace: Pace) {
-        self.has_paces = true;
+        self.has_paces = Some(true);
         self.pace += (pace.factor() - self.pace) * PACE_WEIGHT;
     }
 
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -70,7 +70,7 @@
             let id = target.id.clone();
             let next = match known.remove(&id) {
                 Some(old) => old.with_published(target),
-                None => Target::new(target, now),
+                None => Target::new(target, &self.config, now),
             };
             self.targets.insert(id, next);
         }
@@ -80,7 +80,7 @@
     /// Forgets what is known of a target that has started again.
     pub fn restarted(&mut self, id: &TargetId, now: Mono) {
         let Some(old) = self.targets.remove(id) else { return };
-        self.targets.insert(id.clone(), Target::new(old.published, now));
+        self.targets.insert(id.clone(), Target::new(old.published, &self.config, now));
     }
 
     /// Decides about a request.
@@ -176,15 +176,20 @@
 
     /// Whether a target should be asked for its pace before a request is sent to it.
     pub fn wants_check(&self, id: &TargetId, now: Mono) -> bool {
-        self.learnt.has_paces()
+        self.learnt.may_have_paces()
             && self.targets.get(id).is_some_and(|t| t.pace_is_stale(now, self.config.check_after))
     }
 
-    /// Whether the target says that it works so slowly now that another slot, or a later one, is
-    /// better.
-    pub fn is_slow(&self, id: &TargetId, ask: &SlotAsk, now: Mono) -> bool {
-        let target = self.targets.get(id);
-        target.is_some_and(|target| target.is_slow(ask, now, &self.config, &self.learnt))
+    /// Whether the target says that another slot, or a later one, is better: it works slowly now, or
+    /// other processes fill it.
+    pub fn is_unfit(&self, id: &TargetId, ask: &SlotAsk, now: Mono) -> bool {
+        let Some(target) = self.targets.get(id) else { return true };
+        target.is_overfull(now) || target.is_slow(ask, now, &self.config, &self.learnt)
+    }
+
+    /// A target answered without telling its load. If none has ever told it, none is asked again.
+    pub fn untold(&mut self) {
+        self.learnt.untold();
     }
 
     /// An attempt leaves for its target now.
@@ -320,7 +325,8 @@
             .partition(|(_, target)| !target.is_ejected(now) && !target.is_overdue(now, config));
         let candidates = if self.ignores_evidence(now) && good.is_empty() { bad } else { good };
         let cost = |target: &Target| target.cost_us(ask, now, config, learnt);
-        let best = candidates.into_iter().min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)));
+        let order = |a: &Target, b: &Target| cost(a).total_cmp(&cost(b)).then(a.turn.cmp(&b.turn));
+        let best = candidates.into_iter().min_by(|a, b| order(a.1, b.1));
         let id = best?.0.clone();
         let attempt = AttemptId(self.next_id());
         let target = self.targets.get_mut(&id)?;
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{FailureDomain, Mono, TargetId};
+use shallotfork_types::{FailureDomain, Mono, TargetId, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
 use super::estimate::{Learnt, Pace, PaceReport};
@@ -145,6 +145,8 @@
 pub(super) struct Target {
     pub(super) published: SlotTarget,
     pub(super) running: Vec<Running>,
+    /// Its place among targets that are equal otherwise.
+    pub(super) turn: u64,
     pace: Option<PaceReport>,
     speed: f64,
     failures: f64,
@@ -157,11 +159,13 @@
 }
 
 impl Target {
-    pub(super) fn new(published: SlotTarget, now: Mono) -> Self {
+    pub(super) fn new(published: SlotTarget, config: &SlotPoolConfig, now: Mono) -> Self {
+        let turn = rendezvous_weight(&config.name, published.id.as_str());
         let cold_until = now.plus(published.cold_for);
         Self {
             published,
             running: Vec::new(),
+            turn,
             pace: None,
             speed: 1.0,
             failures: 0.0,
@@ -206,6 +210,13 @@
         fresh.map_or(0, |others| others.count)
     }
 
+    /// Whether its last report shows more requests there than it has slots, with those of this
+    /// process that have not left yet.
+    pub(super) fn is_overfull(&self, now: Mono) -> bool {
+        let own = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        own.saturating_add(self.others(now)) > self.published.slots
+    }
+
     /// Whether one more request takes the last slot.
     pub(super) fn would_crowd(&self, now: Mono) -> bool {
         self.published.slots > 1 && self.free_slots(now) <= 1
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -67,7 +67,8 @@
     pub fn slots(&self, service: &ServiceName) -> Arc<ServiceSlots> {
         let window = self.settings.retry_window;
         let near = Some(self.settings.failure_domain.clone());
-        let config = || SlotPoolConfig { near, ..SlotPoolConfig::default() };
+        let name = self.settings.vm.to_string();
+        let config = || SlotPoolConfig { name, near, ..SlotPoolConfig::default() };
         self.services.get(service, || {
             ServiceSlots::new(service.clone(), config(), window, self.clock, self.log.clone())
         })
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// A slot at a target that has just said that it is not slow.
+/// A slot at a target that has just said that it is neither slow nor full.
 ///
 /// Targets share hosts with neighbours that slow them down for a fraction of a second at a time; a
 /// run keeps the pace at which it began. Reports with earlier answers are too old to tell.
@@ -117,9 +117,12 @@
             return Ok(assigned);
         }
         match probe(&job.context, &job.service, slots, &target).await {
-            Probed::Reported if !slots.is_slow(&target, &ask) => return Ok(assigned),
+            Probed::Reported if !slots.is_unfit(&target, &ask) => return Ok(assigned),
             Probed::Reported => {}
-            Probed::Untold => return Ok(assigned),
+            Probed::Untold => {
+                slots.untold();
+                return Ok(assigned);
+            }
             Probed::Silent => slots.unanswered(&target),
         }
     }
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -182,10 +182,15 @@
         self.lock().pool.wants_check(target, now)
     }
 
-    /// Whether a target says that it is slow now.
-    pub fn is_slow(&self, target: &TargetId, ask: &SlotAsk) -> bool {
+    /// Whether a target says that another slot, or a later one, is better.
+    pub fn is_unfit(&self, target: &TargetId, ask: &SlotAsk) -> bool {
         let now = self.clock.now();
-        self.lock().pool.is_slow(target, ask, now)
+        self.lock().pool.is_unfit(target, ask, now)
+    }
+
+    /// A target answered without telling its load.
+    pub fn untold(&self) {
+        self.lock().pool.untold();
     }
 
     /// A target did not answer when it was asked for its pace.
