fix(gateway): entries agree on the first ones; requests know when they arrived; nothing is begun for a caller who left

Ruled out: lost processor time (0.17 of 0.5 cores at the most). Change: heartbeats carry a digest of the first three entries of the ranking; those that differ tell each other of these. Heads found ahead keep the time of their arrival. The end of a connection ends what waits on it.

--- a/crates/exchange/src/ahead.rs
+++ b/crates/exchange/src/ahead.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Whether bytes have arrived that the library has not taken.
+    pub(crate) fn holds_bytes(&self) -> bool {
+        !self.lock().held.is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Reading> {
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/exchange/src/early.rs
+++ b/crates/exchange/src/early.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Requests begun early on one connection at most.
 const EARLY_MAX: usize = 8;
@@ -20,9 +21,33 @@
     /// Requests that the HTTP library has handed over.
     handed_over: u64,
     begun: HashMap<u64, JoinHandle<poem::Response>>,
+    /// When the heads arrived that have been found ahead of their turn.
+    arrived: HashMap<u64, Instant>,
 }
 
+/// A request whose turn has come.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    /// Its answer in the making, if it was begun early.
+    pub(crate) begun: Option<JoinHandle<poem::Response>>,
+    /// When its head arrived, if it was found ahead of its turn.
+    pub(crate) arrived: Option<Instant>,
+}
+
+/// When a request arrived, in its extensions. One that has waited behind others on its connection
+/// has used up that much of its caller's patience before it is handed over.
+#[derive(Debug, Clone, Copy)]
+pub struct ArrivedAt(pub Instant);
+
 impl EarlyRequests {
+    /// A head has been found ahead of its turn.
+    pub(crate) fn arrived(&self, number: u64) {
+        let mut state = self.lock();
+        if number >= state.handed_over {
+            state.arrived.insert(number, Instant::now());
+        }
+    }
+
     /// Begins a request unless the library has handed it over already, or too many wait.
     pub(crate) fn begin(&self, number: u64, begin: impl FnOnce() -> JoinHandle<poem::Response>) {
         let mut state = self.lock();
@@ -33,12 +58,12 @@
         }
     }
 
-    /// The library hands over the next request; its answer in the making, if it was begun early.
-    pub(crate) fn hand_over(&self) -> Option<JoinHandle<poem::Response>> {
+    /// The library hands over the next request.
+    pub(crate) fn hand_over(&self) -> Turn {
         let mut state = self.lock();
         let number = state.handed_over;
         state.handed_over += 1;
-        state.begun.remove(&number)
+        Turn { begun: state.begun.remove(&number), arrived: state.arrived.remove(&number) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -30,6 +30,7 @@
 pub use answer::WholeAnswer;
 pub use attempt::{Attempt, AttemptFailure, FailureCause, Sent, TargetAddress, Unsent};
 pub use body_budget::{BodyBudget, BodyPermit};
+pub use early::ArrivedAt;
 pub use exchange::{Exchange, ExchangeError, NowFn};
 pub use exchange_config::ExchangeConfig;
 pub use gate::{ConnectionGate, ConnectionPermit, OpenGate};
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -28,7 +28,7 @@
 
 use crate::activity::{Activity, TrackedStream};
 use crate::ahead::ReadAhead;
-use crate::early::{Awaited, EarlyRequests};
+use crate::early::{ArrivedAt, Awaited, EarlyRequests};
 use crate::serve_config::ServeConfig;
 
 /// Wait after a failed accept, which mostly means that the process is out of descriptors; without
@@ -217,16 +217,18 @@
         }
     }
 
-    /// Reads ahead, and ends when the caller has left while an answer is being made for it.
+    /// Reads ahead, and ends when the caller has left. What it has sent and nobody has begun is not
+    /// begun any more.
     async fn caller_gone(&self, ahead: &ReadAhead, activity: &Activity) {
         ahead.drive(|number, head| self.found_ahead(number, head)).await;
-        if !activity.is_busy() {
-            // The library takes what is left and sees the end by itself.
+        if !activity.is_busy() && !ahead.holds_bytes() {
+            // The library sees the end by itself.
             std::future::pending::<()>().await;
         }
     }
 
     fn found_ahead(&self, number: u64, head: http::request::Parts) {
+        self.begun.arrived(number);
         if !(self.early)(&head) {
             return;
         }
@@ -258,8 +260,13 @@
         let in_flight = Counted::new(&control.shared, |shared| &shared.in_flight);
         let busy = activity.begin();
         let version = request.version();
+        let turn = self.begun.hand_over();
+        let mut request = request;
+        if let Some(arrived) = turn.arrived {
+            request.extensions_mut().insert(ArrivedAt(arrived));
+        }
         let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
-        let begun = self.begun.hand_over().map(Awaited);
+        let begun = turn.begun.map(Awaited);
         async move {
             let mut response = match begun {
                 Some(mut begun) => early_answer(&mut begun).await,
--- a/crates/exchange/tests/pipelined.rs
+++ b/crates/exchange/tests/pipelined.rs
@@ -180,3 +180,18 @@
     assert!(writing.await.is_err(), "all was taken");
     assert!(port.begun.load(Ordering::SeqCst) <= 9);
 }
+
+/// A caller leaves while its second request waits unread behind the first. Begun after the first
+/// one's end, it would take a server's time for nobody.
+#[tokio::test]
+async fn what_a_caller_left_behind_is_not_begun() {
+    let port = Port::start().await;
+    let mut caller = TcpStream::connect(port.address).await.expect("connect");
+    let sent = [get("/late/1"), get("/late/2")].concat();
+    caller.write_all(sent.as_bytes()).await.expect("writable");
+    port.begun(1).await;
+    drop(caller);
+    wait_for(&port.ended, 1).await;
+    port.leave.add_permits(2);
+    port.begun(1).await;
+}
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -9,7 +9,7 @@
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::{Endpoint, ListsDigest, VmId};
+use shallotfork_types::{Endpoint, ListsDigest, VmId, rendezvous_weight};
 
 use crate::control::naming::{is_reader, name_entries, ranked, readers, suspected_leaders};
 use crate::control::reader::note_sight;
@@ -33,6 +33,8 @@
 /// Heartbeats between two to the seeds and to an entry chosen at random, by which parts of a fleet
 /// that were cut from each other find together again.
 const OUTREACH_EVERY: u32 = 7;
+/// Entries at the head of the ranking whose places are compared in each heartbeat.
+const AGREED: usize = 3;
 /// Heartbeats after the start that all go to the seeds too. After a loss of all entries each one
 /// knows only itself, and names itself to callers, until it has found the others.
 const FIRST_OUTREACHES: u32 = 12;
@@ -129,10 +131,13 @@
 async fn beat(state: Rc<State>, endpoint: Endpoint) {
     let Some(_turn) = state.peers.turn(endpoint) else { return };
     let Ok(client) = state.peers.client(endpoint).await else { return };
-    let own = own_heartbeat(&state, Audience::Known);
+    let differs = state.differing.borrow().contains(&endpoint);
+    let audience = if differs { Audience::Differing } else { Audience::Known };
+    let own = own_heartbeat(&state, audience);
     match client.heartbeat(&own).await {
         Ok(answer) => {
-            heard(&state, client.peer(), &answer);
+            let audience = heard(&state, client.peer(), &answer);
+            note(&mut state.differing.borrow_mut(), &endpoint, audience == Audience::Differing);
             if knows_more(&state, &answer) && !is_reader(&state) {
                 pull(Rc::clone(&state), client).await;
             }
@@ -147,6 +152,12 @@
 pub enum Audience {
     /// An entry that hears the news as they come.
     Known,
+    /// One that ranks the first entries in another way, and needs to hear of these.
+    ///
+    /// News is passed on a bounded number of times, so that in a large fleet some never reach an
+    /// entry that is busy or cut off for a moment. It would send callers to other entries than the
+    /// rest of the fleet for ever.
+    Differing,
     /// One that was not known before and needs to hear of everybody.
     New,
 }
@@ -154,9 +165,15 @@
 /// What this process says of itself, with the news that is due.
 pub fn own_heartbeat(state: &State, audience: Audience) -> Heartbeat {
     let settings = &state.context.settings;
+    let first = first_entries(state);
     let mut view = state.view.borrow_mut();
     let news = match audience {
         Audience::Known => view.news(),
+        Audience::Differing => {
+            let mut news = view.news();
+            news.extend(first.iter().filter_map(|entry| view.news_of(&entry.vm)));
+            news
+        }
         Audience::New => view.all_news(),
     };
     Heartbeat {
@@ -168,7 +185,7 @@
         news: news.into_iter().map(peer_news).collect(),
         seen_revision: state.archive.borrow().position(),
         synced_revision: state.archive.borrow().position(),
-        lists_digest: ListsDigest::default(),
+        lists_digest: ranking_digest(&first),
         platform_lost: state.sight.borrow().is_blind(),
         restart_safe: true,
         loads: Vec::new(),
@@ -204,7 +221,29 @@
     for news in &beat.news {
         state.view.borrow_mut().told(&told_news(news), now);
     }
-    if known { Audience::Known } else { Audience::New }
+    let differs = beat.lists_digest != ranking_digest(&first_entries(state));
+    match (known, differs) {
+        (false, _) => Audience::New,
+        (true, true) => Audience::Differing,
+        (true, false) => Audience::Known,
+    }
+}
+
+/// The first entries of the ranking, on which all have to agree.
+fn first_entries(state: &State) -> Vec<EntryVm> {
+    let mut first = readers(state);
+    first.truncate(AGREED);
+    first
+}
+
+/// Differs when two entries rank others first, or know other runs of them.
+fn ranking_digest(first: &[EntryVm]) -> ListsDigest {
+    let runs = first.iter().map(|entry| {
+        let run = entry.incarnation.map_or(0, |incarnation| incarnation.value());
+        rendezvous_weight(entry.vm.as_str(), "") ^ run
+    });
+    // Shifted by its place, so that an exchange of places shows.
+    ListsDigest::new(runs.fold(0, |digest, run| digest.rotate_left(7) ^ run))
 }
 
 /// Those who read the platform say whether it answers them.
@@ -216,7 +255,7 @@
     note_sight(state);
 }
 
-fn note(entries: &mut BTreeSet<VmId>, entry: &VmId, holds: bool) {
+fn note<T: Ord + Clone>(entries: &mut BTreeSet<T>, entry: &T, holds: bool) {
     if holds {
         entries.insert(entry.clone());
     } else {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -46,6 +46,8 @@
     pub blind: RefCell<BTreeSet<VmId>>,
     /// Where other entries may be found.
     pub seeds: RefCell<Vec<Endpoint>>,
+    /// Entries that rank the first ones in another way.
+    pub differing: RefCell<BTreeSet<Endpoint>>,
     /// Entries that say that they know no routes yet.
     pub starting: RefCell<BTreeSet<VmId>>,
     /// Whether a planned stop is under way.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -175,6 +175,7 @@
         active: RefCell::new(Vec::new()),
         blind: RefCell::new(BTreeSet::new()),
         seeds: RefCell::new(context.settings.seeds.clone()),
+        differing: RefCell::new(BTreeSet::new()),
         starting: RefCell::new(BTreeSet::new()),
         leaving: Cell::new(false),
         synced: Cell::new(false),
--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -7,9 +7,9 @@
 use http::{HeaderMap, Method};
 use metrics::{counter, histogram};
 use shallotfork_events::{CALLER_REFUSED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, event};
-use shallotfork_exchange::{BodyLimits, WholeRequest, read_whole};
+use shallotfork_exchange::{ArrivedAt, BodyLimits, WholeRequest, read_whole};
 use shallotfork_routes::{Repeat, Route};
-use shallotfork_types::{Bytes, TargetId};
+use shallotfork_types::{Bytes, Mono, TargetId};
 
 use crate::context::Context;
 use crate::line_budget::LineLeave;
@@ -27,7 +27,7 @@
 
 /// Answers one request of a caller.
 pub async fn front(context: Arc<Context>, request: poem::Request) -> poem::Response {
-    let arrived = context.clock.now();
+    let arrived = arrived(&context, &request);
     let body_max =
         context.published.load().table.as_ref().map_or(BODY_MAX, |table| table.limits().body_max);
     let limits = BodyLimits { body_max, body_timeout: BODY_TIMEOUT };
@@ -56,6 +56,14 @@
     respond(course, &method)
 }
 
+/// When the request arrived, which is before now if it has waited behind others.
+fn arrived(context: &Context, request: &poem::Request) -> Mono {
+    let waited = request.extensions().get::<ArrivedAt>().map(|arrived| arrived.0.elapsed());
+    let now_us = context.clock.now().as_micros();
+    let waited_us = waited.map_or(0, |waited| u64::try_from(waited.as_micros()).unwrap_or(0));
+    Mono::from_micros(now_us.saturating_sub(waited_us))
+}
+
 /// Whether a request that waits behind another one on its connection may be begun: it may run
 /// although its caller never gets an answer on this connection, and so sends it again.
 pub fn may_begin_early(context: &Context, head: &http::request::Parts) -> bool {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -187,6 +187,11 @@
         news
     }
 
+    /// What is known of one VM; `None` if no run of it was ever heard of.
+    pub fn news_of(&self, vm: &VmId) -> Option<News> {
+        self.members.get(vm)?.news()
+    }
+
     /// News of every VM, for one that has just joined and knows nobody.
     pub fn all_news(&self) -> Vec<News> {
         self.members.values().filter_map(Member::news).collect()
