--- a/tests/tests/proofs.rs
+++ b/tests/tests/proofs.rs
@@ -27,6 +27,7 @@
 fn tests() -> BTreeSet<String> {
     let mut files = Vec::new();
     sources(&root().join("tests/tests"), &mut files);
+    sources(&root().join("platform/tests"), &mut files);
     let crates = fs::read_dir(root().join("crates")).into_iter().flatten().flatten();
     crates.for_each(|entry| sources(&entry.path().join("tests"), &mut files));
     let text: String = files.iter().flat_map(fs::read_to_string).collect();
