--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod estimate;
 mod pool;
+mod published;
 mod queue;
 mod target;
 
@@ -16,4 +17,4 @@
 pub use config::SlotPoolConfig;
 pub use estimate::Pace;
 pub use pool::SlotPool;
-pub use target::{Belief, BeliefChange, LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus};
+pub use published::{Belief, BeliefChange, LoadFigures, SlotOutcome, SlotTarget};
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -7,8 +7,9 @@
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
+use super::published::{Belief, LoadFigures, SlotOutcome, SlotTarget};
 use super::queue::SlotQueue;
-use super::target::{Belief, LoadFigures, SlotOutcome, SlotTarget, SlotTargetStatus, Target};
+use super::target::Target;
 use super::{SlotAsk, WorkClass};
 use crate::{Admission, Assignment, AttemptId, Resolution, Shed, ShedReason, Ticket, Woken};
 
@@ -247,11 +248,6 @@
         Duration::from_micros((self.learnt.work_us(class) * self.learnt.mean_pace()) as u64)
     }
 
-    /// What is thought of each target, for operators.
-    pub fn status(&self, now: Mono) -> Vec<SlotTargetStatus> {
-        self.targets.values().map(|target| target.status(now)).collect()
-    }
-
     fn has_target_for(&self, ask: &SlotAsk) -> bool {
         self.targets.iter().any(|(id, t)| t.published.serving && !ask.exclude.contains(id))
     }
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{FailureDomain, Mono, TargetId, rendezvous_weight};
+use shallotfork_types::{Mono, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
-use super::estimate::{Learnt, Pace, PaceReport};
+use super::estimate::{Learnt, PaceReport};
+use super::published::{BeliefChange, LoadFigures, SlotOutcome, SlotTarget};
 use super::{SlotAsk, WorkClass};
 use crate::AttemptId;
 
@@ -34,94 +35,6 @@
 /// Doublings of the time for which a target is left out.
 const DOUBLINGS_MAX: u32 = 6;
 
-/// A target as published.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SlotTarget {
-    /// The target.
-    pub id: TargetId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub serving: bool,
-    /// How much longer it is slow after its start.
-    pub cold_for: Duration,
-}
-
-/// What a target says of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadFigures {
-    /// Requests that it runs.
-    pub running: u32,
-    /// Requests that wait at it.
-    pub waiting: u32,
-    /// Requests that it can run at once.
-    pub slots: u32,
-    /// How long work takes there at this moment, if it says so.
-    pub pace: Option<Pace>,
-}
-
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SlotOutcome {
-    /// A whole answer that is no server error came after this time.
-    Answered {
-        /// From sending to the last byte of the answer.
-        latency: Duration,
-    },
-    /// A server error, or an answer that is not whole or not its own.
-    Failed,
-    /// No connection could be opened.
-    Unreachable,
-    /// It said that it has no room.
-    Full,
-    /// Another target answers at its address.
-    Misdirected,
-    /// No answer came in time.
-    TimedOut,
-    /// Given up for a reason that is not the target's.
-    Cancelled,
-}
-
-/// A change of what a pool thinks of a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Belief {
-    /// The target.
-    pub target: TargetId,
-    /// What has changed.
-    pub change: BeliefChange,
-}
-
-/// What has changed in the belief about a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BeliefChange {
-    /// It is left out for a while.
-    Ejected {
-        /// Failures in a row that decided it.
-        failures: u32,
-        /// For how long.
-        pause: Duration,
-    },
-    /// It has answered again.
-    Returned,
-}
-
-/// What a pool thinks of a target, for operators.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SlotTargetStatus {
-    /// The target.
-    pub id: TargetId,
-    /// Whether it takes new work, as published.
-    pub serving: bool,
-    /// Requests in flight from this process.
-    pub running: usize,
-    /// Its own speed as a factor of time; 1 is the mean of the pool.
-    pub speed: f64,
-    /// Whether it is left out for failures.
-    pub ejected: bool,
-}
-
 #[derive(Debug, Clone)]
 pub(super) struct Running {
     pub(super) attempt: AttemptId,
@@ -444,14 +357,4 @@
     pub(super) fn probed(&mut self, now: Mono) {
         self.probed_at = Some(now);
     }
-
-    pub(super) fn status(&self, now: Mono) -> SlotTargetStatus {
-        SlotTargetStatus {
-            id: self.published.id.clone(),
-            serving: self.published.serving,
-            running: self.running.len(),
-            speed: self.speed,
-            ejected: self.is_ejected(now),
-        }
-    }
 }
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -5,12 +5,12 @@
 
 use shallotfork_events::{ACTIVE_CHANGED, ENTRY_CHANGED, event};
 use shallotfork_membership::{EntryState, EntryVm};
-use shallotfork_types::VmId;
+use shallotfork_types::{Endpoint, VmId};
 
 use crate::control::beats::is_live;
 use crate::control::publish::publish;
 use crate::control::state::State;
-use crate::snapshot::{Fleet, NamedEntry};
+use crate::snapshot::Fleet;
 use shallotfork_fleet::{Candidate, active_count, fleet_order};
 
 /// Entries that read the platform. Three of them lose no time when one or two are lost; each costs
@@ -84,11 +84,8 @@
     let leaders: Vec<VmId> = order.iter().take(count).map(|entry| entry.vm.clone()).collect();
     let active = leaders.is_empty() || leaders.contains(own);
     let changed = state.active.replace(leaders.clone()) != leaders;
-    let order: Vec<NamedEntry> = order
-        .into_iter()
-        .map(|entry| NamedEntry { callers: entry.callers, failure_domain: entry.failure_domain })
-        .collect();
-    let named = order.first().map(|entry| entry.callers);
+    let order: Vec<Endpoint> = order.into_iter().map(|entry| entry.callers).collect();
+    let named = order.first().copied();
     if state.named.replace(named) != named {
         let entry = named.map_or_else(|| "none".to_owned(), |entry| entry.to_string());
         event!(state.context.log, ACTIVE_CHANGED, "entry" => entry, "live" => live,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -32,15 +32,6 @@
     pub directory: String,
 }
 
-/// What a caller who asks for addresses says of itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct DirectoryQuery {
-    /// The host that it wants to reach.
-    pub host: Option<String>,
-    /// The failure domain that it is in or near to.
-    pub failure_domain: Option<String>,
-}
-
 /// The whole dialect of a platform.
 #[derive(Debug, Clone)]
 pub struct Dialect {
@@ -50,8 +41,6 @@
     pub paths: Paths,
     /// Reads a target's account of its load; `None` when it is not in the platform's form.
     pub load_figures: fn(&str) -> Option<LoadFigures>,
-    /// Reads the query of a caller who asks for addresses.
-    pub directory_query: fn(&str) -> DirectoryQuery,
-    /// Writes the answer to it: addresses, and how long to keep them.
+    /// Writes the answer to a caller who asks for addresses: these, and how long to keep them.
     pub directory_answer: fn(&[Endpoint], Duration) -> String,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,6 @@
 mod snapshot;
 mod traffic;
 
-pub use dialect::{Dialect, DirectoryQuery, HeaderNames, Paths};
+pub use dialect::{Dialect, HeaderNames, Paths};
 pub use run::{Program, ReloadFn, run};
 pub use settings::{GatewaySettings, Ports};
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -5,16 +5,7 @@
 
 use shallotfork_roster::TargetEntry;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::{Endpoint, FailureDomain, Mono, TargetId};
-
-/// An entry that callers may be sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct NamedEntry {
-    /// Where callers connect.
-    pub callers: Endpoint,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-}
+use shallotfork_types::{Endpoint, Mono, TargetId};
 
 /// What is published, as this process knows it.
 #[derive(Debug, Clone, Default)]
@@ -30,8 +21,8 @@
 /// What is known of the fleet.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
-    /// Live entries in the order in which callers should use them.
-    pub order: Vec<NamedEntry>,
+    /// Where callers reach live entries, in the order in which they should use them.
+    pub order: Vec<Endpoint>,
     /// Whether callers are sent to this process.
     pub active: bool,
     /// How many of the first entries callers are sent to.
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -26,7 +26,7 @@
     }
     let fleet = context.fleet.load();
     let active = fleet.order.iter().take(fleet.active_count.max(1));
-    let mut named: Vec<Endpoint> = active.map(|entry| entry.callers).collect();
+    let mut named: Vec<Endpoint> = active.copied().collect();
     if named.is_empty() {
         // Nobody is known before the first heartbeats; this process serves as well as any.
         named.push(context.settings.ports.callers);
