--- a/tests/src/program.rs
+++ b/tests/src/program.rs
@@ -6,7 +6,7 @@
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 
-use anyhow::{Context, bail};
+use anyhow::{Context, bail, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
@@ -118,7 +118,10 @@
 fn program_path(name: &str) -> anyhow::Result<PathBuf> {
     let test = env::current_exe()?;
     let directory = test.parent().and_then(Path::parent).context("no target directory")?;
-    Ok(directory.join(name))
+    let path = directory.join(name);
+    // Cargo builds the programs of other packages for no test.
+    ensure!(path.exists(), "{} is not built: run `cargo build --workspace --bins`", path.display());
+    Ok(path)
 }
 
 async fn read_ready<R: DeserializeOwned>(
--- a/tests/tests/budget.rs
+++ b/tests/tests/budget.rs
@@ -117,6 +117,12 @@
     Ok(())
 }
 
+/// Connections that each target has taken so far.
+async fn opened(running: &Running) -> anyhow::Result<Vec<u64>> {
+    let records = running.records().await?;
+    Ok(records.iter().map(|records| records.connections.opened).collect())
+}
+
 /// All entries are killed and start again while callers keep asking. Unspaced, their reconnects
 /// would take a millisecond each of targets that are already behind.
 #[tokio::test]
@@ -128,6 +134,7 @@
     let traffic = Traffic::start(&config)?;
     wait_until("traffic flows", async || traffic.done() > 200).await?;
     traffic.stop().await;
+    let before = opened(&running).await?;
 
     for index in 0..3 {
         running.entries[index].program.kill().await?;
@@ -140,11 +147,17 @@
     config.caller = caller;
     let traffic = Traffic::start(&config)?;
     wait_until("traffic flows again", async || traffic.done() > 400).await?;
+    // Which targets the requests go to is up to the entries; the budget is only put to the test at
+    // targets that are connected to again, so that the traffic goes on until all of them are.
+    wait_until("all targets are reconnected to", async || {
+        let Ok(after) = opened(&running).await else { return false };
+        before.iter().zip(after).all(|(before, after)| after > *before)
+    })
+    .await?;
     traffic.stop().await;
 
     for (target, records) in running.targets.iter().zip(running.records().await?) {
         let most = records.connections.opened_max_in_second;
-        assert!(records.connections.opened > 6, "{} was reconnected to", target.id);
         assert!(most <= CONNECTIONS_A_SECOND, "{}: {most} in a second", target.id);
     }
     Ok(())
