--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -1,6 +1,6 @@
 //! Gives out the slots of one service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use shallotfork_types::{Mono, TargetId};
@@ -357,25 +357,32 @@
         let keys: BTreeMap<Ticket, _> =
             asks.iter().map(|(ticket, ask)| (ticket, self.order(ask, now))).collect();
         order.sort_by_key(|ticket| keys.get(ticket).copied());
+        // A long queue would be compared with every target at each answer. Where one request of a
+        // class finds no slot, those behind it find none either, unless what they avoid differs.
+        let mut without_slot: BTreeSet<WorkClass> = BTreeSet::new();
         for ticket in order {
             let Some(ask) = self.queue.remove(ticket) else { continue };
-            if let Some(resolution) = self.resolve(&ask, now) {
+            let hopeless = ask.exclude.is_empty() && without_slot.contains(&ask.class);
+            if let Some(resolution) = self.resolve(&ask, hopeless, now) {
                 woken.push(Woken { ticket, resolution });
-            } else {
-                self.queue.push(ticket, ask);
+                continue;
             }
+            if ask.exclude.is_empty() {
+                without_slot.insert(ask.class.clone());
+            }
+            self.queue.push(ticket, ask);
         }
         woken
     }
 
-    fn resolve(&mut self, ask: &SlotAsk, now: Mono) -> Option<Resolution> {
+    fn resolve(&mut self, ask: &SlotAsk, hopeless: bool, now: Mono) -> Option<Resolution> {
         if ask.deadline <= now {
             return Some(Resolution::Shed(self.shed(ShedReason::DeadlinePassed, now)));
         }
         if !self.has_target_for(ask) {
             return Some(Resolution::Shed(self.shed(ShedReason::NoTarget, now)));
         }
-        if let Some(assignment) = self.assign(ask, Choice::Quick, now) {
+        if !hopeless && let Some(assignment) = self.assign(ask, Choice::Quick, now) {
             return Some(Resolution::Send(assignment));
         }
         if self.wait_end(ask, now) > now {
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -22,16 +22,18 @@
 /// is sent elsewhere.
 const TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Probes for as long as the process runs.
+/// Probes, and ends waits that have lasted long enough, for as long as the process runs.
 pub async fn probes(context: Arc<Context>, timer: TimerService) {
     let mut ticks = timer.subscribe(Schedule::new(LOOK));
     while ticks.tick().await.is_some() {
+        let services = context.services.all();
+        services.iter().for_each(|(_, slots)| slots.expire());
         // An entry that callers are not sent to serves a few requests with old addresses; were all
         // entries to probe for these, probing would cost more than the requests.
         if !context.fleet.load().active {
             continue;
         }
-        for (service, slots) in context.services.all() {
+        for (service, slots) in services {
             for target in slots.due_probes() {
                 let (context, slots) = (Arc::clone(&context), Arc::clone(&slots));
                 let service = service.clone();
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -17,8 +17,6 @@
 
 use crate::context::lock;
 
-/// Shortest wait between two looks at the queue.
-const EXPIRY_STEP: Duration = Duration::from_millis(2);
 /// A service without a request for this long needs no probes.
 const IDLE_AFTER: Duration = Duration::from_secs(1);
 
@@ -138,7 +136,8 @@
             (Admission::Shed(shed), _) => Err(shed),
             (Admission::Queued(ticket), receiver) => {
                 let _waiting = Waiting { slots: self, ticket };
-                self.wait(receiver.expect("a queued request has a receiver")).await
+                let place = receiver.expect("a queued request has a receiver").await;
+                place.expect("every ticket is resolved before its sender is dropped")
             }
         }
     }
@@ -216,30 +215,17 @@
         self.lock().pool.usual_time(class)
     }
 
-    /// Waits for a place. Each waiting request looks after the queue's next end itself, so that a
-    /// process without waiting requests does nothing at all.
-    async fn wait(self: &Arc<Self>, mut receiver: oneshot::Receiver<Place>) -> Place {
-        loop {
-            let due = self.expire();
-            tokio::select! {
-                place = &mut receiver => {
-                    return place.expect("every ticket is resolved before its sender is dropped");
-                }
-                () = tokio::time::sleep(due) => {}
-            }
-        }
-    }
-
-    /// Ends those who have waited long enough; returns when to look again.
-    fn expire(self: &Arc<Self>) -> Duration {
+    /// Ends those who have waited long enough. To be called at short intervals: were each waiting
+    /// request to look after the queue, all of them would wake up for each one's end.
+    pub fn expire(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        let due = inner.pool.next_expiry(now).is_some_and(|due| due <= now);
-        let woken = if due { inner.pool.expire(now) } else { Vec::new() };
-        let next = inner.pool.next_expiry(now);
+        if inner.pool.next_expiry(now).is_none_or(|due| due > now) {
+            return;
+        }
+        let woken = inner.pool.expire(now);
         drop(inner);
         self.deliver(woken);
-        next.map_or(IDLE_AFTER, |next| next.since(now)).max(EXPIRY_STEP)
     }
 
     fn assigned(self: &Arc<Self>, assignment: Assignment) -> Assigned {
