docs(balance): what the search by class may pass over

Cause: found on reading the diff: the comment said that those behind a request without a slot find none either; one of the same class with another time left may accept a slow slot.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -358,7 +358,8 @@
             asks.iter().map(|(ticket, ask)| (ticket, self.order(ask, now))).collect();
         order.sort_by_key(|ticket| keys.get(ticket).copied());
         // A long queue would be compared with every target at each answer. Where one request of a
-        // class finds no slot, those behind it find none either, unless what they avoid differs.
+        // class finds no slot, those behind it are not tried this time. One with more or less time
+        // left might have taken a slow slot; it gets one when its own wait ends.
         let mut without_slot: BTreeSet<WorkClass> = BTreeSet::new();
         for ticket in order {
             let Some(ask) = self.queue.remove(ticket) else { continue };
