feat(balance): one line a second tells how full a service's slots are

Cause: requests of a grown deployment were refused although most slots looked idle in the lines about requests; nothing said what the pool believed of its targets. Ruled out: counting from lines 7002, which leave out what targets say of others' requests.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -31,7 +31,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use slots::{
     Belief, BeliefChange, LoadFigures, Pace, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig,
-    SlotTarget, WorkClass,
+    SlotSummary, SlotTarget, WorkClass,
 };
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod published;
 mod queue;
+mod summary;
 mod target;
 
 pub use ask::{SlotAsk, WorkClass};
@@ -18,3 +19,4 @@
 pub use estimate::Pace;
 pub use pool::SlotPool;
 pub use published::{Belief, BeliefChange, LoadFigures, SlotOutcome, SlotTarget};
+pub use summary::SlotSummary;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -42,11 +42,11 @@
 /// - When all serving targets look bad, the evidence is ignored rather than serving nobody.
 #[derive(Debug)]
 pub struct SlotPool {
-    config: SlotPoolConfig,
-    targets: BTreeMap<TargetId, Target>,
-    attempts: BTreeMap<AttemptId, TargetId>,
-    queue: SlotQueue,
-    learnt: Learnt,
+    pub(super) config: SlotPoolConfig,
+    pub(super) targets: BTreeMap<TargetId, Target>,
+    pub(super) attempts: BTreeMap<AttemptId, TargetId>,
+    pub(super) queue: SlotQueue,
+    pub(super) learnt: Learnt,
     /// Changes of belief that nobody has taken yet.
     beliefs: Vec<Belief>,
     last_id: u64,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -35,7 +35,7 @@
     PEER_DOWN = 4002 Warning "peer lost";
     PEER_REFUSED = 4003 Warning "peer refused: it did not prove the shared key";
     ENTRY_CHANGED = 4004 Info "belief about an entry changed";
-    ACTIVE_CHANGED = 4005 Info "callers are named another entry";
+    ACTIVE_CHANGED = 4005 Info "callers are sent to other entries";
     TARGET_EJECTED = 5001 Warning "target ejected";
     TARGET_RETURNED = 5002 Info "target returned";
     TARGET_CHANGED = 5003 Info "published target changed";
@@ -46,5 +46,6 @@
     REQUEST_ANSWERED = 7002 Info "request answered";
     REQUEST_NOT_ANSWERED = 7003 Warning "request not answered: it may have run";
     ATTEMPT_FAILED = 7004 Warning "attempt at a target brought no answer to pass on";
+    SERVICE_LOAD = 7005 Info "slots of a service";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,7 +30,7 @@
 use crate::metrics_page::MetricsPage;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
-use crate::traffic::{directory, front, may_begin_early, probes, readiness};
+use crate::traffic::{directory, front, may_begin_early, probes, readiness, service_load};
 use shallotfork_feed::Feed;
 
 /// Lines a second about requests that went well: about as many requests as the users' busiest entry
@@ -88,6 +88,7 @@
         phase: process.watch(),
         published: ArcSwap::from_pointee(Published::default()),
         fleet: ArcSwap::from_pointee(Fleet::default()),
+        callers: ServeControl::new(),
         links: TargetLinks::new(LinkConfig::default(), bodies.clone()),
         bodies,
         services: Services::default(),
@@ -148,22 +149,23 @@
     let shared = Arc::clone(&context);
     serve_aside(listeners.directory, make_sync(move |request| directory(&shared, &request)))?;
     serve_aside(listeners.metrics, make_sync(move |_| metrics.render()))?;
-    let callers = ServeControl::new();
+    let callers = context.callers.clone();
     let shared = Arc::clone(&context);
     let endpoint = make(move |request| front(Arc::clone(&shared), request));
     let listener = TcpListener::from_std(listeners.callers)?;
     let shared = Arc::clone(&context);
     let early = Arc::new(move |head: &http::request::Parts| may_begin_early(&shared, head));
     let config = ServeConfig::default();
-    tokio::spawn(serve_early(listener, endpoint, config, callers.clone(), early));
+    tokio::spawn(serve_early(listener, endpoint, config, callers, early));
     tokio::spawn(probes(Arc::clone(&context), TimerService::new(context.clock)));
+    tokio::spawn(service_load(Arc::clone(&context), TimerService::new(context.clock)));
     tokio::select! {
         ready = is_ready.wait_for(|ready| *ready) => drop(ready.context("control has ended")?),
         () = stop.asked() => return Ok(()),
     }
     let process = process.serve();
     stop.asked().await;
-    leave(&context, &control, process.leave(), &callers).await;
+    leave(&context, &control, process.leave()).await;
     Ok(())
 }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,9 +7,11 @@
 mod judge;
 mod probes;
 mod refusal;
+mod service_load;
 mod service_slots;
 
 pub use directory::{directory, readiness};
 pub use front::{front, may_begin_early};
 pub use probes::probes;
+pub use service_load::service_load;
 pub use service_slots::ServiceSlots;
--- /dev/null
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -0,0 +1,48 @@
+//! Tells once a second how full each service's slots are, so that a refusal can be explained.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::gauge;
+use shallotfork_balance::SlotSummary;
+use shallotfork_events::{SERVICE_LOAD, event};
+use shallotfork_timer::{Schedule, TimerService};
+use shallotfork_types::ServiceName;
+
+use crate::context::Context;
+
+/// Time between two lines of a service. A queue that matters lasts for longer, and one line for a
+/// few services in a second is nothing beside the lines about requests.
+const EVERY: Duration = Duration::from_secs(1);
+
+/// Reports for as long as the process runs.
+pub async fn service_load(context: Arc<Context>, timer: TimerService) {
+    let mut ticks = timer.subscribe(Schedule::new(EVERY));
+    while ticks.tick().await.is_some() {
+        for (service, slots) in context.services.all() {
+            report(&context, &service, &slots.summary());
+        }
+    }
+}
+
+fn report(context: &Context, service: &ServiceName, load: &SlotSummary) {
+    let label = service.to_string();
+    gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
+    gauge!("shallotfork_running", "service" => label.clone()).set(load.running as f64);
+    gauge!("shallotfork_free_slots", "service" => label).set(f64::from(load.free_slots));
+    if load.queued == 0 {
+        return;
+    }
+    event!(context.log, SERVICE_LOAD,
+        "service" => service.as_str(),
+        "queued" => load.queued,
+        "running" => load.running,
+        "serving" => load.serving,
+        "ejected" => load.ejected,
+        "overdue" => load.overdue,
+        "full" => load.full,
+        "free_slots" => load.free_slots,
+        "mean_pace_permille" => (load.mean_pace * 1000.0) as u64,
+        "usual_ms" => u64::try_from(load.usual_time.as_millis()).unwrap_or(u64::MAX),
+    );
+}
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -6,8 +6,8 @@
 
 use shallotfork_balance::{
     Admission, Assignment, AttemptId, Belief, BeliefChange, LoadFigures, Resolution,
-    RetryAllowance, RetryWindow, Shed, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget,
-    Ticket, Woken, WorkClass,
+    RetryAllowance, RetryWindow, Shed, SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotSummary,
+    SlotTarget, Ticket, Woken, WorkClass,
 };
 use shallotfork_events::slog::Logger;
 use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
@@ -215,6 +215,12 @@
         self.lock().pool.usual_time(class)
     }
 
+    /// What the slots look like now.
+    pub fn summary(&self) -> SlotSummary {
+        let now = self.clock.now();
+        self.lock().pool.summary(now)
+    }
+
     /// Ends those who have waited long enough. To be called at short intervals: were each waiting
     /// request to look after the queue, all of them would wake up for each one's end.
     pub fn expire(self: &Arc<Self>) {
