fix(gateway): the fleet agrees on who is named, names as many as carry the load, and parts targets evenly

The test that a lost entry moves no target of the others is replaced by one that bounds the moves: an even share can't be kept without any.

--- a/crates/exchange/src/early.rs
+++ b/crates/exchange/src/early.rs
@@ -66,6 +66,11 @@
         Turn { begun: state.begun.remove(&number), arrived: state.arrived.remove(&number) }
     }
 
+    /// Whether requests were found that have not been handed over yet.
+    pub(crate) fn any(&self) -> bool {
+        !self.lock().arrived.is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -51,6 +51,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     closing: AtomicBool,
+    /// How often connections were asked to be made anew.
+    renewals: AtomicU64,
     stop: CancellationToken,
     connections: AtomicUsize,
     in_flight: AtomicUsize,
@@ -68,6 +70,16 @@
         self.shared.closing.store(true, Ordering::Relaxed);
     }
 
+    /// Asks the callers of all connections that are open now to make new ones: the next answer on
+    /// each says `Connection: close`, unless further requests wait behind it.
+    ///
+    /// A caller that keeps its connections stays with an entry for as long as that entry is named
+    /// to it. When others of the named entries change, callers of those choose anew among all, so
+    /// that the entry which stays ends up with more than its part.
+    pub fn renew_connections(&self) {
+        self.shared.renewals.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Takes no further connection or request, and lets those in flight end.
     pub fn stop(&self) {
         self.announce_close();
@@ -87,6 +99,10 @@
     fn is_closing(&self) -> bool {
         self.shared.closing.load(Ordering::Relaxed)
     }
+
+    fn renewals(&self) -> u64 {
+        self.shared.renewals.load(Ordering::Relaxed)
+    }
 }
 
 /// Serves HTTP/1.1 and HTTP/2 on `listener` until stopped and all connections have ended.
@@ -143,7 +159,8 @@
             config,
             control: control.clone(),
             early: Arc::clone(&early),
-            begun: EarlyRequests::default(),
+            opened_after: control.renewals(),
+            begun: Arc::new(EarlyRequests::default()),
         };
         tasks.spawn(connection.run(stream, slot));
     }
@@ -184,7 +201,9 @@
     config: ServeConfig,
     control: ServeControl,
     early: EarlyFn,
-    begun: EarlyRequests,
+    /// Renewals that were asked for before this connection was opened.
+    opened_after: u64,
+    begun: Arc<EarlyRequests>,
 }
 
 impl Connection {
@@ -267,12 +286,14 @@
         }
         let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
         let begun = turn.begun.map(Awaited);
+        let (opened_after, waiting) = (self.opened_after, Arc::clone(&self.begun));
         async move {
             let mut response = match begun {
                 Some(mut begun) => early_answer(&mut begun).await,
                 None => endpoint.get_response(request).await,
             };
-            if control.is_closing() && version < Version::HTTP_2 {
+            let renewed = control.renewals() > opened_after && !waiting.any();
+            if (control.is_closing() || renewed) && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             drop((in_flight, busy));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,11 @@
 //! Pure decisions, which every entry makes by itself from what it knows of the others.
 
 mod order;
+mod readers;
+mod share;
 mod sight;
 
-pub use order::{Candidate, active_count, fleet_order, owner};
+pub use order::{Candidate, active_count, fleet_order};
+pub use readers::choose_readers;
+pub use share::share_targets;
 pub use sight::PlatformSight;
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,20 +1,26 @@
-//! The order of entries: whom callers are sent to, and who reads the platform for all.
+//! The order of entries, and how many of them callers are sent to.
 
-use shallotfork_types::{PerSecond, TargetId, VmId, rendezvous_weight};
+use shallotfork_types::{PerSecond, VmId, rendezvous_weight};
 
 /// Names the ranking; every entry must compute the same one.
 const RANKING: &str = "callers";
-/// Targets that one entry serves. A pool of this size loses little against one of all targets, and
-/// the requests for it take a third of a processor at the users' largest VMs.
-const TARGETS_PER_ENTRY: usize = 150;
+/// Requests a second that a target brings to its entry; the users' targets get 2.4 to 4.5 on quiet
+/// days, and bursts bring up to twice as many.
+const REQUESTS_PER_TARGET: u64 = 5;
+/// Part of that load which is enough to go without weaker entries, as a divisor. Callers choose
+/// among the named entries with equal chances, so that the weakest of them decides how much all of
+/// them carry: two strong entries with half of the processor to spare beat two strong and ten weak
+/// ones.
+const ENOUGH_DIVISOR: u64 = 2;
+/// Entries that callers are sent to at most; the platform's callers read no more addresses in an
+/// answer.
+const ACTIVE_MAX: usize = 64;
 
 /// A live entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
     /// Its name.
     pub vm: VmId,
-    /// Whether it says that it can't read the platform.
-    pub blind: bool,
     /// Requests that it could carry.
     pub strength: PerSecond,
 }
@@ -22,27 +28,33 @@
 /// Orders live entries, best first. Entries that know the same candidates agree on the order
 /// without a message.
 ///
-/// One that can't read the platform does not learn which targets leave, so that it comes last. A
-/// small VM takes its turn only when no larger one is left.
+/// A small VM takes its turn only when no larger one is left. Whether an entry can read the platform
+/// does not matter here: it learns of changes from those who can. Were entries that can't read put
+/// last, a platform that is away would send callers from each entry to the next until the whole
+/// fleet has found out, and leave them at the weakest ones.
 pub fn fleet_order(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     candidates.sort_by_cached_key(|candidate| {
         let weight = rendezvous_weight(RANKING, candidate.vm.as_str());
-        (candidate.blind, std::cmp::Reverse((candidate.strength, weight)))
+        std::cmp::Reverse((candidate.strength, weight))
     });
     candidates
 }
 
-/// How many entries callers are sent to: one, as long as it can carry everything, since one that
-/// sees all requests fills the slots best.
-pub fn active_count(targets: usize, entries: usize) -> usize {
-    targets.div_ceil(TARGETS_PER_ENTRY).clamp(1, entries.max(1))
-}
-
-/// Which of the active entries sends requests to a target.
+/// How many entries callers are sent to, of those in the order of [`fleet_order`].
 ///
-/// Each target belongs to one entry, which so knows all of its load without a message between
-/// entries. While two entries disagree about who is active, some targets have two owners for a
-/// moment; their own reports then tell of each other's requests.
-pub fn owner<'a>(target: &TargetId, active: &'a [VmId]) -> Option<&'a VmId> {
-    active.iter().max_by_key(|entry| rendezvous_weight(entry.as_str(), target.as_str()))
+/// As few as can carry everything, since a process that sees all requests of a target fills its
+/// slots best. Without a bound by strength, the stop of the strong entries of a fleet sends a third
+/// of all callers to a VM of a fifth of their processor and a twentieth of their link.
+pub fn active_count(targets: usize, order: &[Candidate]) -> usize {
+    let named = order.iter().take(ACTIVE_MAX);
+    let strengths: Vec<u64> = named.map(|entry| entry.strength.value().into()).collect();
+    let wanted = targets as u64 * REQUESTS_PER_TARGET;
+    let carried = |count: &usize| *count as u64 * strengths[*count - 1];
+    let fewest = (1..=strengths.len()).find(|count| carried(count) >= wanted / ENOUGH_DIVISOR);
+    let Some(fewest) = fewest else {
+        return (1..=strengths.len()).max_by_key(carried).unwrap_or(1);
+    };
+    let alike = strengths[fewest - 1] / 2;
+    let alike = strengths.iter().take_while(|strength| **strength >= alike).count();
+    (fewest..=alike).find(|count| carried(count) >= wanted).unwrap_or(alike)
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use shallotfork_balance::SlotPoolConfig;
 use shallotfork_events::slog::Logger;
-use shallotfork_exchange::{BodyBudget, TargetLinks};
+use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
@@ -41,6 +41,8 @@
     pub published: ArcSwap<Published>,
     /// Which entries live.
     pub fleet: ArcSwap<Fleet>,
+    /// The callers' port.
+    pub callers: ServeControl,
     /// Connections to targets.
     pub links: TargetLinks,
     /// Bytes of bodies held.
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -33,7 +33,7 @@
 /// Heartbeats between two to the seeds and to an entry chosen at random, by which parts of a fleet
 /// that were cut from each other find together again.
 const OUTREACH_EVERY: u32 = 7;
-/// Entries at the head of the ranking whose places are compared in each heartbeat.
+/// Entries at the head of the ranking whose places are compared in each heartbeat, at least.
 const AGREED: usize = 3;
 /// Heartbeats after the start that all go to the seeds too. After a loss of all entries each one
 /// knows only itself, and names itself to callers, until it has found the others.
@@ -86,7 +86,8 @@
 
 /// How many periods lie between two heartbeats of this entry.
 fn periods(state: &State) -> u32 {
-    if is_reader(state) {
+    let own = &state.context.settings.vm;
+    if is_reader(state) || state.active.borrow().contains(own) {
         return 1;
     }
     let entries = state.view.borrow().entries().len();
@@ -215,7 +216,11 @@
         round: beat.round,
     };
     state.view.borrow_mut().heard(&about, now);
-    note(&mut state.starting.borrow_mut(), &peer.vm, beat.state == PeerState::Starting);
+    if beat.state == PeerState::Starting {
+        state.starting.borrow_mut().insert(peer.vm.clone(), now);
+    } else {
+        state.starting.borrow_mut().remove(&peer.vm);
+    }
     note(&mut state.blind.borrow_mut(), &peer.vm, beat.platform_lost);
     note_source(state, peer, beat);
     for news in &beat.news {
@@ -229,10 +234,11 @@
     }
 }
 
-/// The first entries of the ranking, on which all have to agree.
+/// The first entries of the ranking, on which all have to agree: those that callers are sent to,
+/// and those that read the platform.
 fn first_entries(state: &State) -> Vec<EntryVm> {
-    let mut first = readers(state);
-    first.truncate(AGREED);
+    let mut first = ranked(state);
+    first.truncate(AGREED.max(state.active.borrow().len()));
     first
 }
 
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use shallotfork_events::{ACTIVE_CHANGED, ENTRY_CHANGED, event};
 use shallotfork_membership::{EntryState, EntryVm};
@@ -11,22 +12,28 @@
 use crate::control::publish::publish;
 use crate::control::state::State;
 use crate::snapshot::Fleet;
-use shallotfork_fleet::{Candidate, active_count, fleet_order};
+use shallotfork_fleet::{Candidate, active_count, choose_readers, fleet_order};
 
-/// Entries that read the platform. Three of them lose no time when one or two are lost; each costs
-/// a call for every change.
-const READERS: usize = 3;
+/// How long the word of an entry counts that it knows no routes yet. It takes it back to those whom
+/// it calls, not to all that have heard it; without an end, some of these would leave it out for
+/// ever and send callers to other entries than the rest of the fleet. A start takes a few tenths
+/// of a second.
+const STARTING_COUNTS: Duration = Duration::from_millis(1000);
 
 /// Live entries, best first; this process only once it can serve.
 pub fn ranked(state: &State) -> Vec<EntryVm> {
     let own = &state.context.settings.vm;
     let serves = state.synced.get() && !state.leaving.get();
+    let now = state.context.clock.now();
     let starting = state.starting.borrow();
+    let starts = |vm: &VmId| starting.get(vm).is_some_and(|at| now.since(*at) < STARTING_COUNTS);
     let mut entries = state.view.borrow().entries();
-    entries.retain(|entry| {
-        if entry.vm == *own { serves } else { is_live(entry) && !starting.contains(&entry.vm) }
-    });
-    in_order(state, &entries)
+    entries.retain(
+        |entry| {
+            if entry.vm == *own { serves } else { is_live(entry) && !starts(&entry.vm) }
+        },
+    );
+    in_order(&entries)
 }
 
 /// Entries that read the platform, for themselves and for all others. Unlike the ones that callers
@@ -35,9 +42,14 @@
     let own = &state.context.settings.vm;
     let mut entries = state.view.borrow().entries();
     entries.retain(|entry| if entry.vm == *own { !state.leaving.get() } else { is_live(entry) });
-    let mut order = in_order(state, &entries);
-    order.truncate(READERS);
-    order
+    let order = in_order(&entries);
+    let names: Vec<VmId> = order.iter().map(|entry| entry.vm.clone()).collect();
+    let mut blind = state.blind.borrow().clone();
+    if state.sight.borrow().is_blind() {
+        blind.insert(own.clone());
+    }
+    let chosen = choose_readers(&names, &blind);
+    order.into_iter().filter(|entry| chosen.contains(&entry.vm)).collect()
 }
 
 /// Whether this entry is one of them.
@@ -53,25 +65,22 @@
 /// callers to another entry than the rest.
 pub fn suspected_leaders(state: &State) -> Vec<EntryVm> {
     let entries = state.view.borrow().entries();
-    let leading = in_order(state, &entries).into_iter().take_while(|entry| !is_live(entry));
+    let leading = in_order(&entries).into_iter().take_while(|entry| !is_live(entry));
     leading.filter(|entry| entry.state == EntryState::Suspected).collect()
 }
 
-fn in_order(state: &State, entries: &[EntryVm]) -> Vec<EntryVm> {
-    let own = &state.context.settings.vm;
-    let blind = state.blind.borrow();
-    let own_blind = state.sight.borrow().is_blind();
-    let candidates = entries.iter().map(|entry| Candidate {
-        vm: entry.vm.clone(),
-        strength: entry.strength,
-        blind: if entry.vm == *own { own_blind } else { blind.contains(&entry.vm) },
-    });
-    let order = fleet_order(candidates.collect());
+fn in_order(entries: &[EntryVm]) -> Vec<EntryVm> {
+    let order = fleet_order(candidates(entries));
     let mut by_name: BTreeMap<VmId, EntryVm> =
         entries.iter().map(|entry| (entry.vm.clone(), entry.clone())).collect();
     order.into_iter().filter_map(|candidate| by_name.remove(&candidate.vm)).collect()
 }
 
+fn candidates(entries: &[EntryVm]) -> Vec<Candidate> {
+    let candidate = |entry: &EntryVm| Candidate { vm: entry.vm.clone(), strength: entry.strength };
+    entries.iter().map(candidate).collect()
+}
+
 /// Publishes the order of entries for the directory.
 pub fn name_entries(state: &State) {
     log_beliefs(state);
@@ -80,17 +89,20 @@
     state.known.set(state.known.get().max(live));
     let own = &state.context.settings.vm;
     let targets = state.context.published.load().targets.len();
-    let count = active_count(targets, live);
+    let count = active_count(targets, &candidates(&order));
     let leaders: Vec<VmId> = order.iter().take(count).map(|entry| entry.vm.clone()).collect();
     let active = leaders.is_empty() || leaders.contains(own);
-    let changed = state.active.replace(leaders.clone()) != leaders;
-    let order: Vec<Endpoint> = order.into_iter().map(|entry| entry.callers).collect();
-    let named = order.first().copied();
-    if state.named.replace(named) != named {
-        let entry = named.map_or_else(|| "none".to_owned(), |entry| entry.to_string());
-        event!(state.context.log, ACTIVE_CHANGED, "entry" => entry, "live" => live,
+    let before = state.active.replace(leaders.clone());
+    let changed = before != leaders;
+    if changed && before.contains(own) && leaders.contains(own) && leaders.len() > 1 {
+        spread_callers(state);
+    }
+    if changed {
+        let names: Vec<&str> = leaders.iter().map(VmId::as_str).collect();
+        event!(state.context.log, ACTIVE_CHANGED, "entries" => names.join(","), "live" => live,
             "known" => state.known.get());
     }
+    let order: Vec<Endpoint> = order.into_iter().map(|entry| entry.callers).collect();
     let fleet = Fleet { order, active, active_count: count, live, known: state.known.get() };
     state.context.fleet.store(Arc::new(fleet));
     if changed {
@@ -98,6 +110,16 @@
     }
 }
 
+/// Has callers choose anew once they know the entries that are named now.
+fn spread_callers(state: &State) {
+    let keep = state.context.settings.answer_keep;
+    let callers = state.context.callers.clone();
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(keep).await;
+        callers.renew_connections();
+    });
+}
+
 fn log_beliefs(state: &State) {
     let entries = state.view.borrow().entries();
     let mut logged = state.logged.borrow_mut();
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -13,7 +13,7 @@
 use crate::control::state::State;
 use crate::snapshot::Published;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
-use shallotfork_fleet::owner;
+use shallotfork_fleet::share_targets;
 
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
@@ -87,7 +87,8 @@
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
-    let by_service = by_service(&targets, &Owners::new(state));
+    let own = &context.settings.vm;
+    let by_service = by_service(&targets, &state.active.borrow(), own);
     let published = Published {
         table: state.in_force.borrow().table().cloned(),
         targets: Arc::new(targets),
@@ -106,42 +107,39 @@
     published.targets.values().any(|entry| entry.service == *service)
 }
 
-/// Which targets this entry sends requests to.
-struct Owners {
-    own: VmId,
-    active: Vec<VmId>,
-}
-
-impl Owners {
-    fn new(state: &State) -> Self {
-        Self { own: state.context.settings.vm.clone(), active: state.active.borrow().clone() }
-    }
-
-    /// An entry that callers are not sent to serves those who come with old answers, at any
-    /// target.
-    fn may_use(&self, target: &TargetId) -> bool {
-        let active = self.active.contains(&self.own);
-        !active || owner(target, &self.active).is_none_or(|owner| *owner == self.own)
-    }
-}
-
+/// The targets that this entry sends requests to, by service.
 fn by_service(
     targets: &HashMap<TargetId, TargetEntry>,
-    owners: &Owners,
+    active: &[VmId],
+    own: &VmId,
 ) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
     for (id, entry) in targets {
-        let targets = by_service.entry(entry.service.clone()).or_default();
-        if !owners.may_use(id) {
-            continue;
-        }
-        targets.push(SlotTarget {
-            id: id.clone(),
-            failure_domain: entry.failure_domain.clone(),
-            slots: entry.slots,
-            serving: entry.availability == Availability::Serving,
-            cold_for: entry.cold_for,
-        });
+        by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
+    }
+    // An entry that callers are not sent to serves those who come with old answers, at any target.
+    if active.contains(own) {
+        by_service.values_mut().for_each(|targets| keep_own(targets, active, own));
     }
     by_service
 }
+
+/// Leaves this entry's share of a service's targets; all of them if there are too few to share.
+fn keep_own(targets: &mut Vec<SlotTarget>, active: &[VmId], own: &VmId) {
+    let serving = targets.iter().filter(|target| target.serving).map(|target| target.id.clone());
+    let serving: Vec<TargetId> = serving.collect();
+    let owners = share_targets(&serving, active);
+    if owners.values().any(|owner| owner == own) {
+        targets.retain(|target| owners.get(&target.id).is_none_or(|owner| owner == own));
+    }
+}
+
+fn slot_target(id: &TargetId, entry: &TargetEntry) -> SlotTarget {
+    SlotTarget {
+        id: id.clone(),
+        failure_domain: entry.failure_domain.clone(),
+        slots: entry.slots,
+        serving: entry.availability == Availability::Serving,
+        cold_for: entry.cold_for,
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,7 +1,7 @@
 //! State of the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use shallotfork_membership::{Announcement, EntryVm, ListedVm, View};
@@ -48,8 +48,8 @@
     pub seeds: RefCell<Vec<Endpoint>>,
     /// Entries that rank the first ones in another way.
     pub differing: RefCell<BTreeSet<Endpoint>>,
-    /// Entries that say that they know no routes yet.
-    pub starting: RefCell<BTreeSet<VmId>>,
+    /// Entries that said that they know no routes yet, and when they said it last.
+    pub starting: RefCell<BTreeMap<VmId, Mono>>,
     /// Whether a planned stop is under way.
     pub leaving: Cell<bool>,
     /// Whether routes and targets have been read once.
@@ -58,8 +58,6 @@
     pub known: Cell<usize>,
     /// Beliefs that were last logged.
     pub logged: RefCell<Vec<EntryVm>>,
-    /// The entry that callers were last told to use.
-    pub named: Cell<Option<Endpoint>>,
 }
 
 impl State {
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -1,7 +1,7 @@
 //! Starts the control thread and runs its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -176,12 +176,11 @@
         blind: RefCell::new(BTreeSet::new()),
         seeds: RefCell::new(context.settings.seeds.clone()),
         differing: RefCell::new(BTreeSet::new()),
-        starting: RefCell::new(BTreeSet::new()),
+        starting: RefCell::new(BTreeMap::new()),
         leaving: Cell::new(false),
         synced: Cell::new(false),
         known: Cell::new(1),
         logged: RefCell::new(Vec::new()),
-        named: Cell::new(None),
         context,
     }
 }
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallotfork_exchange::ServeControl;
 use shallotfork_lifecycle::{Leaving, Process};
 
 use crate::context::Context;
@@ -24,12 +23,8 @@
 /// 1. Other entries are told, and no answer of the directory names this one any more.
 /// 2. Callers who keep an old answer are served; each answer asks them to close.
 /// 3. The port closes; what is in flight ends.
-pub async fn leave(
-    context: &Arc<Context>,
-    control: &ControlHandle,
-    process: Process<Leaving>,
-    callers: &ServeControl,
-) {
+pub async fn leave(context: &Arc<Context>, control: &ControlHandle, process: Process<Leaving>) {
+    let callers = &context.callers;
     let began = context.clock.now();
     callers.announce_close();
     let _slow = tokio::time::timeout(TELL_MAX, control.leave()).await;
