feat(fleet): failure domains take turns in the order; targets go to an entry nearby first

Ruled out: leaving it to the choice among own targets, of which only a third stand nearby. Change: fleet_order alternates failure domains among equally strong entries; share_targets deals near targets first, still as many to each entry.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use order::{Candidate, active_count, fleet_order};
 pub use readers::choose_readers;
-pub use share::share_targets;
+pub use share::{ActiveEntry, SharedTarget, share_targets};
 pub use sight::PlatformSight;
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,6 +1,9 @@
 //! The order of entries, and how many of them callers are sent to.
 
-use shallotfork_types::{PerSecond, VmId, rendezvous_weight};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use shallotfork_types::{FailureDomain, PerSecond, VmId, rendezvous_weight};
 
 /// Names the ranking; every entry must compute the same one.
 const RANKING: &str = "callers";
@@ -21,6 +24,8 @@
 pub struct Candidate {
     /// Its name.
     pub vm: VmId,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
     /// Requests that it could carry.
     pub strength: PerSecond,
 }
@@ -28,14 +33,23 @@
 /// Orders live entries, best first. Entries that know the same candidates agree on the order
 /// without a message.
 ///
-/// A small VM takes its turn only when no larger one is left. Whether an entry can read the platform
-/// does not matter here: it learns of changes from those who can. Were entries that can't read put
-/// last, a platform that is away would send callers from each entry to the next until the whole
-/// fleet has found out, and leave them at the weakest ones.
+/// A small VM takes its turn only when no larger one is left. Among equally strong ones failure
+/// domains take turns, so that those who are named first stand in as many of them as possible and
+/// have targets nearby. Whether an entry can read the platform does not matter here: it learns of
+/// changes from those who can. Were entries that can't read put last, a platform that is away would
+/// send callers from each entry to the next until the whole fleet has found out, and leave them at
+/// the weakest ones.
 pub fn fleet_order(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     candidates.sort_by_cached_key(|candidate| {
         let weight = rendezvous_weight(RANKING, candidate.vm.as_str());
-        std::cmp::Reverse((candidate.strength, weight))
+        Reverse((candidate.strength, weight))
+    });
+    let mut seen: BTreeMap<(PerSecond, FailureDomain), usize> = BTreeMap::new();
+    candidates.sort_by_cached_key(|candidate| {
+        let alike = (candidate.strength, candidate.failure_domain.clone());
+        let place = seen.entry(alike).or_default();
+        *place += 1;
+        (Reverse(candidate.strength), *place)
     });
     candidates
 }
--- a/crates/fleet/tests/order.rs
+++ b/crates/fleet/tests/order.rs
@@ -2,16 +2,19 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+use std::collections::BTreeSet;
+
 use quickcheck::QuickCheck;
 use shallotfork_fleet::{Candidate, active_count, fleet_order};
-use shallotfork_types::{PerSecond, VmId};
+use shallotfork_types::{FailureDomain, PerSecond, VmId};
 
 fn vm(number: usize) -> VmId {
     VmId::new(&format!("vm-{number}")).unwrap()
 }
 
 fn candidate(number: usize, strength: u32) -> Candidate {
-    Candidate { vm: vm(number), strength: PerSecond::new(strength) }
+    let failure_domain = FailureDomain::new(&format!("hall-{}", number % 3)).unwrap();
+    Candidate { vm: vm(number), failure_domain, strength: PerSecond::new(strength) }
 }
 
 /// Entries agree on the order whatever the order in which they heard of each other.
@@ -36,6 +39,18 @@
     assert_eq!(order.first().map(|candidate| candidate.vm.as_str()), Some("vm-2"));
 }
 
+/// Six strong VMs stood in three halls, and two of the three that were named in one of them: half
+/// of all requests crossed to another hall.
+#[test]
+fn failure_domains_take_turns_among_equally_strong_entries() {
+    let order = fleet(&[(6, 833), (30, 104)]);
+    for halls in [&order[..3], &order[3..6], &order[6..9]] {
+        let halls: BTreeSet<&FailureDomain> =
+            halls.iter().map(|candidate| &candidate.failure_domain).collect();
+        assert_eq!(halls.len(), 3, "{halls:?}");
+    }
+}
+
 fn fleet(strengths: &[(usize, u32)]) -> Vec<Candidate> {
     let all = strengths.iter().flat_map(|(count, strength)| vec![*strength; *count]);
     fleet_order(all.enumerate().map(|(number, strength)| candidate(number, strength)).collect())
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -12,7 +12,7 @@
 use crate::control::publish::publish;
 use crate::control::state::State;
 use crate::snapshot::Fleet;
-use shallotfork_fleet::{Candidate, active_count, choose_readers, fleet_order};
+use shallotfork_fleet::{ActiveEntry, Candidate, active_count, choose_readers, fleet_order};
 
 /// How long the word of an entry counts that it knows no routes yet. It takes it back to those whom
 /// it calls, not to all that have heard it; without an end, some of these would leave it out for
@@ -77,7 +77,11 @@
 }
 
 fn candidates(entries: &[EntryVm]) -> Vec<Candidate> {
-    let candidate = |entry: &EntryVm| Candidate { vm: entry.vm.clone(), strength: entry.strength };
+    let candidate = |entry: &EntryVm| Candidate {
+        vm: entry.vm.clone(),
+        failure_domain: entry.failure_domain.clone(),
+        strength: entry.strength,
+    };
     entries.iter().map(candidate).collect()
 }
 
@@ -90,15 +94,15 @@
     let own = &state.context.settings.vm;
     let targets = state.context.published.load().targets.len();
     let count = active_count(targets, &candidates(&order));
-    let leaders: Vec<VmId> = order.iter().take(count).map(|entry| entry.vm.clone()).collect();
-    let active = leaders.is_empty() || leaders.contains(own);
+    let leaders: Vec<ActiveEntry> = order.iter().take(count).map(active_entry).collect();
+    let active = leaders.is_empty() || names(&leaders, own);
     let before = state.active.replace(leaders.clone());
     let changed = before != leaders;
-    if changed && before.contains(own) && leaders.contains(own) && leaders.len() > 1 {
+    if changed && names(&before, own) && names(&leaders, own) && leaders.len() > 1 {
         spread_callers(state);
     }
     if changed {
-        let names: Vec<&str> = leaders.iter().map(VmId::as_str).collect();
+        let names: Vec<&str> = leaders.iter().map(|entry| entry.vm.as_str()).collect();
         event!(state.context.log, ACTIVE_CHANGED, "entries" => names.join(","), "live" => live,
             "known" => state.known.get());
     }
@@ -110,6 +114,15 @@
     }
 }
 
+fn active_entry(entry: &EntryVm) -> ActiveEntry {
+    ActiveEntry { vm: entry.vm.clone(), failure_domain: entry.failure_domain.clone() }
+}
+
+/// Whether callers are sent to an entry, as far as these are the ones that they are sent to.
+pub fn names(active: &[ActiveEntry], vm: &VmId) -> bool {
+    active.iter().any(|entry| entry.vm == *vm)
+}
+
 /// Has callers choose anew once they know the entries that are named now.
 fn spread_callers(state: &State) {
     let keep = state.context.settings.answer_keep;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -9,11 +9,12 @@
 use shallotfork_routes::{Offer, RouteTable};
 use shallotfork_types::{Revision, ServiceName, TargetId, VmId};
 
+use crate::control::naming::names;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
 use crate::snapshot::Published;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
-use shallotfork_fleet::share_targets;
+use shallotfork_fleet::{ActiveEntry, SharedTarget, share_targets};
 
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
@@ -110,7 +111,7 @@
 /// The targets that this entry sends requests to, by service.
 fn by_service(
     targets: &HashMap<TargetId, TargetEntry>,
-    active: &[VmId],
+    active: &[ActiveEntry],
     own: &VmId,
 ) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
@@ -118,17 +119,20 @@
         by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
     }
     // An entry that callers are not sent to serves those who come with old answers, at any target.
-    if active.contains(own) {
+    if names(active, own) {
         by_service.values_mut().for_each(|targets| keep_own(targets, active, own));
     }
     by_service
 }
 
 /// Leaves this entry's share of a service's targets; all of them if there are too few to share.
-fn keep_own(targets: &mut Vec<SlotTarget>, active: &[VmId], own: &VmId) {
-    let serving = targets.iter().filter(|target| target.serving).map(|target| target.id.clone());
-    let serving: Vec<TargetId> = serving.collect();
-    let owners = share_targets(&serving, active);
+fn keep_own(targets: &mut Vec<SlotTarget>, active: &[ActiveEntry], own: &VmId) {
+    let serving = targets.iter().filter(|target| target.serving);
+    let shared = serving.map(|target| SharedTarget {
+        id: target.id.clone(),
+        failure_domain: target.failure_domain.clone(),
+    });
+    let owners = share_targets(shared.collect(), active);
     if owners.values().any(|owner| owner == own) {
         targets.retain(|target| owners.get(&target.id).is_none_or(|owner| owner == own));
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -14,7 +14,7 @@
 use crate::control::peers::Peers;
 use shallotfork_feed::Archive;
 use shallotfork_feed::Feed;
-use shallotfork_fleet::PlatformSight;
+use shallotfork_fleet::{ActiveEntry, PlatformSight};
 
 /// All state that only the control thread touches.
 ///
@@ -41,7 +41,7 @@
     /// Since when the platform has counted as away; `None` while it does not.
     pub away_since: Cell<Option<Mono>>,
     /// Entries that callers are sent to.
-    pub active: RefCell<Vec<VmId>>,
+    pub active: RefCell<Vec<ActiveEntry>>,
     /// Entries that say that they can't read the platform.
     pub blind: RefCell<BTreeSet<VmId>>,
     /// Where other entries may be found.
