fix(balance): a spread of deadlines is not time waited; no slow slots while many wait

After a loss of all entries fresh requests waited behind late ones for seven seconds; late ones took slots in slow phases when their wait ended, and held them five times as long. Ruled out: processor time (targets' answers came after 200 to 270 ms all the while), too few slots. Change: Patience tells first deadlines by their median; a slow slot is used at the end of a wait only while no more requests wait than slots are free.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,6 +10,7 @@
 mod group;
 mod latency;
 mod limit;
+mod patience;
 mod policy;
 mod pool;
 mod pool_config;
@@ -25,6 +26,7 @@
 };
 pub use ask::{Ask, Priority};
 pub use group::{GroupEntry, GroupSize, ServiceGroup};
+pub use patience::Patience;
 pub use policy::{Policy, UnknownPolicy};
 pub use pool::Pool;
 pub use pool_config::PoolConfig;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -295,6 +295,14 @@
         self.wait_for_slots((ahead + 1).saturating_sub(free))
     }
 
+    /// Free slots at targets that look sound, slow ones included.
+    pub(super) fn free_slots(&self, now: Mono) -> usize {
+        let good =
+            |target: &&Target| !target.is_ejected(now) && !target.is_overdue(now, &self.config);
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        serving.filter(good).map(|target| target.free_slots(now) as usize).sum()
+    }
+
     fn wait_for_slots(&self, count: usize) -> Duration {
         let serving = self.targets.values().filter(|target| target.published.serving);
         let slots: u32 = serving.map(|target| target.published.slots).sum();
@@ -335,9 +343,13 @@
         Some(Assignment { attempt, target: id })
     }
 
-    /// For a request that has waited long enough: a slow slot is better than none.
+    /// For a request that has waited long enough: a slow slot is better than none, unless more
+    /// requests wait than slots are free. Then each slot that is used in a slow phase, for five
+    /// times as long, keeps several of them waiting until they are late too.
     fn assign_any_or_shed(&mut self, ask: &SlotAsk, now: Mono) -> Admission {
-        match self.assign(ask, Choice::Any, now) {
+        let choice =
+            if self.queue.len() <= self.free_slots(now) { Choice::Any } else { Choice::Quick };
+        match self.assign(ask, choice, now) {
             Some(assignment) => Admission::Send(assignment),
             None => Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now)),
         }
--- a/crates/balance/src/slots/summary.rs
+++ b/crates/balance/src/slots/summary.rs
@@ -23,7 +23,7 @@
     /// Targets whose slots are all taken.
     pub full: usize,
     /// Free slots at all other targets.
-    pub free_slots: u32,
+    pub free_slots: usize,
     /// Mean of the paces that targets tell; 1 is the usual one.
     pub mean_pace: f64,
     /// Mean time of a request at a target of usual speed and pace.
@@ -36,8 +36,6 @@
         let serving: Vec<&Target> =
             self.targets.values().filter(|target| target.published.serving).collect();
         let count = |is: &dyn Fn(&Target) -> bool| serving.iter().filter(|t| is(t)).count();
-        let usable =
-            |target: &&&Target| !target.is_ejected(now) && !target.is_overdue(now, &self.config);
         SlotSummary {
             queued: self.queue.len(),
             running: self.attempts.len(),
@@ -45,7 +43,7 @@
             ejected: count(&|target| target.is_ejected(now)),
             overdue: count(&|target| target.is_overdue(now, &self.config)),
             full: count(&|target| target.free_slots(now) == 0),
-            free_slots: serving.iter().filter(usable).map(|target| target.free_slots(now)).sum(),
+            free_slots: self.free_slots(now),
             mean_pace: self.learnt.mean_pace(),
             usual_time: Duration::from_micros(self.learnt.usual_us() as u64),
         }
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use shallotfork_balance::{
-    Admission, Assignment, LoadFigures, Pace, Resolution, Shed, SlotAsk, SlotOutcome, SlotPool,
-    SlotPoolConfig, SlotTarget, Ticket, Woken, WorkClass,
+    Admission, Assignment, LoadFigures, Pace, Patience, Resolution, Shed, SlotAsk, SlotOutcome,
+    SlotPool, SlotPoolConfig, SlotTarget, Ticket, Woken, WorkClass,
 };
 use shallotfork_types::{FailureDomain, Mono, TargetId};
 
@@ -26,6 +26,8 @@
 const CROWDING: f64 = 1.7;
 const CHECKS_MAX: u32 = 4;
 const RETRIES: u32 = 2;
+/// As in the entry: less is the time on the way.
+const RETURNING_AFTER: Duration = Duration::from_millis(50);
 
 /// A deterministic sequence of numbers from 0 to 1.
 #[derive(Debug)]
@@ -50,7 +52,12 @@
     pub targets: usize,
     pub work_ms: f64,
     pub objective_ms: u64,
+    /// The longest deadline of a first attempt.
     pub deadline_ms: u64,
+    /// How much shorter others are, evenly.
+    pub deadline_spread_ms: u64,
+    /// The longest time that the route allows.
+    pub timeout_ms: u64,
     /// Requests a second.
     pub rate: f64,
 }
@@ -73,10 +80,14 @@
 #[derive(Debug, Clone, Copy)]
 struct Request {
     first_ms: u64,
+    /// When its caller gives up.
+    gives_up_ms: u64,
     came_ms: u64,
     retries: u32,
     checks: u32,
     tried_ms: f64,
+    /// How long its caller had waited before it came, as far as the entry can tell.
+    waited: Duration,
 }
 
 #[derive(Debug, Clone)]
@@ -85,6 +96,7 @@
     Checked(Request, Assignment),
     Ends(Request, Assignment),
     Reports(TargetId),
+    ForeignEnds(TargetId),
     Look,
 }
 
@@ -92,6 +104,7 @@
 pub struct Simulation {
     load: Load,
     pool: SlotPool,
+    patience: Patience,
     numbers: Numbers,
     now_ms: u64,
     events: BTreeMap<(u64, u64), Event>,
@@ -118,6 +131,7 @@
         let mut simulation = Self {
             load,
             pool,
+            patience: Patience::new(Duration::from_millis(load.deadline_ms)),
             numbers: Numbers::new(seed),
             now_ms: 0,
             events: BTreeMap::new(),
@@ -148,9 +162,28 @@
         (0..count).for_each(|_| self.arrives(at_ms));
     }
 
+    /// Fills all targets with requests of other processes, which end one after the other until the
+    /// given time.
+    pub fn foreign_requests(&mut self, until_ms: u64) {
+        for number in 0..self.load.targets * 2 {
+            let target = TargetId::new(&format!("target-{}", number / 2)).unwrap();
+            *self.running.entry(target.clone()).or_default() += 1;
+            let ends_ms = (self.numbers.next() * until_ms as f64) as u64;
+            self.plan(ends_ms, Event::ForeignEnds(target));
+        }
+    }
+
     fn arrives(&mut self, at_ms: u64) {
-        let request =
-            Request { first_ms: at_ms, came_ms: at_ms, retries: 0, checks: 0, tried_ms: 0.0 };
+        let spread_ms = (self.numbers.next() * self.load.deadline_spread_ms as f64) as u64;
+        let request = Request {
+            first_ms: at_ms,
+            gives_up_ms: at_ms + self.load.deadline_ms - spread_ms,
+            came_ms: at_ms,
+            retries: 0,
+            checks: 0,
+            tried_ms: 0.0,
+            waited: Duration::ZERO,
+        };
         self.seconds.entry(at_ms / 1000).or_default().asked += 1;
         self.plan(at_ms, Event::Arrives(request));
     }
@@ -176,7 +209,11 @@
 
     fn take(&mut self, event: Event) {
         match event {
-            Event::Arrives(request) => self.ask(request),
+            Event::Arrives(request) => {
+                let deadline = Duration::from_millis(request.gives_up_ms - request.came_ms);
+                let waited = self.patience.waited(deadline);
+                self.ask(Request { waited, ..request });
+            }
             Event::Checked(request, assignment) => self.checked(request, assignment),
             Event::Ends(request, assignment) => self.ends(request, &assignment),
             Event::Reports(target) => {
@@ -184,16 +221,18 @@
                 let woken = self.pool.report(&target, figures, self.now());
                 self.deliver(woken);
             }
+            Event::ForeignEnds(target) => *self.running.get_mut(&target).unwrap() -= 1,
             Event::Look => self.look(),
         }
     }
 
     fn slot_ask(&self, request: &Request) -> SlotAsk {
         let at = Mono::from_millis;
-        let objective = request.first_ms + self.load.objective_ms;
-        let deadline = request.first_ms + self.load.deadline_ms;
-        SlotAsk::new(WorkClass::new("reads"), at(request.came_ms), at(objective), at(deadline))
-            .with_returning(request.retries > 0)
+        let objective = Duration::from_millis(self.load.objective_ms);
+        let objective = at(request.came_ms).plus(objective.saturating_sub(request.waited));
+        let deadline = request.gives_up_ms.min(request.came_ms + self.load.timeout_ms);
+        SlotAsk::new(WorkClass::new("reads"), at(request.came_ms), objective, at(deadline))
+            .with_returning(request.waited > RETURNING_AFTER)
     }
 
     fn ask(&mut self, request: Request) {
@@ -252,7 +291,7 @@
         let second = self.seconds.entry(request.first_ms / 1000).or_default();
         match took_ms {
             took if took <= self.load.objective_ms => second.in_time += 1,
-            took if took <= self.load.deadline_ms => second.late += 1,
+            took if took <= request.gives_up_ms - request.first_ms => second.late += 1,
             _ => second.given_up += 1,
         }
         self.deliver(woken);
@@ -260,7 +299,7 @@
 
     /// A refused caller comes back as told, within a third of the time that it has left.
     fn refused(&mut self, request: Request, shed: Shed) {
-        let left_ms = (request.first_ms + self.load.deadline_ms).saturating_sub(self.now_ms);
+        let left_ms = request.gives_up_ms.saturating_sub(self.now_ms);
         if request.retries == RETRIES || left_ms == 0 {
             self.seconds.entry(request.first_ms / 1000).or_default().given_up += 1;
             return;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use shallotfork_balance::SlotPoolConfig;
+use shallotfork_balance::{Patience, SlotPoolConfig};
 use shallotfork_events::slog::Logger;
 use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
@@ -51,8 +51,8 @@
     pub services: Services,
     /// Shares of services within a route.
     pub splitter: Mutex<Splitter>,
-    /// Longest deadline seen on each route.
-    pub patience: Patience,
+    /// Deadlines seen on each route.
+    pub deadlines: Deadlines,
     /// Usual size of each route's answers.
     pub answer_sizes: AnswerSizes,
     /// Bounds the lines about requests that went well.
@@ -106,22 +106,18 @@
     }
 }
 
-/// The longest deadline that callers of each route have sent.
-///
-/// Callers of one kind all start with the same patience. One that arrives with less has been
-/// refused before and has come back; that much of its time is gone already.
+/// What is known of the deadlines that callers of each route send.
 #[derive(Debug, Default)]
-pub struct Patience {
-    longest: Mutex<HashMap<RouteName, Duration>>,
+pub struct Deadlines {
+    by_route: Mutex<HashMap<RouteName, Patience>>,
 }
 
-impl Patience {
-    /// How long a caller with this deadline has been waiting before it came here.
+impl Deadlines {
+    /// How long a caller with this deadline had waited before it came here, at least.
     pub fn waited(&self, route: &RouteName, deadline: Duration) -> Duration {
-        let mut longest = lock(&self.longest);
-        let known = longest.entry(route.clone()).or_insert(deadline);
-        *known = deadline.max(*known);
-        known.saturating_sub(deadline)
+        let mut by_route = lock(&self.by_route);
+        let known = by_route.entry(route.clone()).or_insert_with(|| Patience::new(deadline));
+        known.waited(deadline)
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,7 +21,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::context::{AnswerSizes, Context, Patience, Services};
+use crate::context::{AnswerSizes, Context, Deadlines, Services};
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
 use crate::follow_settings::follow_settings;
@@ -93,7 +93,7 @@
         bodies,
         services: Services::default(),
         splitter: Mutex::new(Splitter::new()),
-        patience: Patience::default(),
+        deadlines: Deadlines::default(),
         answer_sizes: AnswerSizes::default(),
         lines: LineBudget::new(REQUEST_LINES),
     });
--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -50,7 +50,7 @@
         arrived: Mono,
     ) -> Self {
         let patience = deadline_of(&context, &request.headers).unwrap_or(route.timeout);
-        let waited = context.patience.waited(&route.name, patience);
+        let waited = context.deadlines.waited(&route.name, patience);
         let objective = arrived.plus(route.latency_objective.saturating_sub(waited));
         let deadline = arrived.plus(patience.saturating_sub(WAY_BACK).min(route.timeout));
         let service = context.choose_service(&route);
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -29,7 +29,7 @@
     let label = service.to_string();
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
     gauge!("shallotfork_running", "service" => label.clone()).set(load.running as f64);
-    gauge!("shallotfork_free_slots", "service" => label).set(f64::from(load.free_slots));
+    gauge!("shallotfork_free_slots", "service" => label).set(load.free_slots as f64);
     if load.queued == 0 {
         return;
     }
