fix(gateway): a stopping entry answers what it cannot finish, before it ends

Cause: requests that came with an old answer in the second half of a stop could outlast it and were cut off; a request that is read and ends without an answer tells its caller nothing. Ruled out: shorter waits for everybody; requests that end in time would be refused for nothing.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of one process share.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -11,7 +11,7 @@
 use shallotfork_lifecycle::Phase;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
-use shallotfork_types::{Bytes, Incarnation, ServiceName};
+use shallotfork_types::{Bytes, Incarnation, Mono, ServiceName};
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
@@ -55,6 +55,8 @@
     pub deadlines: Deadlines,
     /// Usual size of each route's answers.
     pub answer_sizes: AnswerSizes,
+    /// When the last answer of a stopping process is due.
+    pub last_answer: OnceLock<Mono>,
     /// Bounds the lines about requests that went well.
     pub lines: LineBudget,
 }
@@ -76,6 +78,13 @@
         })
     }
 
+    /// Has every request answered by then, also one whose own deadline is later: the process ends
+    /// soon after, and would cut it off.
+    pub fn answer_by(&self, end: Mono) {
+        // A stop happens once.
+        let _first = self.last_answer.set(end);
+    }
+
     /// Whether callers are told to come here.
     pub fn is_serving(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -8,11 +8,15 @@
 use crate::context::Context;
 use crate::control::ControlHandle;
 
-/// Kept back from the grace, so that the process ends by itself before it is killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
 /// Part of the grace in which new connections are still taken: callers come for as long as they
-/// keep an old answer.
-const OPEN_PART: f64 = 0.6;
+/// keep an old answer. What comes in the last moment has the other half to be answered.
+const OPEN_PART: f64 = 0.48;
+/// Part of the grace after which requests that are still with a target are given up. The users
+/// count it as cut off if that happens before the last sixth.
+const ANSWER_PART: f64 = 0.85;
+/// Part of the grace after which the process ends, so that it is gone before it is killed, also on
+/// a busy VM of a tenth of a processor.
+const END_PART: f64 = 0.89;
 /// Time for other entries to hear of it; one that is cut off must not hold up the stop.
 const TELL_MAX: Duration = Duration::from_millis(500);
 /// How often to look whether anything is in flight.
@@ -21,18 +25,20 @@
 /// Stops the process without cutting off a request.
 ///
 /// 1. Other entries are told, and no answer of the directory names this one any more.
-/// 2. Callers who keep an old answer are served; each answer asks them to close.
+/// 2. Callers who keep an old answer are served; each answer asks them to close. What can't be
+///    served before the end is refused then, while there is time to say so.
 /// 3. The port closes; what is in flight ends.
 pub async fn leave(context: &Arc<Context>, control: &ControlHandle, process: Process<Leaving>) {
     let callers = &context.callers;
     let began = context.clock.now();
+    let grace = context.settings.grace;
+    context.answer_by(began.plus(grace.mul_f64(ANSWER_PART)));
     callers.announce_close();
     let _slow = tokio::time::timeout(TELL_MAX, control.leave()).await;
-    let grace = context.settings.grace.saturating_sub(GRACE_MARGIN);
-    let open = grace.mul_f64(OPEN_PART);
+    let (open, end) = (grace.mul_f64(OPEN_PART), grace.mul_f64(END_PART));
     tokio::time::sleep(open.saturating_sub(context.clock.now().since(began))).await;
     callers.stop();
-    while callers.in_flight() > 0 && context.clock.now().since(began) < grace {
+    while callers.in_flight() > 0 && context.clock.now().since(began) < end {
         tokio::time::sleep(LOOK).await;
     }
     // The last answers are on their way out of the process.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! Start-up and shutdown of the process.
 
 use std::net::TcpListener as StdListener;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -95,6 +95,7 @@
         splitter: Mutex::new(Splitter::new()),
         deadlines: Deadlines::default(),
         answer_sizes: AnswerSizes::default(),
+        last_answer: OnceLock::new(),
         lines: LineBudget::new(REQUEST_LINES),
     });
     let (control, commands) = ControlHandle::new();
