fix(balance): silence that a busy process only seems to hear counts against no target; one entry in each failure domain

And on grown rca three entries in four failure domains left a third of all bytes crossing. Change: unanswered() takes by how much the process was late, and ignores more than 8 ms; where one entry does not suffice, each failure domain with strong VMs has one.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -16,6 +16,9 @@
 /// Multiple of its usual time for which a request must still have time when its wait ends.
 const SERVICE_MARGIN: f64 = 1.2;
 
+/// Beyond this, what did not come in time may have come; a timer is a millisecond or two late.
+const OWN_LATENESS_MAX: Duration = Duration::from_millis(8);
+
 /// Which targets may be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Choice {
@@ -204,8 +207,15 @@
         }
     }
 
-    /// A target did not answer when it was asked for its pace.
-    pub fn unanswered(&mut self, id: &TargetId, now: Mono) {
+    /// A target did not answer when it was asked for its pace. This process noticed later than it
+    /// wanted to, by `late_by`.
+    ///
+    /// A process that is short of processor time finds no answer in time although all have come.
+    /// Right after a loss of all entries that left out a third of all sound targets.
+    pub fn unanswered(&mut self, id: &TargetId, late_by: Duration, now: Mono) {
+        if late_by > OWN_LATENESS_MAX {
+            return;
+        }
         if let Some(target) = self.targets.get_mut(id) {
             let change = target.unanswered(&self.config, now);
             self.beliefs.extend(change.map(|change| Belief { target: id.clone(), change }));
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -1,7 +1,7 @@
 //! The order of entries, and how many of them callers are sent to.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use shallotfork_types::{FailureDomain, PerSecond, VmId, rendezvous_weight};
 
@@ -57,7 +57,8 @@
 /// How many entries callers are sent to, of those in the order of [`fleet_order`].
 ///
 /// As few as can carry everything, since a process that sees all requests of a target fills its
-/// slots best. Without a bound by strength, the stop of the strong entries of a fleet sends a third
+/// slots best; but if one does not suffice, one in each failure domain that has strong ones, so that
+/// most requests cross to no other. Without a bound by strength, the stop of the strong entries of a fleet sends a third
 /// of all callers to a VM of a fifth of their processor and a twentieth of their link.
 pub fn active_count(targets: usize, order: &[Candidate]) -> usize {
     let named = order.iter().take(ACTIVE_MAX);
@@ -70,5 +71,10 @@
     };
     let alike = strengths[fewest - 1] / 2;
     let alike = strengths.iter().take_while(|strength| **strength >= alike).count();
-    (fewest..=alike).find(|count| carried(count) >= wanted).unwrap_or(alike)
+    let enough = (fewest..=alike).find(|count| carried(count) >= wanted).unwrap_or(alike);
+    if enough == 1 { 1 } else { enough.max(domains(&order[..alike])) }
+}
+
+fn domains(order: &[Candidate]) -> usize {
+    order.iter().map(|candidate| &candidate.failure_domain).collect::<BTreeSet<_>>().len()
 }
--- a/crates/fleet/tests/order.rs
+++ b/crates/fleet/tests/order.rs
@@ -66,6 +66,13 @@
     assert_eq!(active_count(500, &[]), 1);
 }
 
+#[test]
+fn each_failure_domain_has_an_entry_of_its_own_once_several_are_needed() {
+    let strong = fleet(&[(9, 833), (30, 104)]);
+    assert_eq!(active_count(330, &strong), 3, "two would do, in three halls");
+    assert_eq!(active_count(160, &strong), 1, "one does");
+}
+
 /// While the strong VMs of a fleet were restarted one after the other, callers were sent to one or
 /// two of them and a weak one, which got as many requests as the strong ones and answered after
 /// seconds.
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -123,7 +123,7 @@
                 slots.untold();
                 return Ok(assigned);
             }
-            Probed::Silent => slots.unanswered(&target),
+            Probed::Silent { late_by } => slots.unanswered(&target, late_by),
         }
     }
     slots.admit(ask).await
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -51,7 +51,10 @@
     /// It answered without telling its load, or can't be asked.
     Untold,
     /// It did not answer in time.
-    Silent,
+    Silent {
+        /// By how much this process itself was late to notice.
+        late_by: Duration,
+    },
 }
 
 /// Asks one target for its load.
@@ -73,7 +76,11 @@
         owner: &|_: StatusCode, _: &HeaderMap| AnswerOwner::Own,
     };
     counter!("shallotfork_probes").increment(1);
-    let Ok(answer) = context.links.send(asked).await else { return Probed::Silent };
+    let asked_at = context.clock.now();
+    let Ok(answer) = context.links.send(asked).await else {
+        let late_by = context.clock.now().since(asked_at).saturating_sub(TIMEOUT);
+        return Probed::Silent { late_by };
+    };
     match figures(&context.dialect, &answer) {
         Some(figures) => {
             slots.report(target, figures);
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -192,11 +192,12 @@
         self.lock().pool.untold();
     }
 
-    /// A target did not answer when it was asked for its pace.
-    pub fn unanswered(&self, target: &TargetId) {
+    /// A target did not answer when it was asked for its pace; this process noticed too late by
+    /// `late_by`.
+    pub fn unanswered(&self, target: &TargetId, late_by: Duration) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.pool.unanswered(target, now);
+        inner.pool.unanswered(target, late_by, now);
         let beliefs = inner.pool.take_beliefs();
         drop(inner);
         self.report_beliefs(&beliefs);
