--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -13,6 +13,7 @@
 mod queue;
 mod summary;
 mod target;
+mod wait;
 
 pub use ask::{SlotAsk, WorkClass};
 pub use config::SlotPoolConfig;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -13,9 +13,6 @@
 use super::{SlotAsk, WorkClass};
 use crate::{Admission, Assignment, AttemptId, Resolution, Shed, ShedReason, Ticket, Woken};
 
-/// Multiple of its usual time for which a request must still have time when its wait ends.
-const SERVICE_MARGIN: f64 = 1.2;
-
 /// Beyond this, what did not come in time may have come; a timer is a millisecond or two late.
 const OWN_LATENESS_MAX: Duration = Duration::from_millis(8);
 
@@ -262,75 +259,6 @@
         self.targets.iter().any(|(id, t)| t.published.serving && !ask.exclude.contains(id))
     }
 
-    /// Whether the request could still be answered within its objective by a target of usual
-    /// speed.
-    fn is_in_time(&self, ask: &SlotAsk, now: Mono) -> bool {
-        now.plus(Duration::from_micros(self.learnt.work_us(&ask.class) as u64)) <= ask.objective
-    }
-
-    fn order(&self, ask: &SlotAsk, now: Mono) -> (bool, bool, u32, Mono) {
-        (!self.is_in_time(ask, now), !ask.returning, ask.rank, ask.arrived)
-    }
-
-    fn goes_before(&self, other: &SlotAsk, ask: &SlotAsk, now: Mono) -> bool {
-        self.order(other, now) <= self.order(ask, now)
-    }
-
-    /// When a request has waited long enough: for as long as it can still be answered within its
-    /// objective. Refused sooner, it comes back too late for that; it is refused at once if its turn
-    /// is not expected by then. Requests that wait for up to an eighth of their objective only were
-    /// in time less often under overload by a tenth.
-    fn wait_end(&self, ask: &SlotAsk, now: Mono) -> Mono {
-        let work = Duration::from_micros(self.learnt.work_us(&ask.class) as u64);
-        let until_objective = ask.objective.since(ask.arrived);
-        let until_deadline = ask.deadline.since(ask.arrived);
-        let late = ask.arrived.plus(until_deadline * self.config.late_wait_permille / 1000);
-        if ask.returning || !self.is_in_time(ask, now) {
-            return late;
-        }
-        let slack = until_objective.saturating_sub(work.mul_f64(SERVICE_MARGIN));
-        ask.arrived.plus(slack)
-    }
-
-    /// How long a request with so many ahead of it waits for a slot. One that is free now, though in
-    /// a slow phase, is waited for on trust; for the others Little's law holds: with all slots
-    /// taken, one gets free every (usual time / slots).
-    fn expected_wait(&self, ahead: usize, ask: &SlotAsk, now: Mono) -> Duration {
-        let usable = |(id, target): &(&TargetId, &Target)| {
-            let good = !target.is_ejected(now) && !target.is_overdue(now, &self.config);
-            target.published.serving && good && !ask.exclude.contains(id)
-        };
-        let free = self.targets.iter().filter(usable).map(|(_, target)| target.free_slots(now));
-        let free = free.sum::<u32>() as usize;
-        self.wait_for_slots((ahead + 1).saturating_sub(free))
-    }
-
-    /// Free slots at targets that look sound, slow ones included.
-    pub(super) fn free_slots(&self, now: Mono) -> usize {
-        let good =
-            |target: &&Target| !target.is_ejected(now) && !target.is_overdue(now, &self.config);
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        serving.filter(good).map(|target| target.free_slots(now) as usize).sum()
-    }
-
-    fn wait_for_slots(&self, count: usize) -> Duration {
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        let slots: u32 = serving.map(|target| target.published.slots).sum();
-        let spacing_us = self.learnt.usual_us() / f64::from(slots.max(1));
-        Duration::from_micros((spacing_us * count as f64) as u64)
-    }
-
-    fn shed(&self, reason: ShedReason, now: Mono) -> Shed {
-        let returning = self.targets.values().filter_map(Target::ejected_until);
-        let returning = returning.filter(|until| *until > now).min();
-        let wait = match (reason, returning) {
-            (ShedReason::NoTarget, Some(until)) => until.since(now),
-            _ => self.wait_for_slots(self.queue.len() + 1),
-        };
-        let wait = wait.clamp(self.config.retry_after_min, self.config.retry_after_max);
-        Shed { retry_after: wait, reason }
-    }
-
     fn assign(&mut self, ask: &SlotAsk, choice: Choice, now: Mono) -> Option<Assignment> {
         let (config, learnt) = (&self.config, &self.learnt);
         let open = self.targets.iter().filter(|(id, target)| {
@@ -379,19 +307,20 @@
         let keys: BTreeMap<Ticket, _> =
             asks.iter().map(|(ticket, ask)| (ticket, self.order(ask, now))).collect();
         order.sort_by_key(|ticket| keys.get(ticket).copied());
-        // A long queue would be compared with every target at each answer. Where one request of a
-        // class finds no slot, those behind it are not tried this time. One with more or less time
-        // left might have taken a slow slot; it gets one when its own wait ends.
-        let mut without_slot: BTreeSet<WorkClass> = BTreeSet::new();
+        // A long queue would be compared with every target at each answer. Where one request finds no
+        // slot, those behind it that judge a slow slot alike are not tried this time: of the same
+        // class, and like it still in time or not.
+        let mut without_slot: BTreeSet<(WorkClass, bool)> = BTreeSet::new();
         for ticket in order {
             let Some(ask) = self.queue.remove(ticket) else { continue };
-            let hopeless = ask.exclude.is_empty() && without_slot.contains(&ask.class);
+            let alike = (ask.class.clone(), self.is_in_time(&ask, now));
+            let hopeless = ask.exclude.is_empty() && without_slot.contains(&alike);
             if let Some(resolution) = self.resolve(&ask, hopeless, now) {
                 woken.push(Woken { ticket, resolution });
                 continue;
             }
             if ask.exclude.is_empty() {
-                without_slot.insert(ask.class.clone());
+                without_slot.insert(alike);
             }
             self.queue.push(ticket, ask);
         }
