refactor(gateway): a request's line tells the version of the routes that it was found in

Cause: front.rs took the table three times for a request, and the line told the version in force at its end, not the one that decided. Change: the route comes with its version.

--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -8,13 +8,13 @@
 use metrics::{counter, histogram};
 use shallotfork_events::{CALLER_REFUSED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, event};
 use shallotfork_exchange::{ArrivedAt, BodyLimits, WholeRequest, read_whole};
-use shallotfork_routes::{Repeat, Route};
+use shallotfork_routes::Repeat;
 use shallotfork_types::{Bytes, Mono, TargetId};
 
 use crate::context::Context;
 use crate::line_budget::LineLeave;
 use crate::traffic::attempts::{Course, Ended, attempts};
-use crate::traffic::job::Job;
+use crate::traffic::job::{Job, Routed};
 use crate::traffic::refusal::{bad_request, may_have_run, no_route, not_run};
 
 /// When to come back to an entry that knows no routes yet; about the time in which it learns them.
@@ -41,8 +41,8 @@
     let Some(request_id) = request_id(&context, &request.headers) else {
         return bad_request("the request has no id");
     };
-    let route = match route(&context, &request) {
-        Ok(route) => route,
+    let routed = match route(&context, &request) {
+        Ok(routed) => routed,
         Err(reason) => {
             event!(context.log, CALLER_REFUSED, "request" => request_id,
                 "reason" => format!("{reason:?}"));
@@ -50,7 +50,7 @@
         }
     };
     let method = request.method.clone();
-    let job = Job::new(Arc::clone(&context), request, request_id, route, arrived);
+    let job = Job::new(Arc::clone(&context), request, request_id, routed, arrived);
     let course = attempts(&job).await;
     report(&job, &course);
     respond(course, &method)
@@ -104,12 +104,13 @@
     }
 }
 
-fn route(context: &Context, request: &WholeRequest) -> Result<Arc<Route>, Unrouted> {
+/// The route in force, and the version of the table that says so.
+fn route(context: &Context, request: &WholeRequest) -> Result<Routed, Unrouted> {
     let published = context.published.load();
     let table = published.table.as_ref().ok_or(Unrouted::Starting)?;
     let host = request.service.as_str().to_ascii_lowercase();
     if let Some(route) = table.find(&host, request.path_and_query.path()) {
-        return Ok(Arc::clone(route));
+        return Ok(Routed { route: Arc::clone(route), version: table.version() });
     }
     let lost = published.platform_lost_at.is_some();
     Err(if lost { Unrouted::PerhapsNew } else { Unrouted::NoRoute })
@@ -154,7 +155,7 @@
     event!(context.log, event,
         "request" => &job.request_id,
         "route" => job.route.name.as_str(),
-        "version" => published.table.as_ref().map_or(0, |table| table.version().number()),
+        "version" => job.version.number(),
         "service" => job.service.as_str(),
         "outcome" => outcome,
         "targets" => targets.join(","),
--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -6,7 +6,7 @@
 use http::HeaderMap;
 use shallotfork_balance::{SlotAsk, WorkClass};
 use shallotfork_exchange::WholeRequest;
-use shallotfork_routes::{Repeat, Route};
+use shallotfork_routes::{Repeat, Route, TableVersion};
 use shallotfork_types::{Bytes, Mono, ServiceName, TargetId};
 
 use crate::context::Context;
@@ -18,6 +18,14 @@
 /// times the way between callers and entries.
 const WAY_BACK: Duration = Duration::from_millis(10);
 
+/// A route and the version of the routes that it was found in.
+pub struct Routed {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The version.
+    pub version: TableVersion,
+}
+
 /// What is known of a request once its route is found.
 pub struct Job {
     /// Shared parts of the process.
@@ -28,6 +36,8 @@
     pub request_id: String,
     /// Its route.
     pub route: Arc<Route>,
+    /// Version of the routes that name it.
+    pub version: TableVersion,
     /// The service that serves it.
     pub service: ServiceName,
     /// When it arrived.
@@ -46,16 +56,28 @@
         context: Arc<Context>,
         request: WholeRequest,
         request_id: String,
-        route: Arc<Route>,
+        routed: Routed,
         arrived: Mono,
     ) -> Self {
+        let Routed { route, version } = routed;
         let patience = deadline_of(&context, &request.headers).unwrap_or(route.timeout);
         let waited = context.deadlines.waited(&route.name, patience);
         let objective = arrived.plus(route.latency_objective.saturating_sub(waited));
         let deadline = arrived.plus(patience.saturating_sub(WAY_BACK).min(route.timeout));
         let deadline = context.last_answer.get().map_or(deadline, |end| deadline.min(*end));
         let service = context.choose_service(&route);
-        Self { context, request, request_id, route, service, arrived, objective, deadline, waited }
+        Self {
+            context,
+            request,
+            request_id,
+            route,
+            version,
+            service,
+            arrived,
+            objective,
+            deadline,
+            waited,
+        }
     }
 
     /// Whether a second run does no harm.
