fix(exchange): a closing connection answers what was begun on it, and begins nothing more

Cause, from reading: requests behind another are begun early, and a close after the answer before them dropped them although they had reached a target; their callers saw a closed connection. Ruled out: not reading ahead while leaving; what was begun before would be cut all the same. Change: the close waits for what was begun; nothing is begun early on a connection that closes.

--- a/crates/exchange/src/early.rs
+++ b/crates/exchange/src/early.rs
@@ -71,6 +71,11 @@
         !self.lock().arrived.is_empty()
     }
 
+    /// Whether requests were begun that have not been handed over yet.
+    pub(crate) fn any_begun(&self) -> bool {
+        !self.lock().begun.is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -65,7 +65,8 @@
     }
 
     /// From now on each HTTP/1 answer says `Connection: close`, so that callers which keep a
-    /// connection open turn to another entry before this one stops.
+    /// connection open turn to another entry before this one stops. Requests that were begun behind
+    /// the answered one are answered first.
     pub fn announce_close(&self) {
         self.shared.closing.store(true, Ordering::Relaxed);
     }
@@ -248,7 +249,8 @@
 
     fn found_ahead(&self, number: u64, head: http::request::Parts) {
         self.begun.arrived(number);
-        if !(self.early)(&head) {
+        // Its answer would not be sent, although it had reached a target.
+        if self.is_closing() || !(self.early)(&head) {
             return;
         }
         self.begun.begin(number, || {
@@ -259,6 +261,11 @@
         });
     }
 
+    /// Whether the connection is closed as soon as nothing that was begun is unanswered.
+    fn is_closing(&self) -> bool {
+        self.control.is_closing() || self.control.renewals() > self.opened_after
+    }
+
     fn poem_request(&self, request: http::Request<()>) -> poem::Request {
         let (head, ()) = request.into_parts();
         let mut builder = poem::Request::builder().method(head.method).uri(head.uri);
@@ -292,8 +299,9 @@
                 Some(mut begun) => early_answer(&mut begun).await,
                 None => endpoint.get_response(request).await,
             };
+            let leaves = control.is_closing() && !waiting.any_begun();
             let renewed = control.renewals() > opened_after && !waiting.any();
-            if (control.is_closing() || renewed) && version < Version::HTTP_2 {
+            if (leaves || renewed) && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             drop((in_flight, busy));
--- a/crates/exchange/tests/pipelined.rs
+++ b/crates/exchange/tests/pipelined.rs
@@ -15,6 +15,7 @@
 
 /// A port whose requests each wait for leave to be answered.
 struct Port {
+    control: ServeControl,
     address: std::net::SocketAddr,
     begun: Arc<AtomicUsize>,
     ended: Arc<AtomicUsize>,
@@ -52,8 +53,9 @@
             head.uri.path().starts_with("/early")
         });
         let control = ServeControl::new();
-        tokio::spawn(serve_early(listener, endpoint, ServeConfig::default(), control, early));
-        Self { address, begun, ended, leave }
+        let config = ServeConfig::default();
+        tokio::spawn(serve_early(listener, endpoint, config, control.clone(), early));
+        Self { control, address, begun, ended, leave }
     }
 
     async fn begun(&self, count: usize) {
@@ -195,3 +197,25 @@
     port.leave.add_permits(2);
     port.begun(1).await;
 }
+
+/// An entry begins to stop while two look-ups of one caller run, the second begun early. Closed after
+/// the first answer, the connection would take the second one with it, although a server has run it.
+#[tokio::test]
+async fn what_was_begun_is_answered_before_a_closing_connection_ends() {
+    let port = Port::start().await;
+    let mut caller = TcpStream::connect(port.address).await.expect("connect");
+    let sent = [get("/early/1"), get("/early/2")].concat();
+    caller.write_all(sent.as_bytes()).await.expect("writable");
+    port.begun(2).await;
+    port.control.announce_close();
+    caller.write_all(get("/early/3").as_bytes()).await.expect("writable");
+    port.begun(2).await;
+    port.leave.add_permits(3);
+    let mut answers = String::new();
+    let reading = caller.read_to_string(&mut answers);
+    tokio::time::timeout(SOON, reading).await.expect("in time").expect("readable");
+    assert!(answers.contains("/early/1") && answers.contains("/early/2"), "{answers}");
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    assert!(!answers.contains("/early/3"), "{answers}");
+    port.begun(2).await;
+}
