fix(gateway): a process counts as serving as soon as it can answer, and ends what it has begun if stopped before

It had answered callers of its predecessor's address since its routes were in force, but counted itself as ready only at the next quarter second, and a stop before that ended the process without waiting. Change: ready is set with the first routes; a stop before it waits for what is in flight.

--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -123,6 +123,7 @@
 pub fn note_synced(state: &State) {
     if !state.synced.get() && state.in_force.borrow().table().is_some() {
         state.synced.set(true);
+        state.ready.send_replace(true);
         name_entries(state);
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -9,6 +9,7 @@
 use shallotfork_roster::Roster;
 use shallotfork_routes::InForce;
 use shallotfork_types::{Endpoint, Mono, VmId};
+use tokio::sync::watch;
 
 use crate::context::Context;
 use crate::control::peers::Peers;
@@ -54,6 +55,8 @@
     pub leaving: Cell<bool>,
     /// Whether routes and targets have been read once.
     pub synced: Cell<bool>,
+    /// Becomes true at that moment; the traffic side waits for it.
+    pub ready: watch::Sender<bool>,
     /// The most entries that were live at one time.
     pub known: Cell<usize>,
     /// Beliefs that were last logged.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -115,7 +115,7 @@
         Err(_) => return,
     };
     let own = PeerId::new(context.settings.vm.clone(), context.incarnation);
-    let state = Rc::new(new_state(context, feed, &key, &own));
+    let state = Rc::new(new_state(context, feed, &key, &own, ready));
     let server = PeerServer::new(
         listener,
         key,
@@ -146,13 +146,16 @@
                 state.context.links.tidy();
             }
         }
-        if state.synced.get() {
-            ready.send_replace(true);
-        }
     }
 }
 
-fn new_state(context: Arc<Context>, feed: Arc<dyn Feed>, key: &PeerKey, own: &PeerId) -> State {
+fn new_state(
+    context: Arc<Context>,
+    feed: Arc<dyn Feed>,
+    key: &PeerKey,
+    own: &PeerId,
+    ready: watch::Sender<bool>,
+) -> State {
     let now = context.clock.now();
     let view_config = ViewConfig {
         suspect_after: SUSPECT_AFTER,
@@ -179,6 +182,7 @@
         starting: RefCell::new(BTreeMap::new()),
         leaving: Cell::new(false),
         synced: Cell::new(false),
+        ready,
         known: Cell::new(1),
         logged: RefCell::new(Vec::new()),
         context,
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use shallotfork_lifecycle::{Leaving, Process};
+use shallotfork_types::Mono;
 
 use crate::context::Context;
 use crate::control::ControlHandle;
@@ -38,10 +39,24 @@
     let (open, end) = (grace.mul_f64(OPEN_PART), grace.mul_f64(END_PART));
     tokio::time::sleep(open.saturating_sub(context.clock.now().since(began))).await;
     callers.stop();
-    while callers.in_flight() > 0 && context.clock.now().since(began) < end {
+    finish(context, began.plus(end)).await;
+    process.stop();
+}
+
+/// Stops a process that is asked to before it says that it serves. Nobody was sent to it yet, but
+/// callers of the one that ran at its address before may have come, and be waiting for answers.
+pub async fn leave_before_serving(context: &Arc<Context>) {
+    let (began, grace) = (context.clock.now(), context.settings.grace);
+    context.answer_by(began.plus(grace.mul_f64(ANSWER_PART)));
+    context.callers.stop();
+    finish(context, began.plus(grace.mul_f64(END_PART))).await;
+}
+
+/// Waits until nothing is in flight, at most until `end`.
+async fn finish(context: &Context, end: Mono) {
+    while context.callers.in_flight() > 0 && context.clock.now() < end {
         tokio::time::sleep(LOOK).await;
     }
     // The last answers are on their way out of the process.
     tokio::time::sleep(LOOK).await;
-    process.stop();
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
 use crate::follow_settings::follow_settings;
-use crate::leave::leave;
+use crate::leave::{leave, leave_before_serving};
 use crate::line_budget::LineBudget;
 use crate::metrics_page::MetricsPage;
 use crate::settings::GatewaySettings;
@@ -162,7 +162,10 @@
     tokio::spawn(service_load(Arc::clone(&context), TimerService::new(context.clock)));
     tokio::select! {
         ready = is_ready.wait_for(|ready| *ready) => drop(ready.context("control has ended")?),
-        () = stop.asked() => return Ok(()),
+        () = stop.asked() => {
+            leave_before_serving(&context).await;
+            return Ok(());
+        }
     }
     let process = process.serve();
     stop.asked().await;
