fix(gateway): every entry hears the readers, and a silent platform shows within 1.5 s

Ruled out: loss of the change itself (the new readers had it 0.06 s after they began). Change: heartbeats go to the first three and to all readers; a watch waits for 1 s.

--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -107,17 +107,15 @@
     futures::future::join_all(told).await;
 }
 
-/// Entries whose silence has to be noticed soon.
+/// Entries whose silence has to be noticed soon, and all readers: these tell of changes. When the
+/// platform turns the first entries away, the readers are others, and whoever called the first
+/// ones only would hear of nothing.
 fn watched(state: &State) -> Vec<EntryVm> {
     let own = &state.context.settings.vm;
-    // Before anybody serves, the readers are the ones to hear from.
-    let first = ranked(state).into_iter().chain(readers(state));
+    let first = ranked(state).into_iter().filter(|entry| entry.vm != *own).take(WATCHED);
+    let readers = readers(state).into_iter().filter(|entry| entry.vm != *own);
     let mut names = BTreeSet::new();
-    first
-        .filter(|entry| names.insert(entry.vm.clone()))
-        .filter(|entry| entry.vm != *own)
-        .take(WATCHED)
-        .collect()
+    first.chain(readers).filter(|entry| names.insert(entry.vm.clone())).collect()
 }
 
 fn outreach(state: &State) -> Vec<Endpoint> {
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -13,9 +13,10 @@
 use crate::control::state::State;
 use shallotfork_feed::{FeedError, Freshness, RawItem};
 
-/// How long a watch waits for a change. Entries lapse after three missed writes, 4.5 s at the
-/// users'; a watch that ends before tells that the platform was away while they did.
-const WATCH_WAIT: Duration = Duration::from_millis(3000);
+/// How long a watch waits for a change. A platform that goes silent shows only at its end; when that
+/// happens to all readers at once, others have to take their place soon enough for a change to be
+/// in force everywhere within the users' two seconds. Three idle readers cost three calls a second.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// An answer that is this much later than it should be means that the connection is dead.
 const CALL_SLACK: Duration = Duration::from_millis(500);
 /// The longest time for one page.
