--- a/crates/balance/src/slots/summary.rs
+++ b/crates/balance/src/slots/summary.rs
@@ -22,7 +22,7 @@
     pub overdue: usize,
     /// Targets whose slots are all taken.
     pub full: usize,
-    /// Free slots at all other targets.
+    /// Free slots at targets that are neither ejected nor overdue.
     pub free_slots: usize,
     /// Mean of the paces that targets tell; 1 is the usual one.
     pub mean_pace: f64,
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -8,8 +8,8 @@
 /// Names the ranking; every entry must compute the same one.
 const RANKING: &str = "callers";
 /// Requests a second that a target brings to its entry; the users' targets get 2.4 to 4.5 on quiet
-/// days, and bursts bring up to twice as many. At 5, an entry of a tenth of a processor was named
-/// alone for 147 requests a second, and had nothing to spare for a burst.
+/// days, and bursts bring up to twice as many. With 5, an entry that can carry 166 requests a second
+/// would be named alone for 147, with nothing to spare for a burst.
 const REQUESTS_PER_TARGET: u64 = 6;
 /// Part of that load which is enough to go without weaker entries, as a divisor. Callers choose
 /// among the named entries with equal chances, so that the weakest of them decides how much all of
@@ -59,8 +59,9 @@
 ///
 /// As few as can carry everything, since a process that sees all requests of a target fills its
 /// slots best; but if one does not suffice, one in each failure domain that has strong ones, so that
-/// most requests cross to no other. Without a bound by strength, the stop of the strong entries of a fleet sends a third
-/// of all callers to a VM of a fifth of their processor and a twentieth of their link.
+/// most requests cross to no other. Without a bound by strength, the stop of the strong entries of a
+/// fleet sends a third of all callers to a VM of a fifth of their processor and a twentieth of their
+/// link.
 pub fn active_count(targets: usize, order: &[Candidate]) -> usize {
     let named = order.iter().take(ACTIVE_MAX);
     let strengths: Vec<u64> = named.map(|entry| entry.strength.value().into()).collect();
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -11,7 +11,9 @@
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::{Endpoint, ListsDigest, VmId, rendezvous_weight};
 
-use crate::control::naming::{is_reader, name_entries, names, ranked, readers, suspected_leaders};
+use crate::control::naming::{
+    is_named, is_reader, name_entries, ranked, readers, suspected_leaders,
+};
 use crate::control::reader::note_sight;
 use crate::control::relay::{knows_more, pull};
 use crate::control::state::State;
@@ -87,7 +89,7 @@
 /// How many periods lie between two heartbeats of this entry.
 fn periods(state: &State) -> u32 {
     let own = &state.context.settings.vm;
-    if is_reader(state) || names(&state.active.borrow(), own) {
+    if is_reader(state) || is_named(&state.active.borrow(), own) {
         return 1;
     }
     let entries = state.view.borrow().entries().len();
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -95,10 +95,10 @@
     let targets = state.context.published.load().targets.len();
     let count = active_count(targets, &candidates(&order));
     let leaders: Vec<ActiveEntry> = order.iter().take(count).map(active_entry).collect();
-    let active = leaders.is_empty() || names(&leaders, own);
+    let active = leaders.is_empty() || is_named(&leaders, own);
     let before = state.active.replace(leaders.clone());
     let changed = before != leaders;
-    if changed && names(&before, own) && names(&leaders, own) && leaders.len() > 1 {
+    if changed && is_named(&before, own) && is_named(&leaders, own) && leaders.len() > 1 {
         spread_callers(state);
     }
     if changed {
@@ -119,7 +119,7 @@
 }
 
 /// Whether callers are sent to an entry, as far as these are the ones that they are sent to.
-pub fn names(active: &[ActiveEntry], vm: &VmId) -> bool {
+pub fn is_named(active: &[ActiveEntry], vm: &VmId) -> bool {
     active.iter().any(|entry| entry.vm == *vm)
 }
 
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -9,7 +9,7 @@
 use shallotfork_routes::{Offer, RouteTable};
 use shallotfork_types::{Revision, ServiceName, TargetId, VmId};
 
-use crate::control::naming::names;
+use crate::control::naming::is_named;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
 use crate::snapshot::Published;
@@ -119,7 +119,7 @@
         by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
     }
     // An entry that callers are not sent to serves those who come with old answers, at any target.
-    if names(active, own) {
+    if is_named(active, own) {
         by_service.values_mut().for_each(|targets| keep_own(targets, active, own));
     }
     by_service
