perf(gateway): heartbeats and changes spread within failure domains; a reading that hangs blocks no other

Ruled out: fewer heartbeats among those that callers are sent to (failover waits for them). Change: an entry that callers are not sent to exchanges heartbeats with the first three of its own failure domain at every period and with the others at every sixth, unless something is amiss; it reads changes nearby, far only when they have not come by then; seeds that are known are not called.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -1,7 +1,9 @@
 //! A platform that publishes items under keys: how it is read, and what was read last.
 
 mod archive;
+mod catch_up;
 mod feed;
 
 pub use archive::{Archive, Told};
+pub use catch_up::CatchUp;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -4,34 +4,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
 use shallotfork_events::{RESUMED, event};
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::{Endpoint, ListsDigest, VmId, rendezvous_weight};
+use shallotfork_types::{Endpoint, ListsDigest, Mono, rendezvous_weight};
 
-use crate::control::naming::{
-    is_named, is_reader, name_entries, ranked, readers, suspected_leaders,
-};
+use crate::control::contacts::{Contacts, contacts, outreach};
+use crate::control::naming::{is_named, name_entries, ranked, readers, suspected_leaders};
 use crate::control::reader::note_sight;
-use crate::control::relay::{knows_more, pull};
+use crate::control::relay::{pull, should_read_from};
 use crate::control::state::State;
 
 /// Time between two heartbeats among the first entries of the ranking. With the silence after
 /// which an entry is suspected, callers are sent elsewhere within a second of a loss.
-const PERIOD: Duration = Duration::from_millis(150);
+pub const PERIOD: Duration = Duration::from_millis(150);
 /// Silence after which one of them is suspected: three heartbeats and the way.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
-/// Entries whose heartbeats the first ones can take at the shortest period; in a larger fleet the
-/// others send theirs less often, such that the first ones take no more.
-const ENTRIES_PER_PERIOD: usize = 20;
-/// Longest period of the others, in heartbeats of the first ones: routes and targets reach them
-/// within it, and the users allow two seconds.
-const PERIODS_MAX: usize = 6;
-/// Entries at the head of the ranking that everyone watches: the one that callers use, and those
-/// that would follow it.
-const WATCHED: usize = 3;
 /// Heartbeats between two to the seeds and to an entry chosen at random, by which parts of a fleet
 /// that were cut from each other find together again.
 const OUTREACH_EVERY: u32 = 7;
@@ -55,19 +44,17 @@
             event!(state.context.log, RESUMED, "late_ms" => late_ms);
             state.view.borrow_mut().resumed(tick.now);
         }
-        let periods = periods(&state);
-        let silence = SUSPECT_AFTER.max(PERIOD * periods * 3);
-        state.view.borrow_mut().set_suspect_after(silence);
-        let watched = watched(&state);
-        let names: BTreeSet<VmId> = watched.iter().map(|entry| entry.vm.clone()).collect();
-        state.view.borrow_mut().watch(&names, tick.now);
-        state.view.borrow_mut().expire(tick.now);
+        let contacts = contacts(&state);
+        watch(&state, &contacts, tick.now);
         let mut called: BTreeSet<Endpoint> = BTreeSet::new();
-        if count.is_multiple_of(periods) {
-            called.extend(watched.iter().map(|entry| entry.peers));
+        if count.is_multiple_of(contacts.near_periods) {
+            called.extend(contacts.near.iter().map(|entry| entry.peers));
+        }
+        if count.is_multiple_of(contacts.far_periods) {
+            called.extend(contacts.far.iter().map(|entry| entry.peers));
         }
         if count < FIRST_OUTREACHES || count.is_multiple_of(OUTREACH_EVERY) {
-            state.peers.keep_only(&watched.iter().map(|entry| entry.peers).collect());
+            state.peers.keep_only(&contacts.endpoints());
             called.extend(outreach(&state));
             called.extend(suspected_leaders(&state).into_iter().map(|entry| entry.peers));
         }
@@ -79,6 +66,15 @@
     }
 }
 
+/// Notices the silence of those whose heartbeats come at each period.
+fn watch(state: &State, contacts: &Contacts, now: Mono) {
+    let silence = SUSPECT_AFTER.max(PERIOD * contacts.near_periods * 3);
+    let mut view = state.view.borrow_mut();
+    view.set_suspect_after(silence);
+    view.watch(&contacts.near.iter().map(|entry| entry.vm.clone()).collect(), now);
+    view.expire(now);
+}
+
 /// Looks for the others at once, without waiting for the first period.
 async fn first_beats(state: Rc<State>) {
     let calls = outreach(&state).into_iter().map(|endpoint| beat(Rc::clone(&state), endpoint));
@@ -86,17 +82,6 @@
     name_entries(&state);
 }
 
-/// How many periods lie between two heartbeats of this entry.
-fn periods(state: &State) -> u32 {
-    let own = &state.context.settings.vm;
-    if is_reader(state) || is_named(&state.active.borrow(), own) {
-        return 1;
-    }
-    let entries = state.view.borrow().entries().len();
-    let periods = entries.div_ceil(ENTRIES_PER_PERIOD).clamp(1, PERIODS_MAX);
-    u32::try_from(periods).unwrap_or(u32::MAX)
-}
-
 /// Says at once to every entry that this process is leaving.
 pub async fn tell_leaving(state: &Rc<State>) {
     state.leaving.set(true);
@@ -109,25 +94,6 @@
     futures::future::join_all(told).await;
 }
 
-/// Entries whose silence has to be noticed soon, and all readers: these tell of changes. When the
-/// platform turns the first entries away, the readers are others, and whoever called the first
-/// ones only would hear of nothing.
-fn watched(state: &State) -> Vec<EntryVm> {
-    let own = &state.context.settings.vm;
-    let first = ranked(state).into_iter().filter(|entry| entry.vm != *own).take(WATCHED);
-    let readers = readers(state).into_iter().filter(|entry| entry.vm != *own);
-    let mut names = BTreeSet::new();
-    first.chain(readers).filter(|entry| names.insert(entry.vm.clone())).collect()
-}
-
-fn outreach(state: &State) -> Vec<Endpoint> {
-    let own = state.context.settings.ports.peers;
-    let entries = state.view.borrow().entries();
-    let any = entries.choose(&mut rand::rng()).map(|entry| entry.peers);
-    let seeds = state.seeds.borrow().clone();
-    seeds.into_iter().chain(any).filter(|endpoint| *endpoint != own).collect()
-}
-
 /// Exchanges heartbeats with one entry.
 async fn beat(state: Rc<State>, endpoint: Endpoint) {
     let Some(_turn) = state.peers.turn(endpoint) else { return };
@@ -139,7 +105,7 @@
         Ok(answer) => {
             let audience = heard(&state, client.peer(), &answer);
             note(&mut state.differing.borrow_mut(), &endpoint, audience == Audience::Differing);
-            if knows_more(&state, &answer) && !is_reader(&state) {
+            if should_read_from(&state, &answer) {
                 pull(Rc::clone(&state), client).await;
             }
         }
@@ -237,9 +203,10 @@
 /// The first entries of the ranking, on which all have to agree: those that callers are sent to,
 /// and those that read the platform.
 fn first_entries(state: &State) -> Vec<EntryVm> {
-    let mut first = ranked(state);
-    first.truncate(AGREED.max(state.active.borrow().len()));
-    first
+    let active = state.active.borrow();
+    let places = (1..).zip(ranked(state));
+    let first = places.filter(|(place, entry)| *place <= AGREED || is_named(&active, &entry.vm));
+    first.map(|(_, entry)| entry).collect()
 }
 
 /// Differs when two entries rank others first, or know other runs of them.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: what is published, and which entries live.
 
 mod beats;
+mod contacts;
 mod handler;
 mod naming;
 mod peers;
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -5,19 +5,33 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, ValueChange};
 use shallotfork_types::Revision;
 
+use crate::control::contacts::{is_leading, spread_time};
+use crate::control::naming::is_reader;
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
 use shallotfork_feed::{FeedChanges, RawItem};
 
-/// Whether another entry reads the platform and knows more than this one.
-pub fn knows_more(state: &State, beat: &Heartbeat) -> bool {
-    !beat.platform_lost && beat.synced_revision > state.archive.borrow().position()
+/// Whether to read from another entry what it knows beyond this one.
+///
+/// One that can't read the platform itself may know more all the same, from those who can.
+pub fn should_read_from(state: &State, beat: &Heartbeat) -> bool {
+    if is_reader(state) {
+        return false;
+    }
+    let settings = &state.context.settings;
+    let (known, own) = (beat.synced_revision, state.archive.borrow().position());
+    let near = beat.failure_domain == settings.failure_domain;
+    if near || own == Revision::NONE || is_leading(state) {
+        return known > own;
+    }
+    let now = state.context.clock.now();
+    state.catch_up.borrow_mut().far_knows(known, own, spread_time(state), now)
 }
 
 /// Reads from another entry what it knows beyond this one.
 pub async fn pull(state: Rc<State>, client: Rc<PeerClient>) {
-    if state.pulling.replace(true) {
+    if !state.catch_up.borrow_mut().begin(state.context.clock.now()) {
         return;
     }
     let after = state.archive.borrow().position();
@@ -25,7 +39,7 @@
     if let Ok(changes) = client.changes(after).await {
         take(&state, changes);
     }
-    state.pulling.set(false);
+    state.catch_up.borrow_mut().end();
 }
 
 /// What another entry is told that knows everything up to `after`.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -13,8 +13,7 @@
 
 use crate::context::Context;
 use crate::control::peers::Peers;
-use shallotfork_feed::Archive;
-use shallotfork_feed::Feed;
+use shallotfork_feed::{Archive, CatchUp, Feed};
 use shallotfork_fleet::{ActiveEntry, PlatformSight};
 
 /// All state that only the control thread touches.
@@ -35,8 +34,8 @@
     pub feed: Arc<dyn Feed>,
     /// Published items as last seen.
     pub archive: RefCell<Archive>,
-    /// Whether another entry is being asked for published items.
-    pub pulling: Cell<bool>,
+    /// When other entries are asked for published items.
+    pub catch_up: RefCell<CatchUp>,
     /// Whether the platform answers.
     pub sight: RefCell<PlatformSight>,
     /// Since when the platform has counted as away; `None` while it does not.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -26,8 +26,7 @@
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
 use crate::control::state::{State, own_announcement};
-use shallotfork_feed::Archive;
-use shallotfork_feed::Feed;
+use shallotfork_feed::{Archive, CatchUp, Feed};
 use shallotfork_fleet::PlatformSight;
 
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
@@ -172,7 +171,7 @@
         roster: RefCell::new(Roster::new(RosterConfig::default())),
         feed,
         archive: RefCell::new(Archive::new()),
-        pulling: Cell::new(false),
+        catch_up: RefCell::new(CatchUp::new()),
         sight: RefCell::new(PlatformSight::new()),
         away_since: Cell::new(None),
         active: RefCell::new(Vec::new()),
