feat(fleet): each failure domain has an entry of its own, and callers are sent to the one near them

Change: active_entries chooses in each failure domain as few strong entries as carry its part; entries_for answers a caller by where it stands; every entry may send to every target. Tests of active_count are replaced by such of active_entries; what they say of weak entries and of fleets without strong ones is the same.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! Pure decisions, which every entry makes by itself from what it knows of the others.
 
+mod active;
 mod order;
 mod readers;
 mod share;
 mod sight;
 
-pub use order::{Candidate, active_count, fleet_order};
+pub use active::{ActiveEntry, active_entries, entries_for};
+pub use order::{Candidate, fleet_order};
 pub use readers::choose_readers;
-pub use share::{ActiveEntry, SharedTarget, share_targets};
+pub use share::{SharedTarget, share_targets};
 pub use sight::PlatformSight;
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -4,14 +4,7 @@
 
 use shallotfork_types::{FailureDomain, TargetId, VmId, rendezvous_weight};
 
-/// An entry that callers are sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ActiveEntry {
-    /// Its name.
-    pub vm: VmId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-}
+use crate::active::ActiveEntry;
 
 /// A target that is dealt out.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- /dev/null
+++ b/crates/fleet/tests/active.rs
@@ -0,0 +1,91 @@
+//! Whom callers are sent to.
+
+#![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
+
+use std::collections::BTreeMap;
+
+use quickcheck::QuickCheck;
+use shallotfork_fleet::{ActiveEntry, Candidate, active_entries, entries_for, fleet_order};
+use shallotfork_types::{Endpoint, FailureDomain, PerSecond, VmId};
+
+const HALLS: usize = 3;
+
+fn hall(number: usize) -> FailureDomain {
+    FailureDomain::new(&format!("hall-{number}")).unwrap()
+}
+
+/// Entries in three halls in turn; `(count, strength)`.
+fn fleet(strengths: &[(usize, u32)]) -> Vec<Candidate> {
+    let all = strengths.iter().flat_map(|(count, strength)| vec![*strength; *count]);
+    let candidate = |(number, strength)| Candidate {
+        vm: VmId::new(&format!("vm-{number}")).unwrap(),
+        failure_domain: hall(number % HALLS),
+        strength: PerSecond::new(strength),
+    };
+    fleet_order(all.enumerate().map(candidate).collect())
+}
+
+/// How many entries are named in each hall.
+fn named(targets: usize, order: &[Candidate]) -> [usize; HALLS] {
+    let mut counts = [0; HALLS];
+    for entry in active_entries(targets, order) {
+        let place = (0..HALLS).find(|number| hall(*number) == entry.failure_domain).unwrap();
+        counts[place] += 1;
+    }
+    counts
+}
+
+/// One entry was named for callers in three halls. Two of three requests crossed to another hall on
+/// their way to it, and a burst to 1.7 times the load of 36 servers of 6 slots took more processor
+/// time than its VM has: for 12 s after the burst nobody was answered in good time.
+#[test]
+fn each_failure_domain_has_an_entry_of_its_own() {
+    assert_eq!(named(0, &fleet(&[(14, 333)])), [1, 1, 1]);
+    assert_eq!(named(36, &fleet(&[(19, 333)])), [1, 1, 1]);
+    assert_eq!(named(389, &fleet(&[(6, 833), (135, 104)])), [1, 1, 1]);
+    assert_eq!(named(18_000, &fleet(&[(300, 833)])), [44, 44, 44]);
+    assert_eq!(named(500, &[]), [0, 0, 0]);
+}
+
+/// While the strong VMs of a fleet were restarted one after the other, callers were sent to one or
+/// two of them and a weak one, which got as many requests as the strong ones and answered after
+/// seconds.
+#[test]
+fn a_weak_entry_is_named_beside_strong_ones_only_if_all_together_carry_more() {
+    let targets = 389;
+    assert_eq!(named(targets, &fleet(&[(2, 833), (135, 104)])), [1, 1, 0], "the strong ones do");
+    assert_eq!(named(targets, &fleet(&[(1, 833), (135, 104)])), [1, 8, 8], "one does not");
+    assert_eq!(named(targets, &fleet(&[(1, 833), (3, 104)])), [1, 0, 0], "better than four");
+}
+
+#[test]
+fn somebody_is_named_whenever_somebody_lives() {
+    fn property(strengths: Vec<u16>, targets: u16) -> bool {
+        let strengths: Vec<(usize, u32)> =
+            strengths.into_iter().map(|strength| (1, strength.into())).collect();
+        let order = fleet(&strengths);
+        let active = active_entries(targets.into(), &order);
+        let places = active.iter().map(|entry| order.iter().position(|other| other == entry));
+        active.is_empty() == order.is_empty() && places.is_sorted()
+    }
+    QuickCheck::new().tests(300).quickcheck(property as fn(Vec<u16>, u16) -> bool);
+}
+
+/// A caller in a hall without an entry, or one that does not say where it is, is sent somewhere.
+#[test]
+fn a_caller_is_sent_to_its_own_failure_domain() {
+    let entry = |number: usize, domain: usize| ActiveEntry {
+        vm: VmId::new(&format!("vm-{number}")).unwrap(),
+        failure_domain: hall(domain),
+        callers: format!("10.0.0.{number}:80").parse().unwrap(),
+    };
+    let active = [entry(1, 0), entry(2, 1), entry(3, 1)];
+    let all: Vec<Endpoint> = active.iter().map(|entry| entry.callers).collect();
+    let sent: BTreeMap<usize, Vec<Endpoint>> =
+        (0..HALLS).map(|number| (number, entries_for(&active, Some(&hall(number))))).collect();
+    assert_eq!(sent[&0], all[..1]);
+    assert_eq!(sent[&1], all[1..]);
+    assert_eq!(sent[&2], all);
+    assert_eq!(entries_for(&active, None), all);
+    assert!(entries_for(&[], Some(&hall(0))).is_empty());
+}
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -1,18 +1,18 @@
 //! Which entries are named to callers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use shallotfork_events::{ACTIVE_CHANGED, ENTRY_CHANGED, event};
 use shallotfork_membership::{EntryState, EntryVm};
-use shallotfork_types::{Endpoint, VmId};
+use shallotfork_types::VmId;
 
 use crate::control::beats::is_live;
 use crate::control::publish::publish;
 use crate::control::state::State;
 use crate::snapshot::Fleet;
-use shallotfork_fleet::{ActiveEntry, Candidate, active_count, choose_readers, fleet_order};
+use shallotfork_fleet::{ActiveEntry, Candidate, active_entries, choose_readers, fleet_order};
 
 /// How long the word of an entry counts that it knows no routes yet. It takes it back to those whom
 /// it calls, not to all that have heard it; without an end, some of these would leave it out for
@@ -93,12 +93,14 @@
     state.known.set(state.known.get().max(live));
     let own = &state.context.settings.vm;
     let targets = state.context.published.load().targets.len();
-    let count = active_count(targets, &candidates(&order));
-    let leaders: Vec<ActiveEntry> = order.iter().take(count).map(active_entry).collect();
+    let chosen = active_entries(targets, &candidates(&order));
+    let chosen: BTreeSet<VmId> = chosen.into_iter().map(|entry| entry.vm).collect();
+    let leaders = order.into_iter().filter(|entry| chosen.contains(&entry.vm));
+    let leaders: Vec<ActiveEntry> = leaders.map(active_entry).collect();
     let active = leaders.is_empty() || is_named(&leaders, own);
     let before = state.active.replace(leaders.clone());
     let changed = before != leaders;
-    if changed && is_named(&before, own) && is_named(&leaders, own) && leaders.len() > 1 {
+    if wants_callers_spread(state, &before, &leaders) {
         spread_callers(state);
     }
     if changed {
@@ -106,16 +108,29 @@
         event!(state.context.log, ACTIVE_CHANGED, "entries" => names.join(","), "live" => live,
             "known" => state.known.get());
     }
-    let order: Vec<Endpoint> = order.into_iter().map(|entry| entry.callers).collect();
-    let fleet = Fleet { order, active, active_count: count, live, known: state.known.get() };
+    let fleet = Fleet { named: leaders, active, live, known: state.known.get() };
     state.context.fleet.store(Arc::new(fleet));
     if changed {
         publish(state, &[]);
     }
 }
 
-fn active_entry(entry: &EntryVm) -> ActiveEntry {
-    ActiveEntry { vm: entry.vm.clone(), failure_domain: entry.failure_domain.clone() }
+fn active_entry(entry: EntryVm) -> ActiveEntry {
+    let EntryVm { vm, failure_domain, callers, .. } = entry;
+    ActiveEntry { vm, failure_domain, callers }
+}
+
+/// Whether others are named beside this entry now for the callers who come here. These keep their
+/// connections for as long as this entry stays named, so that the others would get new callers only.
+fn wants_callers_spread(state: &State, before: &[ActiveEntry], now: &[ActiveEntry]) -> bool {
+    let settings = &state.context.settings;
+    let here = |active: &[ActiveEntry]| -> Vec<VmId> {
+        let near = active.iter().filter(|entry| entry.failure_domain == settings.failure_domain);
+        near.map(|entry| entry.vm.clone()).collect()
+    };
+    let (before, now) = (here(before), here(now));
+    let stays = before.contains(&settings.vm) && now.contains(&settings.vm);
+    stays && before != now && now.len() > 1
 }
 
 /// Whether callers are sent to an entry, as far as these are the ones that they are sent to.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -7,14 +7,12 @@
 use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, event};
 use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
 use shallotfork_routes::{Offer, RouteTable};
-use shallotfork_types::{Revision, ServiceName, TargetId, VmId};
+use shallotfork_types::{Revision, ServiceName, TargetId};
 
-use crate::control::naming::is_named;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
 use crate::snapshot::Published;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
-use shallotfork_fleet::{ActiveEntry, SharedTarget, share_targets};
 
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
@@ -88,8 +86,7 @@
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
-    let own = &context.settings.vm;
-    let by_service = by_service(&targets, &state.active.borrow(), own);
+    let by_service = by_service(&targets);
     let published = Published {
         table: state.in_force.borrow().table().cloned(),
         targets: Arc::new(targets),
@@ -108,36 +105,16 @@
     published.targets.values().any(|entry| entry.service == *service)
 }
 
-/// The targets that this entry sends requests to, by service.
-fn by_service(
-    targets: &HashMap<TargetId, TargetEntry>,
-    active: &[ActiveEntry],
-    own: &VmId,
-) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
+/// The targets by service. Every entry may send to each of them, and prefers those nearby: what others
+/// send there it hears from the targets themselves, before it sends.
+fn by_service(targets: &HashMap<TargetId, TargetEntry>) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
     for (id, entry) in targets {
         by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
     }
-    // An entry that callers are not sent to serves those who come with old answers, at any target.
-    if is_named(active, own) {
-        by_service.values_mut().for_each(|targets| keep_own(targets, active, own));
-    }
     by_service
 }
 
-/// Leaves this entry's share of a service's targets; all of them if there are too few to share.
-fn keep_own(targets: &mut Vec<SlotTarget>, active: &[ActiveEntry], own: &VmId) {
-    let serving = targets.iter().filter(|target| target.serving);
-    let shared = serving.map(|target| SharedTarget {
-        id: target.id.clone(),
-        failure_domain: target.failure_domain.clone(),
-    });
-    let owners = share_targets(shared.collect(), active);
-    if owners.values().any(|owner| owner == own) {
-        targets.retain(|target| owners.get(&target.id).is_none_or(|owner| owner == own));
-    }
-}
-
 fn slot_target(id: &TargetId, entry: &TargetEntry) -> SlotTarget {
     SlotTarget {
         id: id.clone(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use http::HeaderName;
 use shallotfork_balance::LoadFigures;
-use shallotfork_types::Endpoint;
+use shallotfork_types::{Endpoint, FailureDomain};
 
 /// Names of the headers by which a platform's callers, entries and targets understand each other.
 #[derive(Debug, Clone)]
@@ -41,6 +41,9 @@
     pub paths: Paths,
     /// Reads a target's account of its load; `None` when it is not in the platform's form.
     pub load_figures: fn(&str) -> Option<LoadFigures>,
+    /// Where a caller who asks for addresses stands, by the query of its question; `None` when it
+    /// does not say.
+    pub caller_domain: fn(&str) -> Option<FailureDomain>,
     /// Writes the answer to a caller who asks for addresses: these, and how long to keep them.
     pub directory_answer: fn(&[Endpoint], Duration) -> String,
 }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use shallotfork_fleet::ActiveEntry;
 use shallotfork_roster::TargetEntry;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::{Endpoint, Mono, TargetId};
+use shallotfork_types::{Mono, TargetId};
 
 /// What is published, as this process knows it.
 #[derive(Debug, Clone, Default)]
@@ -21,12 +22,10 @@
 /// What is known of the fleet.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
-    /// Where callers reach live entries, in the order in which they should use them.
-    pub order: Vec<Endpoint>,
+    /// The entries that callers are sent to, best first.
+    pub named: Vec<ActiveEntry>,
     /// Whether callers are sent to this process.
     pub active: bool,
-    /// How many of the first entries callers are sent to.
-    pub active_count: usize,
     /// Entries that are live as far as this process knows, itself included.
     pub live: usize,
     /// The most entries known at one time.
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -335,7 +335,7 @@
     let sees_most = fleet.live * 2 > fleet.known;
     let whole = u64::from(settings.retry_extra);
     let all_active = ACTIVE_SHARE.of(whole);
-    let active = all_active / (fleet.active_count.max(1) as u64);
+    let active = all_active / (fleet.named.len().max(1) as u64);
     let others = (whole - 2 * all_active) / (fleet.known.max(1) as u64);
     let extra = if fleet.active && sees_most { active } else { others };
     RetryAllowance { share: settings.retry_share, extra: u32::try_from(extra).unwrap_or(0) }
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -5,7 +5,8 @@
 
 use http::StatusCode;
 use poem::IntoResponse;
-use shallotfork_types::{Endpoint, Mono};
+use shallotfork_fleet::entries_for;
+use shallotfork_types::Mono;
 
 use crate::context::Context;
 
@@ -17,16 +18,16 @@
 
 /// Answers a caller who asks for addresses.
 ///
-/// As few addresses are named as can carry everything: a process that sees all requests of a
-/// service fills its slots far better than several that share them. The answer is kept for a short time, so that callers follow soon
-/// when the named entry is lost.
+/// A caller is sent to the entries of its own failure domain, if it has any, so that its requests and
+/// their answers cross to no other. The answer is kept for a short time, so that callers follow soon
+/// when a named entry is lost.
 pub fn directory(context: &Arc<Context>, request: &poem::Request) -> poem::Response {
     if request.uri().path() != context.dialect.paths.directory {
         return StatusCode::NOT_FOUND.into_response();
     }
     let fleet = context.fleet.load();
-    let active = fleet.order.iter().take(fleet.active_count.max(1));
-    let mut named: Vec<Endpoint> = active.copied().collect();
+    let question = request.uri().query().unwrap_or_default();
+    let mut named = entries_for(&fleet.named, (context.dialect.caller_domain)(question).as_ref());
     if named.is_empty() {
         // Nobody is known before the first heartbeats; this process serves as well as any.
         named.push(context.settings.ports.callers);
