--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -21,12 +21,12 @@
 pub const PERIOD: Duration = Duration::from_millis(150);
 /// Silence after which one of them is suspected: three heartbeats and the way.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
-/// Heartbeats between two to the seeds and to an entry chosen at random, by which parts of a fleet
-/// that were cut from each other find together again.
+/// Heartbeats between two to seeds that are not known to live and to an entry chosen at random, by
+/// which parts of a fleet that were cut from each other find together again.
 const OUTREACH_EVERY: u32 = 7;
 /// Entries at the head of the ranking whose places are compared in each heartbeat, at least.
 const AGREED: usize = 3;
-/// Heartbeats after the start that all go to the seeds too. After a loss of all entries each one
+/// Heartbeats after the start that all go to such seeds too. After a loss of all entries each one
 /// knows only itself, and names itself to callers, until it has found the others.
 const FIRST_OUTREACHES: u32 = 12;
 /// A tick that is late by this much means that the process stood still.
