--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -254,17 +254,17 @@
     /// A few for each request that waits. When all targets were asked at each turn, 36 of them 40
     /// times a second, asking took so much of a small processor that the requests waited for it.
     pub fn due_probes(&mut self, now: Mono) -> Vec<TargetId> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
         let (config, has_share) = (&self.config, self.has_share());
-        let wanted = self.targets.iter();
-        let wanted =
-            wanted.filter(|(_, t)| t.published.serving && t.wants_probe(now, config, has_share));
-        let order = |(id, target): (&TargetId, &Target)| {
-            ((target.is_far(config), target.told_at()), id.clone())
-        };
-        let mut due: Vec<_> = wanted.map(order).collect();
-        due.sort();
-        due.truncate(self.queue.len() * PROBES_PER_WAITING);
-        let due: Vec<TargetId> = due.into_iter().map(|(_, id)| id).collect();
+        let serving = self.targets.iter().filter(|(_, target)| target.published.serving);
+        let wanted = serving.filter(|(_, target)| target.wants_probe(now, config, has_share));
+        let mut order: Vec<(bool, Mono, &TargetId)> =
+            wanted.map(|(id, target)| (target.is_far(config), target.told_at(), id)).collect();
+        order.sort();
+        order.truncate(self.queue.len() * PROBES_PER_WAITING);
+        let due: Vec<TargetId> = order.into_iter().map(|(_, _, id)| id.clone()).collect();
         for id in &due {
             if let Some(target) = self.targets.get_mut(id) {
                 target.probed(now);
