fix(feed): a far entry that is behind does not begin the wait for a change anew

Cause, found on reading the change: CatchUp forgot what one far entry knows as soon as another one said that it knows no more than this one. With two far entries of which one is behind, and nobody near who knows, the wait began anew at each heartbeat, and the change was not read for as long. Ruled out: forgetting on purpose; what was caught up with is told apart by the revision already. Change: such a word changes nothing. The test failed before.

--- a/crates/feed/src/catch_up.rs
+++ b/crates/feed/src/catch_up.rs
@@ -60,7 +60,6 @@
         now: Mono,
     ) -> bool {
         if known <= own {
-            self.far = None;
             return false;
         }
         match self.far {
--- a/crates/feed/tests/catch_up.rs
+++ b/crates/feed/tests/catch_up.rs
@@ -46,3 +46,17 @@
     assert!(!catch_up.far_knows(revision(9), revision(7), SPREAD, at(2000)));
     assert!(catch_up.far_knows(revision(9), revision(7), SPREAD, at(2250)), "nobody near knows");
 }
+
+/// A change is known to one far entry; another one has not heard of it either. Each word of the one
+/// that is behind began the wait anew, so that the change was never read.
+#[test]
+fn a_far_entry_that_is_behind_does_not_hide_what_another_one_knows() {
+    let mut catch_up = CatchUp::new();
+    let revision = Revision::new;
+    assert!(!catch_up.far_knows(revision(9), revision(7), SPREAD, at(0)));
+    assert!(!catch_up.far_knows(revision(7), revision(7), SPREAD, at(150)));
+    assert!(!catch_up.far_knows(revision(9), revision(7), SPREAD, at(300)));
+    assert!(catch_up.misses(revision(7)));
+    assert!(!catch_up.far_knows(revision(7), revision(7), SPREAD, at(450)));
+    assert!(catch_up.far_knows(revision(9), revision(7), SPREAD, at(600)));
+}
