refactor(gateway): the fleet is ranked once for the contacts, and not for a heartbeat that tells nothing new

And the comment said more of who hears whom than holds. Change: ranking and readers are made once and handed on; the revisions are compared first. Who is called and what is read stay the same.

--- a/crates/gateway/src/control/contacts.rs
+++ b/crates/gateway/src/control/contacts.rs
@@ -8,7 +8,7 @@
 use shallotfork_types::{Endpoint, VmId};
 
 use crate::control::beats::{PERIOD, is_live};
-use crate::control::naming::{is_named, is_reader, ranked, readers};
+use crate::control::naming::{is_named, ranked, readers};
 use crate::control::state::State;
 
 /// Entries whose heartbeats the first ones can take at the shortest period; in a larger failure
@@ -48,15 +48,22 @@
 
 /// Whom to exchange heartbeats with now.
 ///
-/// Those that callers are sent to, and readers, hear each other at every period, and bring what they
-/// hear into their failure domains. All others hear those of their own, where a heartbeat costs
+/// Those that callers are sent to, and readers, hear the head of the ranking and all readers at every
+/// period, and bring what they hear into their failure domains. All others hear those of their own, where a heartbeat costs
 /// little; of the rest they learn by news. Should the platform turn a reader away, they look for
 /// themselves at every period who still reads: if that spread as news do, the next ones in turn would
 /// find out too late for a change to be in force within the users' two seconds.
 pub fn contacts(state: &State) -> Contacts {
-    let first = first_ones(state);
-    let near = near_ones(state);
-    if is_leading(state) || near.is_empty() {
+    let settings = &state.context.settings;
+    let readers = readers(state);
+    let leads = readers.iter().any(|entry| entry.vm == settings.vm)
+        || is_named(&state.active.borrow(), &settings.vm);
+    let mut others = ranked(state);
+    others.retain(|entry| entry.vm != settings.vm);
+    let near = others.iter().filter(|entry| entry.failure_domain == settings.failure_domain);
+    let near: Vec<EntryVm> = near.take(WATCHED).cloned().collect();
+    let first = first_ones(others, readers, &settings.vm);
+    if leads || near.is_empty() {
         return Contacts { near: first, near_periods: 1, far: Vec::new(), far_periods: 1 };
     }
     let near_periods = near_periods(state);
@@ -69,11 +76,6 @@
     PERIOD * (near_periods(state) + 2)
 }
 
-/// Whether callers are sent to this entry, or it reads for others.
-pub fn is_leading(state: &State) -> bool {
-    is_reader(state) || is_named(&state.active.borrow(), &state.context.settings.vm)
-}
-
 /// The seeds that are not known to be live, and an entry chosen at random: so parts of a fleet that
 /// were cut from each other find together again.
 pub fn outreach(state: &State) -> Vec<Endpoint> {
@@ -89,22 +91,13 @@
 /// Entries at the head of the ranking, and all readers: these tell of changes. When the platform
 /// turns the first entries away, the readers are others, and whoever called the first ones only
 /// would hear of nothing.
-fn first_ones(state: &State) -> Vec<EntryVm> {
-    let own = &state.context.settings.vm;
-    let first = ranked(state).into_iter().filter(|entry| entry.vm != *own).take(WATCHED);
-    let readers = readers(state).into_iter().filter(|entry| entry.vm != *own);
+fn first_ones(others: Vec<EntryVm>, readers: Vec<EntryVm>, own: &VmId) -> Vec<EntryVm> {
+    let first = others.into_iter().take(WATCHED);
+    let readers = readers.into_iter().filter(|entry| entry.vm != *own);
     let mut names: BTreeSet<VmId> = BTreeSet::new();
     first.chain(readers).filter(|entry| names.insert(entry.vm.clone())).collect()
 }
 
-/// Those at the head of the ranking among the entries of this failure domain.
-fn near_ones(state: &State) -> Vec<EntryVm> {
-    let settings = &state.context.settings;
-    let others = ranked(state).into_iter().filter(|entry| entry.vm != settings.vm);
-    let near = others.filter(|entry| entry.failure_domain == settings.failure_domain);
-    near.take(WATCHED).collect()
-}
-
 /// Periods between two heartbeats to the first entries of the own failure domain.
 fn near_periods(state: &State) -> u32 {
     let domain = &state.context.settings.failure_domain;
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -5,8 +5,8 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, ValueChange};
 use shallotfork_types::Revision;
 
-use crate::control::contacts::{is_leading, spread_time};
-use crate::control::naming::is_reader;
+use crate::control::contacts::spread_time;
+use crate::control::naming::{is_named, is_reader};
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
@@ -16,14 +16,14 @@
 ///
 /// One that can't read the platform itself may know more all the same, from those who can.
 pub fn should_read_from(state: &State, beat: &Heartbeat) -> bool {
-    if is_reader(state) {
+    let (known, own) = (beat.synced_revision, state.archive.borrow().position());
+    if known <= own || is_reader(state) {
         return false;
     }
     let settings = &state.context.settings;
-    let (known, own) = (beat.synced_revision, state.archive.borrow().position());
     let near = beat.failure_domain == settings.failure_domain;
-    if near || own == Revision::NONE || is_leading(state) {
-        return known > own;
+    if near || own == Revision::NONE || is_named(&state.active.borrow(), &settings.vm) {
+        return true;
     }
     let now = state.context.clock.now();
     state.catch_up.borrow_mut().far_knows(known, own, spread_time(state), now)
