--- a/crates/balance/tests/slots.rs
+++ b/crates/balance/tests/slots.rs
@@ -2,73 +2,22 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+#[path = "support/slots.rs"]
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quickcheck::QuickCheck;
 use shallotfork_balance::{
-    Admission, Assignment, LoadFigures, Pace, Resolution, RetryAllowance, RetryWindow, ShedReason,
-    SlotAsk, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget, Ticket, Woken, WorkClass,
+    Admission, Assignment, Resolution, RetryAllowance, RetryWindow, ShedReason, SlotAsk,
+    SlotOutcome, SlotPool, SlotTarget, Ticket, Woken,
 };
-use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
-
-const OBJECTIVE_MS: u64 = 400;
-const DEADLINE_MS: u64 = 3000;
-const WORK: Duration = Duration::from_millis(160);
-const USUAL: u32 = 1000;
-const SLOW: u32 = 5000;
-
-fn at(ms: u64) -> Mono {
-    Mono::from_millis(ms)
-}
-
-fn id(name: &str) -> TargetId {
-    TargetId::new(name).unwrap()
-}
-
-fn target(name: &str) -> SlotTarget {
-    SlotTarget {
-        id: id(name),
-        failure_domain: FailureDomain::new("hall").unwrap(),
-        slots: 2,
-        serving: true,
-        cold_for: Duration::ZERO,
-    }
-}
-
-fn ask(now_ms: u64) -> SlotAsk {
-    let class = WorkClass::new("recipes");
-    SlotAsk::new(class, at(now_ms), at(now_ms + OBJECTIVE_MS), at(now_ms + DEADLINE_MS))
-}
-
-fn figures(running: u32, pace: u32) -> LoadFigures {
-    LoadFigures { running, waiting: 0, slots: 2, pace: Some(Pace::new(pace)) }
-}
-
-fn pool(names: &[&str]) -> SlotPool {
-    named_pool("entry", names)
-}
-
-fn named_pool(name: &str, names: &[&str]) -> SlotPool {
-    let config = SlotPoolConfig { name: name.to_owned(), ..SlotPoolConfig::default() };
-    let mut pool = SlotPool::new(config);
-    pool.set_targets(names.iter().map(|name| target(name)).collect(), at(0));
-    pool
-}
-
-fn sent(admission: Admission) -> Assignment {
-    match admission {
-        Admission::Send(assignment) => assignment,
-        other => panic!("expected a slot, got {other:?}"),
-    }
-}
+use shallotfork_types::Permille;
 
-fn queued(admission: Admission) -> Ticket {
-    match admission {
-        Admission::Queued(ticket) => ticket,
-        other => panic!("expected a place in the queue, got {other:?}"),
-    }
-}
+use support::{
+    SLOW, USUAL, answered, ask, at, figures, id, learn_work, named_pool, pool, queued, sent, target,
+};
 
 fn target_of(woken: &Woken) -> Option<&str> {
     match &woken.resolution {
@@ -77,10 +26,6 @@
     }
 }
 
-fn answered() -> SlotOutcome {
-    SlotOutcome::Answered { latency: WORK }
-}
-
 #[test]
 fn an_idle_target_goes_before_the_last_slot_of_another() {
     let mut pool = pool(&["a", "b", "c"]);
@@ -245,17 +190,6 @@
     QuickCheck::new().tests(400).quickcheck(property as fn(Vec<(bool, u8)>) -> bool);
 }
 
-/// Lets a pool measure the usual work at the usual pace.
-fn learn_work(pool: &mut SlotPool, name: &str) {
-    for round in 0..5 {
-        let now = round * 200;
-        pool.report(&id(name), figures(0, USUAL), at(now));
-        let assignment = sent(pool.admit(ask(now), at(now)));
-        pool.sending(assignment.attempt, at(now));
-        pool.finish(assignment.attempt, answered(), Some(figures(1, USUAL)), at(now + 160));
-    }
-}
-
 /// An assignment to the named target; others are given back.
 fn loop_until(pool: &mut SlotPool, name: &str, now_ms: u64) -> Assignment {
     let mut others = Vec::new();
@@ -346,83 +280,6 @@
     assert_eq!(sent(pool.admit(objective(800), at(1000))).target, id("a"));
 }
 
-/// Of equal servers one stood nearby. The measured times of a few requests made the far one look
-/// quicker by a tenth, and two of three requests crossed to another failure domain, which costs the
-/// users more than such a difference.
-#[test]
-fn requests_stay_near_while_that_costs_little() {
-    let mut pool = pool_with_a_far_target();
-    for latency in [150, 170, 200, 190, 210, 160, 200, 180] {
-        let assignment = sent(pool.admit(ask(0), at(0)));
-        assert_eq!(assignment.target, id("near"));
-        pool.report(&id("near"), figures(0, USUAL), at(0));
-        pool.sending(assignment.attempt, at(0));
-        let latency = Duration::from_millis(latency);
-        pool.finish(assignment.attempt, SlotOutcome::Answered { latency }, None, at(0));
-    }
-}
-
-/// All slots nearby are taken, or their servers say that they are slow now: a caller in a hurry is
-/// served elsewhere rather than made to wait.
-#[test]
-fn a_request_crosses_when_near_slots_are_taken_or_slow() {
-    let mut pool = pool_with_a_far_target();
-    let chosen = [(); 3].map(|()| sent(pool.admit(ask(0), at(0))).target);
-    assert_eq!(chosen, [id("near"), id("near"), id("far")]);
-    let mut pool = pool_with_a_far_target();
-    learn_work(&mut pool, "near");
-    pool.report(&id("near"), figures(0, SLOW), at(1000));
-    assert_eq!(sent(pool.admit(ask(1000), at(1000))).target, id("far"));
-}
-
-/// A burst fills all slots of two failure domains. Each process filled a slot that it gave back again
-/// before the other one heard of it, far ones too: one of them ended up with half of the slots that
-/// its own failure domain needed taken by the other, and refused 300 requests a second while that
-/// one refused ten. So one that has its share leaves half of a far target's slots free.
-#[test]
-fn a_process_with_its_share_leaves_far_slots_to_those_nearby() {
-    let mut pool = pool_with_a_far_target();
-    pool.set_sharers(2);
-    let _near = [(); 2].map(|()| sent(pool.admit(ask(0), at(0))));
-    pool.report(&id("far"), figures(1, USUAL), at(0));
-    queued(pool.admit(ask(0), at(0)));
-}
-
-/// The only server of a failure domain is lost. Its requests may take all slots of the others, as long
-/// as these are no more than its share.
-#[test]
-fn a_process_with_less_than_its_share_takes_what_is_free() {
-    let mut pool = pool_with_a_far_target();
-    pool.set_sharers(2);
-    pool.report(&id("near"), figures(2, USUAL), at(0));
-    let chosen = [(); 2].map(|()| sent(pool.admit(ask(0), at(0))).target);
-    assert_eq!(chosen, [id("far"), id("far")]);
-}
-
-/// Two requests wait for the slow phases of twenty servers to end. Asking all of them 40 times a
-/// second took the processor time that the requests needed.
-#[test]
-fn as_many_targets_are_asked_as_the_waiting_requests_need() {
-    let names: Vec<String> = (0..20).map(|number| format!("target-{number:02}")).collect();
-    let mut pool = pool(&names.iter().map(String::as_str).collect::<Vec<_>>());
-    learn_work(&mut pool, "target-00");
-    names.iter().for_each(|name| drop(pool.report(&id(name), figures(0, SLOW), at(1000))));
-    let _waiting = [(); 2].map(|()| queued(pool.admit(ask(1000), at(1000))));
-    let first = pool.due_probes(at(1030));
-    assert_eq!(first.len(), 8);
-    let second = pool.due_probes(at(1030));
-    assert!(second.len() == 8 && second.iter().all(|asked| !first.contains(asked)), "{second:?}");
-}
-
-fn pool_with_a_far_target() -> SlotPool {
-    let near = FailureDomain::new("near").unwrap();
-    let config = SlotPoolConfig { near: Some(near.clone()), ..SlotPoolConfig::default() };
-    let mut pool = SlotPool::new(config);
-    let near_target = SlotTarget { failure_domain: near, ..target("near") };
-    pool.set_targets(vec![near_target, target("far")], at(0));
-    pool
-}
-
 /// All entries have just started, and each gets one request. Were all to begin with the same
 /// server, it would be full, and one that hangs when it is full would keep them waiting.
 #[test]
