--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,14 +1,16 @@
-//! How the entries of a fleet share work: whom callers are sent to, who reads the platform, and
-//! whether the platform answers any of them.
+//! How the entries of a fleet share work: whom callers are sent to, who reads the platform,
+//! how often heartbeats are exchanged, and whether the platform answers any of them.
 //!
 //! Pure decisions, which every entry makes by itself from what it knows of the others.
 
 mod active;
 mod order;
+mod pace;
 mod readers;
 mod sight;
 
 pub use active::{ActiveEntry, active_entries, entries_for};
 pub use order::{Candidate, fleet_order};
+pub use pace::{far_periods, near_periods};
 pub use readers::choose_readers;
 pub use sight::PlatformSight;
