--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,13 +4,17 @@
 //! Pure decisions, which every entry makes by itself from what it knows of the others.
 
 mod active;
+mod contacts;
+mod heads;
 mod order;
 mod pace;
 mod readers;
 mod sight;
 
 pub use active::{ActiveEntry, active_entries, entries_for};
+pub use contacts::{Contacts, Standing, contacts};
+pub use heads::heads;
 pub use order::{Candidate, fleet_order};
-pub use pace::{far_periods, near_periods};
-pub use readers::choose_readers;
-pub use sight::PlatformSight;
+pub use pace::{PERIOD, near_periods, spread_time};
+pub use readers::{choose_readers, may_have_to_read};
+pub use sight::{PlatformAges, PlatformSight};
--- a/crates/fleet/src/readers.rs
+++ b/crates/fleet/src/readers.rs
@@ -19,8 +19,19 @@
 /// platform away in its turn: a call of every entry of the fleet, at a moment when the platform is
 /// in trouble.
 pub fn choose_readers(order: &[VmId], blind: &BTreeSet<VmId>) -> Vec<VmId> {
-    let tried = || order.iter().take(TRIED);
+    let tried = || tried(order);
     let seeing: Vec<VmId> =
         tried().filter(|vm| !blind.contains(vm)).take(READERS).cloned().collect();
     if seeing.is_empty() { tried().take(READERS).cloned().collect() } else { seeing }
 }
+
+/// Whether an entry may have to read soon, since the platform turns away one of those that come
+/// before or beside it. It then has to hear for itself who still reads: told by the first entry of
+/// its failure domain, it would begin too late for a change to be in force in time.
+pub fn may_have_to_read(own: &VmId, order: &[VmId], blind: &BTreeSet<VmId>) -> bool {
+    tried(order).any(|vm| vm == own) && tried(order).any(|vm| blind.contains(vm))
+}
+
+fn tried(order: &[VmId]) -> impl Iterator<Item = &VmId> {
+    order.iter().take(TRIED)
+}
--- a/crates/fleet/src/sight.rs
+++ b/crates/fleet/src/sight.rs
@@ -7,10 +7,26 @@
 /// How long the word of an entry that reads the platform counts; some heartbeats of the largest
 /// fleets.
 const WORD_COUNTS_FOR: Duration = Duration::from_millis(2000);
-/// Silence of all readers after which an entry reads for itself. The far ones among them are heard
-/// every 0.9 s, and a change has to be in force within the users' 2 to 3 s.
+/// Silence of all readers after which an entry reads for itself, beside the time in which their word
+/// comes to it. A change has to be in force within the users' 2 to 3 s.
 const WORD_MISSED_AFTER: Duration = Duration::from_millis(1500);
 
+/// Added to what another entry has heard, for the way. Two entries that hand a word back and forth
+/// would otherwise keep it fresh for ever.
+const WAY: Duration = Duration::from_millis(50);
+
+/// What an entry tells others of the platform: times since then, so that it can be passed on without
+/// comparing clocks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlatformAges {
+    /// Since it answered somebody; `None` if it is not known to have.
+    pub answered: Option<Duration>,
+    /// Since a reader was heard, whatever it said; `None` for never.
+    pub reader_heard: Option<Duration>,
+    /// For how long it has answered nobody; `None` while it answers.
+    pub away: Option<Duration>,
+}
+
 /// What an entry has seen and heard of the platform.
 ///
 /// A platform may turn some VMs away while it serves the others. An entry that is turned away and
@@ -22,7 +38,7 @@
     others_lost_at: Option<Mono>,
     others_answered_at: Option<Mono>,
     /// When a reader was heard last, whatever it said.
-    heard_at: Mono,
+    heard_at: Option<Mono>,
 }
 
 impl PlatformSight {
@@ -46,7 +62,7 @@
 
     /// Another entry that reads the platform says whether it answers.
     pub fn told(&mut self, answers: bool, now: Mono) {
-        self.heard_at = now;
+        self.heard_at = Some(now);
         if answers {
             self.others_answered_at = Some(now);
             self.others_lost_at = None;
@@ -61,8 +77,43 @@
     /// learn of the loss only by the readers' silence: in a large fleet, whose entries send
     /// heartbeats less often, after 2.7 s. Until then they would go by the old routes. A reader that
     /// is heard, even if only to say that the platform is away, keeps the others from calling it.
-    pub fn misses_readers(&self, now: Mono) -> bool {
-        now.since(self.heard_at) >= WORD_MISSED_AFTER
+    ///
+    /// `way` is how long the readers' word takes to come here. With the same patience everywhere, all
+    /// entries would call the platform at the moment at which the first ones begin to do so for them.
+    pub fn misses_readers(&self, way: Duration, now: Mono) -> bool {
+        now.since(self.heard_at.unwrap_or(Mono::ZERO)) >= WORD_MISSED_AFTER + way
+    }
+
+    /// What to tell others; `reads` says that this entry reads the platform now.
+    pub fn ages(&self, reads: bool, now: Mono) -> PlatformAges {
+        let since = |at: Mono| now.since(at);
+        let answers = reads && !self.is_blind();
+        PlatformAges {
+            answered: if answers {
+                Some(Duration::ZERO)
+            } else {
+                self.others_answered_at.map(since)
+            },
+            reader_heard: if reads { Some(Duration::ZERO) } else { self.heard_at.map(since) },
+            away: self.away_since(now).map(since),
+        }
+    }
+
+    /// Takes what another entry has seen and heard.
+    ///
+    /// Most entries hear the readers only through the first ones of their failure domain; without
+    /// this, each would have to call the readers itself, and in a large fleet these would be busy with
+    /// nothing else.
+    pub fn relayed(&mut self, ages: PlatformAges, now: Mono) {
+        let at = |age: Duration| now.minus(age + WAY);
+        self.heard_at = self.heard_at.max(ages.reader_heard.map(at));
+        self.others_answered_at = self.others_answered_at.max(ages.answered.map(at));
+        if let Some(lost_at) = ages.away.map(at) {
+            self.others_lost_at.get_or_insert(lost_at);
+        }
+        if self.others_answered_at > self.others_lost_at {
+            self.others_lost_at = None;
+        }
     }
 
     /// Whether this entry itself can't read the platform.
--- a/crates/fleet/tests/sight.rs
+++ b/crates/fleet/tests/sight.rs
@@ -1,6 +1,8 @@
 //! Whether the platform counts as away.
 
-use shallotfork_fleet::PlatformSight;
+use std::time::Duration;
+
+use shallotfork_fleet::{PlatformAges, PlatformSight};
 use shallotfork_types::Mono;
 
 fn at(ms: u64) -> Mono {
@@ -49,8 +51,54 @@
 fn an_entry_that_hears_no_reader_reads_for_itself() {
     let mut sight = PlatformSight::new();
     sight.told(true, at(10_000));
-    assert!(!sight.misses_readers(at(10_900)), "far readers are heard every 0.9 s");
-    assert!(sight.misses_readers(at(11_500)));
+    assert!(!sight.misses_readers(Duration::ZERO, at(10_900)), "far readers are heard every 0.9 s");
+    assert!(sight.misses_readers(Duration::ZERO, at(11_500)));
     sight.told(false, at(11_600));
-    assert!(!sight.misses_readers(at(12_500)), "a platform that is away is not called by all");
+    let later = at(12_500);
+    assert!(!sight.misses_readers(Duration::ZERO, later), "one that is away is not called by all");
+}
+
+/// All three readers are lost, and with them the first entries of two failure domains. In a fleet of
+/// hundreds each entry would call the platform 1.5 s later, thousands of calls in one second. Those
+/// that hear the readers' word later, through others, wait longer; by then the first ones read.
+#[test]
+fn entries_that_hear_of_the_readers_through_others_wait_for_these_to_read() {
+    let mut first = PlatformSight::new();
+    let mut behind = PlatformSight::new();
+    first.told(true, at(10_000));
+    behind.relayed(first.ages(false, at(10_300)), at(10_310));
+    assert!(first.misses_readers(Duration::ZERO, at(11_600)));
+    assert!(!behind.misses_readers(Duration::from_millis(750), at(11_700)));
+    let reading = first.ages(true, at(11_700));
+    assert_eq!(reading.reader_heard, Some(Duration::ZERO));
+    behind.relayed(reading, at(11_700));
+    assert!(!behind.misses_readers(Duration::from_millis(750), at(13_800)));
+}
+
+/// Two entries hear no reader any more and tell each other at every period how long ago that was.
+/// Were the way not counted, each would take the word of the other for a fresher one.
+#[test]
+fn a_word_that_is_handed_back_and_forth_gets_older() {
+    let mut one = PlatformSight::new();
+    let mut other = PlatformSight::new();
+    one.told(true, at(1_000));
+    for now_ms in (1_000..4_000).step_by(20) {
+        other.relayed(one.ages(false, at(now_ms)), at(now_ms + 10));
+        one.relayed(other.ages(false, at(now_ms + 10)), at(now_ms + 20));
+    }
+    assert!(one.misses_readers(Duration::ZERO, at(4_000)));
+    assert!(other.misses_readers(Duration::ZERO, at(4_000)));
+}
+
+/// The platform is down. Entries that hear of it through the first one of their failure domain have
+/// to excuse missing entries of targets as these do, and for no longer.
+#[test]
+fn the_end_of_an_outage_is_passed_on_like_its_beginning() {
+    let mut behind = PlatformSight::new();
+    let away = PlatformAges { away: Some(Duration::from_millis(400)), ..PlatformAges::default() };
+    behind.relayed(away, at(5_000));
+    assert_eq!(behind.away_since(at(5_100)), Some(at(4_550)));
+    let back = PlatformAges { answered: Some(Duration::ZERO), ..PlatformAges::default() };
+    behind.relayed(back, at(6_000));
+    assert_eq!(behind.away_since(at(6_000)), None);
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,7 +12,7 @@
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
 use crate::line_budget::LineBudget;
@@ -46,6 +46,8 @@
     pub bodies: BodyBudget,
     /// Slots of each service.
     pub services: Services,
+    /// Signalled when a request begins to wait for a slot.
+    pub waits: Arc<Notify>,
     /// Shares of services within a route.
     pub splitter: Mutex<Splitter>,
     /// Deadlines seen on each route.
@@ -69,7 +71,15 @@
         let name = self.settings.vm.to_string();
         let config = || SlotPoolConfig { name, near, ..SlotPoolConfig::default() };
         self.services.get(service, || {
-            ServiceSlots::new(service.clone(), config(), window, self.clock, self.log.clone())
+            let waits = Arc::clone(&self.waits);
+            ServiceSlots::new(
+                service.clone(),
+                config(),
+                window,
+                self.clock,
+                self.log.clone(),
+                waits,
+            )
         })
     }
 
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -10,7 +10,7 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId};
 use shallotfork_types::Revision;
 
-use crate::control::beats::{heard, own_heartbeat};
+use crate::control::hearing::{heard, own_heartbeat};
 use crate::control::relay::told;
 use crate::control::state::State;
 
@@ -27,8 +27,8 @@
     }
 
     async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
-        let audience = heard(&self.state, from, &beat);
-        own_heartbeat(&self.state, audience)
+        heard(&self.state, from, &beat);
+        own_heartbeat(&self.state, &from.vm)
     }
 
     async fn claim(&self, _operation: OperationId, _claim: ClaimId) -> ClaimAnswer {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,9 +1,11 @@
 //! The control thread: what is published, and which entries live.
 
 mod beats;
-mod contacts;
+mod beliefs;
 mod handler;
+mod hearing;
 mod naming;
+mod outreach;
 mod peers;
 mod publish;
 mod reader;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -70,7 +70,7 @@
 }
 
 /// Publishes routes and targets as they are known now.
-pub fn publish(state: &State, changed: &[RosterChange]) {
+fn publish(state: &State, changed: &[RosterChange]) {
     let context = &state.context;
     for change in changed {
         event!(context.log, TARGET_CHANGED, "change" => format!("{change:?}"));
@@ -83,27 +83,55 @@
             _ => {}
         }
     }
+    publish_routes(state);
+    let version = state.roster.borrow().version();
+    if state.published_version.replace(version) != version {
+        publish_targets(state);
+    }
+}
+
+fn publish_routes(state: &State) {
+    let published = state.context.published.load();
+    let table = state.in_force.borrow().table().cloned();
+    state.context.published.store(Arc::new(Published { table, ..Published::clone(&published) }));
+}
+
+/// Publishes since when the platform counts as away.
+pub fn publish_away(state: &State) {
+    let published = state.context.published.load();
+    let platform_lost_at = state.away_since.get();
+    let published = Published { platform_lost_at, ..Published::clone(&published) };
+    state.context.published.store(Arc::new(published));
+}
+
+/// Tells the slots of all services how many entries share them.
+pub fn publish_sharers(state: &State, sharers: usize) {
+    state.context.services.all().iter().for_each(|(_, slots)| slots.set_sharers(sharers));
+}
+
+/// Publishes the targets, and gives each service's slots theirs if these have changed.
+fn publish_targets(state: &State) {
+    let context = &state.context;
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
     let by_service = by_service(&targets);
-    let sharers = state.active.borrow().len();
-    let published = Published {
-        table: state.in_force.borrow().table().cloned(),
-        targets: Arc::new(targets),
-        platform_lost_at: state.away_since.get(),
-    };
+    let published = context.published.load();
+    let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
     context.published.store(Arc::new(published));
-    for (service, targets) in by_service {
-        context.slots(&service).set_targets(targets, sharers);
+    let sharers = context.fleet.load().named.len();
+    let mut given = state.given.borrow_mut();
+    let gone: Vec<ServiceName> =
+        given.keys().filter(|service| !by_service.contains_key(*service)).cloned().collect();
+    let emptied = gone.into_iter().map(|service| (service, Vec::new()));
+    for (service, targets) in by_service.into_iter().chain(emptied) {
+        if given.get(&service) != Some(&targets) {
+            let slots = context.slots(&service);
+            slots.set_sharers(sharers);
+            slots.set_targets(targets.clone());
+            given.insert(service, targets);
+        }
     }
-    let gone = context.services.all().into_iter();
-    let gone = gone.filter(|(service, _)| !has_target(&context.published.load(), service));
-    gone.for_each(|(_, slots)| slots.set_targets(Vec::new(), sharers));
-}
-
-fn has_target(published: &Published, service: &ServiceName) -> bool {
-    published.targets.values().any(|entry| entry.service == *service)
 }
 
 /// The targets by service. Every entry may send to each of them, and prefers those nearby: what others
@@ -113,6 +141,7 @@
     for (id, entry) in targets {
         by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
     }
+    by_service.values_mut().for_each(|targets| targets.sort_by(|a, b| a.id.cmp(&b.id)));
     by_service
 }
 
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -8,10 +8,12 @@
 use shallotfork_types::Revision;
 use tokio::time::timeout;
 
-use crate::control::naming::{is_reader, name_entries};
-use crate::control::publish::{publish, take_all, take_changes};
+use crate::control::beliefs::beliefs;
+use crate::control::naming::name_entries;
+use crate::control::publish::{publish_away, take_all, take_changes};
 use crate::control::state::State;
 use shallotfork_feed::{FeedError, Freshness, RawItem};
+use shallotfork_fleet::PERIOD;
 
 /// How long a watch waits for a change. A platform that goes silent shows only at its end; when that
 /// happens to all readers at once, others have to take their place soon enough for a change to be
@@ -33,8 +35,6 @@
 /// Time in which other entries are found before this one may take itself to be the only one, and
 /// read the platform although others do.
 const START_WAIT: Duration = Duration::from_millis(500);
-/// How often an entry that does not read looks whether it should.
-const ROLE_LOOK: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call; at the return of the platform all entries are back within
 /// this time.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
@@ -46,10 +46,10 @@
     first_fill(&state).await;
     tokio::time::sleep(START_WAIT).await;
     loop {
-        let unheard = state.sight.borrow().misses_readers(state.context.clock.now());
-        let reads = is_reader(&state) || unheard;
+        let reads = should_read(&state);
+        state.reads.set(reads);
         if !reads && !state.sight.borrow().is_blind() {
-            tokio::time::sleep(ROLE_LOOK).await;
+            state.role_look.notified().await;
             continue;
         }
         let position = state.archive.borrow().position();
@@ -79,6 +79,18 @@
     }
 }
 
+/// Whether this entry is one of the readers, or hears none of them.
+fn should_read(state: &State) -> bool {
+    let beliefs = beliefs(state);
+    let way = if beliefs.contacts.hears_readers {
+        Duration::ZERO
+    } else {
+        PERIOD * beliefs.contacts.watched_periods
+    };
+    beliefs.readers.contains(&state.context.settings.vm)
+        || state.sight.borrow().misses_readers(way, state.context.clock.now())
+}
+
 /// Reads everything once, at a tenth of the price, before this entry knows whether it is a reader.
 ///
 /// What it brings may be seconds old; the readers, or the platform's watch, tell what has changed
@@ -170,5 +182,5 @@
         (Some(_), None) => state.roster.borrow_mut().platform_back(now),
         _ => return,
     }
-    publish(state, &[]);
+    publish_away(state);
 }
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -5,8 +5,7 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, ValueChange};
 use shallotfork_types::Revision;
 
-use crate::control::contacts::spread_time;
-use crate::control::naming::{is_named, is_reader};
+use crate::control::beliefs::beliefs;
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
@@ -17,16 +16,17 @@
 /// One that can't read the platform itself may know more all the same, from those who can.
 pub fn should_read_from(state: &State, beat: &Heartbeat) -> bool {
     let (known, own) = (beat.synced_revision, state.archive.borrow().position());
-    if known <= own || is_reader(state) {
+    let beliefs = beliefs(state);
+    let settings = &state.context.settings;
+    if known <= own || beliefs.readers.contains(&settings.vm) {
         return false;
     }
-    let settings = &state.context.settings;
     let near = beat.failure_domain == settings.failure_domain;
-    if near || own == Revision::NONE || is_named(&state.active.borrow(), &settings.vm) {
+    if near || own == Revision::NONE || beliefs.contacts.hears_readers {
         return true;
     }
     let now = state.context.clock.now();
-    state.catch_up.borrow_mut().far_knows(known, own, spread_time(state), now)
+    state.catch_up.borrow_mut().far_knows(known, own, beliefs.spread_time(), now)
 }
 
 /// Reads from another entry what it knows beyond this one.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -2,19 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::sync::Arc;
 
-use shallotfork_membership::{Announcement, EntryVm, ListedVm, View};
+use shallotfork_balance::SlotTarget;
+use shallotfork_membership::{Announcement, ListedVm, View};
 use shallotfork_peer::PeerState;
 use shallotfork_roster::Roster;
 use shallotfork_routes::InForce;
-use shallotfork_types::{Endpoint, Mono, VmId};
-use tokio::sync::watch;
+use shallotfork_types::{Endpoint, Mono, ServiceName, VmId};
+use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
+use crate::control::beliefs::Beliefs;
+use crate::control::hearing::Told;
 use crate::control::peers::Peers;
 use shallotfork_feed::{Archive, CatchUp, Feed};
-use shallotfork_fleet::{ActiveEntry, PlatformSight};
+use shallotfork_fleet::PlatformSight;
 
 /// All state that only the control thread touches.
 ///
@@ -40,14 +44,28 @@
     pub sight: RefCell<PlatformSight>,
     /// Since when the platform has counted as away; `None` while it does not.
     pub away_since: Cell<Option<Mono>>,
-    /// Entries that callers are sent to.
-    pub active: RefCell<Vec<ActiveEntry>>,
+    /// What was believed of the fleet last.
+    pub beliefs: RefCell<Option<Rc<Beliefs>>>,
+    /// The beliefs that callers are named entries by.
+    pub named_by: RefCell<Option<Rc<Beliefs>>>,
+    /// Whether this entry reads the platform now.
+    pub reads: Cell<bool>,
+    /// Signalled when that may have to change.
+    pub role_look: Notify,
+    /// The targets that each service's slots were given last.
+    pub given: RefCell<BTreeMap<ServiceName, Vec<SlotTarget>>>,
+    /// The version of the roster that was published last.
+    pub published_version: Cell<u64>,
     /// Entries that say that they can't read the platform.
     pub blind: RefCell<BTreeSet<VmId>>,
     /// Where other entries may be found.
     pub seeds: RefCell<Vec<Endpoint>>,
-    /// Entries that rank the first ones in another way.
-    pub differing: RefCell<BTreeSet<Endpoint>>,
+    /// What other entries were told.
+    pub told: RefCell<BTreeMap<VmId, Told>>,
+    /// Raised with each change of `blind` or `starting`.
+    pub words_version: Cell<u64>,
+    /// Live entries of the own failure domain, by the word of the first ones there.
+    pub told_domain_entries: Cell<u32>,
     /// Entries that said that they know no routes yet, and when they said it last.
     pub starting: RefCell<BTreeMap<VmId, Mono>>,
     /// Whether a planned stop is under way.
@@ -56,13 +74,16 @@
     pub synced: Cell<bool>,
     /// Becomes true at that moment; the traffic side waits for it.
     pub ready: watch::Sender<bool>,
-    /// The most entries that were live at one time.
+    /// The most heads that were live at one time.
     pub known: Cell<usize>,
-    /// Beliefs that were last logged.
-    pub logged: RefCell<Vec<EntryVm>>,
 }
 
 impl State {
+    /// Whether callers may be sent to this process.
+    pub fn serves(&self) -> bool {
+        self.synced.get() && !self.leaving.get()
+    }
+
     /// Where this process stands in its life.
     pub fn own_state(&self) -> PeerState {
         if self.leaving.get() {
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -16,7 +16,7 @@
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::Endpoint;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 use crate::context::Context;
@@ -32,12 +32,15 @@
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
 /// it is suspected.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Connections of other entries that are served at once. After a common start hundreds look for the
+/// fleet at the same few seeds; each connection takes some tens of kilobytes.
+const CONNECTIONS_MAX: usize = 1024;
 /// How often lapsed targets and idle connections are looked after.
 const TIDY: Duration = Duration::from_millis(250);
-/// Heartbeats that carry the same news; each reaches three entries at the head of the ranking, who
-/// pass it on to all that call them.
+/// Heartbeats to heads that carry the same news; whoever misses all of them hears by the comparison of
+/// heads.
 const NEWS_SENDS: u32 = 12;
-/// News in one heartbeat; a restart of half of a large fleet is told within a few.
+/// News in one heartbeat; the loss of half of all heads is told within a few.
 const NEWS_MAX: usize = 24;
 
 /// What the control thread takes over from start-up.
@@ -174,16 +177,22 @@
         catch_up: RefCell::new(CatchUp::new()),
         sight: RefCell::new(PlatformSight::new()),
         away_since: Cell::new(None),
-        active: RefCell::new(Vec::new()),
+        beliefs: RefCell::new(None),
+        named_by: RefCell::new(None),
+        reads: Cell::new(false),
+        role_look: Notify::new(),
+        given: RefCell::new(BTreeMap::new()),
+        published_version: Cell::new(0),
         blind: RefCell::new(BTreeSet::new()),
         seeds: RefCell::new(context.settings.seeds.clone()),
-        differing: RefCell::new(BTreeSet::new()),
+        told: RefCell::new(BTreeMap::new()),
+        words_version: Cell::new(0),
+        told_domain_entries: Cell::new(0),
         starting: RefCell::new(BTreeMap::new()),
         leaving: Cell::new(false),
         synced: Cell::new(false),
         ready,
         known: Cell::new(1),
-        logged: RefCell::new(Vec::new()),
         context,
     }
 }
@@ -192,6 +201,7 @@
     PeerConfig {
         handshake_timeout: PEER_TIMEOUT,
         call_timeout: PEER_TIMEOUT,
+        connections_max: CONNECTIONS_MAX,
         ..PeerConfig::default()
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,7 +19,7 @@
 use shallotfork_types::{Endpoint, Incarnation, PerSecond};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::context::{Context, Deadlines, Services};
 use crate::control::{ControlHandle, ControlParts, start};
@@ -92,6 +92,7 @@
         links: TargetLinks::new(LinkConfig::default(), bodies.clone()),
         bodies,
         services: Services::default(),
+        waits: Arc::new(Notify::new()),
         splitter: Mutex::new(Splitter::new()),
         deadlines: Deadlines::default(),
         last_answer: OnceLock::new(),
@@ -157,7 +158,7 @@
     let early = Arc::new(move |head: &http::request::Parts| may_begin_early(&shared, head));
     let config = ServeConfig::default();
     tokio::spawn(serve_early(listener, endpoint, config, callers, early));
-    tokio::spawn(probes(Arc::clone(&context), TimerService::new(context.clock)));
+    tokio::spawn(probes(Arc::clone(&context)));
     tokio::spawn(service_load(Arc::clone(&context), TimerService::new(context.clock)));
     tokio::select! {
         ready = is_ready.wait_for(|ready| *ready) => drop(ready.context("control has ended")?),
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -8,7 +8,6 @@
 use http_body_util::Full;
 use metrics::counter;
 use shallotfork_exchange::{AnswerOwner, LinkRequest};
-use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::{Endpoint, ServiceName, TargetId};
 
 use crate::context::Context;
@@ -23,10 +22,17 @@
 const TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Probes, and ends waits that have lasted long enough, for as long as the process runs.
-pub async fn probes(context: Arc<Context>, timer: TimerService) {
-    let mut ticks = timer.subscribe(Schedule::new(LOOK));
-    while ticks.tick().await.is_some() {
+///
+/// Looks only while requests wait: most entries of a large fleet serve none, and would wake up eighty
+/// times a second for nothing.
+pub async fn probes(context: Arc<Context>) {
+    loop {
         let services = context.services.all();
+        if services.iter().all(|(_, slots)| !slots.has_waiting()) {
+            context.waits.notified().await;
+            continue;
+        }
+        tokio::time::sleep(LOOK).await;
         services.iter().for_each(|(_, slots)| slots.expire());
         // An entry that callers are not sent to serves a few requests with old addresses; were all
         // entries to probe for these, probing would cost more than the requests.
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -13,7 +13,7 @@
 use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Mono, ServiceName, TargetId};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::context::lock;
 
@@ -28,6 +28,8 @@
     name: ServiceName,
     clock: Clock,
     log: Logger,
+    /// Signalled when a request begins to wait.
+    waits: Arc<Notify>,
     inner: Mutex<Inner>,
 }
 
@@ -100,6 +102,7 @@
         retry_window: Duration,
         clock: Clock,
         log: Logger,
+        waits: Arc<Notify>,
     ) -> Arc<Self> {
         let inner = Inner {
             pool: SlotPool::new(config),
@@ -107,7 +110,7 @@
             waiting: HashMap::new(),
             asked_at: None,
         };
-        Arc::new(Self { name, clock, log, inner: Mutex::new(inner) })
+        Arc::new(Self { name, clock, log, waits, inner: Mutex::new(inner) })
     }
 
     /// Counts a request of a caller, for the limit on repeated sends.
@@ -136,6 +139,7 @@
             (Admission::Shed(shed), _) => Err(shed),
             (Admission::Queued(ticket), receiver) => {
                 let _waiting = Waiting { slots: self, ticket };
+                self.waits.notify_one();
                 let place = receiver.expect("a queued request has a receiver").await;
                 place.expect("every ticket is resolved before its sender is dropped")
             }
@@ -155,13 +159,15 @@
         Some(self.assigned(assignment))
     }
 
-    /// Takes the published targets, and how many entries send requests to them.
-    pub fn set_targets(self: &Arc<Self>, targets: Vec<SlotTarget>, sharers: usize) {
+    /// Takes how many entries send requests to the targets.
+    pub fn set_sharers(&self, sharers: usize) {
+        self.lock().pool.set_sharers(sharers);
+    }
+
+    /// Takes the published targets.
+    pub fn set_targets(self: &Arc<Self>, targets: Vec<SlotTarget>) {
         let now = self.clock.now();
-        let mut inner = self.lock();
-        inner.pool.set_sharers(sharers);
-        let woken = inner.pool.set_targets(targets, now);
-        drop(inner);
+        let woken = self.lock().pool.set_targets(targets, now);
         self.deliver(woken);
     }
 
@@ -225,6 +231,11 @@
         self.lock().pool.summary(now)
     }
 
+    /// Whether any request waits for a slot.
+    pub fn has_waiting(&self) -> bool {
+        !self.lock().waiting.is_empty()
+    }
+
     /// Ends those who have waited long enough. To be called at short intervals: were each waiting
     /// request to look after the queue, all of them would wake up for each one's end.
     pub fn expire(self: &Arc<Self>) {
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -17,6 +17,8 @@
     /// Whether heartbeats are exchanged with it, so that its silence means something.
     watched: bool,
     pub(crate) quiet_since: Mono,
+    /// Version of the view at which the belief changed last.
+    pub(crate) changed_at: u64,
 }
 
 impl Member {
@@ -30,6 +32,7 @@
             suspected: false,
             watched: false,
             quiet_since: now,
+            changed_at: 0,
         }
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use shallotfork_types::{Mono, Revision, VmId};
+use shallotfork_types::{Incarnation, Mono, Revision, VmId};
 
 use crate::member::Member;
 use crate::{Announcement, EntryState, EntryVm, ListedVm, News, ViewConfig};
@@ -21,6 +21,12 @@
     members: BTreeMap<VmId, Member>,
     /// Sends that are left for each piece of news.
     spreading: BTreeMap<VmId, u32>,
+    /// Raised with each change of a belief.
+    version: u64,
+    /// Whose news is passed on; `None` for everybody's.
+    passed_on: Option<BTreeSet<VmId>>,
+    /// Whether this process passes on what it has heard of third VMs.
+    relays: bool,
 }
 
 impl View {
@@ -35,9 +41,36 @@
             revision: Revision::NONE,
             members: BTreeMap::from([(vm, member)]),
             spreading: BTreeMap::new(),
+            version: 0,
+            passed_on: None,
+            relays: true,
         }
     }
 
+    /// Differs from an earlier value when [`entries`](Self::entries) may answer differently.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Passes on news of these VMs only, and of VMs that are not live.
+    ///
+    /// At a common start everybody's news is new to everybody: passed on in full, it grows with the
+    /// square of the fleet. What others need are the VMs that come first in each failure domain.
+    pub fn set_passed_on(&mut self, vms: BTreeSet<VmId>) {
+        self.passed_on = Some(vms);
+    }
+
+    /// Says whether this process passes on what it has heard of third VMs. One that is called by
+    /// nobody would tell those whom it calls what they have told it.
+    pub fn set_relays(&mut self, relays: bool) {
+        self.relays = relays;
+    }
+
+    /// Whether this run of a VM is the one known.
+    pub fn knows_run(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        self.members.get(vm).is_some_and(|member| member.incarnation == Some(incarnation))
+    }
+
     /// Takes a published list; lists below the highest revision seen are ignored.
     ///
     /// The own entry is never taken from the list: the process knows its own state, and a lagging
@@ -47,6 +80,7 @@
             return;
         }
         self.revision = revision;
+        self.version += 1;
         for member in self.members.values_mut() {
             member.on_list = false;
         }
@@ -84,7 +118,7 @@
         let counted = member.heard(from, fresh, now);
         let after = member.entry();
         if before != after {
-            self.spread(&from.listed.vm);
+            self.changed(&from.listed.vm, self.relays);
         }
         if before.state == EntryState::Suspected && after.state == EntryState::Live {
             self.raise_own_round();
@@ -99,11 +133,14 @@
             self.refute(news);
             return;
         }
-        let fresh = self.config.evidence_for;
         let known = self.members.contains_key(&vm);
+        if !known && (news.suspected || news.about.listed.leaving) {
+            return;
+        }
+        let fresh = self.config.evidence_for;
         let changed = self.member(&news.about.listed, now).told(news, fresh, now);
         if changed || !known {
-            self.spread(&vm);
+            self.changed(&vm, self.relays);
         }
     }
 
@@ -116,7 +153,7 @@
         if let Some(member) = self.members.get_mut(&own) {
             member.round = member.round.saturating_add(1);
         }
-        self.spread(&own);
+        self.changed(&own, true);
     }
 
     /// A process that was paused, or cut off, hears that it is suspected: a higher round says that
@@ -127,7 +164,7 @@
         let same_run = member.incarnation == Some(news.about.incarnation);
         if same_run && news.suspected && news.about.round >= member.round {
             member.round = news.about.round.saturating_add(1);
-            self.spread(&own);
+            self.changed(&own, true);
         }
     }
 
@@ -137,7 +174,7 @@
         if let Some(member) = self.members.get_mut(&own) {
             member.leave();
         }
-        self.spread(&own);
+        self.changed(&own, true);
     }
 
     /// The own round, for heartbeats.
@@ -162,19 +199,26 @@
         let ViewConfig { suspect_after, forget_after, .. } = self.config;
         let own = self.own.clone();
         let mut suspected = Vec::new();
+        let count = self.members.len();
         self.members.retain(|vm, member| {
             if vm != &own && member.suspect_if_silent(suspect_after, now) {
                 suspected.push(vm.clone());
             }
             vm == &own || member.on_list || now.since(member.quiet_since) <= forget_after
         });
+        self.version += u64::from(self.members.len() != count);
         for vm in suspected {
-            self.spread(&vm);
+            self.changed(&vm, true);
         }
     }
 
     /// News for the next heartbeat; what was sent least often goes first.
     pub fn news(&mut self) -> Vec<News> {
+        let members = &self.members;
+        let (passed_on, own) = (&self.passed_on, &self.own);
+        self.spreading.retain(|vm, _| {
+            members.get(vm).is_some_and(|member| is_passed_on(passed_on, own, member))
+        });
         let mut waiting: Vec<(u32, VmId)> =
             self.spreading.iter().map(|(vm, sends)| (*sends, vm.clone())).collect();
         waiting.sort_by(|a, b| b.cmp(a));
@@ -187,14 +231,12 @@
         news
     }
 
-    /// What is known of one VM; `None` if no run of it was ever heard of.
-    pub fn news_of(&self, vm: &VmId) -> Option<News> {
-        self.members.get(vm)?.news()
-    }
-
-    /// News of every VM, for one that has just joined and knows nobody.
-    pub fn all_news(&self) -> Vec<News> {
-        self.members.values().filter_map(Member::news).collect()
+    /// News of every VM whose news is passed on, as far as it changed after a
+    /// [`version`](Self::version); after version 0, for one that has just joined, all of it.
+    pub fn news_since(&self, version: u64) -> Vec<News> {
+        let members = self.members.values();
+        let passed_on = members.filter(|m| is_passed_on(&self.passed_on, &self.own, m));
+        passed_on.filter(|m| m.changed_at > version).filter_map(Member::news).collect()
     }
 
     /// Every VM with the belief about it, in order of name.
@@ -211,8 +253,15 @@
         self.members.entry(listed.vm.clone()).or_insert_with(|| Member::new(listed.clone(), now))
     }
 
-    fn spread(&mut self, vm: &VmId) {
-        self.spreading.insert(vm.clone(), self.config.news_sends);
+    /// Notes that a belief has changed, and whether others are told of it unasked.
+    fn changed(&mut self, vm: &VmId, spreads: bool) {
+        self.version += 1;
+        if let Some(member) = self.members.get_mut(vm) {
+            member.changed_at = self.version;
+        }
+        if spreads {
+            self.spreading.insert(vm.clone(), self.config.news_sends);
+        }
     }
 
     fn count_send(&mut self, vm: &VmId) {
@@ -223,3 +272,10 @@
         }
     }
 }
+
+/// Whether others are told of a VM. They hear of the end of one that was passed on earlier, too.
+fn is_passed_on(passed_on: &Option<BTreeSet<VmId>>, own: &VmId, member: &Member) -> bool {
+    let vm = &member.listed.vm;
+    let first = passed_on.as_ref().is_none_or(|vms| vms.contains(vm));
+    first || vm == own || member.state() != EntryState::Live
+}
--- a/crates/membership/tests/news.rs
+++ b/crates/membership/tests/news.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use shallotfork_membership::{
-    Announcement, EntryState, ListedVm, View, ViewConfig, heartbeat_peers,
+    Announcement, EntryState, ListedVm, News, View, ViewConfig, heartbeat_peers,
 };
 use shallotfork_types::{Incarnation, Mono, PerSecond, Revision, VmId};
 
@@ -172,3 +172,62 @@
         assert_eq!(60, fleet.believers(about, EntryState::Live), "VM {about}");
     }
 }
+
+/// Hundreds of VMs start at once, and everybody's news is new to everybody. Passed on in full, it
+/// filled the links for seconds and left the few strong VMs no time to find each other.
+#[test]
+fn only_news_of_those_who_come_first_is_passed_on() {
+    let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+    view.set_passed_on(BTreeSet::from([listed(1).vm]));
+    for index in 1..=3 {
+        view.heard(&announcement(index, false, 0), Mono::ZERO);
+    }
+    let names = |news: Vec<News>| -> Vec<VmId> {
+        news.into_iter().map(|news| news.about.listed.vm).collect()
+    };
+    assert_eq!(names(view.news()), [listed(1).vm]);
+    assert_eq!(names(view.news_since(0)), [listed(1).vm]);
+    let version = view.version();
+    view.heard(&announcement(3, true, 0), Mono::ZERO);
+    assert_eq!(names(view.news_since(version)), [listed(3).vm], "the end of one that was known");
+}
+
+/// An entry that nobody calls hears of hundreds of restarts. It would tell those whom it calls what
+/// they have just told it.
+#[test]
+fn who_is_called_by_nobody_passes_on_its_own_news_only() {
+    let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+    view.set_relays(false);
+    let about = announcement(1, false, 0);
+    view.told(&News { about, suspected: false }, Mono::ZERO);
+    assert!(view.news().is_empty());
+    view.leave();
+    assert_eq!(view.news().len(), 1);
+}
+
+/// The last that was heard of a VM is its end, and it was forgotten since. Taken in again, it would be
+/// passed on for ever.
+#[test]
+fn the_end_of_a_vm_that_is_not_known_is_no_news() {
+    let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+    let version = view.version();
+    view.told(&News { about: announcement(1, false, 0), suspected: true }, Mono::ZERO);
+    view.told(&News { about: announcement(2, true, 0), suspected: false }, Mono::ZERO);
+    assert_eq!((view.entries().len(), view.version()), (1, version));
+}
+
+/// What follows from the members is made anew when the version changes; a heartbeat that tells
+/// nothing new must not change it, or each would cost a small VM a sort of all members.
+#[test]
+fn the_version_changes_with_the_beliefs_only() {
+    let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+    view.heard(&announcement(1, false, 0), Mono::ZERO);
+    let (version, entries) = (view.version(), view.entries());
+    view.heard(&announcement(1, false, 0), Mono::from_millis(100));
+    view.watch(&BTreeSet::from([listed(1).vm]), Mono::from_millis(100));
+    view.expire(Mono::from_millis(200));
+    assert_eq!((view.version(), view.entries()), (version, entries.clone()));
+    view.expire(Mono::from_millis(9_000));
+    assert_ne!(view.version(), version);
+    assert_ne!(view.entries(), entries);
+}
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -17,7 +17,8 @@
     Open, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
-    Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer, PeerState,
+    Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer,
+    PeerState, PlatformWord,
 };
 use shallotfork_types::{
     Endpoint, FailureDomain, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Revision,
@@ -148,6 +149,8 @@
         news: Vec::new(),
         lists_digest: ListsDigest::new(9),
         platform_lost: false,
+        platform: PlatformWord::default(),
+        domain_entries: 0,
         restart_safe: false,
         loads: Vec::new(),
         strength: PerSecond::default(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -39,6 +39,11 @@
   listsDigest @10 :UInt64;
   platformLost @11 :Bool;
   strengthPerS @12 :UInt32;
+  platformAnsweredMs @13 :UInt32 = 0xffffffff;
+  readerHeardMs @14 :UInt32 = 0xffffffff;
+  platformAwayMs @15 :UInt32 = 0xffffffff;
+  # Times since then, as far as the sender knows; the default means never.
+  domainEntries @16 :UInt32;
 
   enum State {
     live @0;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,5 +1,7 @@
 //! What processes tell each other, besides what `shallotfork-once` defines.
 
+use std::time::Duration;
+
 use shallotfork_types::{
     Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision, TargetId,
     VmId,
@@ -57,6 +59,11 @@
     /// Whether the sender cannot read the platform, or reads a replica that is behind, so that it
     /// depends on peers for what is published.
     pub platform_lost: bool,
+    /// What it has seen and heard of the platform.
+    pub platform: PlatformWord,
+    /// Entries of its own failure domain that it takes to be live, itself included; zero when it
+    /// does not say.
+    pub domain_entries: u32,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
@@ -65,6 +72,18 @@
     pub strength: PerSecond,
 }
 
+/// What the sender of a heartbeat has seen and heard of the platform. Ages are passed on in place
+/// of points in time, so that no two clocks are compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlatformWord {
+    /// Time since the platform answered somebody; `None` when nobody is known to have been answered.
+    pub answered: Option<Duration>,
+    /// Time since a reader of the platform was heard, whatever it said; `None` for never.
+    pub reader_heard: Option<Duration>,
+    /// Time for which it has answered nobody; `None` while it answers.
+    pub away: Option<Duration>,
+}
+
 /// What the sender of a heartbeat knows of a third VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerNews {
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5403,11 +5403,27 @@
         pub fn get_strength_per_s(self) -> u32 {
             self.reader.get_data_field::<u32>(8)
         }
+        #[inline]
+        pub fn get_platform_answered_ms(self) -> u32 {
+            self.reader.get_data_field_mask::<u32>(9, 4294967295)
+        }
+        #[inline]
+        pub fn get_reader_heard_ms(self) -> u32 {
+            self.reader.get_data_field_mask::<u32>(10, 4294967295)
+        }
+        #[inline]
+        pub fn get_platform_away_ms(self) -> u32 {
+            self.reader.get_data_field_mask::<u32>(11, 4294967295)
+        }
+        #[inline]
+        pub fn get_domain_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(12)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5601,6 +5617,38 @@
         pub fn set_strength_per_s(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(8, value);
         }
+        #[inline]
+        pub fn get_platform_answered_ms(self) -> u32 {
+            self.builder.get_data_field_mask::<u32>(9, 4294967295)
+        }
+        #[inline]
+        pub fn set_platform_answered_ms(&mut self, value: u32)  {
+            self.builder.set_data_field_mask::<u32>(9, value, 4294967295);
+        }
+        #[inline]
+        pub fn get_reader_heard_ms(self) -> u32 {
+            self.builder.get_data_field_mask::<u32>(10, 4294967295)
+        }
+        #[inline]
+        pub fn set_reader_heard_ms(&mut self, value: u32)  {
+            self.builder.set_data_field_mask::<u32>(10, value, 4294967295);
+        }
+        #[inline]
+        pub fn get_platform_away_ms(self) -> u32 {
+            self.builder.get_data_field_mask::<u32>(11, 4294967295)
+        }
+        #[inline]
+        pub fn set_platform_away_ms(&mut self, value: u32)  {
+            self.builder.set_data_field_mask::<u32>(11, value, 4294967295);
+        }
+        #[inline]
+        pub fn get_domain_entries(self) -> u32 {
+            self.builder.get_data_field::<u32>(12)
+        }
+        #[inline]
+        pub fn set_domain_entries(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(12, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5612,17 +5660,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 230] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 295] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5632,98 +5680,126 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -5843,6 +5919,43 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 116, 102, 111, 114, 109),
+            ::capnp::word(65, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 101, 114, 72, 101),
+            ::capnp::word(97, 114, 100, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 116, 102, 111, 114, 109),
+            ::capnp::word(65, 119, 97, 121, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 69, 110),
+            ::capnp::word(116, 114, 105, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5859,6 +5972,10 @@
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5872,9 +5989,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,10,4,9,7,11,3,8,1,0,12,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,16,5,10,4,9,7,13,15,11,14,3,8,1,0,12,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -15,7 +15,7 @@
 
 use crate::key::NONCE_BYTES;
 use crate::peer_capnp as schema;
-use crate::{Changes, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, ValueChange};
+use crate::{Changes, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord, ValueChange};
 
 pub(crate) fn invalid(error: ParseError) -> Error {
     Error::failed(error.to_string())
@@ -135,6 +135,10 @@
     to.set_callers(&beat.callers.to_string()[..]);
     to.set_peers(&beat.peers.to_string()[..]);
     to.set_round(beat.round);
+    to.set_platform_answered_ms(write_age(beat.platform.answered));
+    to.set_reader_heard_ms(write_age(beat.platform.reader_heard));
+    to.set_platform_away_ms(write_age(beat.platform.away));
+    to.set_domain_entries(beat.domain_entries);
     if !beat.news.is_empty() {
         let mut all = to.reborrow().init_news(length(beat.news.len()));
         for (index, news) in (0..).zip(&beat.news) {
@@ -165,6 +169,17 @@
     to.set_strength_per_s(news.strength.value());
 }
 
+/// An age that is not known.
+const NO_AGE_MS: u32 = u32::MAX;
+
+fn write_age(age: Option<Duration>) -> u32 {
+    age.map_or(NO_AGE_MS, |age| u32::try_from(age.as_millis()).unwrap_or(NO_AGE_MS))
+}
+
+fn read_age(age_ms: u32) -> Option<Duration> {
+    (age_ms != NO_AGE_MS).then(|| Duration::from_millis(age_ms.into()))
+}
+
 fn write_state(state: PeerState) -> schema::heartbeat::State {
     match state {
         PeerState::Starting => schema::heartbeat::State::Starting,
@@ -193,6 +208,12 @@
         synced_revision: Revision::new(from.get_synced_revision()),
         lists_digest: ListsDigest::new(from.get_lists_digest()),
         platform_lost: from.get_platform_lost(),
+        platform: PlatformWord {
+            answered: read_age(from.get_platform_answered_ms()),
+            reader_heard: read_age(from.get_reader_heard_ms()),
+            away: read_age(from.get_platform_away_ms()),
+        },
+        domain_entries: from.get_domain_entries(),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         strength: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -14,7 +14,7 @@
 };
 use shallotfork_peer::{
     Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
-    PeerNews, PeerServer, PeerState, ValueChange,
+    PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
 };
 use shallotfork_types::{
     Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille, Revision,
@@ -202,6 +202,12 @@
         synced_revision: Revision::new(8),
         lists_digest: ListsDigest::new(7),
         platform_lost: true,
+        platform: PlatformWord {
+            answered: Some(Duration::from_millis(70)),
+            reader_heard: Some(Duration::ZERO),
+            away: None,
+        },
+        domain_entries: 12,
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         strength: PerSecond::new(700),
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -47,12 +47,19 @@
     members: BTreeMap<TargetId, Member>,
     platform_away: bool,
     returned_at: Option<Mono>,
+    version: u64,
 }
 
 impl Roster {
     /// No target is known; the platform counts as steady.
     pub fn new(config: RosterConfig) -> Self {
-        Self { config, members: BTreeMap::new(), platform_away: false, returned_at: None }
+        Self {
+            config,
+            members: BTreeMap::new(),
+            platform_away: false,
+            returned_at: None,
+            version: 0,
+        }
     }
 
     /// The platform does not answer.
@@ -66,6 +73,11 @@
         self.returned_at = Some(now);
     }
 
+    /// Differs from an earlier value when [`targets`](Self::targets) may answer differently.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Takes changes in the order in which they were published.
     pub fn apply(&mut self, changes: Vec<Change>, now: Mono) -> Vec<RosterChange> {
         changes.into_iter().filter_map(|change| self.apply_one(change, now)).collect()
@@ -107,6 +119,7 @@
                 left.push(RosterChange::Left(id.clone()));
             }
         }
+        self.version += u64::from(!left.is_empty());
         let remember = self.config.remember_ended;
         self.members.retain(|_, m| m.entry.is_some() || now.since(m.heard_at) < remember);
         left
@@ -158,6 +171,7 @@
     ) -> Option<RosterChange> {
         let fresh = Member { revision, entry: Some(entry), lapsed: false, heard_at: now };
         let old = self.members.insert(id.clone(), fresh);
+        self.note_change(&id, old.as_ref());
         let new = self.members.get(&id)?.entry.as_ref()?;
         let Some((old, lapsed)) = old.and_then(|old| Some((old.entry?, old.lapsed))) else {
             return Some(RosterChange::Joined(id));
@@ -187,9 +201,26 @@
         first.then_some(RosterChange::Lapsed(id))
     }
 
+    /// The revision decides which of two entries holds an address; one that only renews an entry
+    /// changes nothing else.
+    fn note_change(&mut self, id: &TargetId, old: Option<&Member>) {
+        let entry = self.members.get(id).and_then(|member| member.entry.as_ref());
+        let old = old.and_then(|old| old.entry.as_ref());
+        if entry != old || entry.is_some_and(|entry| self.is_shared(entry.endpoint)) {
+            self.version += 1;
+        }
+    }
+
+    /// Whether more than one entry names this address.
+    fn is_shared(&self, endpoint: Endpoint) -> bool {
+        let entries = self.members.values().filter_map(|member| member.entry.as_ref());
+        entries.filter(|entry| entry.endpoint == endpoint).count() > 1
+    }
+
     fn end(&mut self, id: TargetId, revision: Revision, now: Mono) -> Option<RosterChange> {
         let gone = Member { revision, entry: None, lapsed: false, heard_at: now };
         let old = self.members.insert(id.clone(), gone);
+        self.note_change(&id, old.as_ref());
         old.and_then(|old| old.entry).map(|_| RosterChange::Left(id))
     }
 }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -158,3 +158,27 @@
     }
     QuickCheck::new().tests(500).quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
 }
+
+/// Targets renew their entries each second and a half. Were each renewal to hand all targets to the
+/// traffic side anew, hundreds of entries would do so hundreds of times a second for nothing.
+#[test]
+fn a_renewed_entry_changes_nothing() {
+    let mut roster = with_two();
+    let version = roster.version();
+    roster.apply(vec![present("a", 5, 1)], at(100));
+    assert_eq!(roster.version(), version);
+    roster.apply(vec![draining("a", 6, 1)], at(200));
+    assert_ne!(roster.version(), version);
+}
+
+/// Two entries name one address; the one written last holds it. A renewal decides which.
+#[test]
+fn a_renewed_entry_takes_its_address_back() {
+    let mut roster = with_two();
+    roster.apply(vec![present("c", 7, 1)], at(100));
+    assert_eq!(names(&roster), ["b", "c"]);
+    let version = roster.version();
+    roster.apply(vec![present("a", 8, 1)], at(200));
+    assert_eq!(names(&roster), ["a", "b"]);
+    assert_ne!(roster.version(), version);
+}
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -5,7 +5,7 @@
 
 use shallotfork_events::{PEER_DOWN, PEER_UP, event};
 use shallotfork_membership::{Announcement, EntryState, EntryVm, ListedVm, News, heartbeat_peers};
-use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState};
+use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState, PlatformWord};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::PerSecond;
 
@@ -119,6 +119,8 @@
         synced_revision: lists.cursor.complete(),
         lists_digest: lists.digest(),
         platform_lost: state.platform_lost.get(),
+        platform: PlatformWord::default(),
+        domain_entries: 0,
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
         // Entries of one fleet of this kind are all alike.
--- a/crates/types/src/mono.rs
+++ b/crates/types/src/mono.rs
@@ -42,6 +42,13 @@
         Self { since_start_us: self.since_start_us.saturating_add(wait_us) }
     }
 
+    /// The point `ago` earlier, or the clock's zero.
+    #[must_use]
+    pub fn minus(self, ago: Duration) -> Self {
+        let ago_us = u64::try_from(ago.as_micros()).unwrap_or(u64::MAX);
+        Self { since_start_us: self.since_start_us.saturating_sub(ago_us) }
+    }
+
     /// Time from `earlier` to this point; zero when `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.since_start_us.saturating_sub(earlier.since_start_us))
