refactor(fleet): an entry's part in its fleet is one pure type, played by the hundreds in a model test

Cause: what an entry believes and says stood in the gateway's control thread, in files that used each other in a circle and had no test without a network.

- after the return of half of a fleet, entries that remembered earlier runs as dead and others that knew the new ones convinced each other in turn; 8 s after the return 250 of 472 still named other entries than the rest.
Runs have an order now (start time first), and hearsay of an earlier run counts only if it lives and the known one does not.
- entries that began to watch more often suspected at once whom they had called less often until then; live entries stayed suspected for seconds.
Counted anew, and a higher round is passed on by whoever hears it.
- a lost entry was noticed after 2.3 s in a domain of 100: calls without an answer are repeated at each period, three in a row are a suspicion.
- an entry that had been met once by chance counted as live for a minute after its end.

--- /dev/null
+++ b/crates/fleet/src/beat.rs
@@ -0,0 +1,25 @@
+//! What entries say to each other at regular intervals.
+
+use shallotfork_membership::{Announcement, News};
+use shallotfork_types::ListsDigest;
+
+use crate::sight::PlatformAges;
+
+/// What an entry says of itself and of others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// Who speaks.
+    pub from: Announcement,
+    /// Whether it knows no routes yet.
+    pub starting: bool,
+    /// What it knows of others.
+    pub news: Vec<News>,
+    /// Fingerprint of the heads that it knows.
+    pub digest: ListsDigest,
+    /// Whether the platform turns it away.
+    pub platform_lost: bool,
+    /// What it has seen and heard of the platform.
+    pub platform: PlatformAges,
+    /// Live entries of its failure domain, as far as it knows.
+    pub domain_entries: u32,
+}
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,377 @@
+//! One entry's part in its fleet: what it knows of the others, says to them, and whom it calls.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use shallotfork_membership::{Announcement, News, View, ViewConfig};
+use shallotfork_types::{Endpoint, Mono, VmId};
+
+use crate::beat::Beat;
+use crate::beliefs::{Beliefs, Known};
+use crate::outreach::{all_known, some_known};
+use crate::pace::{PERIOD, near_periods};
+use crate::sight::PlatformSight;
+use crate::told::Told;
+
+/// Silence after which an entry that is heard at every period is suspected: three heartbeats and the
+/// way.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+/// Heartbeats to heads that carry the same news; whoever misses all of them hears by the comparison of
+/// heads.
+const NEWS_SENDS: u32 = 12;
+/// News in one heartbeat; the loss of half of all heads is told within a few.
+const NEWS_MAX: usize = 24;
+/// Heartbeats to the watched ones between two calls of others, by which parts of a fleet that were
+/// cut from each other find together again.
+const OUTREACH_EVERY: u32 = 7;
+/// Calls in a row without an answer, made at each period once one has failed, after which an entry is
+/// suspected. One or two can be lost with a packet.
+const UNANSWERED_MAX: u32 = 3;
+/// How long the word of an entry counts that it knows no routes yet. It takes it back to those whom
+/// it calls, not to all that have heard it; without an end, some of these would leave it out for
+/// ever and send callers to other entries than the rest of the fleet. A start takes a few tenths
+/// of a second.
+const STARTING_COUNTS: Duration = Duration::from_millis(1000);
+
+/// What this process knows of itself, beside its name and place.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnState {
+    /// Whether it knows routes.
+    pub synced: bool,
+    /// Whether a planned stop is under way.
+    pub leaving: bool,
+    /// Whether it reads the platform now.
+    pub reads: bool,
+    /// How many targets it knows.
+    pub targets: usize,
+}
+
+/// What the beliefs follow from; they are made anew when it has changed. With hundreds of entries,
+/// sorting them for each heartbeat would take most of the processor time of a small VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Basis {
+    view_version: u64,
+    words_version: u64,
+    synced: bool,
+    leaving: bool,
+    blind: bool,
+    targets: usize,
+    near_periods: u32,
+}
+
+/// An entry as part of its fleet. Does no I/O: it is told what was heard, and says what to send.
+#[derive(Debug)]
+pub struct FleetMember {
+    own: Announcement,
+    own_state: OwnState,
+    view: View,
+    /// Whether the platform answers.
+    pub sight: PlatformSight,
+    /// Entries that say that they can't read the platform.
+    blind: BTreeSet<VmId>,
+    /// Entries that said that they know no routes yet, and when they said it last.
+    starting: BTreeMap<VmId, Mono>,
+    /// Raised with each change of `blind` or `starting`.
+    words_version: u64,
+    /// Live entries of the own failure domain, by the word of the first ones there.
+    told_domain_entries: u32,
+    /// What other entries were told.
+    told: BTreeMap<VmId, Told>,
+    beliefs: Option<(Basis, Rc<Beliefs>)>,
+    /// Periods since the start.
+    periods: u32,
+    /// Periods between two heartbeats to the watched ones, as of the last period.
+    watched_periods: u32,
+    /// Calls in a row that watched entries have not answered.
+    unanswered: BTreeMap<VmId, u32>,
+}
+
+impl FleetMember {
+    /// An entry that knows only itself.
+    pub fn new(own: Announcement, now: Mono) -> Self {
+        let config = ViewConfig {
+            suspect_after: SUSPECT_AFTER,
+            evidence_for: SUSPECT_AFTER,
+            news_sends: NEWS_SENDS,
+            news_max: NEWS_MAX,
+            ..ViewConfig::default()
+        };
+        Self {
+            view: View::new(config, &own, now),
+            own,
+            own_state: OwnState::default(),
+            sight: PlatformSight::new(),
+            blind: BTreeSet::new(),
+            starting: BTreeMap::new(),
+            words_version: 0,
+            told_domain_entries: 0,
+            told: BTreeMap::new(),
+            beliefs: None,
+            periods: 0,
+            watched_periods: 1,
+            unanswered: BTreeMap::new(),
+        }
+    }
+
+    /// What this process knows of itself.
+    pub fn own_state(&self) -> OwnState {
+        self.own_state
+    }
+
+    /// Changes what this process knows of itself.
+    pub fn set_own_state(&mut self, own_state: OwnState) {
+        if own_state.leaving && !self.own_state.leaving {
+            self.view.leave();
+        }
+        self.own_state = own_state;
+    }
+
+    /// This process was paused: the others look silent although only its own clock ran on.
+    pub fn resumed(&mut self, now: Mono) {
+        self.view.resumed(now);
+    }
+
+    /// What is believed now.
+    pub fn beliefs(&mut self, now: Mono) -> Rc<Beliefs> {
+        let basis = self.basis();
+        let holds = |beliefs: &Beliefs| beliefs.hold_until.is_none_or(|until| now < until);
+        if let Some((kept_basis, kept)) = &self.beliefs
+            && *kept_basis == basis
+            && holds(kept)
+        {
+            return Rc::clone(kept);
+        }
+        let made = Rc::new(Beliefs::new(self.known(now)));
+        self.view.set_passed_on(made.heads.clone());
+        self.view.set_relays(made.contacts.relays);
+        self.beliefs = Some((basis, Rc::clone(&made)));
+        made
+    }
+
+    /// Whether this entry should read the platform: it is one of the readers, or hears none of them.
+    pub fn should_read(&mut self, now: Mono) -> bool {
+        let beliefs = self.beliefs(now);
+        let contacts = &beliefs.contacts;
+        let way =
+            if contacts.hears_readers { Duration::ZERO } else { PERIOD * contacts.watched_periods };
+        beliefs.readers.contains(self.own_vm()) || self.sight.misses_readers(way, now)
+    }
+
+    /// Begins a period: notices who has been silent, and says whom to call.
+    pub fn period(
+        &mut self,
+        seeds: &[Endpoint],
+        rng: &mut impl Rng,
+        now: Mono,
+    ) -> BTreeSet<Endpoint> {
+        let beliefs = self.beliefs(now);
+        self.watch(&beliefs, now);
+        let period = self.periods;
+        self.periods = self.periods.wrapping_add(1);
+        let mut called = if beliefs.is_alone(self.own_vm()) {
+            all_known(&beliefs, seeds, rng)
+        } else {
+            self.due(&beliefs, period)
+        };
+        if is_outreach(&beliefs, period) {
+            self.told.retain(|_, told| !told.is_old(now));
+            called.extend(some_known(&beliefs, &self.own.listed.failure_domain, seeds, rng));
+        }
+        called.remove(&self.own.listed.peers);
+        called
+    }
+
+    /// Whether connections to others than the contacts may be closed now.
+    pub fn may_tidy(&mut self, now: Mono) -> Option<BTreeSet<Endpoint>> {
+        let beliefs = self.beliefs(now);
+        let due = is_outreach(&beliefs, self.periods.wrapping_sub(1));
+        let contacts = beliefs.contacts.watched.iter().chain(&beliefs.contacts.in_turn);
+        due.then(|| contacts.filter_map(|vm| beliefs.endpoint(vm)).collect())
+    }
+
+    /// Whom to tell at once that this process leaves, as it was believed before: one that callers are
+    /// sent to, or whose word is passed on, tells every entry that it knows; any other those that it
+    /// exchanges heartbeats with.
+    pub fn leave(&mut self, now: Mono) -> Vec<Endpoint> {
+        let before = self.beliefs(now);
+        self.set_own_state(OwnState { leaving: true, ..self.own_state });
+        let contacts = &before.contacts;
+        let told = before.order.iter().map(|entry| &entry.vm).filter(|vm| {
+            *vm != self.own_vm() && (contacts.relays || contacts.watched.contains(vm))
+        });
+        told.filter_map(|vm| before.endpoint(vm)).collect()
+    }
+
+    /// What to say to an entry.
+    ///
+    /// Heads that differ are told until they agree. News is passed on a bounded number of times, so
+    /// that in a large fleet some never reach an entry that is busy or cut off for a moment; it would
+    /// send callers to other entries than the rest of the fleet for ever.
+    pub fn beat_for(&mut self, to: &VmId, now: Mono) -> Beat {
+        let beliefs = self.beliefs(now);
+        let news = self.due_news(&beliefs, to, now);
+        let round = self.view.own_round();
+        let mut from = Announcement { round, ..self.own.clone() };
+        from.listed.leaving = self.own_state.leaving;
+        Beat {
+            from,
+            starting: !self.own_state.synced,
+            news: news.into_values().collect(),
+            digest: beliefs.digest,
+            platform_lost: self.sight.is_blind(),
+            platform: self.sight.ages(self.own_state.reads, now),
+            domain_entries: beliefs.domain_entries,
+        }
+    }
+
+    /// A call was not answered in time, or could not be made.
+    ///
+    /// In a large failure domain most entries call the first ones there seldom. If they waited for
+    /// the silence of several such calls, they would name lost entries to callers for two seconds.
+    pub fn unanswered(&mut self, endpoint: Endpoint, now: Mono) {
+        let beliefs = self.beliefs(now);
+        let mut watched = beliefs.contacts.watched.iter();
+        let Some(vm) = watched.find(|vm| beliefs.endpoint(vm) == Some(endpoint)) else { return };
+        let count = self.unanswered.entry(vm.clone()).or_default();
+        *count += 1;
+        if *count >= UNANSWERED_MAX {
+            self.unanswered.remove(vm);
+            self.view.suspect(vm, now);
+        }
+    }
+
+    /// Takes what another entry says.
+    pub fn heard(&mut self, beat: &Beat, now: Mono) {
+        let vm = &beat.from.listed.vm;
+        let known = self.view.knows_run(vm, beat.from.incarnation);
+        self.view.heard(&beat.from, now);
+        self.unanswered.remove(vm);
+        for news in &beat.news {
+            self.view.told(news, now);
+        }
+        self.note_words(beat, now);
+        let beliefs = self.beliefs(now);
+        self.note_source(&beliefs, beat, now);
+        self.note_domain_entries(&beliefs, beat);
+        if !known {
+            self.told.remove(vm);
+        }
+        let told = self.told.entry(vm.clone()).or_insert_with(|| Told::new(now));
+        told.compared(beat.digest == beliefs.digest, self.view.version(), now);
+    }
+
+    fn own_vm(&self) -> &VmId {
+        &self.own.listed.vm
+    }
+
+    fn basis(&self) -> Basis {
+        Basis {
+            view_version: self.view.version(),
+            words_version: self.words_version,
+            synced: self.own_state.synced,
+            leaving: self.own_state.leaving,
+            blind: self.sight.is_blind(),
+            targets: self.own_state.targets,
+            near_periods: near_periods(self.told_domain_entries as usize),
+        }
+    }
+
+    fn known(&self, now: Mono) -> Known<'_> {
+        let until = self.starting.iter().map(|(vm, at)| (vm.clone(), at.plus(STARTING_COUNTS)));
+        let mut blind = self.blind.clone();
+        if self.sight.is_blind() {
+            blind.insert(self.own_vm().clone());
+        }
+        Known {
+            own: &self.own,
+            entries: self.view.entries(),
+            starting: until.filter(|(_, until)| now < *until).collect(),
+            blind,
+            serves: self.own_state.synced && !self.own_state.leaving,
+            leaving: self.own_state.leaving,
+            targets: self.own_state.targets,
+            told_domain_entries: self.told_domain_entries,
+        }
+    }
+
+    /// Notices the silence of those whose heartbeats come at regular periods.
+    fn watch(&mut self, beliefs: &Beliefs, now: Mono) {
+        let contacts = &beliefs.contacts;
+        let silence = SUSPECT_AFTER.max(PERIOD * contacts.watched_periods * 3);
+        self.view.set_suspect_after(silence);
+        if contacts.watched_periods < self.watched_periods {
+            // They have been called less often until now, and are not silent for that.
+            self.view.watch(&BTreeSet::new(), now);
+        }
+        self.watched_periods = contacts.watched_periods;
+        self.view.watch(&contacts.watched.iter().cloned().collect(), now);
+        self.view.expire(now);
+    }
+
+    /// Contacts that are called at a period.
+    fn due(&self, beliefs: &Beliefs, period: u32) -> BTreeSet<Endpoint> {
+        let contacts = &beliefs.contacts;
+        let mut due: Vec<&VmId> = Vec::new();
+        if period.is_multiple_of(contacts.watched_periods) {
+            due.extend(&contacts.watched);
+        }
+        due.extend(contacts.watched.iter().filter(|vm| self.unanswered.contains_key(vm)));
+        if period.is_multiple_of(contacts.in_turn_periods) && !contacts.in_turn.is_empty() {
+            let turn = (period / contacts.in_turn_periods) as usize % contacts.in_turn.len();
+            due.push(&contacts.in_turn[turn]);
+        }
+        due.into_iter().filter_map(|vm| beliefs.endpoint(vm)).collect()
+    }
+
+    /// News by the VM that it is about.
+    fn due_news(&mut self, beliefs: &Beliefs, to: &VmId, now: Mono) -> BTreeMap<VmId, News> {
+        // The others hear by the comparison of heads.
+        let mut news = if beliefs.heads.contains(to) { self.view.news() } else { Vec::new() };
+        let version = self.view.version();
+        let since = self.told.get_mut(to).and_then(|told| told.take_due(version, now));
+        news.extend(since.map_or_else(Vec::new, |since| self.view.news_since(since)));
+        news.into_iter().map(|news| (news.about.listed.vm.clone(), news)).collect()
+    }
+
+    /// Whether an entry is starting, and whether the platform turns it away.
+    fn note_words(&mut self, beat: &Beat, now: Mono) {
+        let vm = &beat.from.listed.vm;
+        let before = (self.starting.contains_key(vm), self.blind.contains(vm));
+        if beat.starting {
+            self.starting.insert(vm.clone(), now);
+        } else {
+            self.starting.remove(vm);
+        }
+        if beat.platform_lost {
+            self.blind.insert(vm.clone());
+        } else {
+            self.blind.remove(vm);
+        }
+        let after = (self.starting.contains_key(vm), self.blind.contains(vm));
+        self.words_version += u64::from(before != after);
+    }
+
+    /// Those who read the platform say whether it answers them; others pass on what they heard.
+    fn note_source(&mut self, beliefs: &Beliefs, beat: &Beat, now: Mono) {
+        if beliefs.readers.contains(&beat.from.listed.vm) {
+            self.sight.told(!beat.platform_lost, now);
+        } else if !beliefs.contacts.hears_readers {
+            self.sight.relayed(beat.platform, now);
+        }
+    }
+
+    /// The first ones of the own failure domain know how many stand there.
+    fn note_domain_entries(&mut self, beliefs: &Beliefs, beat: &Beat) {
+        let listed = &beat.from.listed;
+        let here = listed.failure_domain == self.own.listed.failure_domain;
+        if here && !beliefs.contacts.relays && beliefs.contacts.watched.contains(&listed.vm) {
+            self.told_domain_entries = beat.domain_entries;
+        }
+    }
+}
+
+fn is_outreach(beliefs: &Beliefs, period: u32) -> bool {
+    period.is_multiple_of(OUTREACH_EVERY * beliefs.contacts.watched_periods)
+}
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use shallotfork_membership::EntryVm;
 use shallotfork_types::{FailureDomain, PerSecond, VmId, rendezvous_weight};
 
 /// Names the ranking; every entry must compute the same one.
@@ -19,6 +20,16 @@
     pub strength: PerSecond,
 }
 
+impl From<&EntryVm> for Candidate {
+    fn from(entry: &EntryVm) -> Self {
+        Self {
+            vm: entry.vm.clone(),
+            failure_domain: entry.failure_domain.clone(),
+            strength: entry.strength,
+        }
+    }
+}
+
 /// Orders live entries, best first. Entries that know the same candidates agree on the order
 /// without a message.
 ///
--- /dev/null
+++ b/crates/fleet/src/outreach.rs
@@ -0,0 +1,61 @@
+//! Whom an entry calls beside those that it exchanges heartbeats with, so that parts of a fleet that
+//! were cut from each other find together again.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use shallotfork_membership::{EntryState, EntryVm};
+use shallotfork_types::{Endpoint, FailureDomain};
+
+use crate::beliefs::Beliefs;
+use crate::order::{Candidate, fleet_order};
+
+/// One seed, whom an entry that has just started asks first. Were each to call all seeds, a common
+/// start of hundreds would keep these busy for a second.
+pub fn first_seed(seeds: &[Endpoint], own: Endpoint, rng: &mut impl Rng) -> Option<Endpoint> {
+    seeds.iter().copied().filter(|seed| *seed != own).choose(rng)
+}
+
+/// Everybody that an entry can call which knows no other live one.
+pub(crate) fn all_known(
+    beliefs: &Beliefs,
+    seeds: &[Endpoint],
+    rng: &mut impl Rng,
+) -> BTreeSet<Endpoint> {
+    seeds.iter().copied().chain(any_known(beliefs, rng)).collect()
+}
+
+/// A seed that is not known to be live, an entry chosen at random, and those that are suspected but
+/// would come first otherwise.
+pub(crate) fn some_known(
+    beliefs: &Beliefs,
+    here: &FailureDomain,
+    seeds: &[Endpoint],
+    rng: &mut impl Rng,
+) -> BTreeSet<Endpoint> {
+    let live = beliefs.order.iter().filter_map(|entry| beliefs.endpoint(&entry.vm));
+    let live: BTreeSet<Endpoint> = live.collect();
+    let seed = seeds.iter().copied().filter(|seed| !live.contains(seed)).choose(rng);
+    let place = (!beliefs.contacts.hears_readers).then_some(here);
+    let leaders = suspected_leaders(beliefs, place).into_iter().map(|entry| entry.peers);
+    seed.into_iter().chain(any_known(beliefs, rng)).chain(leaders).collect()
+}
+
+fn any_known(beliefs: &Beliefs, rng: &mut impl Rng) -> Option<Endpoint> {
+    beliefs.entries.values().map(|entry| entry.peers).choose(rng)
+}
+
+/// Suspected entries that would come first if they were live, of one failure domain or of all.
+///
+/// A suspicion that was wrong, or is no longer right, is taken back by a heartbeat; nobody sends
+/// one to an entry that is not in the order. Without this, a part of the fleet can go on sending
+/// callers to another entry than the rest.
+fn suspected_leaders<'a>(beliefs: &'a Beliefs, place: Option<&FailureDomain>) -> Vec<&'a EntryVm> {
+    let entries = beliefs.entries.values();
+    let here = entries.filter(|entry| place.is_none_or(|place| entry.failure_domain == *place));
+    let order = fleet_order(here.map(Candidate::from).collect());
+    let order = order.iter().filter_map(|entry| beliefs.entries.get(&entry.vm));
+    let leading = order.take_while(|entry| entry.state != EntryState::Live);
+    leading.filter(|entry| entry.state == EntryState::Suspected).collect()
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,274 @@
+//! A fleet of hundreds of entries in one process, with simulated links: deterministic by its seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use shallotfork_fleet::{
+    Beat, Candidate, FleetMember, OwnState, PERIOD, active_entries, first_seed, fleet_order,
+};
+use shallotfork_membership::{Announcement, ListedVm};
+use shallotfork_types::{Endpoint, FailureDomain, Incarnation, Mono, PerSecond, VmId};
+
+pub const STRONG: u32 = 833;
+pub const WEAK: u32 = 104;
+const TARGETS: usize = 809;
+/// One way between two entries.
+const WAY_MS: std::ops::Range<u64> = 1..8;
+/// Time from the start of a process until it knows routes.
+const SYNC_MS: u64 = 350;
+/// Time after which a call without an answer is given up.
+const TIMEOUT_MS: u64 = 400;
+/// All processes start within this time.
+const START_MS: u64 = 300;
+
+/// What happens at some time.
+#[derive(Debug, PartialEq, Eq)]
+enum Event {
+    /// A process starts.
+    Start(usize),
+    /// It has read routes and targets.
+    Synced(usize, u64),
+    /// One of its periods begins.
+    Period(usize, u64),
+    /// Nobody has answered at that address.
+    Unanswered(usize, u64, Endpoint),
+    /// A heartbeat arrives.
+    Arrives { from: usize, to: usize, beat: Box<Beat>, answers: bool },
+}
+
+/// An entry VM; its process may run or not.
+struct Vm {
+    listed: ListedVm,
+    /// The run of its process.
+    run: u64,
+    member: Option<FleetMember>,
+}
+
+pub struct Model {
+    vms: Vec<Vm>,
+    by_endpoint: BTreeMap<Endpoint, usize>,
+    seeds: Vec<Endpoint>,
+    rng: StdRng,
+    now: Mono,
+    queue: BinaryHeap<Reverse<(Mono, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    /// Failure domains that are cut off from all others.
+    pub cut: BTreeSet<FailureDomain>,
+    /// Heartbeats sent, answers included.
+    pub sent: usize,
+    /// Pieces of news in them.
+    pub news: usize,
+}
+
+impl Model {
+    /// A fleet of `(count, strength)` in so many failure domains in turn; no process runs yet.
+    pub fn new(seed: u64, domains: usize, strengths: &[(usize, u32)]) -> Self {
+        let all = strengths.iter().flat_map(|(count, strength)| vec![*strength; *count]);
+        let vms: Vec<Vm> =
+            all.enumerate().map(|(number, strength)| vm(number, domains, strength)).collect();
+        let by_endpoint =
+            vms.iter().enumerate().map(|(index, vm)| (vm.listed.peers, index)).collect();
+        let seeds = [20, 40, 60].map(|index| vms[index].listed.peers).to_vec();
+        Self {
+            vms,
+            by_endpoint,
+            seeds,
+            rng: StdRng::seed_from_u64(seed),
+            now: Mono::from_millis(10_000),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            cut: BTreeSet::new(),
+            sent: 0,
+            news: 0,
+        }
+    }
+
+    /// Starts the processes that do not run.
+    pub fn start_all(&mut self) {
+        for index in 0..self.vms.len() {
+            if self.vms[index].member.is_none() {
+                let wait_ms = self.rng.random_range(0..START_MS);
+                self.after(wait_ms, Event::Start(index));
+            }
+        }
+    }
+
+    /// Ends processes in silence.
+    pub fn lose(&mut self, lost: impl Fn(usize, &ListedVm) -> bool) {
+        for (index, vm) in self.vms.iter_mut().enumerate() {
+            if lost(index, &vm.listed) {
+                vm.member = None;
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, time_ms: u64) {
+        let end = self.now.plus(Duration::from_millis(time_ms));
+        while let Some(Reverse((at, number))) =
+            self.queue.peek().copied().filter(|next| next.0.0 <= end)
+        {
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.take(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until all entries that run name those whom full knowledge would name; how long it took in
+    /// milliseconds, or `None` if it took longer than `most_ms`.
+    pub fn converge(&mut self, most_ms: u64) -> Option<u64> {
+        const STEP_MS: u64 = 50;
+        (0..most_ms / STEP_MS)
+            .find(|_| {
+                self.run_for(STEP_MS);
+                self.agrees()
+            })
+            .map(|steps| (steps + 1) * STEP_MS)
+    }
+
+    /// Names of those that are named by an entry.
+    pub fn named_by(&mut self, index: usize) -> Option<Vec<VmId>> {
+        let now = self.now;
+        let member = self.vms[index].member.as_mut()?;
+        Some(member.beliefs(now).named.iter().map(|entry| entry.vm.clone()).collect())
+    }
+
+    fn agrees(&mut self) -> bool {
+        let expected = self.expected();
+        (0..self.vms.len()).all(|index| self.named_by(index).is_none_or(|named| named == expected))
+    }
+
+    /// Whom full knowledge would name.
+    pub fn expected(&self) -> Vec<VmId> {
+        let running = self.vms.iter().filter(|vm| vm.member.is_some());
+        let candidates = running.map(|vm| Candidate {
+            vm: vm.listed.vm.clone(),
+            failure_domain: vm.listed.failure_domain.clone(),
+            strength: vm.listed.strength,
+        });
+        let order = fleet_order(candidates.collect());
+        active_entries(TARGETS, &order).into_iter().map(|entry| entry.vm).collect()
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Start(index) => self.start(index),
+            Event::Synced(index, run) => self.synced(index, run),
+            Event::Period(index, run) => self.period(index, run),
+            Event::Unanswered(index, run, endpoint) => {
+                let now = self.now;
+                if let Some(member) = self.running(index, run) {
+                    member.unanswered(endpoint, now);
+                }
+            }
+            Event::Arrives { from, to, beat, answers } => self.arrives(from, to, &beat, answers),
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        vm.run += 1;
+        let run = vm.run;
+        let own = Announcement {
+            listed: vm.listed.clone(),
+            incarnation: Incarnation::new(run * 10_000 + index as u64),
+            round: 0,
+        };
+        vm.member = Some(FleetMember::new(own, self.now));
+        let own = vm.listed.peers;
+        let seed = first_seed(&self.seeds, own, &mut self.rng);
+        seed.into_iter().for_each(|seed| self.call(index, seed));
+        self.after(SYNC_MS, Event::Synced(index, run));
+        self.after_period(index, run);
+    }
+
+    fn synced(&mut self, index: usize, run: u64) {
+        if let Some(member) = self.running(index, run) {
+            let own = member.own_state();
+            member.set_own_state(OwnState { synced: true, targets: TARGETS, ..own });
+        }
+    }
+
+    fn period(&mut self, index: usize, run: u64) {
+        let (now, seeds) = (self.now, self.seeds.clone());
+        let vm = &mut self.vms[index];
+        let Some(member) = vm.member.as_mut().filter(|_| vm.run == run) else { return };
+        let called = member.period(&seeds, &mut self.rng, now);
+        let reads = member.should_read(now);
+        let own = member.own_state();
+        member.set_own_state(OwnState { reads, ..own });
+        called.into_iter().for_each(|endpoint| self.call(index, endpoint));
+        self.after_period(index, run);
+    }
+
+    fn call(&mut self, from: usize, endpoint: Endpoint) {
+        let Some(to) = self.by_endpoint.get(&endpoint).copied() else { return };
+        if self.vms[to].member.is_none() || !self.say(from, to, true) {
+            let run = self.vms[from].run;
+            self.after(TIMEOUT_MS, Event::Unanswered(from, run, endpoint));
+        }
+    }
+
+    fn arrives(&mut self, from: usize, to: usize, beat: &Beat, answers: bool) {
+        let now = self.now;
+        let Some(member) = self.vms[to].member.as_mut() else { return };
+        member.heard(beat, now);
+        if answers && self.vms[from].member.is_some() {
+            self.say(to, from, false);
+        }
+    }
+
+    /// Whether it gets through.
+    fn say(&mut self, from: usize, to: usize, answers: bool) -> bool {
+        let places = [from, to].map(|index| &self.vms[index].listed.failure_domain);
+        if places[0] != places[1] && places.iter().any(|place| self.cut.contains(place)) {
+            return false;
+        }
+        let (vm, now) = (self.vms[to].listed.vm.clone(), self.now);
+        let Some(member) = self.vms[from].member.as_mut() else { return false };
+        let beat = Box::new(member.beat_for(&vm, now));
+        self.sent += 1;
+        self.news += beat.news.len();
+        let way_ms = self.rng.random_range(WAY_MS);
+        self.after(way_ms, Event::Arrives { from, to, beat, answers });
+        true
+    }
+
+    fn running(&mut self, index: usize, run: u64) -> Option<&mut FleetMember> {
+        let vm = &mut self.vms[index];
+        vm.member.as_mut().filter(|_| vm.run == run)
+    }
+
+    fn after_period(&mut self, index: usize, run: u64) {
+        let period_ms = PERIOD.as_millis() as u64;
+        let wait_ms = period_ms + self.rng.random_range(0..period_ms / 10);
+        self.after(wait_ms, Event::Period(index, run));
+    }
+
+    fn after(&mut self, wait_ms: u64, event: Event) {
+        let at = self.now.plus(Duration::from_millis(wait_ms));
+        self.queue.push(Reverse((at, self.next_event)));
+        self.events.insert(self.next_event, event);
+        self.next_event += 1;
+    }
+}
+
+fn vm(number: usize, domains: usize, strength: u32) -> Vm {
+    let address = format!("10.{}.{}.{}", number % domains, number / 250, number % 250);
+    let listed = ListedVm {
+        vm: VmId::new(&format!("vm-{number:04}")).unwrap(),
+        failure_domain: FailureDomain::new(&format!("hall-{}", number % domains)).unwrap(),
+        callers: format!("{address}:80").parse().unwrap(),
+        peers: format!("{address}:81").parse().unwrap(),
+        leaving: false,
+        strength: PerSecond::new(strength),
+    };
+    Vm { listed, run: 0, member: None }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,11 +1,9 @@
 //! The control thread: what is published, and which entries live.
 
 mod beats;
-mod beliefs;
 mod handler;
 mod hearing;
 mod naming;
-mod outreach;
 mod peers;
 mod publish;
 mod reader;
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -4,18 +4,17 @@
 use std::sync::Arc;
 
 use shallotfork_events::{ACTIVE_CHANGED, ENTRY_CHANGED, event};
-use shallotfork_fleet::ActiveEntry;
+use shallotfork_fleet::{ActiveEntry, Beliefs};
 use shallotfork_membership::EntryVm;
 use shallotfork_types::VmId;
 
-use crate::control::beliefs::{Beliefs, beliefs};
 use crate::control::publish::publish_sharers;
 use crate::control::state::State;
 use crate::snapshot::Fleet;
 
 /// Publishes what is believed of the fleet for the directory, if it has changed.
 pub fn name_entries(state: &State) {
-    let beliefs = beliefs(state);
+    let beliefs = state.beliefs();
     let before = state.named_by.replace(Some(Rc::clone(&beliefs)));
     if before.as_ref().is_some_and(|before| Rc::ptr_eq(before, &beliefs)) {
         return;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -13,6 +13,7 @@
 use crate::control::state::State;
 use crate::snapshot::Published;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
+use shallotfork_fleet::OwnState;
 
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
@@ -119,6 +120,8 @@
     let published = context.published.load();
     let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
     context.published.store(Arc::new(published));
+    let count = context.published.load().targets.len();
+    state.update_own(|own| OwnState { targets: count, ..own });
     let sharers = context.fleet.load().named.len();
     let mut given = state.given.borrow_mut();
     let gone: Vec<ServiceName> =
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -8,12 +8,11 @@
 use shallotfork_types::Revision;
 use tokio::time::timeout;
 
-use crate::control::beliefs::beliefs;
 use crate::control::naming::name_entries;
 use crate::control::publish::{publish_away, take_all, take_changes};
 use crate::control::state::State;
 use shallotfork_feed::{FeedError, Freshness, RawItem};
-use shallotfork_fleet::PERIOD;
+use shallotfork_fleet::OwnState;
 
 /// How long a watch waits for a change. A platform that goes silent shows only at its end; when that
 /// happens to all readers at once, others have to take their place soon enough for a change to be
@@ -46,9 +45,9 @@
     first_fill(&state).await;
     tokio::time::sleep(START_WAIT).await;
     loop {
-        let reads = should_read(&state);
-        state.reads.set(reads);
-        if !reads && !state.sight.borrow().is_blind() {
+        let reads = state.fleet.borrow_mut().should_read(state.now());
+        state.update_own(|own| OwnState { reads, ..own });
+        if !reads && !state.fleet.borrow().sight.is_blind() {
             state.role_look.notified().await;
             continue;
         }
@@ -79,18 +78,6 @@
     }
 }
 
-/// Whether this entry is one of the readers, or hears none of them.
-fn should_read(state: &State) -> bool {
-    let beliefs = beliefs(state);
-    let way = if beliefs.contacts.hears_readers {
-        Duration::ZERO
-    } else {
-        PERIOD * beliefs.contacts.watched_periods
-    };
-    beliefs.readers.contains(&state.context.settings.vm)
-        || state.sight.borrow().misses_readers(way, state.context.clock.now())
-}
-
 /// Reads everything once, at a tenth of the price, before this entry knows whether it is a reader.
 ///
 /// What it brings may be seconds old; the readers, or the platform's watch, tell what has changed
@@ -137,8 +124,9 @@
 
 /// A process that knows routes can serve.
 pub fn note_synced(state: &State) {
-    if !state.synced.get() && state.in_force.borrow().table().is_some() {
-        state.synced.set(true);
+    let synced = state.fleet.borrow().own_state().synced;
+    if !synced && state.in_force.borrow().table().is_some() {
+        state.update_own(|own| OwnState { synced: true, ..own });
         state.ready.send_replace(true);
         name_entries(state);
     }
@@ -153,7 +141,7 @@
 }
 
 fn platform_fails(state: &State, error: &FeedError) {
-    let first = state.sight.borrow_mut().failed(state.context.clock.now());
+    let first = state.fleet.borrow_mut().sight.failed(state.context.clock.now());
     if first {
         event!(state.context.log, PLATFORM_LOST, "reason" => error.to_string());
         note_sight(state);
@@ -162,7 +150,7 @@
 }
 
 fn platform_answers(state: &State) {
-    let lost_at = state.sight.borrow_mut().answered();
+    let lost_at = state.fleet.borrow_mut().sight.answered();
     note_sight(state);
     if let Some(lost_at) = lost_at {
         let away = state.context.clock.now().since(lost_at);
@@ -175,7 +163,7 @@
 /// Takes into force whether the platform counts as away now.
 pub fn note_sight(state: &State) {
     let now = state.context.clock.now();
-    let away_since = state.sight.borrow().away_since(now);
+    let away_since = state.fleet.borrow().sight.away_since(now);
     let before = state.away_since.replace(away_since);
     match (before, away_since) {
         (None, Some(_)) => state.roster.borrow_mut().platform_lost(),
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -5,7 +5,6 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, ValueChange};
 use shallotfork_types::Revision;
 
-use crate::control::beliefs::beliefs;
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
@@ -16,7 +15,7 @@
 /// One that can't read the platform itself may know more all the same, from those who can.
 pub fn should_read_from(state: &State, beat: &Heartbeat) -> bool {
     let (known, own) = (beat.synced_revision, state.archive.borrow().position());
-    let beliefs = beliefs(state);
+    let beliefs = state.beliefs();
     let settings = &state.context.settings;
     if known <= own || beliefs.readers.contains(&settings.vm) {
         return false;
@@ -25,8 +24,7 @@
     if near || own == Revision::NONE || beliefs.contacts.hears_readers {
         return true;
     }
-    let now = state.context.clock.now();
-    state.catch_up.borrow_mut().far_knows(known, own, beliefs.spread_time(), now)
+    state.catch_up.borrow_mut().far_knows(known, own, beliefs.spread_time(), state.now())
 }
 
 /// Reads from another entry what it knows beyond this one.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,24 +1,21 @@
 //! State of the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use shallotfork_balance::SlotTarget;
-use shallotfork_membership::{Announcement, ListedVm, View};
-use shallotfork_peer::PeerState;
+use shallotfork_feed::{Archive, CatchUp, Feed};
+use shallotfork_fleet::{Beliefs, FleetMember, OwnState};
+use shallotfork_membership::{Announcement, ListedVm};
 use shallotfork_roster::Roster;
 use shallotfork_routes::InForce;
-use shallotfork_types::{Endpoint, Mono, ServiceName, VmId};
+use shallotfork_types::{Endpoint, Mono, ServiceName};
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
-use crate::control::beliefs::Beliefs;
-use crate::control::hearing::Told;
 use crate::control::peers::Peers;
-use shallotfork_feed::{Archive, CatchUp, Feed};
-use shallotfork_fleet::PlatformSight;
 
 /// All state that only the control thread touches.
 ///
@@ -26,8 +23,8 @@
 pub struct State {
     /// Shared with the traffic threads.
     pub context: Arc<Context>,
-    /// Which entries live.
-    pub view: RefCell<View>,
+    /// This entry's part in the fleet.
+    pub fleet: RefCell<FleetMember>,
     /// Connections to other entries.
     pub peers: Peers,
     /// The routes in force.
@@ -40,56 +37,40 @@
     pub archive: RefCell<Archive>,
     /// When other entries are asked for published items.
     pub catch_up: RefCell<CatchUp>,
-    /// Whether the platform answers.
-    pub sight: RefCell<PlatformSight>,
     /// Since when the platform has counted as away; `None` while it does not.
     pub away_since: Cell<Option<Mono>>,
-    /// What was believed of the fleet last.
-    pub beliefs: RefCell<Option<Rc<Beliefs>>>,
     /// The beliefs that callers are named entries by.
     pub named_by: RefCell<Option<Rc<Beliefs>>>,
-    /// Whether this entry reads the platform now.
-    pub reads: Cell<bool>,
-    /// Signalled when that may have to change.
+    /// Signalled when this entry may have to begin or end reading the platform.
     pub role_look: Notify,
     /// The targets that each service's slots were given last.
     pub given: RefCell<BTreeMap<ServiceName, Vec<SlotTarget>>>,
     /// The version of the roster that was published last.
     pub published_version: Cell<u64>,
-    /// Entries that say that they can't read the platform.
-    pub blind: RefCell<BTreeSet<VmId>>,
     /// Where other entries may be found.
     pub seeds: RefCell<Vec<Endpoint>>,
-    /// What other entries were told.
-    pub told: RefCell<BTreeMap<VmId, Told>>,
-    /// Raised with each change of `blind` or `starting`.
-    pub words_version: Cell<u64>,
-    /// Live entries of the own failure domain, by the word of the first ones there.
-    pub told_domain_entries: Cell<u32>,
-    /// Entries that said that they know no routes yet, and when they said it last.
-    pub starting: RefCell<BTreeMap<VmId, Mono>>,
-    /// Whether a planned stop is under way.
-    pub leaving: Cell<bool>,
-    /// Whether routes and targets have been read once.
-    pub synced: Cell<bool>,
-    /// Becomes true at that moment; the traffic side waits for it.
+    /// Becomes true once routes and targets have been read; the traffic side waits for it.
     pub ready: watch::Sender<bool>,
     /// The most heads that were live at one time.
     pub known: Cell<usize>,
 }
 
 impl State {
-    /// Whether callers may be sent to this process.
-    pub fn serves(&self) -> bool {
-        self.synced.get() && !self.leaving.get()
+    /// The time now.
+    pub fn now(&self) -> Mono {
+        self.context.clock.now()
+    }
+
+    /// What is believed of the fleet now.
+    pub fn beliefs(&self) -> Rc<Beliefs> {
+        self.fleet.borrow_mut().beliefs(self.now())
     }
 
-    /// Where this process stands in its life.
-    pub fn own_state(&self) -> PeerState {
-        if self.leaving.get() {
-            return PeerState::Leaving;
-        }
-        if self.synced.get() { PeerState::Live } else { PeerState::Starting }
+    /// Changes what this process knows of itself.
+    pub fn update_own(&self, change: impl FnOnce(OwnState) -> OwnState) {
+        let mut fleet = self.fleet.borrow_mut();
+        let own = fleet.own_state();
+        fleet.set_own_state(change(own));
     }
 }
 
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -1,7 +1,7 @@
 //! Starts the control thread and runs its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use shallotfork_membership::{View, ViewConfig};
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
 use shallotfork_roster::{Roster, RosterConfig};
 use shallotfork_routes::InForce;
@@ -20,14 +19,14 @@
 use tokio::task::LocalSet;
 
 use crate::context::Context;
-use crate::control::beats::{SUSPECT_AFTER, beats, tell_leaving};
+use crate::control::beats::{beats, tell_leaving};
 use crate::control::handler::Handler;
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
 use crate::control::state::{State, own_announcement};
 use shallotfork_feed::{Archive, CatchUp, Feed};
-use shallotfork_fleet::PlatformSight;
+use shallotfork_fleet::FleetMember;
 
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
 /// it is suspected.
@@ -37,12 +36,6 @@
 const CONNECTIONS_MAX: usize = 1024;
 /// How often lapsed targets and idle connections are looked after.
 const TIDY: Duration = Duration::from_millis(250);
-/// Heartbeats to heads that carry the same news; whoever misses all of them hears by the comparison of
-/// heads.
-const NEWS_SENDS: u32 = 12;
-/// News in one heartbeat; the loss of half of all heads is told within a few.
-const NEWS_MAX: usize = 24;
-
 /// What the control thread takes over from start-up.
 pub struct ControlParts {
     /// Shared with the traffic threads.
@@ -158,39 +151,20 @@
     own: &PeerId,
     ready: watch::Sender<bool>,
 ) -> State {
-    let now = context.clock.now();
-    let view_config = ViewConfig {
-        suspect_after: SUSPECT_AFTER,
-        evidence_for: SUSPECT_AFTER,
-        news_sends: NEWS_SENDS,
-        news_max: NEWS_MAX,
-        ..ViewConfig::default()
-    };
-    let view = View::new(view_config, &own_announcement(&context), now);
     State {
-        view: RefCell::new(view),
+        fleet: RefCell::new(FleetMember::new(own_announcement(&context), context.clock.now())),
         peers: Peers::new(key.clone(), own.clone(), peer_config()),
         in_force: RefCell::new(InForce::new()),
         roster: RefCell::new(Roster::new(RosterConfig::default())),
         feed,
         archive: RefCell::new(Archive::new()),
         catch_up: RefCell::new(CatchUp::new()),
-        sight: RefCell::new(PlatformSight::new()),
         away_since: Cell::new(None),
-        beliefs: RefCell::new(None),
         named_by: RefCell::new(None),
-        reads: Cell::new(false),
         role_look: Notify::new(),
         given: RefCell::new(BTreeMap::new()),
         published_version: Cell::new(0),
-        blind: RefCell::new(BTreeSet::new()),
         seeds: RefCell::new(context.settings.seeds.clone()),
-        told: RefCell::new(BTreeMap::new()),
-        words_version: Cell::new(0),
-        told_domain_entries: Cell::new(0),
-        starting: RefCell::new(BTreeMap::new()),
-        leaving: Cell::new(false),
-        synced: Cell::new(false),
         ready,
         known: Cell::new(1),
         context,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
 use shallotfork_lifecycle::{Process, Starting};
 use shallotfork_peer::PeerKey;
 use shallotfork_routes::Splitter;
-use shallotfork_timer::{Clock, TimerService};
+use shallotfork_timer::{Clock, TimerService, unix_time_ms};
 use shallotfork_types::{Endpoint, Incarnation, PerSecond};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -66,7 +66,7 @@
 /// When a port can't be bound, or a part of the process can't be started.
 pub fn run(program: Program) -> Result<()> {
     let Program { settings, dialect, feed, reload } = program;
-    let incarnation = Incarnation::new(rand::rng().random());
+    let incarnation = Incarnation::started_at(unix_time_ms(), rand::rng().random());
     let log_config = LogConfig {
         vm: settings.vm.to_string(),
         incarnation: incarnation.to_string(),
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -76,7 +76,7 @@
         let heard_lately = self.watched && now.since(self.quiet_since) <= fresh;
         let before = self.belief();
         if self.incarnation != Some(about.incarnation) {
-            if heard_lately || !self.may_become(about.incarnation, fresh, now) {
+            if heard_lately || !self.is_news_of_another_run(news) {
                 return false;
             }
             self.take(about);
@@ -98,13 +98,26 @@
     ///
     /// A paused VM may be replaced under its name and wake up later; both runs then speak. The
     /// known one stays for as long as it is heard, so that the two cannot take turns and a late
-    /// message of an ended run changes nothing. Runs have no order that all VMs would agree on.
+    /// message of an ended run changes nothing.
     fn may_become(&self, incarnation: Incarnation, fresh: Duration, now: Mono) -> bool {
         let Some(known) = self.incarnation else { return true };
         let silent = now.since(self.quiet_since) > fresh;
         known == incarnation || silent || self.suspected || self.said_leaving
     }
 
+    /// Whether hearsay of a run that is not the known one is to be believed: of a later run always, of
+    /// an earlier one only that it lives when the known one does not.
+    ///
+    /// Hundreds of VMs start anew. Some remember their earlier runs as dead, others know the new ones;
+    /// were either to believe whatever it is told last, they would convince each other in turn, and
+    /// the fleet would go on sending callers to ever different entries long after the start.
+    fn is_news_of_another_run(&self, news: &News) -> bool {
+        let dead = |suspected: bool, leaving: bool| suspected || leaving;
+        let is_later = self.incarnation.is_none_or(|known| news.about.incarnation > known);
+        let known_is_dead = dead(self.suspected, self.said_leaving);
+        is_later || (known_is_dead && !dead(news.suspected, news.about.listed.leaving))
+    }
+
     fn take(&mut self, from: &Announcement) {
         if self.incarnation != Some(from.incarnation) {
             self.incarnation = Some(from.incarnation);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -27,6 +27,8 @@
     passed_on: Option<BTreeSet<VmId>>,
     /// Whether this process passes on what it has heard of third VMs.
     relays: bool,
+    /// Whether others were heard again since the last period, who may have missed this process.
+    heard_again: bool,
 }
 
 impl View {
@@ -44,6 +46,7 @@
             version: 0,
             passed_on: None,
             relays: true,
+            heard_again: false,
         }
     }
 
@@ -114,14 +117,15 @@
         }
         let fresh = self.config.evidence_for;
         let member = self.member(&from.listed, now);
-        let before = member.entry();
+        let (before, round_before) = (member.entry(), member.round);
         let counted = member.heard(from, fresh, now);
-        let after = member.entry();
-        if before != after {
+        let (after, round) = (member.entry(), member.round);
+        // A higher round refutes a suspicion that others may hold.
+        if before != after || round_before != round {
             self.changed(&from.listed.vm, self.relays);
         }
         if before.state == EntryState::Suspected && after.state == EntryState::Live {
-            self.raise_own_round();
+            self.heard_again = true;
         }
         counted
     }
@@ -193,10 +197,14 @@
         self.raise_own_round();
     }
 
-    /// Suspects watched VMs that are silent, and forgets VMs that are neither listed nor heard;
-    /// the own VM stays.
+    /// Ends a period: suspects watched VMs that are silent, and forgets VMs that are neither listed
+    /// nor heard; the own VM stays. If others were heard again, the own round is raised.
+    ///
+    /// Where only some VMs are passed on, nobody tells of the end of the others: those that were met
+    /// once would count as live for long. The ones that are passed on may never be heard here.
     pub fn expire(&mut self, now: Mono) {
-        let ViewConfig { suspect_after, forget_after, .. } = self.config;
+        let ViewConfig { suspect_after, forget_after, forget_unneeded_after, .. } = self.config;
+        let passed_on = &self.passed_on;
         let own = self.own.clone();
         let mut suspected = Vec::new();
         let count = self.members.len();
@@ -204,14 +212,34 @@
             if vm != &own && member.suspect_if_silent(suspect_after, now) {
                 suspected.push(vm.clone());
             }
-            vm == &own || member.on_list || now.since(member.quiet_since) <= forget_after
+            let keep_for = match passed_on {
+                Some(vms) if member.state() == EntryState::Live => {
+                    let needed = vms.contains(vm);
+                    if needed { Duration::MAX } else { forget_unneeded_after }
+                }
+                _ => forget_after,
+            };
+            vm == &own || member.on_list || now.since(member.quiet_since) <= keep_for
         });
         self.version += u64::from(self.members.len() != count);
+        // Once for all that were heard again: hundreds may come back in one period.
+        if std::mem::take(&mut self.heard_again) {
+            self.raise_own_round();
+        }
         for vm in suspected {
             self.changed(&vm, true);
         }
     }
 
+    /// Suspects a VM that has not answered several calls in a row, unless it was heard meanwhile.
+    pub fn suspect(&mut self, vm: &VmId, now: Mono) {
+        let fresh = self.config.evidence_for;
+        let suspected = self.members.get_mut(vm).is_some_and(|m| m.suspect_if_silent(fresh, now));
+        if suspected {
+            self.changed(&vm.clone(), true);
+        }
+    }
+
     /// News for the next heartbeat; what was sent least often goes first.
     pub fn news(&mut self) -> Vec<News> {
         let members = &self.members;
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -18,7 +18,7 @@
 use shallotfork_once::{SECRET_BYTES, Secret};
 use shallotfork_peer::PeerKey;
 use shallotfork_settings::Settings;
-use shallotfork_timer::Clock;
+use shallotfork_timer::{Clock, unix_time_ms};
 use shallotfork_types::{Endpoint, Incarnation};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -157,7 +157,7 @@
     let bound = |listener: &StdListener| listener.local_addr().map(Endpoint::new);
     Ok(Identity {
         vm: settings.vm.id.clone(),
-        incarnation: Incarnation::new(rand::rng().random()),
+        incarnation: Incarnation::started_at(unix_time_ms(), rand::rng().random()),
         failure_domain: settings.vm.failure_domain.clone(),
         callers: settings.callers.advertise.map_or_else(|| bound(&ports.callers), Ok)?,
         peers: settings.peers.advertise.map_or_else(|| bound(&ports.peers), Ok)?,
--- a/crates/timer/src/clock.rs
+++ b/crates/timer/src/clock.rs
@@ -25,6 +25,14 @@
     }
 }
 
+/// The wall clock in Unix milliseconds, which may jump; zero before 1970.
+pub fn unix_time_ms() -> u64 {
+    let time = clock_gettime(ClockId::Realtime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let millis = u64::try_from(time.tv_nsec / 1_000_000).unwrap_or(0);
+    seconds.saturating_mul(1000).saturating_add(millis)
+}
+
 fn boot_time_us() -> u64 {
     let time = clock_gettime(ClockId::Boottime);
     let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -3,5 +3,5 @@
 mod clock;
 mod service;
 
-pub use clock::Clock;
+pub use clock::{Clock, unix_time_ms};
 pub use service::{Schedule, Subscription, Tick, TimerService};
--- a/crates/types/src/key.rs
+++ b/crates/types/src/key.rs
@@ -46,20 +46,31 @@
     }
 }
 
-/// One run of a process on a VM, drawn at random when it starts.
+/// Bits of an incarnation that are drawn at random; the time in the others lasts for centuries.
+const DRAWN_BITS: u32 = 20;
+
+/// One run of a process on a VM.
 ///
 /// A restarted process has lost its memory; its new incarnation keeps it from being taken for
-/// the process that made earlier promises.
+/// the process that made earlier promises. Of two runs on one VM the later one is the greater, unless
+/// its wall clock was set back between them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Incarnation(u64);
 
 impl Incarnation {
-    /// Wraps a random number drawn by the caller.
+    /// Wraps a number drawn by the caller.
     pub fn new(value: u64) -> Self {
         Self(value)
     }
 
+    /// A run that starts at this wall-clock time, in Unix milliseconds; a number drawn by the caller
+    /// tells two starts at the same time apart.
+    pub fn started_at(unix_ms: u64, drawn: u64) -> Self {
+        let drawn_mask = (1 << DRAWN_BITS) - 1;
+        Self((unix_ms << DRAWN_BITS) | (drawn & drawn_mask))
+    }
+
     /// The number itself, for wire formats.
     pub fn value(self) -> u64 {
         self.0
