--- a/crates/fleet/src/outreach.rs
+++ b/crates/fleet/src/outreach.rs
@@ -23,27 +23,39 @@
     seeds: &[Endpoint],
     rng: &mut impl Rng,
 ) -> BTreeSet<Endpoint> {
-    seeds.iter().copied().chain(any_known(beliefs, rng)).collect()
+    seeds.iter().copied().chain(any_known(beliefs, None, rng)).collect()
 }
 
-/// A seed that is not known to be live, an entry chosen at random, and those that are suspected but
-/// would come first otherwise.
+/// Some entry, and those that are suspected but would come first otherwise: of the whole fleet, and a
+/// seed that is not known to be live, for one that brings what it hears into its failure domain; of its
+/// own failure domain for any other. What crosses then does not grow with the fleet.
 pub(crate) fn some_known(
     beliefs: &Beliefs,
     here: &FailureDomain,
     seeds: &[Endpoint],
     rng: &mut impl Rng,
 ) -> BTreeSet<Endpoint> {
+    let spans = beliefs.contacts.hears_readers;
+    let place = (!spans).then_some(here);
+    let leaders = suspected_leaders(beliefs, place).into_iter().map(|entry| entry.peers);
+    let seed = if spans { unknown_seed(beliefs, seeds, rng) } else { None };
+    leaders.chain(any_known(beliefs, place, rng)).chain(seed).collect()
+}
+
+fn unknown_seed(beliefs: &Beliefs, seeds: &[Endpoint], rng: &mut impl Rng) -> Option<Endpoint> {
     let live = beliefs.order.iter().filter_map(|entry| beliefs.endpoint(&entry.vm));
     let live: BTreeSet<Endpoint> = live.collect();
-    let seed = seeds.iter().copied().filter(|seed| !live.contains(seed)).choose(rng);
-    let place = (!beliefs.contacts.hears_readers).then_some(here);
-    let leaders = suspected_leaders(beliefs, place).into_iter().map(|entry| entry.peers);
-    seed.into_iter().chain(any_known(beliefs, rng)).chain(leaders).collect()
+    seeds.iter().copied().filter(|seed| !live.contains(seed)).choose(rng)
 }
 
-fn any_known(beliefs: &Beliefs, rng: &mut impl Rng) -> Option<Endpoint> {
-    beliefs.entries.values().map(|entry| entry.peers).choose(rng)
+fn any_known(
+    beliefs: &Beliefs,
+    place: Option<&FailureDomain>,
+    rng: &mut impl Rng,
+) -> Option<Endpoint> {
+    let entries = beliefs.entries.values();
+    let here = entries.filter(|entry| place.is_none_or(|place| entry.failure_domain == *place));
+    here.map(|entry| entry.peers).choose(rng)
 }
 
 /// Suspected entries that would come first if they were live, of one failure domain or of all.
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -56,9 +56,10 @@
 fn a_fleet_at_rest_tells_no_news_and_keeps_to_few_heartbeats() {
     let mut model = running(1);
     model.run_for(5_000);
-    (model.sent, model.news) = (0, 0);
+    (model.sent, model.crossed, model.news) = (0, 0, 0);
     model.run_for(5_000);
     let per_entry_and_s = model.sent / 472 / 5;
+    assert!(model.crossed < 5_000, "{} of {} cross", model.crossed, model.sent);
     assert!(per_entry_and_s <= 12, "{per_entry_and_s}");
     assert!(model.news < 472, "{}", model.news);
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -60,6 +60,8 @@
     pub cut: BTreeSet<FailureDomain>,
     /// Heartbeats sent, answers included.
     pub sent: usize,
+    /// Those of them that crossed failure domains.
+    pub crossed: usize,
     /// Pieces of news in them.
     pub news: usize,
 }
@@ -84,6 +86,7 @@
             next_event: 0,
             cut: BTreeSet::new(),
             sent: 0,
+            crossed: 0,
             news: 0,
         }
     }
@@ -228,13 +231,15 @@
     /// Whether it gets through.
     fn say(&mut self, from: usize, to: usize, answers: bool) -> bool {
         let places = [from, to].map(|index| &self.vms[index].listed.failure_domain);
-        if places[0] != places[1] && places.iter().any(|place| self.cut.contains(place)) {
+        let crosses = places[0] != places[1];
+        if crosses && places.iter().any(|place| self.cut.contains(place)) {
             return false;
         }
         let (vm, now) = (self.vms[to].listed.vm.clone(), self.now);
         let Some(member) = self.vms[from].member.as_mut() else { return false };
         let beat = Box::new(member.beat_for(&vm, now));
         self.sent += 1;
+        self.crossed += usize::from(crosses);
         self.news += beat.news.len();
         let way_ms = self.rng.random_range(WAY_MS);
         self.after(way_ms, Event::Arrives { from, to, beat, answers });
