feat(gateway): bytes exchanged, by kind and by the failure domain of the other side

An operator whose bytes between failure domains are dear could not tell what they are. The sum over entries is a table by kind and by pair of failure domains; the network's own framing is not counted.

--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -8,6 +8,7 @@
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::Endpoint;
 
+use crate::carried::Carried;
 use crate::control::hearing::{heard, own_heartbeat};
 use crate::control::naming::name_entries;
 use crate::control::relay::{pull, should_read_from};
@@ -68,9 +69,11 @@
     let own = own_heartbeat(&state, &client.peer().vm);
     match client.heartbeat(&own).await {
         Ok(answer) => {
+            Carried::Heartbeats.count(&answer.failure_domain, client.take_bytes());
             heard(&state, client.peer(), &answer);
             if should_read_from(&state, &answer) {
-                pull(Rc::clone(&state), client).await;
+                pull(Rc::clone(&state), Rc::clone(&client)).await;
+                Carried::Lists.count(&answer.failure_domain, client.take_bytes());
             }
         }
         // The next heartbeat opens a new connection.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! live. Traffic threads ([`traffic`]) read snapshots that control publishes. A platform is a
 //! [`Feed`](shallotfork_feed::Feed) that is read and a [`Dialect`] that is spoken; nothing here knows its names.
 
+mod carried;
 mod context;
 mod control;
 mod dialect;
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -12,8 +12,9 @@
 use shallotfork_balance::{RetryAllowance, Shed, SlotOutcome};
 use shallotfork_events::{ATTEMPT_FAILED, event};
 use shallotfork_exchange::{AnswerOwner, AttemptFailure, LinkRequest, WholeAnswer};
-use shallotfork_types::{Permille, TargetId, Verdict};
+use shallotfork_types::{Endpoint, FailureDomain, Permille, TargetId, Verdict};
 
+use crate::carried::{Carried, message_bytes};
 use crate::context::Context;
 use crate::traffic::job::Job;
 use crate::traffic::judge::{AttemptEnd, attempt_end, figures, slot_outcome};
@@ -246,10 +247,10 @@
 async fn attempt(job: &Job, assigned: Assigned) -> AttemptEnd {
     let context = &job.context;
     let target = assigned.target().clone();
-    let endpoint = context.published.load().targets.get(&target).map(|entry| entry.endpoint);
+    let place = place_of(context, &target);
     let sent_at = context.clock.now();
     let timeout = job.left(sent_at);
-    let (Some(endpoint), Some(request)) = (endpoint, outgoing(job, &target, timeout)) else {
+    let (Some((endpoint, domain)), Some(request)) = (place, outgoing(job, &target, timeout)) else {
         // The target left between choice and sending.
         return AttemptEnd::Unreached;
     };
@@ -258,7 +259,12 @@
     let asked =
         LinkRequest { target: &target, endpoint, request, timeout, repeatable, owner: &owner };
     assigned.sending();
+    let sent_bytes = message_bytes(asked.request.headers(), job.request.body.len());
+    Carried::Requests.count(&domain, sent_bytes);
     let result = context.links.send(asked).await;
+    if let Ok(answer) = &result {
+        Carried::Answers.count(&domain, message_bytes(&answer.headers, answer.body.len()));
+    }
     let latency = context.clock.now().since(sent_at);
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let figures = result.as_ref().ok().and_then(|answer| figures(&context.dialect, answer));
@@ -267,6 +273,13 @@
     attempt_end(&context.dialect, result)
 }
 
+/// Where a target is reached, and in which failure domain; `None` once it has left.
+fn place_of(context: &Context, target: &TargetId) -> Option<(Endpoint, FailureDomain)> {
+    let published = context.published.load();
+    let entry = published.targets.get(target)?;
+    Some((entry.endpoint, entry.failure_domain.clone()))
+}
+
 /// Logs an attempt that brought no answer to pass on.
 fn report(
     job: &Job,
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -8,8 +8,9 @@
 use http_body_util::Full;
 use metrics::counter;
 use shallotfork_exchange::{AnswerOwner, LinkRequest};
-use shallotfork_types::{Endpoint, ServiceName, TargetId};
+use shallotfork_types::{Endpoint, FailureDomain, ServiceName, TargetId};
 
+use crate::carried::{Carried, message_bytes};
 use crate::context::Context;
 use crate::traffic::judge::figures;
 use crate::traffic::service_slots::ServiceSlots;
@@ -70,9 +71,12 @@
     slots: &Arc<ServiceSlots>,
     target: &TargetId,
 ) -> Probed {
-    let Some((endpoint, uri)) = health(context, service, target) else { return Probed::Untold };
+    let Some(Health { endpoint, domain, uri }) = health(context, service, target) else {
+        return Probed::Untold;
+    };
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = uri;
+    Carried::Questions.count(&domain, message_bytes(request.headers(), 0));
     let asked = LinkRequest {
         target,
         endpoint,
@@ -87,6 +91,7 @@
         let late_by = context.clock.now().since(asked_at).saturating_sub(TIMEOUT);
         return Probed::Silent { late_by };
     };
+    Carried::Questions.count(&domain, message_bytes(&answer.headers, answer.body.len()));
     match figures(&context.dialect, &answer) {
         Some(figures) => {
             slots.report(target, figures);
@@ -97,9 +102,16 @@
 }
 
 /// Where a target tells its health.
-fn health(context: &Context, service: &ServiceName, target: &TargetId) -> Option<(Endpoint, Uri)> {
+struct Health {
+    endpoint: Endpoint,
+    domain: FailureDomain,
+    uri: Uri,
+}
+
+fn health(context: &Context, service: &ServiceName, target: &TargetId) -> Option<Health> {
     let published = context.published.load();
-    let endpoint = published.targets.get(target)?.endpoint;
+    let entry = published.targets.get(target)?;
     let spec = published.table.as_ref()?.services().get(service)?;
-    Some((endpoint, spec.health_path.parse().ok()?))
+    let uri = spec.health_path.parse().ok()?;
+    Some(Health { endpoint: entry.endpoint, domain: entry.failure_domain.clone(), uri })
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -1,7 +1,9 @@
 //! Calls a peer over one connection.
 
+use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side as RpcSide;
@@ -31,6 +33,10 @@
     peer: PeerId,
     config: PeerConfig,
     driver: Driver,
+    /// Bytes of both directions since the connection was opened.
+    carried: Rc<Cell<u64>>,
+    /// Of these, what has been taken account of.
+    taken: Cell<u64>,
 }
 
 impl PeerClient {
@@ -52,6 +58,12 @@
         &self.peer
     }
 
+    /// Bytes that the connection has carried in both directions since the last call of this.
+    pub fn take_bytes(&self) -> u64 {
+        let carried = self.carried.get();
+        carried - self.taken.replace(carried)
+    }
+
     /// Whether the connection has broken.
     pub fn is_closed(&self) -> bool {
         self.driver.0.is_finished()
@@ -238,7 +250,9 @@
     let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
     let stream = TcpStream::connect(endpoint.address()).await.map_err(unreachable)?;
     stream.set_nodelay(true).map_err(unreachable)?;
-    let (reader, writer) = Metered::new(stream.compat()).split();
+    let metered = Metered::new(stream.compat());
+    let carried = metered.carried();
+    let (reader, writer) = metered.split();
     let options = reader_options(config);
     let network = twoparty::VatNetwork::new(reader, writer, RpcSide::Client, options);
     let mut rpc = RpcSystem::new(Box::new(network), None);
@@ -271,7 +285,7 @@
         return Err(PeerError::Refused);
     }
     let calls = response.get()?.get_peer()?;
-    Ok(PeerClient { calls, peer, config: config.clone(), driver })
+    Ok(PeerClient { calls, peer, config: config.clone(), driver, carried, taken: Cell::new(0) })
 }
 
 /// Runs the connection, and closes it when the client or the handshake is given up.
--- a/crates/peer/src/metered.rs
+++ b/crates/peer/src/metered.rs
@@ -1,7 +1,9 @@
 //! Counts the bytes of connections between entries.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use futures::{AsyncRead, AsyncWrite};
@@ -15,13 +17,19 @@
     inner: S,
     received: Counter,
     sent: Counter,
+    carried: Rc<Cell<u64>>,
 }
 
 impl<S> Metered<S> {
     pub(crate) fn new(inner: S) -> Self {
         let received = counter!(PEER_BYTES, "direction" => "received");
         let sent = counter!(PEER_BYTES, "direction" => "sent");
-        Self { inner, received, sent }
+        Self { inner, received, sent, carried: Rc::default() }
+    }
+
+    /// Bytes of both directions since the connection was opened, as they grow.
+    pub(crate) fn carried(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.carried)
     }
 }
 
@@ -34,6 +42,7 @@
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         if let Poll::Ready(Ok(count)) = read {
             self.received.increment(count as u64);
+            self.carried.set(self.carried.get() + count as u64);
         }
         read
     }
@@ -48,6 +57,7 @@
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = written {
             self.sent.increment(count as u64);
+            self.carried.set(self.carried.get() + count as u64);
         }
         written
     }
