feat(feed): published items of another entry are checked before they are taken, and refusals are logged

A list that is cut short, older than what is known, oversized or without keys would end targets that live. A reading that failed left no line. Test: what_is_cut_short_or_older_is_not_taken.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -29,6 +29,7 @@
     LIST_CONFLICT = 2004 Error "two contents under one revision";
     ROUTES_ACCEPTED = 2005 Info "routes in force";
     ROUTES_REFUSED = 2006 Error "routes refused: they are not valid";
+    TOLD_REFUSED = 2007 Warning "published items of another entry not taken";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -1,7 +1,7 @@
 //! What entries tell each other of published items.
 
 use quickcheck::QuickCheck;
-use shallotfork_feed::{Archive, FeedChanges, RawItem};
+use shallotfork_feed::{Archive, FeedChanges, RawItem, TellError, Told};
 use shallotfork_types::Revision;
 
 fn item(key: u8, revision: u64, content: Option<&str>) -> RawItem {
@@ -80,3 +80,25 @@
         follower.apply(&told.changes);
     }
 }
+
+/// An entry that has just started answers with nothing, or one that was paused with what it knew a
+/// minute ago. Taken as all there is, it would end every target, and each request would be refused.
+#[test]
+fn what_is_cut_short_or_older_is_not_taken() {
+    let archive = first();
+    let told = |items: Vec<RawItem>, revision: u64, whole: bool| {
+        archive.check(&Told { changes: changes(items, revision), whole })
+    };
+    let known = Revision::new(6);
+    assert_eq!(told(Vec::new(), 9, true), Err(TellError::Empty));
+    let older = TellError::Older { told: Revision::new(5), known };
+    assert_eq!(told(vec![item(1, 3, Some("a"))], 5, true), Err(older.clone()));
+    assert_eq!(told(Vec::new(), 5, false), Err(older));
+    assert_eq!(told(vec![item(1, 0, Some("a"))], 9, false), Err(TellError::BadItem));
+    assert_eq!(
+        told(vec![item(3, 7, Some("c")); 100_001], 9, true),
+        Err(TellError::TooMany(100_001))
+    );
+    assert_eq!(told(Vec::new(), 6, false), Ok(()));
+    assert_eq!(told(vec![item(1, 8, None)], 9, false), Ok(()));
+}
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -2,13 +2,14 @@
 
 use std::rc::Rc;
 
+use shallotfork_events::{TOLD_REFUSED, event};
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, ValueChange};
 use shallotfork_types::Revision;
 
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
-use shallotfork_feed::{FeedChanges, RawItem};
+use shallotfork_feed::{FeedChanges, RawItem, TellError, Told};
 
 /// Whether to read from another entry what it knows beyond this one.
 ///
@@ -33,9 +34,13 @@
         return;
     }
     let after = state.archive.borrow().position();
-    // One that fails is asked again after the next heartbeat.
-    if let Ok(changes) = client.changes(after).await {
-        take(&state, changes);
+    let taken = match client.changes(after).await {
+        Ok(changes) => take(&state, changes).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    if let Err(reason) = taken {
+        event!(state.context.log, TOLD_REFUSED, "peer" => client.peer().vm.as_str(),
+            "reason" => reason);
     }
     state.catch_up.borrow_mut().end();
 }
@@ -47,15 +52,18 @@
     Changes { revision: told.changes.revision, values, whole: told.whole }
 }
 
-fn take(state: &State, changes: Changes) {
+fn take(state: &State, changes: Changes) -> Result<(), TellError> {
     let Changes { revision, values, whole } = changes;
-    let items: Vec<RawItem> = values.into_iter().map(item).collect();
+    let items = values.into_iter().map(item).collect();
+    let told = Told { changes: FeedChanges { items, revision }, whole };
+    state.archive.borrow().check(&told)?;
     if whole {
-        take_all(state, &items, revision);
+        take_all(state, &told.changes.items, revision);
     } else {
-        take_changes(state, &FeedChanges { items, revision });
+        take_changes(state, &told.changes);
     }
     note_synced(state);
+    Ok(())
 }
 
 fn value(item: RawItem) -> ValueChange {
