--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -40,6 +40,7 @@
     TARGET_EJECTED = 5001 Warning "target ejected";
     TARGET_RETURNED = 5002 Info "target returned";
     TARGET_CHANGED = 5003 Info "published target changed";
+    TARGETS_CHANGED = 5004 Info "many published targets changed at once";
     PLATFORM_LOST = 6001 Warning "platform unreachable";
     PLATFORM_BACK = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use shallotfork_balance::SlotTarget;
-use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, event};
+use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event};
 use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
 use shallotfork_routes::{Offer, RouteTable};
 use shallotfork_types::{Revision, ServiceName, TargetId};
@@ -15,6 +15,9 @@
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
 use shallotfork_fleet::OwnState;
 
+/// Changes of targets in one reading that are logged one by one.
+const CHANGE_LINES_MAX: usize = 20;
+
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
     state.archive.borrow_mut().replace(items, revision);
@@ -73,8 +76,8 @@
 /// Publishes routes and targets as they are known now.
 fn publish(state: &State, changed: &[RosterChange]) {
     let context = &state.context;
+    log_changes(state, changed);
     for change in changed {
-        event!(context.log, TARGET_CHANGED, "change" => format!("{change:?}"));
         match change {
             RosterChange::Restarted(id) => {
                 context.links.forget(id);
@@ -91,6 +94,20 @@
     }
 }
 
+/// A line for each change, or one for many: after a common start hundreds of entries each read
+/// hundreds of targets, and would write for longer than they read.
+fn log_changes(state: &State, changed: &[RosterChange]) {
+    let log = &state.context.log;
+    if changed.len() > CHANGE_LINES_MAX {
+        event!(log, TARGETS_CHANGED, "changes" => changed.len(),
+            "first" => format!("{:?}", changed[0]));
+        return;
+    }
+    for change in changed {
+        event!(log, TARGET_CHANGED, "change" => format!("{change:?}"));
+    }
+}
+
 fn publish_routes(state: &State) {
     let published = state.context.published.load();
     let table = state.in_force.borrow().table().cloned();
