perf(balance): questions to targets are bounded by answers, and an answer is matched with one target

While requests wait, each of 475 targets was asked every 25 ms, up to 19,000 questions a second, and each of their answers compared the whole queue with all targets: the processor time that requests waited for.

Ruled out: the target's processor share (0.31 of 0.5 used on average), the link.

Change: asking costs at most four questions for each answer and 100 a second (ProbeBudget); what becomes known of one target wakes those who wait for that target only, all others within 12 ms; the sum of slots is kept.

--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -9,11 +9,13 @@
 mod config;
 mod estimate;
 mod pool;
+mod probe_budget;
 mod published;
 mod queue;
 mod summary;
 mod target;
 mod wait;
+mod wake;
 
 pub use ask::{SlotAsk, WorkClass};
 pub use config::SlotPoolConfig;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -1,17 +1,18 @@
 //! Gives out the slots of one service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use shallotfork_types::{Mono, TargetId};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
+use super::probe_budget::ProbeBudget;
 use super::published::{Belief, LoadFigures, SlotOutcome, SlotTarget};
 use super::queue::SlotQueue;
 use super::target::Target;
 use super::{SlotAsk, WorkClass};
-use crate::{Admission, Assignment, AttemptId, Resolution, Shed, ShedReason, Ticket, Woken};
+use crate::{Admission, Assignment, AttemptId, Shed, ShedReason, Ticket, Woken};
 
 /// Beyond this, what did not come in time may have come; a timer is a millisecond or two late.
 const OWN_LATENESS_MAX: Duration = Duration::from_millis(8);
@@ -23,7 +24,7 @@
 
 /// Which targets may be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Choice {
+pub(super) enum Choice {
     /// Those that don't say that they are slow at the moment.
     Quick,
     /// All with a free slot.
@@ -56,6 +57,9 @@
     beliefs: Vec<Belief>,
     /// Processes that send requests of the service to these targets, this one included.
     sharers: usize,
+    serving_slots: u32,
+    /// Bounds the probes while requests wait.
+    probes: ProbeBudget,
     last_id: u64,
 }
 
@@ -71,6 +75,8 @@
             learnt,
             beliefs: Vec::new(),
             sharers: 1,
+            serving_slots: 0,
+            probes: ProbeBudget::new(),
             last_id: 0,
         }
     }
@@ -91,9 +97,9 @@
         self.attempts.len() * self.sharers >= self.serving_slots() as usize
     }
 
+    /// Slots of all targets that take new work.
     pub(super) fn serving_slots(&self) -> u32 {
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        serving.map(|target| target.published.slots).sum()
+        self.serving_slots
     }
 
     /// Takes the published targets; what is known of those that stay is kept.
@@ -107,6 +113,8 @@
             };
             self.targets.insert(id, next);
         }
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        self.serving_slots = serving.map(|target| target.published.slots).sum();
         self.wake(now)
     }
 
@@ -178,14 +186,15 @@
                 target.report(without_the_answered(figures), &mut self.learnt, now);
             }
         }
-        self.wake(now)
+        self.probes.answered();
+        self.wake_for(&id, now)
     }
 
     /// Takes a target's account of its load that came with a probe's answer.
     pub fn report(&mut self, id: &TargetId, figures: LoadFigures, now: Mono) -> Vec<Woken> {
         let Some(target) = self.targets.get_mut(id) else { return Vec::new() };
         target.report(figures, &mut self.learnt, now);
-        self.wake(now)
+        self.wake_for(id, now)
     }
 
     /// Gives up a place in the queue.
@@ -193,7 +202,8 @@
         self.queue.remove(ticket);
     }
 
-    /// Refuses those who have waited long enough and uses targets whose time has come.
+    /// Refuses those who have waited long enough and uses targets whose time has come. To be called
+    /// at short intervals while requests wait.
     pub fn expire(&mut self, now: Mono) -> Vec<Woken> {
         self.wake(now)
     }
@@ -251,8 +261,10 @@
     /// Targets with a free slot whose pace may have changed, while requests wait for one; each
     /// counts as probed from now on. Near ones first, and those that were heard of longest ago.
     ///
-    /// A few for each request that waits. When all targets were asked at each turn, 36 of them 40
-    /// times a second, asking took so much of a small processor that the requests waited for it.
+    /// A few for each request that waits, and not many more than there are answers to show for it.
+    /// When all targets are asked at each turn, hundreds of them 40 times a second, asking takes the
+    /// processor time that the requests wait for: the queue grows, more targets are asked, and that
+    /// lasts long after the burst that began it.
     pub fn due_probes(&mut self, now: Mono) -> Vec<TargetId> {
         if self.queue.is_empty() {
             return Vec::new();
@@ -263,7 +275,8 @@
         let mut order: Vec<(bool, Mono, &TargetId)> =
             wanted.map(|(id, target)| (target.is_far(config), target.told_at(), id)).collect();
         order.sort();
-        order.truncate(self.queue.len() * PROBES_PER_WAITING);
+        let useful = self.queue.len() * PROBES_PER_WAITING;
+        order.truncate(self.probes.take(useful.min(order.len()), now));
         let due: Vec<TargetId> = order.into_iter().map(|(_, _, id)| id.clone()).collect();
         for id in &due {
             if let Some(target) = self.targets.get_mut(id) {
@@ -293,13 +306,33 @@
         Duration::from_micros((self.learnt.work_us(class) * self.learnt.mean_pace()) as u64)
     }
 
-    fn has_target_for(&self, ask: &SlotAsk) -> bool {
+    pub(super) fn has_target_for(&self, ask: &SlotAsk) -> bool {
         self.targets.iter().any(|(id, t)| t.published.serving && !ask.exclude.contains(id))
     }
 
-    fn assign(&mut self, ask: &SlotAsk, choice: Choice, now: Mono) -> Option<Assignment> {
+    pub(super) fn assign(
+        &mut self,
+        ask: &SlotAsk,
+        choice: Choice,
+        now: Mono,
+    ) -> Option<Assignment> {
+        self.assign_among(ask, choice, None, now)
+    }
+
+    /// A slot of the best target, or of one only.
+    pub(super) fn assign_among(
+        &mut self,
+        ask: &SlotAsk,
+        choice: Choice,
+        only: Option<&TargetId>,
+        now: Mono,
+    ) -> Option<Assignment> {
         let (config, learnt, has_share) = (&self.config, &self.learnt, self.has_share());
-        let open = self.targets.iter().filter(|(id, target)| {
+        let among = match only {
+            Some(id) => self.targets.range::<TargetId, _>(id..=id),
+            None => self.targets.range::<TargetId, _>(..),
+        };
+        let open = among.filter(|(id, target)| {
             target.published.serving
                 && !ask.exclude.contains(id)
                 && target.open_slots(now, config, has_share) > 0
@@ -309,7 +342,7 @@
         });
         let (good, bad): (Vec<_>, Vec<_>) = open
             .partition(|(_, target)| !target.is_ejected(now) && !target.is_overdue(now, config));
-        let candidates = if self.ignores_evidence(now) && good.is_empty() { bad } else { good };
+        let candidates = if good.is_empty() && self.ignores_evidence(now) { bad } else { good };
         let cost = |target: &Target| target.cost_us(ask, now, config, learnt);
         let order = |a: &Target, b: &Target| cost(a).total_cmp(&cost(b)).then(a.turn.cmp(&b.turn));
         let best = candidates.into_iter().min_by(|a, b| order(a.1, b.1));
@@ -324,7 +357,7 @@
     /// For a request that has waited long enough: a slow slot is better than none, unless more
     /// requests wait than slots are free. Then each slot that is used in a slow phase, for five
     /// times as long, keeps several of them waiting until they are late too.
-    fn assign_any_or_shed(&mut self, ask: &SlotAsk, now: Mono) -> Admission {
+    pub(super) fn assign_any_or_shed(&mut self, ask: &SlotAsk, now: Mono) -> Admission {
         let choice =
             if self.queue.len() <= self.free_slots(now) { Choice::Any } else { Choice::Quick };
         match self.assign(ask, choice, now) {
@@ -340,53 +373,6 @@
         bad.count() * 2 > serving().count()
     }
 
-    fn wake(&mut self, now: Mono) -> Vec<Woken> {
-        let mut woken = Vec::new();
-        let mut order: Vec<Ticket> = self.queue.iter().map(|(ticket, _)| ticket).collect();
-        let asks = &self.queue;
-        let keys: BTreeMap<Ticket, _> =
-            asks.iter().map(|(ticket, ask)| (ticket, self.order(ask, now))).collect();
-        order.sort_by_key(|ticket| keys.get(ticket).copied());
-        // A long queue would be compared with every target at each answer. Where one request finds no
-        // slot, those behind it that judge a slow slot alike are not tried this time: of the same
-        // class, and like it still in time or not.
-        let mut without_slot: BTreeSet<(WorkClass, bool)> = BTreeSet::new();
-        for ticket in order {
-            let Some(ask) = self.queue.remove(ticket) else { continue };
-            let alike = (ask.class.clone(), self.is_in_time(&ask, now));
-            let hopeless = ask.exclude.is_empty() && without_slot.contains(&alike);
-            if let Some(resolution) = self.resolve(&ask, hopeless, now) {
-                woken.push(Woken { ticket, resolution });
-                continue;
-            }
-            if ask.exclude.is_empty() {
-                without_slot.insert(alike);
-            }
-            self.queue.push(ticket, ask);
-        }
-        woken
-    }
-
-    fn resolve(&mut self, ask: &SlotAsk, hopeless: bool, now: Mono) -> Option<Resolution> {
-        if ask.deadline <= now {
-            return Some(Resolution::Shed(self.shed(ShedReason::DeadlinePassed, now)));
-        }
-        if !self.has_target_for(ask) {
-            return Some(Resolution::Shed(self.shed(ShedReason::NoTarget, now)));
-        }
-        if !hopeless && let Some(assignment) = self.assign(ask, Choice::Quick, now) {
-            return Some(Resolution::Send(assignment));
-        }
-        if self.wait_end(ask, now) > now {
-            return None;
-        }
-        Some(match self.assign_any_or_shed(ask, now) {
-            Admission::Send(assignment) => Resolution::Send(assignment),
-            Admission::Shed(shed) => Resolution::Shed(shed),
-            Admission::Queued(_) => return None,
-        })
-    }
-
     fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
--- a/crates/balance/tests/slots_far.rs
+++ b/crates/balance/tests/slots_asked.rs
@@ -7,10 +7,17 @@
 
 use std::time::Duration;
 
-use shallotfork_balance::{SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
+use shallotfork_balance::{Admission, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
 use shallotfork_types::FailureDomain;
 
-use support::{SLOW, USUAL, ask, at, figures, id, learn_work, pool, queued, sent, target};
+use support::{
+    SLOW, USUAL, answered, ask, at, figures, id, learn_work, pool, queued, sent, target,
+};
+
+/// Targets of a large service.
+const TARGETS: usize = 475;
+/// Time between two turns of asking.
+const LOOK_MS: u64 = 12;
 
 /// Of equal servers one stood nearby. The measured times of a few requests made the far one look
 /// quicker by a tenth, and two of three requests crossed to another failure domain, which costs the
@@ -88,3 +95,38 @@
     pool.set_targets(vec![near_target, target("far")], at(0));
     pool
 }
+
+fn names() -> Vec<String> {
+    (0..TARGETS).map(|number| format!("t{number}")).collect()
+}
+
+/// A burst fills the slots of hundreds of servers, and hundreds of requests wait at one entry. It asked
+/// each server 40 times a second which of them is free: 19,000 questions, more than its processor can
+/// do. Requests waited beside free slots, so that more came to wait, long after the burst had ended.
+#[test]
+fn a_long_queue_asks_no_more_than_answers_pay_for() {
+    let names = names();
+    let mut pool = pool(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    names.iter().for_each(|name| drop(pool.report(&id(name), figures(0, SLOW), at(0))));
+    let queued = (0..300).filter(|_| matches!(pool.admit(ask(0), at(0)), Admission::Queued(_)));
+    assert_eq!(queued.count(), 300);
+    let probes = (1..84).map(|look| pool.due_probes(at(look * LOOK_MS)).len());
+    let probes: usize = probes.sum();
+    assert!((100..250).contains(&probes), "{probes} in a second without an answer");
+}
+
+/// Each answer shows that asking was worth its price.
+#[test]
+fn answers_pay_for_more_questions() {
+    let names = names();
+    let mut pool = pool(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    names.iter().for_each(|name| drop(pool.report(&id(name), figures(0, USUAL), at(0))));
+    let running = sent(pool.admit(ask(0), at(0)));
+    names.iter().for_each(|name| drop(pool.report(&id(name), figures(0, SLOW), at(0))));
+    assert!((0..100).all(|_| matches!(pool.admit(ask(0), at(0)), Admission::Queued(_))));
+    let spent: usize = (0..10).map(|_| pool.due_probes(at(30)).len()).sum();
+    assert!(spent >= 100, "{spent}");
+    assert!(pool.due_probes(at(31)).is_empty());
+    pool.finish(running.attempt, answered(), None, at(31));
+    assert_eq!(pool.due_probes(at(31)).len(), 4);
+}
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -241,7 +241,7 @@
     pub fn expire(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        if inner.pool.next_expiry(now).is_none_or(|due| due > now) {
+        if inner.waiting.is_empty() {
             return;
         }
         let woken = inner.pool.expire(now);
