--- a/crates/balance/src/slots/config.rs
+++ b/crates/balance/src/slots/config.rs
@@ -7,18 +7,16 @@
 /// How a pool judges targets and when it refuses.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SlotPoolConfig {
-    /// Work of a class before its first answer; default 100 ms, between the 36 and 210 ms that the
-    /// users' requests take.
+    /// Work of a class before its first answer; default 100 ms.
     pub first_guess: Duration,
     /// How long a target's own word on its pace says something; default 150 ms, the length of the
     /// phases in which neighbours on the same host slow it down.
     pub pace_memory: Duration,
     /// Age of a target's last report after which it is asked again before a request is sent to it;
-    /// default 10 ms. A report that is 25 ms old on average was wrong once in 25 requests, each of
-    /// which was late; asking takes one round trip.
+    /// default 10 ms, a small part of a slow phase; asking takes one round trip.
     pub check_after: Duration,
     /// Time between two probes of a target while requests wait for it to end a slow phase; default
-    /// 25 ms, a small part of such a phase and within the users' budget of 42 probes a second.
+    /// 25 ms, a small part of such a phase.
     pub probe_after: Duration,
     /// Part of the time until its deadline that a request which can't be answered within its
     /// objective any more may wait, in thousandths; default 250.
@@ -30,9 +28,8 @@
     pub near: Option<FailureDomain>,
     /// What it costs that a request crosses failure domains, as time by which targets are compared,
     /// in thousandths of the usual time of its class; default 1000. A far target is chosen when the
-    /// near ones would take twice as long or have no slot that is fit. At 300, a fifth more bytes
-    /// cross; at 0, with 2 ms for each KiB, nearly as many as without any preference, since what is
-    /// measured of equal targets differs by more.
+    /// near ones would take twice as long or have no slot that is fit. What is measured of equal
+    /// targets differs by a part of that time, for which no request should cross.
     pub far_cost_permille: u32,
     /// Requests that may wait at once; default 4096, bounded by memory only.
     pub queue_max: usize,
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -17,9 +17,8 @@
 /// Beyond this, what did not come in time may have come; a timer is a millisecond or two late.
 const OWN_LATENESS_MAX: Duration = Duration::from_millis(8);
 
-/// Targets that are asked at one turn for each request that waits. With one, fewer slow phases are
-/// seen to end: with three slow targets of seven, 1303 of 1620 requests are in time, and over 1330
-/// with four.
+/// Targets that are asked at one turn for each request that waits. Most of those that are asked turn
+/// out to be slow still; with one, the end of a slow phase would often go unseen.
 const PROBES_PER_WAITING: usize = 4;
 
 /// Which targets may be chosen.
@@ -247,7 +246,7 @@
     /// wanted to, by `late_by`.
     ///
     /// A process that is short of processor time finds no answer in time although all have come.
-    /// Right after a loss of all entries that left out a third of all sound targets.
+    /// Right after a loss of all entries that would leave out sound targets by the dozen.
     pub fn unanswered(&mut self, id: &TargetId, late_by: Duration, now: Mono) {
         if late_by > OWN_LATENESS_MAX {
             return;
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -22,9 +22,8 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// What a failure costs a caller, as a multiple of the time of an answer.
 const FAILURE_COST: f64 = 6.0;
-/// Part of a far target's slots that a process may fill which has its share already, as a divisor. A
-/// half serves most: with a third, spare slots stay unused; with two thirds, one failure domain
-/// takes so many slots of another that the requests of that one are refused.
+/// Part of a far target's slots that a process may fill which has its share already, as a divisor. With
+/// less, spare slots stay unused; with more, one failure domain takes slots that another needs.
 const FAR_SLOTS_DIVISOR: u32 = 2;
 /// How long a target's account of requests from other processes counts.
 const OTHERS_MEMORY: Duration = Duration::from_millis(500);
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -28,8 +28,8 @@
 
     /// When a request has waited long enough: for as long as it can still be answered within its
     /// objective. Refused sooner, it comes back too late for that; it is refused at once if its turn
-    /// is not expected by then. Requests that wait for up to an eighth of their objective only were
-    /// in time less often under overload by a tenth.
+    /// is not expected by then. A shorter wait would give up requests that can still be
+    /// in time.
     pub(super) fn wait_end(&self, ask: &SlotAsk, now: Mono) -> Mono {
         let work = Duration::from_micros(self.learnt.work_us(&ask.class) as u64);
         let until_objective = ask.objective.since(ask.arrived);
--- a/crates/fleet/src/active.rs
+++ b/crates/fleet/src/active.rs
@@ -6,8 +6,7 @@
 
 use crate::order::Candidate;
 
-/// Requests a second that a target brings to its entry; the users' targets get 2.4 to 14 on quiet
-/// days, and bursts bring up to twice as many.
+/// Requests a second that a target brings to its entry, in bursts too.
 const REQUESTS_PER_TARGET: u64 = 6;
 /// Part of that load which is enough to go without weaker entries, as a divisor. Callers choose
 /// among the entries near them with equal chances, so that the weakest of these decides how much all
@@ -50,8 +49,7 @@
 /// burst has ended.
 ///
 /// Weak VMs are not named beside strong ones unless these do not suffice: the stop of the strong
-/// entries of a fleet would send a third of all callers to a VM of a fifth of their processor and a
-/// twentieth of their link.
+/// entries of a fleet would send as many callers to a VM with a fraction of their processor and link.
 pub fn active_entries(targets: usize, order: &[Candidate]) -> Vec<Candidate> {
     let wanted = targets as u64 * REQUESTS_PER_TARGET;
     let least = least_strength(wanted, order);
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -15,12 +15,11 @@
 use shallotfork_fleet::OwnState;
 
 /// How long a watch waits for a change. A platform that goes silent shows only at its end; when that
-/// happens to all readers at once, others have to take their place soon enough for a change to be
-/// in force everywhere within the users' two seconds: 1.1 s until they know, and 0.7 s until the
-/// next ones have read and told it. Three idle readers cost four calls a second.
+/// happens to all readers at once, others have to take their place soon enough for a change to be in
+/// force everywhere within the users' two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
-/// An answer that is this much later than it should be means that the connection is dead; a slow
-/// platform takes 60 times its usual 4 ms.
+/// An answer that is this much later than it should be means that the connection is dead, and not
+/// only that the platform is slow.
 const CALL_SLACK: Duration = Duration::from_millis(400);
 /// The longest time for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -24,8 +24,7 @@
 /// Targets that may prove to be out of reach before a request is given up. Nothing arrives there,
 /// so that they count against no limit on attempts.
 const UNREACHED_MAX: u32 = 4;
-/// Multiple of the usual time after which a request is worth sending a second time. At 3, one
-/// request in thirty on a quiet day; neighbours slow a target down by up to 5.
+/// Multiple of the usual time after which a request is sent a second time.
 const HEDGE_FACTOR: f64 = 3.0;
 /// Targets that are asked for their pace before one request is sent without asking.
 const CHECKS_MAX: u32 = 4;
