--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -67,7 +67,8 @@
     own: Announcement,
     own_state: OwnState,
     view: View,
-    /// Whether the platform answers.
+    /// Whether the platform answers. Open to whoever calls the platform, since what comes of these
+    /// calls concerns nothing else here.
     pub sight: PlatformSight,
     /// Entries that say that they can't read the platform.
     blind: BTreeSet<VmId>,
@@ -183,8 +184,9 @@
         called
     }
 
-    /// Whether connections to others than the contacts may be closed now.
-    pub fn may_tidy(&mut self, now: Mono) -> Option<BTreeSet<Endpoint>> {
+    /// Where connections are kept, when it is time to close all others; `None` at most periods, since
+    /// what is called by chance may be called again.
+    pub fn connections_to_keep(&mut self, now: Mono) -> Option<BTreeSet<Endpoint>> {
         let beliefs = self.beliefs(now);
         let due = is_outreach(&beliefs, self.periods.wrapping_sub(1));
         let contacts = beliefs.contacts.watched.iter().chain(&beliefs.contacts.in_turn);
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -30,7 +30,7 @@
         }
         let seeds = state.seeds.borrow().clone();
         let called = state.fleet.borrow_mut().period(&seeds, &mut rand::rng(), tick.now);
-        if let Some(kept) = state.fleet.borrow_mut().may_tidy(tick.now) {
+        if let Some(kept) = state.fleet.borrow_mut().connections_to_keep(tick.now) {
             state.peers.keep_only(&kept);
         }
         for endpoint in called {
--- a/crates/membership/tests/news.rs
+++ b/crates/membership/tests/news.rs
@@ -231,3 +231,40 @@
     assert_ne!(view.version(), version);
     assert_ne!(view.entries(), entries);
 }
+
+/// A VM has started anew. One neighbour knows the new run, another remembers the old one as dead or as
+/// live; whatever order their words come in, the new run is what counts.
+#[test]
+fn hearsay_of_an_earlier_run_does_not_undo_a_later_one() {
+    let news = |run: u64, suspected: bool| {
+        let about =
+            Announcement { incarnation: Incarnation::new(run), ..announcement(1, false, 0) };
+        News { about, suspected }
+    };
+    let state_after = |words: &[News]| -> (EntryState, Option<Incarnation>) {
+        let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+        words.iter().for_each(|word| view.told(word, Mono::from_millis(60_000)));
+        let entry = view.entries().into_iter().find(|entry| entry.vm == listed(1).vm).unwrap();
+        (entry.state, entry.incarnation)
+    };
+    let new = (EntryState::Live, Some(Incarnation::new(8)));
+    assert_eq!(state_after(&[news(8, false), news(7, true)]), new);
+    assert_eq!(state_after(&[news(8, false), news(7, false)]), new);
+    assert_eq!(state_after(&[news(7, false), news(7, true), news(8, false)]), new);
+    // A clock that was set back between two runs makes the later one look earlier.
+    let set_back = [news(8, false), news(8, true), news(7, false)];
+    assert_eq!(state_after(&set_back), (EntryState::Live, Some(Incarnation::new(7))));
+}
+
+/// An entry that is called seldom has not answered three calls in a row. It was heard in between,
+/// since it calls others itself: then it is not suspected.
+#[test]
+fn who_answers_no_call_is_suspected_unless_it_was_heard() {
+    let mut view = View::new(ViewConfig::default(), &announcement(0, false, 0), Mono::ZERO);
+    view.heard(&announcement(1, false, 0), Mono::ZERO);
+    view.watch(&BTreeSet::from([listed(1).vm]), Mono::ZERO);
+    view.suspect(&listed(1).vm, Mono::from_millis(1_000));
+    assert_eq!(view.entries()[1].state, EntryState::Live);
+    view.suspect(&listed(1).vm, Mono::from_millis(3_000));
+    assert_eq!(view.entries()[1].state, EntryState::Suspected);
+}
