--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 pub use beliefs::Beliefs;
 pub use contacts::{Contacts, Standing, contacts};
 pub use heads::heads;
-pub use member::{FleetMember, OwnState, SUSPECT_AFTER};
+pub use member::{FleetMember, OwnState};
 pub use order::{Candidate, fleet_order};
 pub use outreach::first_seed;
 pub use pace::{PERIOD, near_periods, spread_time};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -17,7 +17,7 @@
 
 /// Silence after which an entry that is heard at every period is suspected: three heartbeats and the
 /// way.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 /// Heartbeats to heads that carry the same news; whoever misses all of them hears by the comparison of
 /// heads.
 const NEWS_SENDS: u32 = 12;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -134,10 +134,10 @@
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
     let by_service = by_service(&targets);
+    let count = targets.len();
     let published = context.published.load();
     let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
     context.published.store(Arc::new(published));
-    let count = context.published.load().targets.len();
     state.update_own(|own| OwnState { targets: count, ..own });
     let sharers = context.fleet.load().named.len();
     let mut given = state.given.borrow_mut();
