feat(gateway): how late a process does its work is measured, logged and served as a metric

The logs could not tell an entry out of processor time from a queue that holds requests too long or from a close that is lost: nothing said how long work waits before the process touches it.

Each request lets other work go first once and notes how long that took: one turn of all that is ready, without a timer, so that an entry without requests wakes up for nothing. Smoothed over 100 ms; in lines 7001 to 7003 (late_ms), once a second in line 1008 from 50 ms on, and as shallotfork_lateness_seconds. Considered: the lateness of a periodic timer (wakes idle entries), processor time used against the share of the VM (needs a figure that the platform words as a cap or a share).

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -23,6 +23,7 @@
     RELOADED = 1005 Info "settings read again";
     SETTINGS_BAD = 1006 Error "settings can't be read; the ones in force stay";
     RESUMED = 1007 Warning "the process stood still";
+    BEHIND = 1008 Warning "the process is behind with its work";
     LIST_ACCEPTED = 2001 Info "published list in force";
     LIST_INVALID = 2002 Error "published list refused: it is not valid";
     LIST_LOWER = 2003 Warning "published list refused: a higher revision is in force";
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,6 +9,7 @@
 use shallotfork_events::slog::Logger;
 use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
+use shallotfork_measure::Lateness;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
@@ -56,6 +57,8 @@
     pub last_answer: OnceLock<Mono>,
     /// Bounds the lines about requests that went well.
     pub lines: LineBudget,
+    /// How late the traffic threads do their work.
+    pub lateness: Mutex<Lateness>,
 }
 
 impl Context {
@@ -90,6 +93,19 @@
         let _first = self.last_answer.set(end);
     }
 
+    /// How late the traffic threads do their work.
+    pub fn late_by(&self) -> Duration {
+        lock(&self.lateness).at(self.clock.now())
+    }
+
+    /// Lets other work go first, and notes how long that took.
+    pub async fn take_turn(&self) {
+        let asked_at = self.clock.now();
+        tokio::task::yield_now().await;
+        let now = self.clock.now();
+        lock(&self.lateness).note(now.since(asked_at), now);
+    }
+
     /// Whether callers are told to come here.
     pub fn is_serving(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -97,6 +97,7 @@
         deadlines: Deadlines::default(),
         last_answer: OnceLock::new(),
         lines: LineBudget::new(REQUEST_LINES),
+        lateness: Mutex::default(),
     });
     let (control, commands) = ControlHandle::new();
     let (ready, is_ready) = watch::channel(false);
--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -28,6 +28,7 @@
 /// Answers one request of a caller.
 pub async fn front(context: Arc<Context>, request: poem::Request) -> poem::Response {
     let arrived = arrived(&context, &request);
+    context.take_turn().await;
     let body_max =
         context.published.load().table.as_ref().map_or(BODY_MAX, |table| table.limits().body_max);
     let limits = BodyLimits { body_max, body_timeout: BODY_TIMEOUT };
@@ -159,6 +160,7 @@
         "retry_after_ms" => course.retry_after().map_or(0, millis),
         "waited_before_ms" => millis(job.waited),
         "queued_ms" => millis(course.queued),
+        "late_ms" => millis(job.context.late_by()),
         "took_ms" => millis(took),
         "left_ms" => millis(job.left(context.clock.now())),
         "platform_away_ms" => away.map_or(0, millis),
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -1,11 +1,12 @@
-//! Tells once a second how full each service's slots are, so that a refusal can be explained.
+//! Tells once a second how full each service's slots are and how late this process is, so that a
+//! refusal can be explained.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::gauge;
 use shallotfork_balance::SlotSummary;
-use shallotfork_events::{SERVICE_LOAD, event};
+use shallotfork_events::{BEHIND, SERVICE_LOAD, event};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::ServiceName;
 
@@ -14,17 +15,33 @@
 /// Time between two lines of a service. A queue that matters lasts for longer, and one line for a
 /// few services in a second is nothing beside the lines about requests.
 const EVERY: Duration = Duration::from_secs(1);
+/// Lateness that is told in a line; shorter waits are part of a busy process.
+const TOLD_FROM: Duration = Duration::from_millis(50);
 
 /// Reports for as long as the process runs.
 pub async fn service_load(context: Arc<Context>, timer: TimerService) {
     let mut ticks = timer.subscribe(Schedule::new(EVERY));
     while ticks.tick().await.is_some() {
+        report_lateness(&context);
         for (service, slots) in context.services.all() {
             report(&context, &service, &slots.summary());
         }
     }
 }
 
+fn report_lateness(context: &Context) {
+    let late = context.late_by();
+    gauge!("shallotfork_lateness_seconds").set(late.as_secs_f64());
+    if late < TOLD_FROM {
+        return;
+    }
+    event!(context.log, BEHIND,
+        "late_ms" => u64::try_from(late.as_millis()).unwrap_or(u64::MAX),
+        "connections" => context.callers.connections(),
+        "in_flight" => context.callers.in_flight(),
+    );
+}
+
 fn report(context: &Context, service: &ServiceName, load: &SlotSummary) {
     let label = service.to_string();
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
