fix(exchange): a request whose caller has left is not begun, however late it is read

Cause: the runtime tells of what has arrived on a connection when the connection's task gets its turn. A process that is behind reads a request, finds no more bytes by the runtime's last word, and begins it, although the kernel has held the close for long. Class: acting on a readiness that is as old as the backlog.

Change: the kernel is asked (a byte is peeked at, without waiting) right before the endpoint is called, for early requests in their own task, and before each send. Works since the kernel knows of the close when it arrives, whatever the process does. Requests that end so are lines 7006 and outcome caller-left.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -50,5 +50,6 @@
     REQUEST_NOT_ANSWERED = 7003 Warning "request not answered: it may have run";
     ATTEMPT_FAILED = 7004 Warning "attempt at a target brought no answer to pass on";
     SERVICE_LOAD = 7005 Info "slots of a service";
+    CALLER_LEFT = 7006 Info "caller left before its request was sent";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/exchange/src/ahead.rs
+++ b/crates/exchange/src/ahead.rs
@@ -6,11 +6,14 @@
 use std::task::{Context, Poll, Waker, ready};
 
 use bytes::{Buf, BytesMut};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::heads_ahead::HeadsAhead;
+use crate::presence::CallerPresence;
 
 /// Bytes read ahead at most; a caller that sends more waits until its first requests are answered.
 const AHEAD_MAX_BYTES: usize = 64 * 1024;
@@ -27,8 +30,9 @@
     shared: Arc<Mutex<Reading>>,
 }
 
+/// What has been read of a connection and not been taken yet.
 #[derive(Debug)]
-struct Reading {
+pub(crate) struct Reading {
     socket: OwnedReadHalf,
     held: BytesMut,
     ended: bool,
@@ -72,12 +76,31 @@
         !self.lock().held.is_empty()
     }
 
+    /// Tells the requests on this connection whether their caller is still there.
+    pub(crate) fn presence(&self) -> CallerPresence {
+        CallerPresence::new(Arc::downgrade(&self.shared))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Reading> {
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Reading {
+    /// Whether the connection has ended behind what has been read. Unread bytes hide an end.
+    pub(crate) fn has_ended(&self) -> bool {
+        if self.ended {
+            return true;
+        }
+        let mut byte = [0; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match recv(self.socket.as_ref(), &mut byte, flags) {
+            Ok((_, size)) => size == 0,
+            Err(Errno::AGAIN | Errno::INTR) => false,
+            Err(_) => true,
+        }
+    }
+
     /// Fetches what has arrived; ready with `true` at the end of the connection.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
         if self.ended {
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -29,6 +29,7 @@
 use crate::activity::{Activity, TrackedStream};
 use crate::ahead::ReadAhead;
 use crate::early::{ArrivedAt, Awaited, EarlyRequests};
+use crate::presence::CallerPresence;
 use crate::serve_config::ServeConfig;
 
 /// Wait after a failed accept, which mostly means that the process is out of descriptors; without
@@ -216,7 +217,8 @@
         let activity = Arc::new(Activity::new());
         let (stream, ahead) = ReadAhead::new(stream);
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&activity)));
-        let service = service_fn(|request| self.answer(request, &activity));
+        let presence = ahead.presence();
+        let service = service_fn(|request| self.answer(request, &activity, &presence));
         let builder = builder(&self.config);
         let mut connection = pin!(builder.serve_connection(io, service));
         let ServeConfig { header_timeout, idle_timeout, .. } = self.config;
@@ -240,14 +242,15 @@
     /// Reads ahead, and ends when the caller has left. What it has sent and nobody has begun is not
     /// begun any more.
     async fn caller_gone(&self, ahead: &ReadAhead, activity: &Activity) {
-        ahead.drive(|number, head| self.found_ahead(number, head)).await;
+        let presence = ahead.presence();
+        ahead.drive(|number, head| self.found_ahead(number, head, &presence)).await;
         if !activity.is_busy() && !ahead.holds_bytes() {
             // The library sees the end by itself.
             std::future::pending::<()>().await;
         }
     }
 
-    fn found_ahead(&self, number: u64, head: http::request::Parts) {
+    fn found_ahead(&self, number: u64, head: http::request::Parts, presence: &CallerPresence) {
         self.begun.arrived(number);
         // Its answer would not be sent, although it had reached a target.
         if self.is_closing() || !(self.early)(&head) {
@@ -257,7 +260,8 @@
             let endpoint = Arc::clone(&self.endpoint);
             let mut request = self.poem_request(http::Request::from_parts(head, ()));
             request.set_body(poem::Body::empty());
-            tokio::spawn(async move { endpoint.get_response(request).await })
+            request.extensions_mut().insert(presence.clone());
+            tokio::spawn(respond(endpoint, request, presence.clone()))
         });
     }
 
@@ -279,6 +283,7 @@
         &self,
         request: http::Request<Incoming>,
         activity: &Arc<Activity>,
+        presence: &CallerPresence,
     ) -> impl Future<Output = Result<http::Response<BoxBody<Bytes, io::Error>>, Infallible>> + Send + use<>
     {
         let endpoint = Arc::clone(&self.endpoint);
@@ -291,13 +296,15 @@
         if let Some(arrived) = turn.arrived {
             request.extensions_mut().insert(ArrivedAt(arrived));
         }
+        request.extensions_mut().insert(presence.clone());
+        let presence = presence.clone();
         let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
         let begun = turn.begun.map(Awaited);
         let (opened_after, waiting) = (self.opened_after, Arc::clone(&self.begun));
         async move {
             let mut response = match begun {
                 Some(mut begun) => early_answer(&mut begun).await,
-                None => endpoint.get_response(request).await,
+                None => respond(endpoint, request, presence).await,
             };
             let leaves = control.is_closing() && !waiting.any_begun();
             let renewed = control.renewals() > opened_after && !waiting.any();
@@ -310,6 +317,18 @@
     }
 }
 
+/// The endpoint's answer, unless nobody is there to take it.
+async fn respond(
+    endpoint: AnyEndpoint,
+    request: poem::Request,
+    presence: CallerPresence,
+) -> poem::Response {
+    if presence.has_left() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    endpoint.get_response(request).await
+}
+
 async fn early_answer(begun: &mut Awaited) -> poem::Response {
     match (&mut begun.0).await {
         Ok(response) => response,
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -49,6 +49,8 @@
         /// Whether the time ran out.
         timed_out: bool,
     },
+    /// Its caller left before it was sent, or sent once more.
+    CallerLeft,
 }
 
 /// How a request went, for the log.
@@ -67,7 +69,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match &self.ended {
             Ended::Refused(shed) | Ended::NotRun(shed) => Some(shed.retry_after),
-            Ended::Answered(_) | Ended::MayHaveRun { .. } => None,
+            Ended::Answered(_) | Ended::MayHaveRun { .. } | Ended::CallerLeft => None,
         }
     }
 }
@@ -86,6 +88,9 @@
             Ok(assigned) => assigned,
             Err(shed) => return trial.end_refused(shed),
         };
+        if job.caller.has_left() {
+            return trial.end(Ended::CallerLeft);
+        }
         let end = attempt_hedged(job, assigned, &mut trial).await;
         if let AttemptEnd::Answered(answer) = end {
             return trial.end(Ended::Answered(answer));
--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -6,8 +6,10 @@
 use http::header::HOST;
 use http::{HeaderMap, Method};
 use metrics::{counter, histogram};
-use shallotfork_events::{CALLER_REFUSED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, event};
-use shallotfork_exchange::{ArrivedAt, BodyLimits, WholeRequest, read_whole};
+use shallotfork_events::{
+    CALLER_LEFT, CALLER_REFUSED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, event,
+};
+use shallotfork_exchange::{ArrivedAt, BodyLimits, CallerPresence, WholeRequest, read_whole};
 use shallotfork_routes::Repeat;
 use shallotfork_types::{Bytes, Mono, TargetId};
 
@@ -28,6 +30,9 @@
 /// Answers one request of a caller.
 pub async fn front(context: Arc<Context>, request: poem::Request) -> poem::Response {
     let arrived = arrived(&context, &request);
+    let Some(caller) = request.extensions().get::<CallerPresence>().cloned() else {
+        return bad_request("the request came on no connection");
+    };
     context.take_turn().await;
     let body_max =
         context.published.load().table.as_ref().map_or(BODY_MAX, |table| table.limits().body_max);
@@ -51,7 +56,7 @@
         }
     };
     let method = request.method.clone();
-    let job = Job::new(Arc::clone(&context), request, request_id, routed, arrived);
+    let job = Job::new(Arc::clone(&context), request, request_id, routed, arrived, caller);
     let course = attempts(&job).await;
     report(&job, &course);
     respond(course, &method)
@@ -127,6 +132,7 @@
         Ended::MayHaveRun { timed_out: false } => {
             may_have_run(false, "the target's answer is lost")
         }
+        Ended::CallerLeft => may_have_run(false, "the caller has left"),
     }
 }
 
@@ -139,6 +145,7 @@
         Ended::Refused(shed) | Ended::NotRun(shed) => (shed.reason.as_str(), CALLER_REFUSED),
         Ended::MayHaveRun { timed_out: true } => ("timeout", REQUEST_NOT_ANSWERED),
         Ended::MayHaveRun { timed_out: false } => ("lost", REQUEST_NOT_ANSWERED),
+        Ended::CallerLeft => ("caller-left", CALLER_LEFT),
     };
     counter!("shallotfork_requests", "outcome" => outcome).increment(1);
     let context = &job.context;
--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -5,7 +5,7 @@
 
 use http::HeaderMap;
 use shallotfork_balance::{SlotAsk, WorkClass};
-use shallotfork_exchange::WholeRequest;
+use shallotfork_exchange::{CallerPresence, WholeRequest};
 use shallotfork_routes::{Repeat, Route, TableVersion};
 use shallotfork_types::{Mono, ServiceName, TargetId};
 
@@ -48,6 +48,8 @@
     pub deadline: Mono,
     /// How long the caller had waited before.
     pub waited: Duration,
+    /// Whether its caller is still there.
+    pub caller: CallerPresence,
 }
 
 impl Job {
@@ -58,6 +60,7 @@
         request_id: String,
         routed: Routed,
         arrived: Mono,
+        caller: CallerPresence,
     ) -> Self {
         let Routed { route, version } = routed;
         let patience = deadline_of(&context, &request.headers).unwrap_or(route.timeout);
@@ -77,6 +80,7 @@
             objective,
             deadline,
             waited,
+            caller,
         }
     }
 
