fix(fleet): an entry that is behind with its work has others of its failure domain named beside it

What callers saw: while a burst lasted, and for four seconds after it, callers of a failure domain got refusals, late answers or none, although targets had free slots and most entries of the domain stood idle; callers of a quieter domain were served as usual.

Cause: callers of a failure domain are sent to as few entries as carry a guessed load (six requests a second for each target). When it takes more processor time than that VM has, its sockets are its queue: it reads requests and answers of targets hundreds of ms late, nearly all its work is for callers that have given up, these ask again on new connections, and the state keeps itself alive. Class: metastable overload: capacity given out by a static guess, with no way back from what is observed.

Change: an entry that is 50 ms late says so in its heartbeats, which all entries of its failure domain hear within a second; these name two more for each one that is behind, as far as all together carry more then, until five seconds after its last lateness. Whom the fleet watches and who reads the platform follows from the usual ones as before, so that no agreement between domains is needed. A word that has run out counts anew when it is heard again; that one of starting entries had the same flaw.

--- a/crates/fleet/src/active.rs
+++ b/crates/fleet/src/active.rs
@@ -15,7 +15,7 @@
 const ENOUGH_DIVISOR: u64 = 2;
 /// Entries of one failure domain that callers are sent to at most; the platform's callers read no
 /// more addresses in an answer.
-const ACTIVE_MAX: usize = 64;
+pub(crate) const ACTIVE_MAX: usize = 64;
 
 /// An entry that callers are sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,7 +78,7 @@
 }
 
 /// What the first entries carry together, when each gets as many requests as the weakest.
-fn carried(count: usize, order: &[&Candidate]) -> u64 {
+pub(crate) fn carried(count: usize, order: &[&Candidate]) -> u64 {
     count as u64 * strength(order[count - 1])
 }
 
--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -22,4 +22,6 @@
     pub platform: PlatformAges,
     /// Live entries of its failure domain, as far as it knows.
     pub domain_entries: u32,
+    /// Whether its work waits for the processor, or did so a short while ago.
+    pub behind: bool,
 }
--- a/crates/fleet/src/beliefs.rs
+++ b/crates/fleet/src/beliefs.rs
@@ -10,6 +10,7 @@
 use crate::active::{ActiveEntry, active_entries};
 use crate::contacts::{Contacts, Standing, contacts};
 use crate::heads::heads;
+use crate::helpers::with_helpers;
 use crate::order::{Candidate, fleet_order};
 use crate::pace::spread_time;
 use crate::readers::{choose_readers, may_have_to_read};
@@ -22,6 +23,8 @@
     pub(crate) entries: Vec<EntryVm>,
     /// Entries that know no routes yet, and until when that counts.
     pub(crate) starting: BTreeMap<VmId, Mono>,
+    /// Entries whose work waits for the processor, and until when that counts.
+    pub(crate) behind: BTreeMap<VmId, Mono>,
     /// Entries that the platform turns away.
     pub(crate) blind: BTreeSet<VmId>,
     /// Whether this entry can serve.
@@ -37,7 +40,8 @@
 /// What this process believes of the fleet.
 #[derive(Debug)]
 pub struct Beliefs {
-    /// When an entry counts as started although it has not said so; `None` while none is starting.
+    /// When an entry counts as started or as no longer behind although it has not said so; `None`
+    /// while none is either.
     pub(crate) hold_until: Option<Mono>,
     /// Every entry known.
     pub entries: BTreeMap<VmId, EntryVm>,
@@ -68,22 +72,24 @@
             order.iter().filter(|entry| serves(&entry.vm)).cloned().collect();
         let entries: BTreeMap<VmId, EntryVm> =
             known.entries.iter().map(|entry| (entry.vm.clone(), entry.clone())).collect();
-        let named = named(&entries, known.targets, &serving);
-        let named_names: BTreeSet<VmId> = named.iter().map(|entry| entry.vm.clone()).collect();
+        let usual = active_entries(known.targets, &serving);
+        let usual_names: BTreeSet<VmId> = usual.iter().map(|entry| entry.vm.clone()).collect();
+        let behind: BTreeSet<VmId> = known.behind.keys().cloned().collect();
+        let named = named(&entries, &with_helpers(&usual, &serving, &behind));
         let names: Vec<VmId> = order.iter().map(|entry| entry.vm.clone()).collect();
         let readers = choose_readers(&names, &known.blind);
-        let heads = heads(&order, &named_names);
+        let heads = heads(&order, &usual_names);
         let domain_entries = domain_entries(&known, &order);
         let contacts = contacts(&Standing {
             own: &candidate(known.own),
             order: &order,
             readers: &readers,
-            named: &named_names,
+            named: &usual_names,
             may_have_to_read: may_have_to_read(own, &names, &known.blind),
             domain_entries: domain_entries as usize,
         });
         Self {
-            hold_until: known.starting.into_values().min(),
+            hold_until: known.starting.into_values().chain(known.behind.into_values()).min(),
             digest: digest(&heads),
             heads: heads.into_iter().collect(),
             entries,
@@ -120,14 +126,9 @@
     fleet_order(live.map(Candidate::from).collect())
 }
 
-/// The entries that callers are sent to, of those that serve.
-fn named(
-    entries: &BTreeMap<VmId, EntryVm>,
-    targets: usize,
-    serving: &[Candidate],
-) -> Vec<ActiveEntry> {
-    let chosen = active_entries(targets, serving).into_iter();
-    let chosen = chosen.filter_map(|entry| entries.get(&entry.vm));
+/// Where callers reach the chosen entries.
+fn named(entries: &BTreeMap<VmId, EntryVm>, chosen: &[Candidate]) -> Vec<ActiveEntry> {
+    let chosen = chosen.iter().filter_map(|entry| entries.get(&entry.vm));
     let active = |entry: &EntryVm| ActiveEntry {
         vm: entry.vm.clone(),
         failure_domain: entry.failure_domain.clone(),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -35,6 +35,13 @@
 /// of a second.
 const STARTING_COUNTS: Duration = Duration::from_millis(1000);
 
+/// How long an entry says that it is behind after it was last: longer than callers keep an answer, so
+/// that those who were sent to others because of it have moved before it is judged anew.
+const BEHIND_SAID: Duration = Duration::from_secs(5);
+/// How long the word of another entry counts that it is behind. It is heard again within a second by
+/// all whom its callers ask; an entry that has heard it by chance would hold to it for ever.
+const BEHIND_COUNTS: Duration = Duration::from_secs(2);
+
 /// What this process knows of itself, beside its name and place.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnState {
@@ -46,6 +53,8 @@
     pub reads: bool,
     /// How many targets it knows.
     pub targets: usize,
+    /// Whether its work waits for the processor.
+    pub behind: bool,
 }
 
 /// What the beliefs follow from; they are made anew when it has changed. With hundreds of entries,
@@ -74,7 +83,10 @@
     blind: BTreeSet<VmId>,
     /// Entries that said that they know no routes yet, and when they said it last.
     starting: BTreeMap<VmId, Mono>,
-    /// Raised with each change of `blind` or `starting`.
+    /// Entries whose work waits for the processor, this one perhaps among them, and when they said so
+    /// last.
+    behind: BTreeMap<VmId, Mono>,
+    /// Raised with each change of `blind`, `starting` or `behind`.
     words_version: u64,
     /// Live entries of the own failure domain, by the word of the first ones there.
     told_domain_entries: u32,
@@ -106,6 +118,7 @@
             sight: PlatformSight::new(),
             blind: BTreeSet::new(),
             starting: BTreeMap::new(),
+            behind: BTreeMap::new(),
             words_version: 0,
             told_domain_entries: 0,
             told: BTreeMap::new(),
@@ -167,6 +180,7 @@
         rng: &mut impl Rng,
         now: Mono,
     ) -> BTreeSet<Endpoint> {
+        self.note_own_lateness(now);
         let beliefs = self.beliefs(now);
         self.watch(&beliefs, now);
         let period = self.periods;
@@ -225,6 +239,7 @@
             platform_lost: self.sight.is_blind(),
             platform: self.sight.ages(self.own_state.reads, now),
             domain_entries: beliefs.domain_entries,
+            behind: self.behind.contains_key(self.own_vm()),
         }
     }
 
@@ -282,6 +297,8 @@
 
     fn known(&self, now: Mono) -> Known<'_> {
         let until = self.starting.iter().map(|(vm, at)| (vm.clone(), at.plus(STARTING_COUNTS)));
+        let counts = |vm: &VmId| if vm == self.own_vm() { BEHIND_SAID } else { BEHIND_COUNTS };
+        let behind = self.behind.iter().map(|(vm, at)| (vm.clone(), at.plus(counts(vm))));
         let mut blind = self.blind.clone();
         if self.sight.is_blind() {
             blind.insert(self.own_vm().clone());
@@ -290,6 +307,7 @@
             own: &self.own,
             entries: self.view.entries(),
             starting: until.filter(|(_, until)| now < *until).collect(),
+            behind: behind.filter(|(_, until)| now < *until).collect(),
             blind,
             serves: self.own_state.synced && !self.own_state.leaving,
             leaving: self.own_state.leaving,
@@ -337,10 +355,24 @@
         news.into_iter().map(|news| (news.about.listed.vm.clone(), news)).collect()
     }
 
-    /// Whether an entry is starting, and whether the platform turns it away.
+    /// Whether this entry is behind, or was so a short while ago.
+    fn note_own_lateness(&mut self, now: Mono) {
+        let own = self.own_vm().clone();
+        if self.own_state.behind {
+            self.words_version += u64::from(self.behind.insert(own, now).is_none());
+            return;
+        }
+        let over = self.behind.get(&own).is_some_and(|at| now.since(*at) >= BEHIND_SAID);
+        if over {
+            self.behind.remove(&own);
+            self.words_version += 1;
+        }
+    }
+
+    /// Whether an entry is starting or behind, and whether the platform turns it away.
     fn note_words(&mut self, beat: &Beat, now: Mono) {
         let vm = &beat.from.listed.vm;
-        let before = (self.starting.contains_key(vm), self.blind.contains(vm));
+        let before = self.words_of(vm, now);
         if beat.starting {
             self.starting.insert(vm.clone(), now);
         } else {
@@ -351,8 +383,22 @@
         } else {
             self.blind.remove(vm);
         }
-        let after = (self.starting.contains_key(vm), self.blind.contains(vm));
-        self.words_version += u64::from(before != after);
+        if beat.behind {
+            self.behind.insert(vm.clone(), now);
+        } else {
+            self.behind.remove(vm);
+        }
+        self.words_version += u64::from(before != self.words_of(vm, now));
+    }
+
+    /// What counts of an entry by its own word: that it starts, that the platform turns it away, and
+    /// that it is behind.
+    fn words_of(&self, vm: &VmId, now: Mono) -> [bool; 3] {
+        let counts = |said: &BTreeMap<VmId, Mono>, time: Duration| {
+            said.get(vm).is_some_and(|at| now.since(*at) < time)
+        };
+        let starting = counts(&self.starting, STARTING_COUNTS);
+        [starting, self.blind.contains(vm), counts(&self.behind, BEHIND_COUNTS)]
     }
 
     /// Those who read the platform say whether it answers them; others pass on what they heard.
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -138,3 +138,42 @@
     model.run_for(90_000);
     assert!(model.converge(LOSS_MAX_MS).is_some());
 }
+
+/// Guards against callers of a failure domain who are sent to an entry without processor time for them
+/// for as long as a burst lasts, or to its helpers for ever.
+#[test]
+fn the_failure_domain_of_an_entry_that_is_behind_names_another_one_for_a_time() {
+    const HEARD_MAX_MS: u64 = 1_500;
+    const FORGOTTEN_MAX_MS: u64 = 7_500;
+    for seed in SEEDS {
+        let mut model = running(seed);
+        let usual = model.expected();
+        let late = model.index_of(&usual[0]);
+        let others: Vec<usize> = model.domain_of(late);
+        model.set_behind(late, true);
+        model.run_for(HEARD_MAX_MS);
+        for index in others.iter().copied() {
+            let named = model.named_by(index).unwrap();
+            let here = named.iter().filter(|vm| others.contains(&model.index_of(vm))).count();
+            assert_eq!(here, 3, "seed {seed}: {index} names {named:?}");
+        }
+        model.set_behind(late, false);
+        assert!(model.converge(FORGOTTEN_MAX_MS).is_some(), "seed {seed}");
+    }
+}
+
+/// Guards against help that comes once only.
+#[test]
+fn an_entry_that_is_behind_again_is_helped_again() {
+    let mut model = running(1);
+    let late = model.index_of(&model.expected()[0]);
+    let usual = model.expected().len();
+    for _ in 0..2 {
+        model.set_behind(late, true);
+        model.run_for(1_500);
+        assert!(model.named_by(late).unwrap().len() > usual);
+        model.set_behind(late, false);
+        model.run_for(9_000);
+        assert_eq!(model.named_by(late).unwrap().len(), usual);
+    }
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -143,6 +143,26 @@
         Some(member.beliefs(now).named.iter().map(|entry| entry.vm.clone()).collect())
     }
 
+    /// Where an entry is in the model.
+    pub fn index_of(&self, vm: &VmId) -> usize {
+        self.vms.iter().position(|other| other.listed.vm == *vm).unwrap()
+    }
+
+    /// All entries of the failure domain of one.
+    pub fn domain_of(&self, index: usize) -> Vec<usize> {
+        let domain = &self.vms[index].listed.failure_domain;
+        let here = |other: &usize| self.vms[*other].listed.failure_domain == *domain;
+        (0..self.vms.len()).filter(here).collect()
+    }
+
+    /// An entry's work begins, or ends, to wait for its processor.
+    pub fn set_behind(&mut self, index: usize, behind: bool) {
+        if let Some(member) = self.vms[index].member.as_mut() {
+            let own = member.own_state();
+            member.set_own_state(OwnState { behind, ..own });
+        }
+    }
+
     fn agrees(&mut self) -> bool {
         let expected = self.expected();
         (0..self.vms.len()).all(|index| self.named_by(index).is_none_or(|named| named == expected))
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -21,6 +21,10 @@
 use crate::snapshot::{Fleet, Published};
 use crate::traffic::ServiceSlots;
 
+/// Work that waits longer than this for the processor makes callers notice; a busy process has shorter
+/// waits.
+const BEHIND_FROM: Duration = Duration::from_millis(50);
+
 /// Shared by the control thread and the traffic threads.
 pub struct Context {
     /// Settings.
@@ -100,6 +104,11 @@
         lock(&self.lateness).at(self.clock.now())
     }
 
+    /// Whether work waits for the processor.
+    pub fn is_behind(&self) -> bool {
+        self.late_by() >= BEHIND_FROM
+    }
+
     /// A piece of work was done so much later than planned.
     pub fn note_lateness(&self, late: Duration) {
         lock(&self.lateness).note(late, self.clock.now());
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use shallotfork_events::{RESUMED, event};
-use shallotfork_fleet::{PERIOD, first_seed};
+use shallotfork_fleet::{OwnState, PERIOD, first_seed};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::Endpoint;
 
@@ -28,6 +28,8 @@
             event!(state.context.log, RESUMED, "late_ms" => late_ms);
             state.fleet.borrow_mut().resumed(tick.now);
         }
+        let behind = state.context.is_behind();
+        state.update_own(|own| OwnState { behind, ..own });
         let seeds = state.seeds.borrow().clone();
         let called = state.fleet.borrow_mut().period(&seeds, &mut rand::rng(), tick.now);
         if let Some(kept) = state.fleet.borrow_mut().connections_to_keep(tick.now) {
--- a/crates/gateway/src/control/hearing.rs
+++ b/crates/gateway/src/control/hearing.rs
@@ -11,7 +11,8 @@
 /// What this process says of itself to an entry, with the news that is due to that one.
 pub fn own_heartbeat(state: &State, to: &VmId) -> Heartbeat {
     let beat = state.fleet.borrow_mut().beat_for(to, state.now());
-    let Beat { from, starting, news, digest, platform_lost, platform, domain_entries } = beat;
+    let Beat { from, starting, news, digest, platform_lost, platform, domain_entries, behind } =
+        beat;
     let position = state.archive.borrow().position();
     Heartbeat {
         state: peer_state(from.listed.leaving, starting),
@@ -26,6 +27,7 @@
         platform_lost,
         platform: platform_word(platform),
         domain_entries,
+        behind,
         restart_safe: true,
         loads: Vec::new(),
         strength: from.listed.strength,
@@ -42,6 +44,7 @@
         platform_lost: heartbeat.platform_lost,
         platform: platform_ages(heartbeat.platform),
         domain_entries: heartbeat.domain_entries,
+        behind: heartbeat.behind,
     };
     state.fleet.borrow_mut().heard(&beat, state.now());
     note_sight(state);
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -15,8 +15,6 @@
 /// Time between two lines of a service. A queue that matters lasts for longer, and one line for a
 /// few services in a second is nothing beside the lines about requests.
 const EVERY: Duration = Duration::from_secs(1);
-/// Lateness that is told in a line; shorter waits are part of a busy process.
-const TOLD_FROM: Duration = Duration::from_millis(50);
 
 /// Reports for as long as the process runs.
 pub async fn service_load(context: Arc<Context>, timer: TimerService) {
@@ -32,7 +30,7 @@
 fn report_lateness(context: &Context) {
     let late = context.late_by();
     gauge!("shallotfork_lateness_seconds").set(late.as_secs_f64());
-    if late < TOLD_FROM {
+    if !context.is_behind() {
         return;
     }
     event!(context.log, BEHIND,
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -151,6 +151,7 @@
         platform_lost: false,
         platform: PlatformWord::default(),
         domain_entries: 0,
+        behind: false,
         restart_safe: false,
         loads: Vec::new(),
         strength: PerSecond::default(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -44,6 +44,8 @@
   platformAwayMs @15 :UInt32 = 0xffffffff;
   # Times since then, as far as the sender knows; the default means never.
   domainEntries @16 :UInt32;
+  behind @17 :Bool;
+  # Its work waits for the processor.
 
   enum State {
     live @0;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -64,6 +64,8 @@
     /// Entries of its own failure domain that it takes to be live, itself included; zero when it
     /// does not say.
     pub domain_entries: u32,
+    /// Whether its work waits for the processor.
+    pub behind: bool,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -139,6 +139,7 @@
     to.set_reader_heard_ms(write_age(beat.platform.reader_heard));
     to.set_platform_away_ms(write_age(beat.platform.away));
     to.set_domain_entries(beat.domain_entries);
+    to.set_behind(beat.behind);
     if !beat.news.is_empty() {
         let mut all = to.reborrow().init_news(length(beat.news.len()));
         for (index, news) in (0..).zip(&beat.news) {
@@ -214,6 +215,7 @@
             away: read_age(from.get_platform_away_ms()),
         },
         domain_entries: from.get_domain_entries(),
+        behind: from.get_behind(),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         strength: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -208,6 +208,7 @@
             away: None,
         },
         domain_entries: 12,
+        behind: true,
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         strength: PerSecond::new(700),
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -121,6 +121,7 @@
         platform_lost: state.platform_lost.get(),
         platform: PlatformWord::default(),
         domain_entries: 0,
+        behind: false,
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
         // Entries of one fleet of this kind are all alike.
