--- a/crates/fleet/src/beliefs.rs
+++ b/crates/fleet/src/beliefs.rs
@@ -23,8 +23,10 @@
     pub(crate) entries: Vec<EntryVm>,
     /// Entries that know no routes yet, and until when that counts.
     pub(crate) starting: BTreeMap<VmId, Mono>,
-    /// Entries whose work waits for the processor, and until when that counts.
+    /// Other entries whose work waits for the processor, and until when that counts.
     pub(crate) behind: BTreeMap<VmId, Mono>,
+    /// Whether the work of this entry does.
+    pub(crate) is_behind: bool,
     /// Entries that the platform turns away.
     pub(crate) blind: BTreeSet<VmId>,
     /// Whether this entry can serve.
@@ -74,7 +76,8 @@
             known.entries.iter().map(|entry| (entry.vm.clone(), entry.clone())).collect();
         let usual = active_entries(known.targets, &serving);
         let usual_names: BTreeSet<VmId> = usual.iter().map(|entry| entry.vm.clone()).collect();
-        let behind: BTreeSet<VmId> = known.behind.keys().cloned().collect();
+        let own_behind = known.is_behind.then_some(own);
+        let behind: BTreeSet<VmId> = known.behind.keys().chain(own_behind).cloned().collect();
         let named = named(&entries, &with_helpers(&usual, &serving, &behind));
         let names: Vec<VmId> = order.iter().map(|entry| entry.vm.clone()).collect();
         let readers = choose_readers(&names, &known.blind);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod readers;
 mod sight;
 mod told;
+mod words;
 
 pub use active::{ActiveEntry, active_entries, entries_for};
 pub use beat::Beat;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -14,6 +14,7 @@
 use crate::pace::{PERIOD, near_periods};
 use crate::sight::PlatformSight;
 use crate::told::Told;
+use crate::words::Words;
 
 /// Silence after which an entry that is heard at every period is suspected: three heartbeats and the
 /// way.
@@ -29,19 +30,6 @@
 /// Calls in a row without an answer, made at each period once one has failed, after which an entry is
 /// suspected. One or two can be lost with a packet.
 const UNANSWERED_MAX: u32 = 3;
-/// How long the word of an entry counts that it knows no routes yet. It takes it back to those whom
-/// it calls, not to all that have heard it; without an end, some of these would leave it out for
-/// ever and send callers to other entries than the rest of the fleet. A start takes a few tenths
-/// of a second.
-const STARTING_COUNTS: Duration = Duration::from_millis(1000);
-
-/// How long an entry says that it is behind after it was last: longer than callers keep an answer, so
-/// that those who were sent to others because of it have moved before it is judged anew.
-const BEHIND_SAID: Duration = Duration::from_secs(5);
-/// How long the word of another entry counts that it is behind. It is heard again within a second by
-/// all whom its callers ask; an entry that has heard it by chance would hold to it for ever.
-const BEHIND_COUNTS: Duration = Duration::from_secs(2);
-
 /// What this process knows of itself, beside its name and place.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnState {
@@ -79,15 +67,8 @@
     /// Whether the platform answers. Open to whoever calls the platform, since what comes of these
     /// calls concerns nothing else here.
     pub sight: PlatformSight,
-    /// Entries that say that they can't read the platform.
-    blind: BTreeSet<VmId>,
-    /// Entries that said that they know no routes yet, and when they said it last.
-    starting: BTreeMap<VmId, Mono>,
-    /// Entries whose work waits for the processor, this one perhaps among them, and when they said so
-    /// last.
-    behind: BTreeMap<VmId, Mono>,
-    /// Raised with each change of `blind`, `starting` or `behind`.
-    words_version: u64,
+    /// What entries say of themselves.
+    words: Words,
     /// Live entries of the own failure domain, by the word of the first ones there.
     told_domain_entries: u32,
     /// What other entries were told.
@@ -116,10 +97,7 @@
             own,
             own_state: OwnState::default(),
             sight: PlatformSight::new(),
-            blind: BTreeSet::new(),
-            starting: BTreeMap::new(),
-            behind: BTreeMap::new(),
-            words_version: 0,
+            words: Words::default(),
             told_domain_entries: 0,
             told: BTreeMap::new(),
             beliefs: None,
@@ -180,7 +158,7 @@
         rng: &mut impl Rng,
         now: Mono,
     ) -> BTreeSet<Endpoint> {
-        self.note_own_lateness(now);
+        self.words.note_own(self.own_state.behind, now);
         let beliefs = self.beliefs(now);
         self.watch(&beliefs, now);
         let period = self.periods;
@@ -239,7 +217,7 @@
             platform_lost: self.sight.is_blind(),
             platform: self.sight.ages(self.own_state.reads, now),
             domain_entries: beliefs.domain_entries,
-            behind: self.behind.contains_key(self.own_vm()),
+            behind: self.words.is_own_behind(),
         }
     }
 
@@ -268,7 +246,7 @@
         for news in &beat.news {
             self.view.told(news, now);
         }
-        self.note_words(beat, now);
+        self.words.note(beat, now);
         let beliefs = self.beliefs(now);
         self.note_source(&beliefs, beat, now);
         self.note_domain_entries(&beliefs, beat);
@@ -286,7 +264,7 @@
     fn basis(&self) -> Basis {
         Basis {
             view_version: self.view.version(),
-            words_version: self.words_version,
+            words_version: self.words.version(),
             synced: self.own_state.synced,
             leaving: self.own_state.leaving,
             blind: self.sight.is_blind(),
@@ -296,18 +274,16 @@
     }
 
     fn known(&self, now: Mono) -> Known<'_> {
-        let until = self.starting.iter().map(|(vm, at)| (vm.clone(), at.plus(STARTING_COUNTS)));
-        let counts = |vm: &VmId| if vm == self.own_vm() { BEHIND_SAID } else { BEHIND_COUNTS };
-        let behind = self.behind.iter().map(|(vm, at)| (vm.clone(), at.plus(counts(vm))));
-        let mut blind = self.blind.clone();
+        let mut blind = self.words.blind().clone();
         if self.sight.is_blind() {
             blind.insert(self.own_vm().clone());
         }
         Known {
             own: &self.own,
             entries: self.view.entries(),
-            starting: until.filter(|(_, until)| now < *until).collect(),
-            behind: behind.filter(|(_, until)| now < *until).collect(),
+            starting: self.words.starting(now),
+            behind: self.words.behind(now),
+            is_behind: self.words.is_own_behind(),
             blind,
             serves: self.own_state.synced && !self.own_state.leaving,
             leaving: self.own_state.leaving,
@@ -355,52 +331,6 @@
         news.into_iter().map(|news| (news.about.listed.vm.clone(), news)).collect()
     }
 
-    /// Whether this entry is behind, or was so a short while ago.
-    fn note_own_lateness(&mut self, now: Mono) {
-        let own = self.own_vm().clone();
-        if self.own_state.behind {
-            self.words_version += u64::from(self.behind.insert(own, now).is_none());
-            return;
-        }
-        let over = self.behind.get(&own).is_some_and(|at| now.since(*at) >= BEHIND_SAID);
-        if over {
-            self.behind.remove(&own);
-            self.words_version += 1;
-        }
-    }
-
-    /// Whether an entry is starting or behind, and whether the platform turns it away.
-    fn note_words(&mut self, beat: &Beat, now: Mono) {
-        let vm = &beat.from.listed.vm;
-        let before = self.words_of(vm, now);
-        if beat.starting {
-            self.starting.insert(vm.clone(), now);
-        } else {
-            self.starting.remove(vm);
-        }
-        if beat.platform_lost {
-            self.blind.insert(vm.clone());
-        } else {
-            self.blind.remove(vm);
-        }
-        if beat.behind {
-            self.behind.insert(vm.clone(), now);
-        } else {
-            self.behind.remove(vm);
-        }
-        self.words_version += u64::from(before != self.words_of(vm, now));
-    }
-
-    /// What counts of an entry by its own word: that it starts, that the platform turns it away, and
-    /// that it is behind.
-    fn words_of(&self, vm: &VmId, now: Mono) -> [bool; 3] {
-        let counts = |said: &BTreeMap<VmId, Mono>, time: Duration| {
-            said.get(vm).is_some_and(|at| now.since(*at) < time)
-        };
-        let starting = counts(&self.starting, STARTING_COUNTS);
-        [starting, self.blind.contains(vm), counts(&self.behind, BEHIND_COUNTS)]
-    }
-
     /// Those who read the platform say whether it answers them; others pass on what they heard.
     fn note_source(&mut self, beliefs: &Beliefs, beat: &Beat, now: Mono) {
         if beliefs.readers.contains(&beat.from.listed.vm) {
