fix(gateway): a request whose caller has left is not sent to a second target

The check before the first send was missing before the one that is made while the first attempt takes long: it would spend a repeat of the shared allowance and a slot for nobody.

--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -225,7 +225,7 @@
         Either::Right(((), first)) => first,
     };
     let Some(second) = slots.spare(&job.ask(&trial.avoided)) else { return first.await };
-    if !slots.try_repeat(repeat_allowance(&job.context)) {
+    if job.caller.has_left() || !slots.try_repeat(repeat_allowance(&job.context)) {
         return first.await;
     }
     trial.start(&second);
