test(fleet): weak entries do not help when every strong one is behind (failing, known red)

The assertion that two late strong entries get no help was a statement of this fault; that weak entries which don't suffice are not named is now checked with five of them.

--- a/crates/fleet/tests/active.rs
+++ b/crates/fleet/tests/active.rs
@@ -124,10 +124,21 @@
 fn weak_entries_help_only_where_all_together_carry_more() {
     let grown = fleet(&[(6, 833), (135, 104)]);
     assert_eq!(named_with(389, &grown, 1), [2, 1, 1], "the other strong one alone");
-    assert_eq!(named_with(389, &grown, 2), [2, 1, 1], "weak ones would not do");
+    let few_weak = fleet(&[(6, 833), (15, 104)]);
+    assert_eq!(named_with(389, &few_weak, 2), [2, 1, 1], "five weak ones would not do");
     assert_eq!(named_with(389, &grown, 10), [21, 1, 1], "so many would");
 }
 
+/// Guards against a failure domain whose strong entries are all behind while its many weak ones, which
+/// could carry several times as much, stand idle.
+#[test]
+fn weak_entries_help_once_every_strong_one_is_behind() {
+    const STRONG_TOGETHER: usize = 2 * 833;
+    let grown = fleet(&[(6, 833), (135, 104)]);
+    let named_here = named_with(389, &grown, 2)[0];
+    assert!(named_here * 104 > STRONG_TOGETHER, "{named_here} are named");
+}
+
 #[test]
 fn nobody_is_left_out_for_being_behind() {
     fn property(strengths: Vec<u16>, targets: u16, late: Vec<u8>) -> bool {
