fix(gateway): a request in flight whose time limit lies behind the end of a stopping process is answered

Cause: requests learn when the last answer is due when they begin; those that had begun before the stop kept their own deadline, and the process ended before it. Class: a limit copied at the start of a piece of work that can change later.

It needs no lack of processor time: a full target that hangs is enough.

Change: each request is raced with the last answer's time, which may be set while it runs, and ends as may-have-run 50 ms after it; those that know the time from their start end by themselves first.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of one process share.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -25,6 +25,9 @@
 /// waits.
 const BEHIND_FROM: Duration = Duration::from_millis(50);
 
+/// Time after the last answer is due in which requests that know of it end by themselves.
+const OWN_END_MAX: Duration = Duration::from_millis(50);
+
 /// Shared by the control thread and the traffic threads.
 pub struct Context {
     /// Settings.
@@ -57,8 +60,8 @@
     pub splitter: Mutex<Splitter>,
     /// Deadlines seen on each route.
     pub deadlines: Deadlines,
-    /// When the last answer of a stopping process is due.
-    pub last_answer: OnceLock<Mono>,
+    /// When the last answer of a stopping process is due; `None` while it does not stop.
+    pub last_answer: watch::Sender<Option<Mono>>,
     /// Bounds the lines about requests that went well.
     pub lines: LineBudget,
     /// Signalled when a request begins.
@@ -95,8 +98,17 @@
     /// Has every request answered by then, also one whose own deadline is later: the process ends
     /// soon after, and would cut it off.
     pub fn answer_by(&self, end: Mono) {
-        // A stop happens once.
-        let _first = self.last_answer.set(end);
+        self.last_answer.send_replace(Some(end));
+    }
+
+    /// Ends when a stopping process can't wait for a request any longer.
+    pub async fn answers_are_due(&self) {
+        let mut last_answer = self.last_answer.subscribe();
+        let Ok(Some(end)) = last_answer.wait_for(Option::is_some).await.map(|end| *end) else {
+            return std::future::pending().await;
+        };
+        let end = end.plus(OWN_END_MAX);
+        tokio::time::sleep(end.since(self.clock.now())).await;
     }
 
     /// How late the traffic threads do their work.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! Start-up and shutdown of the process.
 
 use std::net::TcpListener as StdListener;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -97,7 +97,7 @@
         waits: Arc::new(Notify::new()),
         splitter: Mutex::new(Splitter::new()),
         deadlines: Deadlines::default(),
-        last_answer: OnceLock::new(),
+        last_answer: watch::Sender::new(None),
         lines: LineBudget::new(REQUEST_LINES),
         begins: Notify::new(),
         lateness: Mutex::default(),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -65,6 +65,12 @@
 }
 
 impl Course {
+    /// The process ends before the request does.
+    pub fn cut_short() -> Self {
+        let ended = Ended::MayHaveRun { timed_out: true };
+        Self { ended, tried: Vec::new(), queued: Duration::ZERO }
+    }
+
     /// When the caller is told to come back.
     pub fn retry_after(&self) -> Option<Duration> {
         match &self.ended {
--- a/crates/gateway/src/traffic/front.rs
+++ b/crates/gateway/src/traffic/front.rs
@@ -57,7 +57,11 @@
     };
     let method = request.method.clone();
     let job = Job::new(Arc::clone(&context), request, request_id, routed, arrived, caller);
-    let course = attempts(&job).await;
+    let course = tokio::select! {
+        biased;
+        course = attempts(&job) => course,
+        () = context.answers_are_due() => Course::cut_short(),
+    };
     report(&job, &course);
     respond(course, &method)
 }
--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -67,7 +67,7 @@
         let waited = context.deadlines.waited(&route.name, patience);
         let objective = arrived.plus(route.latency_objective.saturating_sub(waited));
         let deadline = arrived.plus(patience.saturating_sub(WAY_BACK).min(route.timeout));
-        let deadline = context.last_answer.get().map_or(deadline, |end| deadline.min(*end));
+        let deadline = context.last_answer.borrow().map_or(deadline, |end| deadline.min(end));
         let service = context.choose_service(&route);
         Self {
             context,
