fix(gateway): a change of settings does not end a process that starts

What callers saw: an entry that did not come back after a restart.

Cause: SIGHUP's own effect ends a process until a handler is there, and the handler came with the traffic's runtime, after settings, client and ports. Ruled out: a slow start (20 s without a line).

Change: the signal is watched before the settings are read. Between exec and main it still ends the process.

--- a/crates/gateway/src/follow_settings.rs
+++ b/crates/gateway/src/follow_settings.rs
@@ -14,6 +14,19 @@
 /// How often the settings are read without a signal; the platform may change them silently.
 const LOOK: Duration = Duration::from_secs(2);
 
+/// From now on SIGHUP does not end the process. To be called first of all: the settings of a process
+/// that starts may change as well, and it reads them later.
+///
+/// # Errors
+/// When the signal can't be watched.
+pub fn outlive_hangups() -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    let _entered = runtime.enter();
+    // What tokio does at the first watch of a signal holds until the process ends.
+    let _watch = signal(SignalKind::hangup())?;
+    Ok(())
+}
+
 /// Reads the settings again at SIGHUP and at regular intervals. SIGHUP's own effect, the end of the
 /// process, would cut off every request.
 ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,5 +18,6 @@
 mod traffic;
 
 pub use dialect::{Dialect, HeaderNames, Paths};
+pub use follow_settings::outlive_hangups;
 pub use run::{Program, ReloadFn, run};
 pub use settings::{GatewaySettings, Ports};
