--- a/deploy/vary-site.sh
+++ b/deploy/vary-site.sh
@@ -23,4 +23,6 @@
 vary tight -e "$machines s/memory_mb = [0-9]+/memory_mb = 96/" \
   -e "$machines s/link_mbps = [0-9.]+/link_mbps = 20/" \
   -e "$machines s/cpu_share = [0-9.]+/cpu_share = 0.1/"
+vary short-of-processor -e "$machines s/cpu_share = 0.1,/cpu_share = 0.02,/" \
+  -e "$machines s/cpu_share = 0.2,/cpu_share = 0.06,/" -e "$machines s/cpu_share = 0.5,/cpu_share = 0.07,/"
 vary quiet-neighbours -e 's/noise = \{ share = [0-9.]+/noise = { share = 0.0/'
