feat(gateway): log whether a failed attempt crashed its target, and a request fingerprint

Callers received 502 and 503 while the targets of a service ended one after the other. Event 7004 logs the request's id, which is new with each repeat. It therefore could not distinguish a repeated request from an unrelated one, nor a connection reset from a process that has ended.

Event 7004 has two new fields:

- crashed: after an attempt whose connection ended without a whole answer, the entry opens a connection to the target's port, within 100 ms and the request's deadline.
A port that refuses it belongs to a process that has ended.
- fingerprint, set if the target crashed: 64 bits of an HMAC-SHA256 of method, host, path and query, the headers that identify the caller, and body.
The key is derived from the fleet key, so that all entries log the same value for each repeat.
On this platform the fleet key is derived from the store's address and is not secret.
The fingerprint is computed only after a crash, so that other requests do not wait for it.

--- a/crates/exchange/src/links.rs
+++ b/crates/exchange/src/links.rs
@@ -1,6 +1,7 @@
 //! Kept connections to targets, one request on each at a time.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -111,6 +112,15 @@
         idle.retain(|_, links| !links.is_empty());
     }
 
+    /// Whether a target's port refuses a new connection, as it does after its process has ended.
+    ///
+    /// Distinguishes a target that has crashed from one that has only reset a connection.
+    /// Returns `false` for any other result, including a timeout.
+    pub async fn refuses_connections(&self, endpoint: Endpoint) -> bool {
+        let opened = Link::open(endpoint, &self.config).await;
+        opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     async fn send_on_a_link(
         &self,
         asked: &LinkRequest<'_>,
--- a/crates/exchange/tests/links.rs
+++ b/crates/exchange/tests/links.rs
@@ -311,3 +311,14 @@
     assert_eq!(failure.verdict(), Verdict::NotRun);
     assert_eq!(*failure.cause(), FailureCause::ConnectFailed);
 }
+
+/// Guards against confusing a crashed target with one that has only reset a connection.
+#[tokio::test]
+async fn only_a_port_without_a_listener_refuses_connections() {
+    let links = links(LinkConfig::default());
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let endpoint = Endpoint::new(listener.local_addr().expect("address"));
+    assert!(!links.refuses_connections(endpoint).await);
+    drop(listener);
+    assert!(links.refuses_connections(endpoint).await);
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,6 +10,7 @@
 use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
 use shallotfork_measure::Lateness;
+use shallotfork_quarantine::FingerprintKey;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
@@ -68,6 +69,8 @@
     pub begins: Notify,
     /// How late the traffic threads do their work.
     pub lateness: Mutex<Lateness>,
+    /// Key for request fingerprints.
+    pub fingerprint_key: FingerprintKey,
 }
 
 impl Context {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 };
 use shallotfork_lifecycle::{Process, Starting};
 use shallotfork_peer::PeerKey;
+use shallotfork_quarantine::FingerprintKey;
 use shallotfork_routes::Splitter;
 use shallotfork_timer::{Clock, TimerService, unix_time_ms};
 use shallotfork_types::{Endpoint, Incarnation, PerSecond};
@@ -77,6 +78,7 @@
     let (log, _flush) = logger(&log_config);
     let listeners = bind(&settings)?;
     let key = PeerKey::new(&settings.fleet_key).context("the fleet's key is too short")?;
+    let fingerprint_key = FingerprintKey::new(&settings.fleet_key);
     let metrics = MetricsPage::install()?;
     let process = Process::new(log.clone());
     let bodies = BodyBudget::new(settings.bodies_max);
@@ -101,6 +103,7 @@
         lines: LineBudget::new(REQUEST_LINES),
         begins: Notify::new(),
         lateness: Mutex::default(),
+        fingerprint_key,
     });
     let (control, commands) = ControlHandle::new();
     let (ready, is_ready) = watch::channel(false);
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -17,7 +17,9 @@
 use crate::carried::{Carried, message_bytes};
 use crate::context::Context;
 use crate::traffic::job::Job;
-use crate::traffic::judge::{AttemptEnd, attempt_end, figures, slot_outcome};
+use crate::traffic::judge::{
+    AttemptEnd, attempt_end, figures, slot_outcome, target_may_have_crashed,
+};
 use crate::traffic::probes::{Probed, probe};
 use crate::traffic::service_slots::{Assigned, ServiceSlots};
 
@@ -30,6 +32,8 @@
 const CHECKS_MAX: u32 = 4;
 /// Shortest such time, while little has been measured.
 const HEDGE_AFTER_MIN: Duration = Duration::from_millis(200);
+/// Longest wait for a target's port to refuse a connection after an attempt has failed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// The part of the fleet's allowance that the active entry takes. Callers are sent to one entry,
 /// and at a change to a second one for as long as they keep an old answer: twice this is less than
 /// the whole.
@@ -279,10 +283,26 @@
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let figures = result.as_ref().ok().and_then(|answer| figures(&context.dialect, answer));
     assigned.finish(outcome, figures);
-    report(job, &target, &result, outcome, latency);
+    let crashed = target_may_have_crashed(&result) && refuses_connections(job, endpoint).await;
+    report(job, &target, &result, &AttemptReport { outcome, latency, crashed });
     attempt_end(&context.dialect, result)
 }
 
+/// Whether the target refuses connections; `false` if that is not known in time.
+async fn refuses_connections(job: &Job, endpoint: Endpoint) -> bool {
+    let timeout = job.left(job.context.clock.now()).min(CRASH_CHECK_TIMEOUT);
+    let check = job.context.links.refuses_connections(endpoint);
+    tokio::time::timeout(timeout, check).await.unwrap_or(false)
+}
+
+/// Details of an attempt that are logged in addition to its result.
+struct AttemptReport {
+    outcome: SlotOutcome,
+    latency: Duration,
+    /// Whether the connection failed and the target's port then refused a new one.
+    crashed: bool,
+}
+
 /// Where a target is reached, and in which failure domain; `None` once it has left.
 fn place_of(context: &Context, target: &TargetId) -> Option<(Endpoint, FailureDomain)> {
     let published = context.published.load();
@@ -295,9 +315,9 @@
     job: &Job,
     target: &TargetId,
     result: &Result<WholeAnswer, AttemptFailure>,
-    outcome: SlotOutcome,
-    latency: Duration,
+    attempt: &AttemptReport,
 ) {
+    let AttemptReport { outcome, latency, crashed } = attempt;
     if matches!(outcome, SlotOutcome::Answered { .. }) {
         return;
     }
@@ -312,6 +332,8 @@
         "outcome" => format!("{outcome:?}"),
         "cause" => cause,
         "verdict" => verdict.as_str(),
+        "crashed" => crashed,
+        "fingerprint" => crashed.then(|| job.fingerprint().to_string()).unwrap_or_default(),
         "took_ms" => u64::try_from(latency.as_millis()).unwrap_or(u64::MAX),
     );
 }
--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -1,11 +1,13 @@
 //! One caller's request on its way.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::header::{AUTHORIZATION, COOKIE};
 use shallotfork_balance::{SlotAsk, WorkClass};
-use shallotfork_exchange::{CallerPresence, WholeRequest};
+use shallotfork_exchange::{CALLER_HEADER, CallerPresence, WholeRequest};
+use shallotfork_quarantine::{RequestContent, RequestFingerprint};
 use shallotfork_routes::{Repeat, Route, TableVersion};
 use shallotfork_types::{Mono, ServiceName, TargetId};
 
@@ -50,6 +52,8 @@
     pub waited: Duration,
     /// Whether its caller is still there.
     pub caller: CallerPresence,
+    /// The fingerprint of its content, computed on first use.
+    fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl Job {
@@ -81,9 +85,32 @@
             deadline,
             waited,
             caller,
+            fingerprint: OnceLock::new(),
         }
     }
 
+    /// Returns the fingerprint of the request's content. The first call hashes the body.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let request = &self.request;
+            let names = [AUTHORIZATION, COOKIE, CALLER_HEADER];
+            let caller_headers: Vec<&[u8]> = names
+                .iter()
+                .flat_map(|name| {
+                    let values = request.headers.get_all(name).iter();
+                    values.flat_map(|value| [name.as_str().as_bytes(), value.as_bytes()])
+                })
+                .collect();
+            self.context.fingerprint_key.fingerprint(&RequestContent {
+                method: request.method.as_str(),
+                host: request.service.as_str(),
+                path_and_query: request.path_and_query.as_str(),
+                caller_headers: &caller_headers,
+                body: &request.body,
+            })
+        })
+    }
+
     /// Whether a second run does no harm.
     pub fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
--- a/crates/gateway/src/traffic/judge.rs
+++ b/crates/gateway/src/traffic/judge.rs
@@ -52,6 +52,13 @@
         || answer.status == StatusCode::MISDIRECTED_REQUEST
 }
 
+/// Whether the connection failed before the whole answer was read, as it does when the target
+/// crashes.
+pub fn target_may_have_crashed(result: &Result<WholeAnswer, AttemptFailure>) -> bool {
+    let cause = result.as_ref().err().map(AttemptFailure::cause);
+    matches!(cause, Some(FailureCause::ConnectionLost | FailureCause::AnswerIncomplete))
+}
+
 /// What the attempt says about its target.
 pub fn slot_outcome(
     dialect: &Dialect,
