--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -47,6 +47,10 @@
     NoTarget,
     /// Retries have used up their share of first attempts.
     RetryBudget,
+    /// The request is quarantined because it crashed several targets.
+    Quarantined,
+    /// The request is suspected of crashing targets and must not be sent yet.
+    Suspected,
 }
 
 impl ShedReason {
@@ -58,6 +62,8 @@
             Self::QueueFull => "queue-full",
             Self::NoTarget => "no-target",
             Self::RetryBudget => "retry-budget",
+            Self::Quarantined => "quarantined",
+            Self::Suspected => "suspected",
         }
     }
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -51,5 +51,7 @@
     ATTEMPT_FAILED = 7004 Warning "attempt at a target brought no answer to pass on";
     SERVICE_LOAD = 7005 Info "slots of a service";
     CALLER_LEFT = 7006 Info "caller left before its request was sent";
+    TARGET_CRASHED = 7007 Warning "target crashed while it ran a request";
+    REQUEST_QUARANTINED = 7008 Error "request quarantined: it crashes the targets that run it";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of hundreds of entries in one process, with simulated links: deterministic by its seed.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
@@ -10,6 +12,10 @@
     Beat, Candidate, FleetMember, OwnState, PERIOD, active_entries, first_seed, fleet_order,
 };
 use shallotfork_membership::{Announcement, ListedVm};
+use shallotfork_quarantine::{
+    Admission, CrashReport, Quarantine, QuarantineConfig, QuarantineDigest, RequestFingerprint,
+    SendKind,
+};
 use shallotfork_types::{Endpoint, FailureDomain, Incarnation, Mono, PerSecond, VmId};
 
 pub const STRONG: u32 = 833;
@@ -36,15 +42,40 @@
     /// Nobody has answered at that address.
     Unanswered(usize, u64, Endpoint),
     /// A heartbeat arrives.
-    Arrives { from: usize, to: usize, beat: Box<Beat>, answers: bool },
+    Arrives { from: usize, to: usize, message: Box<Message>, answers: bool },
+    /// A target crashes while running the crashing request, which an entry sent to it.
+    TargetCrashes { index: usize, run: u64, sent_at: Mono },
+}
+
+/// A heartbeat between entries.
+#[derive(Debug, PartialEq, Eq)]
+struct Message {
+    beat: Beat,
+    crash_reports: Vec<CrashReport>,
+    digest: QuarantineDigest,
 }
 
+/// A request that crashes every target it runs on.
+pub const CRASHING_REQUEST: RequestFingerprint = RequestFingerprint::new(7);
+/// Time from sending the request to the crash of its target.
+const CRASH_AFTER_MS: u64 = 90;
+
 /// An entry VM; its process may run or not.
 struct Vm {
     listed: ListedVm,
     /// The run of its process.
     run: u64,
     member: Option<FleetMember>,
+    started_at: Mono,
+    quarantine: Quarantine,
+}
+
+/// A send of the crashing request.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashingSend {
+    pub at: Mono,
+    /// Uptime of the sending process.
+    pub sender_uptime: Duration,
 }
 
 pub struct Model {
@@ -64,6 +95,14 @@
     pub crossed: usize,
     /// Pieces of news in them.
     pub news: usize,
+    /// Crash reports in them.
+    pub crash_reports: usize,
+    /// Probability that a message is lost.
+    pub loss_rate: f64,
+    /// Sends of the crashing request.
+    pub crashing_sends: Vec<CrashingSend>,
+    /// Times of target crashes.
+    pub crashes: Vec<Mono>,
 }
 
 impl Model {
@@ -88,6 +127,10 @@
             sent: 0,
             crossed: 0,
             news: 0,
+            crash_reports: 0,
+            loss_rate: 0.0,
+            crashing_sends: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
@@ -191,7 +234,12 @@
                     member.unanswered(endpoint, now);
                 }
             }
-            Event::Arrives { from, to, beat, answers } => self.arrives(from, to, &beat, answers),
+            Event::Arrives { from, to, message, answers } => {
+                self.arrives(from, to, &message, answers);
+            }
+            Event::TargetCrashes { index, run, sent_at } => {
+                self.target_crashes(index, run, sent_at);
+            }
         }
     }
 
@@ -205,6 +253,8 @@
             round: 0,
         };
         vm.member = Some(FleetMember::new(own, self.now));
+        vm.started_at = self.now;
+        vm.quarantine = Quarantine::new(QuarantineConfig::default());
         let own = vm.listed.peers;
         let seed = first_seed(&self.seeds, own, &mut self.rng);
         seed.into_iter().for_each(|seed| self.call(index, seed));
@@ -233,36 +283,96 @@
 
     fn call(&mut self, from: usize, endpoint: Endpoint) {
         let Some(to) = self.by_endpoint.get(&endpoint).copied() else { return };
-        if self.vms[to].member.is_none() || !self.say(from, to, true) {
+        if self.vms[to].member.is_none() || !self.say(from, to, true, None) {
             let run = self.vms[from].run;
             self.after(TIMEOUT_MS, Event::Unanswered(from, run, endpoint));
         }
     }
 
-    fn arrives(&mut self, from: usize, to: usize, beat: &Beat, answers: bool) {
+    fn arrives(&mut self, from: usize, to: usize, message: &Message, answers: bool) {
         let now = self.now;
-        let Some(member) = self.vms[to].member.as_mut() else { return };
-        member.heard(beat, now);
+        let vm = &mut self.vms[to];
+        let Some(member) = vm.member.as_mut() else { return };
+        member.heard(&message.beat, now);
+        for report in &message.crash_reports {
+            vm.quarantine.merge(report, now);
+        }
         if answers && self.vms[from].member.is_some() {
-            self.say(to, from, false);
+            self.say(to, from, false, Some(message.digest));
         }
     }
 
+    /// Submits the crashing request to an entry on behalf of a caller.
+    pub fn submit_crashing_request(&mut self, index: usize) {
+        self.try_send_crashing_request(index, SendKind::First);
+    }
+
+    fn try_send_crashing_request(&mut self, index: usize, kind: SendKind) {
+        let vm = &mut self.vms[index];
+        if vm.member.is_none() {
+            return;
+        }
+        let admission = vm.quarantine.admit(CRASHING_REQUEST, kind, self.now);
+        if !matches!(admission, Admission::Clear | Admission::Suspected) {
+            return;
+        }
+        vm.quarantine.begin_run(CRASHING_REQUEST);
+        let (run, sender_uptime) = (vm.run, self.now.since(vm.started_at));
+        self.crashing_sends.push(CrashingSend { at: self.now, sender_uptime });
+        self.after(CRASH_AFTER_MS, Event::TargetCrashes { index, run, sent_at: self.now });
+    }
+
+    fn target_crashes(&mut self, index: usize, run: u64, sent_at: Mono) {
+        self.crashes.push(self.now);
+        let vm = &mut self.vms[index];
+        if vm.member.is_none() || vm.run != run {
+            return;
+        }
+        vm.quarantine.end_run(CRASHING_REQUEST);
+        vm.quarantine.record_crash(CRASHING_REQUEST, sent_at, self.now);
+        self.try_send_crashing_request(index, SendKind::Retry);
+    }
+
+    /// Returns the number of running entries that do not quarantine the crashing request.
+    pub fn entries_without_quarantine(&self) -> usize {
+        let running = self.vms.iter().filter(|vm| vm.member.is_some());
+        let without_quarantine = running.filter(|vm| {
+            let admission = vm.quarantine.admit(CRASHING_REQUEST, SendKind::First, self.now);
+            !matches!(admission, Admission::Quarantined { .. })
+        });
+        without_quarantine.count()
+    }
+
     /// Whether it gets through.
-    fn say(&mut self, from: usize, to: usize, answers: bool) -> bool {
+    fn say(
+        &mut self,
+        from: usize,
+        to: usize,
+        answers: bool,
+        peer_digest: Option<QuarantineDigest>,
+    ) -> bool {
         let places = [from, to].map(|index| &self.vms[index].listed.failure_domain);
         let crosses = places[0] != places[1];
         if crosses && places.iter().any(|place| self.cut.contains(place)) {
             return false;
         }
         let (vm, now) = (self.vms[to].listed.vm.clone(), self.now);
-        let Some(member) = self.vms[from].member.as_mut() else { return false };
-        let beat = Box::new(member.beat_for(&vm, now));
+        let sender = &mut self.vms[from];
+        let Some(member) = sender.member.as_mut() else { return false };
+        let message = Box::new(Message {
+            beat: member.beat_for(&vm, now),
+            crash_reports: sender.quarantine.reports(peer_digest, now),
+            digest: sender.quarantine.digest(now),
+        });
         self.sent += 1;
         self.crossed += usize::from(crosses);
-        self.news += beat.news.len();
+        self.news += message.beat.news.len();
+        self.crash_reports += message.crash_reports.len();
+        if self.loss_rate > 0.0 && self.rng.random_bool(self.loss_rate) {
+            return false;
+        }
         let way_ms = self.rng.random_range(WAY_MS);
-        self.after(way_ms, Event::Arrives { from, to, beat, answers });
+        self.after(way_ms, Event::Arrives { from, to, message, answers });
         true
     }
 
@@ -295,5 +405,6 @@
         leaving: false,
         strength: PerSecond::new(strength),
     };
-    Vm { listed, run: 0, member: None }
+    let quarantine = Quarantine::new(QuarantineConfig::default());
+    Vm { listed, run: 0, member: None, started_at: Mono::ZERO, quarantine }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,7 +10,7 @@
 use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
 use shallotfork_measure::Lateness;
-use shallotfork_quarantine::FingerprintKey;
+use shallotfork_quarantine::{FingerprintKey, Quarantine};
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
@@ -71,6 +71,8 @@
     pub lateness: Mutex<Lateness>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
+    /// Crash records of requests, shared by the traffic and control threads.
+    pub quarantine: Mutex<Quarantine>,
 }
 
 impl Context {
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -68,7 +68,7 @@
         state.fleet.borrow_mut().unanswered(endpoint, state.now());
         return;
     };
-    let own = own_heartbeat(&state, &client.peer().vm);
+    let own = own_heartbeat(&state, &client.peer().vm, None);
     match client.heartbeat(&own).await {
         Ok(answer) => {
             Carried::Heartbeats.count(&answer.failure_domain, client.take_bytes());
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -28,7 +28,7 @@
 
     async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
         heard(&self.state, from, &beat);
-        own_heartbeat(&self.state, &from.vm)
+        own_heartbeat(&self.state, &from.vm, Some(beat.quarantine_digest))
     }
 
     async fn claim(&self, _operation: OperationId, _claim: ClaimId) -> ClaimAnswer {
--- a/crates/gateway/src/control/hearing.rs
+++ b/crates/gateway/src/control/hearing.rs
@@ -3,13 +3,18 @@
 use shallotfork_fleet::{Beat, PlatformAges};
 use shallotfork_membership::{Announcement, ListedVm, News};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState, PlatformWord};
+use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_types::VmId;
 
+use crate::context::lock;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
+use crate::traffic::log_quarantined;
 
 /// What this process says of itself to an entry, with the news that is due to that one.
-pub fn own_heartbeat(state: &State, to: &VmId) -> Heartbeat {
+/// `peer_digest` is the digest in the heartbeat that is being answered, if any.
+pub fn own_heartbeat(state: &State, to: &VmId, peer_digest: Option<QuarantineDigest>) -> Heartbeat {
+    let (crash_reports, quarantine_digest) = quarantine_reports(state, peer_digest);
     let beat = state.fleet.borrow_mut().beat_for(to, state.now());
     let Beat { from, starting, news, digest, platform_lost, platform, domain_entries, behind } =
         beat;
@@ -28,6 +33,8 @@
         platform: platform_word(platform),
         domain_entries,
         behind,
+        crash_reports,
+        quarantine_digest,
         restart_safe: true,
         loads: Vec::new(),
         strength: from.listed.strength,
@@ -48,6 +55,25 @@
     };
     state.fleet.borrow_mut().heard(&beat, state.now());
     note_sight(state);
+    merge_crash_reports(state, &heartbeat.crash_reports);
+}
+
+fn quarantine_reports(
+    state: &State,
+    peer_digest: Option<QuarantineDigest>,
+) -> (Vec<CrashReport>, QuarantineDigest) {
+    let now = state.now();
+    let quarantine = lock(&state.context.quarantine);
+    (quarantine.reports(peer_digest, now), quarantine.digest(now))
+}
+
+fn merge_crash_reports(state: &State, reports: &[CrashReport]) {
+    for report in reports {
+        let newly_quarantined = lock(&state.context.quarantine).merge(report, state.now());
+        if newly_quarantined {
+            log_quarantined(&state.context, report.fingerprint, "peer");
+        }
+    }
 }
 
 fn announcement(peer: &PeerId, beat: &Heartbeat) -> Announcement {
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::context::Context;
+use crate::context::{Context, lock};
 use crate::control::beats::{beats, tell_leaving};
 use crate::control::handler::Handler;
 use crate::control::peers::Peers;
@@ -139,6 +139,7 @@
             _ = tidy.tick() => {
                 expire_targets(&state);
                 state.context.links.tidy();
+                lock(&state.context.quarantine).expire(state.now());
             }
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 };
 use shallotfork_lifecycle::{Process, Starting};
 use shallotfork_peer::PeerKey;
-use shallotfork_quarantine::FingerprintKey;
+use shallotfork_quarantine::{FingerprintKey, Quarantine, QuarantineConfig};
 use shallotfork_routes::Splitter;
 use shallotfork_timer::{Clock, TimerService, unix_time_ms};
 use shallotfork_types::{Endpoint, Incarnation, PerSecond};
@@ -104,6 +104,7 @@
         begins: Notify::new(),
         lateness: Mutex::default(),
         fingerprint_key,
+        quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
     });
     let (control, commands) = ControlHandle::new();
     let (ready, is_ready) = watch::channel(false);
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -12,6 +12,7 @@
 use shallotfork_balance::{RetryAllowance, Shed, SlotOutcome};
 use shallotfork_events::{ATTEMPT_FAILED, event};
 use shallotfork_exchange::{AnswerOwner, AttemptFailure, LinkRequest, WholeAnswer};
+use shallotfork_quarantine::SendKind;
 use shallotfork_types::{Endpoint, FailureDomain, Permille, TargetId, Verdict};
 
 use crate::carried::{Carried, message_bytes};
@@ -21,6 +22,7 @@
     AttemptEnd, attempt_end, figures, slot_outcome, target_may_have_crashed,
 };
 use crate::traffic::probes::{Probed, probe};
+use crate::traffic::quarantine::{begin_run, is_clear, note_answer, note_crash};
 use crate::traffic::service_slots::{Assigned, ServiceSlots};
 
 /// Targets that may prove to be out of reach before a request is given up. Nothing arrives there,
@@ -91,6 +93,10 @@
     slots.count_request();
     let mut trial = Trial::default();
     loop {
+        // Refuses a request that may not be sent before it waits for a slot.
+        if let Err(shed) = begin_run(job, trial.next_send_kind()) {
+            return trial.end_refused(shed);
+        }
         let asked_at = context.clock.now();
         let place = checked_place(job, &slots, &trial).await;
         trial.queued += context.clock.now().since(asked_at);
@@ -101,8 +107,15 @@
         if job.caller.has_left() {
             return trial.end(Ended::CallerLeft);
         }
+        // Checks again: other runs may have started or ended while the request waited.
+        let run = match begin_run(job, trial.next_send_kind()) {
+            Ok(run) => run,
+            Err(shed) => return trial.end_refused(shed),
+        };
         let end = attempt_hedged(job, assigned, &mut trial).await;
+        drop(run);
         if let AttemptEnd::Answered(answer) = end {
+            note_answer(job);
             return trial.end(Ended::Answered(answer));
         }
         let reached = !matches!(end, AttemptEnd::Unreached);
@@ -164,6 +177,10 @@
         self.avoided.push(assigned.target().clone());
     }
 
+    fn next_send_kind(&self) -> SendKind {
+        if self.tried.is_empty() { SendKind::First } else { SendKind::Retry }
+    }
+
     /// Whether the route allows one more target.
     fn has_attempt_left(&self, job: &Job) -> bool {
         let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
@@ -225,7 +242,7 @@
 async fn attempt_hedged(job: &Job, assigned: Assigned, trial: &mut Trial) -> AttemptEnd {
     trial.start(&assigned);
     let first = pin!(attempt(job, assigned));
-    if !job.is_repeatable() || !trial.has_attempt_left(job) {
+    if !job.is_repeatable() || !trial.has_attempt_left(job) || !is_clear(job) {
         return first.await;
     }
     let slots = job.context.slots(&job.service);
@@ -235,7 +252,8 @@
         Either::Right(((), first)) => first,
     };
     let Some(second) = slots.spare(&job.ask(&trial.avoided)) else { return first.await };
-    if job.caller.has_left() || !slots.try_repeat(repeat_allowance(&job.context)) {
+    if job.caller.has_left() || !is_clear(job) || !slots.try_repeat(repeat_allowance(&job.context))
+    {
         return first.await;
     }
     trial.start(&second);
@@ -284,11 +302,14 @@
     let figures = result.as_ref().ok().and_then(|answer| figures(&context.dialect, answer));
     assigned.finish(outcome, figures);
     let crashed = target_may_have_crashed(&result) && refuses_connections(job, endpoint).await;
+    if crashed {
+        note_crash(job, &target, sent_at);
+    }
     report(job, &target, &result, &AttemptReport { outcome, latency, crashed });
     attempt_end(&context.dialect, result)
 }
 
-/// Whether the target refuses connections; `false` if that is not known in time.
+/// Whether the target refuses connections; `false` if the check times out.
 async fn refuses_connections(job: &Job, endpoint: Endpoint) -> bool {
     let timeout = job.left(job.context.clock.now()).min(CRASH_CHECK_TIMEOUT);
     let check = job.context.links.refuses_connections(endpoint);
--- /dev/null
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -0,0 +1,103 @@
+//! Applies the quarantine to the requests of callers.
+
+use metrics::counter;
+use shallotfork_balance::{Shed, ShedReason};
+use shallotfork_events::{REQUEST_QUARANTINED, TARGET_CRASHED, event};
+use shallotfork_quarantine::{Admission, RequestFingerprint, SendKind};
+use shallotfork_types::{Mono, TargetId};
+
+use crate::context::{Context, lock};
+use crate::traffic::job::Job;
+
+/// Guard for a run of a suspected request. This process starts no other run of the request until
+/// the guard is dropped.
+#[must_use]
+pub struct SuspectRun<'a> {
+    context: &'a Context,
+    fingerprint: RequestFingerprint,
+}
+
+impl Drop for SuspectRun<'_> {
+    fn drop(&mut self) {
+        lock(&self.context.quarantine).end_run(self.fingerprint);
+    }
+}
+
+/// Checks whether a request may be sent. Returns a guard for the run if the request is suspected.
+///
+/// # Errors
+/// Returns the refusal if the request is quarantined, or suspected and not to be sent yet.
+pub fn begin_run(job: &Job, send: SendKind) -> Result<Option<SuspectRun<'_>>, Shed> {
+    let context = &job.context;
+    // Avoids hashing requests while there are no records.
+    if lock(&context.quarantine).is_empty() {
+        return Ok(None);
+    }
+    let fingerprint = job.fingerprint();
+    let mut quarantine = lock(&context.quarantine);
+    match quarantine.admit(fingerprint, send, context.clock.now()) {
+        Admission::Clear => Ok(None),
+        Admission::Suspected => {
+            quarantine.begin_run(fingerprint);
+            Ok(Some(SuspectRun { context, fingerprint }))
+        }
+        Admission::Quarantined { remaining } => {
+            Err(Shed { retry_after: remaining, reason: ShedReason::Quarantined })
+        }
+        Admission::Deferred { retry_after } => {
+            Err(Shed { retry_after, reason: ShedReason::Suspected })
+        }
+    }
+}
+
+/// Whether a request is neither suspected nor quarantined.
+pub fn is_clear(job: &Job) -> bool {
+    let context = &job.context;
+    if lock(&context.quarantine).is_empty() {
+        return true;
+    }
+    let fingerprint = job.fingerprint();
+    let admission =
+        lock(&context.quarantine).admit(fingerprint, SendKind::First, context.clock.now());
+    admission == Admission::Clear
+}
+
+/// Records and logs that a target crashed while running a request that was sent to it at `sent_at`.
+pub fn note_crash(job: &Job, target: &TargetId, sent_at: Mono) {
+    let context = &job.context;
+    let (fingerprint, now) = (job.fingerprint(), context.clock.now());
+    let mut quarantine = lock(&context.quarantine);
+    let Some(crashes) = quarantine.record_crash(fingerprint, sent_at, now) else { return };
+    let admission = quarantine.admit(fingerprint, SendKind::First, now);
+    drop(quarantine);
+    counter!("shallotfork_target_crashes").increment(1);
+    event!(context.log, TARGET_CRASHED,
+        "request" => &job.request_id,
+        "fingerprint" => fingerprint.to_string(),
+        "route" => job.route.name.as_str(),
+        "path" => job.request.path_and_query.path(),
+        "service" => job.service.as_str(),
+        "target" => target.as_str(),
+        "crashes" => crashes,
+    );
+    if matches!(admission, Admission::Quarantined { .. }) {
+        log_quarantined(context, fingerprint, "own");
+    }
+}
+
+/// Records that a target answered the request.
+pub fn note_answer(job: &Job) {
+    let context = &job.context;
+    if lock(&context.quarantine).is_empty() {
+        return;
+    }
+    let fingerprint = job.fingerprint();
+    lock(&context.quarantine).record_answer(fingerprint, context.clock.now());
+}
+
+/// Logs that a request was quarantined. `source` is `own` for crashes that this process observed and
+/// `peer` for a report from a peer.
+pub fn log_quarantined(context: &Context, fingerprint: RequestFingerprint, source: &str) {
+    event!(context.log, REQUEST_QUARANTINED,
+        "fingerprint" => fingerprint.to_string(), "source" => source);
+}
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -10,7 +10,7 @@
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::ServiceName;
 
-use crate::context::Context;
+use crate::context::{Context, lock};
 
 /// Time between two lines of a service. A queue that matters lasts for longer, and one line for a
 /// few services in a second is nothing beside the lines about requests.
@@ -21,6 +21,7 @@
     let mut ticks = timer.subscribe(Schedule::new(EVERY));
     while ticks.tick().await.is_some() {
         report_lateness(&context);
+        report_quarantine(&context);
         for (service, slots) in context.services.all() {
             report(&context, &service, &slots.summary());
         }
@@ -40,6 +41,11 @@
     );
 }
 
+fn report_quarantine(context: &Context) {
+    let quarantined = lock(&context.quarantine).quarantined(context.clock.now());
+    gauge!("shallotfork_quarantined_requests").set(quarantined as f64);
+}
+
 fn report(context: &Context, service: &ServiceName, load: &SlotSummary) {
     let label = service.to_string();
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -151,6 +151,8 @@
         platform_lost: false,
         platform: PlatformWord::default(),
         domain_entries: 0,
+        crash_reports: Vec::new(),
+        quarantine_digest: Default::default(),
         behind: false,
         restart_safe: false,
         loads: Vec::new(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -46,6 +46,9 @@
   domainEntries @16 :UInt32;
   behind @17 :Bool;
   # Its work waits for the processor.
+  crashReports @18 :List(CrashReport);
+  quarantineDigest @19 :UInt64;
+  # Digest of the requests that the sender quarantines; 0 if there are none.
 
   enum State {
     live @0;
@@ -68,6 +71,16 @@
   strengthPerS @8 :UInt32;
 }
 
+struct CrashReport {
+  # The sender's crash record of a request.
+
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt8;
+  crashedMs @2 :UInt32;
+  answeredMs @3 :UInt32 = 0xffffffff;
+  # Time since the last crash and the last answer; the default means no known answer.
+}
+
 struct LoadHint {
   target @0 :Text;
   loadPermille @1 :UInt32;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_types::{
     Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision, TargetId,
     VmId,
@@ -66,6 +67,10 @@
     pub domain_entries: u32,
     /// Whether its work waits for the processor.
     pub behind: bool,
+    /// Crash records of requests that the sender reports.
+    pub crash_reports: Vec<CrashReport>,
+    /// Digest of the requests that the sender quarantines.
+    pub quarantine_digest: QuarantineDigest,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5423,11 +5423,23 @@
         pub fn get_behind(self) -> bool {
             self.reader.get_bool_field(18)
         }
+        #[inline]
+        pub fn get_crash_reports(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crash_reports(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_quarantine_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5661,6 +5673,30 @@
         pub fn set_behind(&mut self, value: bool)  {
             self.builder.set_bool_field(18, value);
         }
+        #[inline]
+        pub fn get_crash_reports(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crash_reports(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::crash_report::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_crash_reports(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_crash_reports(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_quarantine_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_quarantine_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5672,17 +5708,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 310] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 347] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5692,133 +5728,147 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -5983,6 +6033,29 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 82, 101, 112),
+            ::capnp::word(111, 114, 116, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(123, 2, 111, 237, 222, 240, 204, 151),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 68, 105, 103, 101, 115, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6004,6 +6077,8 @@
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                18 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6017,9 +6092,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,16,5,10,4,9,7,13,15,11,14,3,8,1,0,12,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,16,5,10,4,9,7,13,15,11,19,14,3,8,1,0,12,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -6566,6 +6641,288 @@
     }
 }
 
+pub mod crash_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_crashes(self) -> u8 {
+            self.reader.get_data_field::<u8>(8)
+        }
+        #[inline]
+        pub fn get_crashed_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_answered_ms(self) -> u32 {
+            self.reader.get_data_field_mask::<u32>(4, 4294967295)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_crashes(self) -> u8 {
+            self.builder.get_data_field::<u8>(8)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(8, value);
+        }
+        #[inline]
+        pub fn get_crashed_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_crashed_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_answered_ms(self) -> u32 {
+            self.builder.get_data_field_mask::<u32>(4, 4294967295)
+        }
+        #[inline]
+        pub fn set_answered_ms(&mut self, value: u32)  {
+            self.builder.set_data_field_mask::<u32>(4, value, 4294967295);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(123, 2, 111, 237, 222, 240, 204, 151),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(82, 101, 112, 111, 114, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0x97cc_f0de_ed6f_027b;
+    }
+}
+
 pub mod load_hint {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -8,6 +8,7 @@
     ClaimAnswer, Completion, HeaderField, KeptAnswer, OperationId, SECRET_BYTES, SealedEnd,
     SealedLedger, SealedOperation, SealedSession, Secret,
 };
+use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
     IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille, Revision,
     TargetId,
@@ -140,6 +141,13 @@
     to.set_platform_away_ms(write_age(beat.platform.away));
     to.set_domain_entries(beat.domain_entries);
     to.set_behind(beat.behind);
+    to.set_quarantine_digest(beat.quarantine_digest.value());
+    if !beat.crash_reports.is_empty() {
+        let mut all = to.reborrow().init_crash_reports(length(beat.crash_reports.len()));
+        for (index, report) in (0..).zip(&beat.crash_reports) {
+            write_crash_report(report, all.reborrow().get(index));
+        }
+    }
     if !beat.news.is_empty() {
         let mut all = to.reborrow().init_news(length(beat.news.len()));
         for (index, news) in (0..).zip(&beat.news) {
@@ -170,6 +178,22 @@
     to.set_strength_per_s(news.strength.value());
 }
 
+fn write_crash_report(report: &CrashReport, mut to: schema::crash_report::Builder<'_>) {
+    to.set_fingerprint(report.fingerprint.value());
+    to.set_crashes(report.crashes);
+    to.set_crashed_ms(write_age(Some(report.crashed_ago)));
+    to.set_answered_ms(write_age(report.answered_ago));
+}
+
+fn read_crash_report(from: schema::crash_report::Reader<'_>) -> CrashReport {
+    CrashReport {
+        fingerprint: RequestFingerprint::new(from.get_fingerprint()),
+        crashes: from.get_crashes(),
+        crashed_ago: Duration::from_millis(from.get_crashed_ms().into()),
+        answered_ago: read_age(from.get_answered_ms()),
+    }
+}
+
 /// An age that is not known.
 const NO_AGE_MS: u32 = u32::MAX;
 
@@ -216,6 +240,8 @@
         },
         domain_entries: from.get_domain_entries(),
         behind: from.get_behind(),
+        crash_reports: from.get_crash_reports()?.iter().map(read_crash_report).collect(),
+        quarantine_digest: QuarantineDigest::new(from.get_quarantine_digest()),
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         strength: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -16,6 +16,7 @@
     Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
     PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
 };
+use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
     Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille, Revision,
     TargetId, VmId,
@@ -189,6 +190,15 @@
     }
 }
 
+fn crash_report(answered_ago: Option<Duration>) -> CrashReport {
+    CrashReport {
+        fingerprint: RequestFingerprint::new(5),
+        crashes: 2,
+        crashed_ago: Duration::from_millis(40),
+        answered_ago,
+    }
+}
+
 fn heartbeat() -> Heartbeat {
     let target = TargetId::new("t1").unwrap();
     Heartbeat {
@@ -209,6 +219,8 @@
         },
         domain_entries: 12,
         behind: true,
+        crash_reports: vec![crash_report(Some(Duration::from_millis(20))), crash_report(None)],
+        quarantine_digest: QuarantineDigest::new(11),
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         strength: PerSecond::new(700),
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -19,7 +19,7 @@
 
 impl RequestFingerprint {
     /// Creates a fingerprint from its numeric value.
-    pub fn new(value: u64) -> Self {
+    pub const fn new(value: u64) -> Self {
         Self(value)
     }
 
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -121,6 +121,8 @@
         platform_lost: state.platform_lost.get(),
         platform: PlatformWord::default(),
         domain_entries: 0,
+        crash_reports: Vec::new(),
+        quarantine_digest: Default::default(),
         behind: false,
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
