fix(gateway): enforce a target's rate limit across all entries

Symptom: none seen by callers so far.

Cause: no entry read the limit. Class: missing back-pressure for a shared resource. A limit per sender alone would not fix it, because three to fifteen entries share less than one request per second each.

Change: an answer with the header sets the limit of its target, and a successful answer without it removes the limit. A value that is not a decimal number is logged and otherwise ignored. Entries report changed limits to each other in their heartbeats for 2.5 s, and report a limit that is still in force once a minute; the most recent answer takes precedence. A limit ends with a successful answer without the header, with a new run of the target, or after five minutes without an answer. The slots of a service pace their own requests to such a target according to their share: of the entries that callers are sent to, as many as the limit has whole requests per second, and at least one, send to the target, each with an equal share. They are selected by rendezvous hashing for each target; the other entries use other targets. An entry that takes over a share pauses first. Such a target is not probed, and second attempts and hedges draw on the same share. The expected wait counts a rate-limited target only for the slots that its share keeps busy, so that requests that cannot be served in time are refused at once, with a retry delay.

--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -12,6 +12,7 @@
 mod probe_budget;
 mod published;
 mod queue;
+mod rate_share;
 mod summary;
 mod target;
 mod wait;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallotfork_types::{Mono, TargetId};
+use shallotfork_types::{Mono, RequestRate, TargetId};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
 use super::probe_budget::ProbeBudget;
 use super::published::{Belief, LoadFigures, SlotOutcome, SlotTarget};
 use super::queue::SlotQueue;
+use super::rate_share::{RateShare, compute_share};
 use super::target::Target;
 use super::{SlotAsk, WorkClass};
 use crate::{Admission, Assignment, AttemptId, Shed, ShedReason, Ticket, Woken};
@@ -56,6 +57,8 @@
     beliefs: Vec<Belief>,
     /// Processes that send requests of the service to these targets, this one included.
     sharers: usize,
+    /// Names of the processes that callers are sent to, used to compute rate limit shares.
+    sharer_names: Vec<String>,
     serving_slots: u32,
     /// Bounds the probes while requests wait.
     probes: ProbeBudget,
@@ -74,6 +77,7 @@
             learnt,
             beliefs: Vec::new(),
             sharers: 1,
+            sharer_names: Vec::new(),
             serving_slots: 0,
             probes: ProbeBudget::new(),
             last_id: 0,
@@ -85,6 +89,29 @@
         self.sharers = sharers.max(1);
     }
 
+    /// Sets the names of the processes that share the slots and recomputes the shares of all rate
+    /// limits. This process is included only if callers are sent to it.
+    pub fn set_sharer_names(&mut self, names: Vec<String>, now: Mono) {
+        self.sharer_names = names;
+        for (id, target) in &mut self.targets {
+            let Some(current) = target.rate_share else { continue };
+            let limit = current.limit();
+            let share = compute_share(limit, id, &self.config.name, &self.sharer_names);
+            target.rate_share = Some(current.updated(limit, share, now));
+        }
+    }
+
+    /// Sets the rate limit of a target, which applies to all processes together; `None` removes it.
+    /// Unknown targets are ignored.
+    pub fn set_rate_limit(&mut self, id: &TargetId, limit: Option<RequestRate>, now: Mono) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.rate_share = limit.map(|limit| {
+            let share = compute_share(limit, id, &self.config.name, &self.sharer_names);
+            let new = RateShare::new(limit, share, now);
+            target.rate_share.map_or(new, |current| current.updated(limit, share, now))
+        });
+    }
+
     /// Whether this process uses as many slots as any of those that share them may.
     ///
     /// Under overload each process fills a slot that it gives back again before another one hears of
@@ -218,8 +245,9 @@
 
     /// Whether a target should be asked for its pace before a request is sent to it.
     pub fn wants_check(&self, id: &TargetId, now: Mono) -> bool {
-        self.learnt.may_have_paces()
-            && self.targets.get(id).is_some_and(|t| t.pace_is_stale(now, self.config.check_after))
+        let is_stale =
+            |t: &Target| t.rate_share.is_none() && t.pace_is_stale(now, self.config.check_after);
+        self.learnt.may_have_paces() && self.targets.get(id).is_some_and(is_stale)
     }
 
     /// Whether the target says that another slot, or a later one, is better: it works slowly now, or
@@ -306,7 +334,7 @@
     }
 
     pub(super) fn has_target_for(&self, ask: &SlotAsk) -> bool {
-        self.targets.iter().any(|(id, t)| t.published.serving && !ask.exclude.contains(id))
+        self.targets.iter().any(|(id, t)| t.accepts_work() && !ask.exclude.contains(id))
     }
 
     pub(super) fn assign(
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Mono, rendezvous_weight};
+use shallotfork_types::{Mono, RequestRate, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
 use super::estimate::{Learnt, PaceReport};
 use super::published::{BeliefChange, LoadFigures, SlotOutcome, SlotTarget};
+use super::rate_share::RateShare;
 use super::{SlotAsk, WorkClass};
 use crate::AttemptId;
 
@@ -76,6 +77,8 @@
     others: Option<Others>,
     cold_until: Mono,
     probed_at: Option<Mono>,
+    /// This process's share of the target's rate limit; `None` if the target has no limit.
+    pub(super) rate_share: Option<RateShare>,
 }
 
 impl Target {
@@ -96,6 +99,7 @@
             others: None,
             cold_until,
             probed_at: None,
+            rate_share: None,
         }
     }
 
@@ -124,9 +128,19 @@
         self.published.slots.saturating_sub(self.used(now))
     }
 
-    /// Free slots that this process may fill. One that has its share already takes those of a target
-    /// in another failure domain only as long as half of them are free.
+    /// Whether this process may send requests to the target, now or later.
+    pub(super) fn accepts_work(&self) -> bool {
+        self.published.serving
+            && self.rate_share.is_none_or(|rate_share| rate_share.share() > RequestRate::ZERO)
+    }
+
+    /// Free slots that this process may fill; zero until the rate limit share allows the next
+    /// request. One that has its share already takes those of a target in another failure domain
+    /// only as long as half of them are free.
     pub(super) fn open_slots(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> u32 {
+        if self.rate_share.is_some_and(|rate_share| !rate_share.may_send(now)) {
+            return 0;
+        }
         if !has_share || !self.is_far(config) {
             return self.free_slots(now);
         }
@@ -233,6 +247,9 @@
 
     pub(super) fn start(&mut self, attempt: AttemptId, class: &WorkClass, now: Mono) {
         let crowded = self.would_crowd(now);
+        if let Some(rate_share) = &mut self.rate_share {
+            rate_share.record_send(now);
+        }
         let running = Running {
             attempt,
             class: class.clone(),
@@ -374,12 +391,17 @@
         self.failed(UNANSWERED_MAX, config, now)
     }
 
-    /// Whether a probe would tell something: its pace would be guessed otherwise.
+    /// Whether a probe would tell something: its pace would be guessed otherwise. A target with a rate
+    /// limit is not probed, because a probe is itself a request.
     pub(super) fn wants_probe(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> bool {
         let stale = |at: Mono| now.since(at) >= config.probe_after;
         let unknown = self.pace_is_stale(now, config.probe_after);
         let due = self.probed_at.is_none_or(stale);
-        unknown && due && !self.is_ejected(now) && self.open_slots(now, config, has_share) > 0
+        unknown
+            && due
+            && self.rate_share.is_none()
+            && !self.is_ejected(now)
+            && self.open_slots(now, config, has_share) > 0
     }
 
     /// When it was heard of last; before all others if it never was.
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -73,8 +73,27 @@
     }
 
     fn wait_for_slots(&self, count: usize) -> Duration {
-        let spacing_us = self.learnt.usual_us() / f64::from(self.serving_slots().max(1));
-        Duration::from_micros((spacing_us * count as f64) as u64)
+        let slots = self.effective_slots();
+        if slots <= 0.0 {
+            return self.config.retry_after_max;
+        }
+        let wait_us = self.learnt.usual_us() * count as f64 / slots;
+        Duration::from_micros(wait_us as u64)
+    }
+
+    /// Number of slots that this process can keep busy. A target with a rate limit counts only for
+    /// the slots that this process's share of the limit occupies on average.
+    fn effective_slots(&self) -> f64 {
+        let usual_s = self.learnt.usual_us() / 1e6;
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        let limited =
+            serving.filter_map(|target| Some((target.published.slots, target.rate_share?)));
+        let unused: f64 = limited
+            .map(|(slots, rate_share)| {
+                (f64::from(slots) - rate_share.share().per_s() * usual_s).max(0.0)
+            })
+            .sum();
+        f64::from(self.serving_slots().max(1)) - unused
     }
 
     pub(super) fn shed(&self, reason: ShedReason, now: Mono) -> Shed {
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -42,6 +42,8 @@
     TARGET_RETURNED = 5002 Info "target returned";
     TARGET_CHANGED = 5003 Info "published target changed";
     TARGETS_CHANGED = 5004 Info "many published targets changed at once";
+    TARGET_RATE_LIMIT = 5005 Info "rate limit of a target changed";
+    RATE_LIMIT_INVALID = 5006 Warning "rate limit of a target ignored: it is not a decimal number";
     PLATFORM_LOST = 6001 Warning "platform unreachable";
     PLATFORM_BACK = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,7 +9,7 @@
 use shallotfork_events::slog::Logger;
 use shallotfork_exchange::{BodyBudget, ServeControl, TargetLinks};
 use shallotfork_lifecycle::Phase;
-use shallotfork_measure::Lateness;
+use shallotfork_measure::{Lateness, RateLimits};
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
@@ -65,10 +65,14 @@
     pub last_answer: watch::Sender<Option<Mono>>,
     /// Bounds the lines about requests that went well.
     pub lines: LineBudget,
+    /// Bounds the lines about rate limits that are not valid.
+    pub invalid_limit_lines: LineBudget,
     /// Signalled when a request begins.
     pub begins: Notify,
     /// How late the traffic threads do their work.
     pub lateness: Mutex<Lateness>,
+    /// Rate limits advertised by targets.
+    pub rate_limits: Mutex<RateLimits>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
     /// Crash records of requests, shared by the traffic and control threads.
--- a/crates/gateway/src/control/hearing.rs
+++ b/crates/gateway/src/control/hearing.rs
@@ -1,6 +1,7 @@
 //! Between the fleet's own account of heartbeats and the messages that carry them.
 
 use shallotfork_fleet::{Beat, PlatformAges};
+use shallotfork_measure::RateLimitReport;
 use shallotfork_membership::{Announcement, ListedVm, News};
 use shallotfork_peer::{Heartbeat, PeerId, PeerNews, PeerState, PlatformWord};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
@@ -9,7 +10,7 @@
 use crate::context::lock;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
-use crate::traffic::log_quarantined;
+use crate::traffic::{apply_rate_limit, log_quarantined};
 
 /// What this process says of itself to an entry, with the news that is due to that one.
 /// `peer_digest` is the digest in the heartbeat that is being answered, if any.
@@ -35,6 +36,7 @@
         behind,
         crash_reports,
         quarantine_digest,
+        rate_limits: lock(&state.context.rate_limits).reports(state.now()),
         restart_safe: true,
         loads: Vec::new(),
         strength: from.listed.strength,
@@ -56,6 +58,7 @@
     state.fleet.borrow_mut().heard(&beat, state.now());
     note_sight(state);
     merge_crash_reports(state, &heartbeat.crash_reports);
+    merge_rate_limits(state, &heartbeat.rate_limits);
 }
 
 fn quarantine_reports(
@@ -67,6 +70,16 @@
     (quarantine.reports(peer_digest, now), quarantine.digest(now))
 }
 
+fn merge_rate_limits(state: &State, reports: &[RateLimitReport]) {
+    let context = &state.context;
+    for report in reports {
+        let mut rate_limits = lock(&context.rate_limits);
+        if rate_limits.merge(report, state.now()) {
+            apply_rate_limit(context, &report.target, report.limit, "peer");
+        }
+    }
+}
+
 fn merge_crash_reports(state: &State, reports: &[CrashReport]) {
     for report in reports {
         let newly_quarantined = lock(&state.context.quarantine).merge(report, state.now());
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -34,11 +34,10 @@
             "known" => state.known.get());
     }
     let active = named.is_empty() || is_named(&named, &state.context.settings.vm);
-    let sharers = named.len();
     let fleet = Fleet { named, active, live, known: state.known.get() };
     state.context.fleet.store(Arc::new(fleet));
     if changed {
-        publish_sharers(state, sharers);
+        publish_sharers(state);
     }
 }
 
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -9,9 +9,11 @@
 use shallotfork_routes::{Offer, RouteTable};
 use shallotfork_types::{Revision, ServiceName, TargetId};
 
+use crate::context::lock;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
 use crate::snapshot::Published;
+use crate::traffic::ServiceSlots;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
 use shallotfork_fleet::OwnState;
 
@@ -81,9 +83,13 @@
         match change {
             RosterChange::Restarted(id) => {
                 context.links.forget(id);
+                lock(&context.rate_limits).forget(id);
                 context.services.all().iter().for_each(|(_, slots)| slots.restarted(id));
             }
-            RosterChange::Left(id) => context.links.forget(id),
+            RosterChange::Left(id) => {
+                context.links.forget(id);
+                lock(&context.rate_limits).forget(id);
+            }
             _ => {}
         }
     }
@@ -122,9 +128,17 @@
     state.context.published.store(Arc::new(published));
 }
 
-/// Tells the slots of all services how many entries share them.
-pub fn publish_sharers(state: &State, sharers: usize) {
-    state.context.services.all().iter().for_each(|(_, slots)| slots.set_sharers(sharers));
+/// Tells the slots of all services which entries share them.
+pub fn publish_sharers(state: &State) {
+    for (_, slots) in state.context.services.all() {
+        set_sharers(state, &slots);
+    }
+}
+
+fn set_sharers(state: &State, slots: &ServiceSlots) {
+    let fleet = state.context.fleet.load();
+    slots.set_sharers(fleet.named.len());
+    slots.set_sharer_names(fleet.named.iter().map(|entry| entry.vm.to_string()).collect());
 }
 
 /// Publishes the targets, and gives each service's slots theirs if these have changed.
@@ -139,7 +153,6 @@
     let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
     context.published.store(Arc::new(published));
     state.update_own(|own| OwnState { targets: count, ..own });
-    let sharers = context.fleet.load().named.len();
     let mut given = state.given.borrow_mut();
     let gone: Vec<ServiceName> =
         given.keys().filter(|service| !by_service.contains_key(*service)).cloned().collect();
@@ -147,8 +160,11 @@
     for (service, targets) in by_service.into_iter().chain(emptied) {
         if given.get(&service) != Some(&targets) {
             let slots = context.slots(&service);
-            slots.set_sharers(sharers);
+            set_sharers(state, &slots);
             slots.set_targets(targets.clone());
+            for (target, limit) in lock(&context.rate_limits).all() {
+                slots.set_rate_limit(target, Some(limit));
+            }
             given.insert(service, targets);
         }
     }
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -25,6 +25,7 @@
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
 use crate::control::state::{State, own_announcement};
+use crate::traffic::apply_rate_limit;
 use shallotfork_feed::{Archive, CatchUp, Feed};
 use shallotfork_fleet::FleetMember;
 
@@ -140,11 +141,19 @@
                 expire_targets(&state);
                 state.context.links.tidy();
                 lock(&state.context.quarantine).expire(state.now());
+                expire_rate_limits(&state.context);
             }
         }
     }
 }
 
+fn expire_rate_limits(context: &Context) {
+    let mut rate_limits = lock(&context.rate_limits);
+    for target in rate_limits.expire(context.clock.now()) {
+        apply_rate_limit(context, &target, None, "lapsed");
+    }
+}
+
 fn new_state(
     context: Arc<Context>,
     feed: Arc<dyn Feed>,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -21,6 +21,8 @@
     pub not_run: HeaderName,
     /// A target's account of its load.
     pub load: HeaderName,
+    /// A target's rate limit in requests per second, for all entries together.
+    pub rate_limit: HeaderName,
 }
 
 /// Paths that are not those of any route.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,6 +40,9 @@
 /// answers today, so that in the ordinary case each can be followed by its id.
 const REQUEST_LINES: PerSecond = PerSecond::new(400);
 
+/// Lines a second about rate limits that are not valid; targets may repeat one in every answer.
+const INVALID_LIMIT_LINES: PerSecond = PerSecond::new(1);
+
 /// What a platform's adapter brings.
 pub struct Program {
     /// Settings.
@@ -101,8 +104,10 @@
         deadlines: Deadlines::default(),
         last_answer: watch::Sender::new(None),
         lines: LineBudget::new(REQUEST_LINES),
+        invalid_limit_lines: LineBudget::new(INVALID_LIMIT_LINES),
         begins: Notify::new(),
         lateness: Mutex::default(),
+        rate_limits: Mutex::default(),
         fingerprint_key,
         quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
     });
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -23,6 +23,7 @@
 };
 use crate::traffic::probes::{Probed, probe};
 use crate::traffic::quarantine::{begin_run, is_clear, note_answer, note_crash};
+use crate::traffic::rate_limit::note_rate_limit;
 use crate::traffic::service_slots::{Assigned, ServiceSlots};
 
 /// Targets that may prove to be out of reach before a request is given up. Nothing arrives there,
@@ -300,6 +301,11 @@
     let latency = context.clock.now().since(sent_at);
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let figures = result.as_ref().ok().and_then(|answer| figures(&context.dialect, answer));
+    if let Ok(answer) = &result
+        && outcome != SlotOutcome::Misdirected
+    {
+        note_rate_limit(context, &target, answer);
+    }
     assigned.finish(outcome, figures);
     let crashed = target_may_have_crashed(&result) && refuses_connections(job, endpoint).await;
     if crashed {
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -12,7 +12,7 @@
 use shallotfork_events::slog::Logger;
 use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
 use shallotfork_timer::Clock;
-use shallotfork_types::{Mono, ServiceName, TargetId};
+use shallotfork_types::{Mono, RequestRate, ServiceName, TargetId};
 use tokio::sync::{Notify, oneshot};
 
 use crate::context::lock;
@@ -164,6 +164,18 @@
         self.lock().pool.set_sharers(sharers);
     }
 
+    /// Sets the names of the entries that send requests to the targets.
+    pub fn set_sharer_names(&self, names: Vec<String>) {
+        let now = self.clock.now();
+        self.lock().pool.set_sharer_names(names, now);
+    }
+
+    /// Sets the rate limit of a target, which applies to all entries together; `None` removes it.
+    pub fn set_rate_limit(&self, target: &TargetId, limit: Option<RequestRate>) {
+        let now = self.clock.now();
+        self.lock().pool.set_rate_limit(target, limit, now);
+    }
+
     /// Takes the published targets.
     pub fn set_targets(self: &Arc<Self>, targets: Vec<SlotTarget>) {
         let now = self.clock.now();
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -10,6 +10,7 @@
 mod load_report;
 mod probe_budget;
 mod probe_plan;
+mod rate_limits;
 mod share;
 
 pub use connection_budget::{ConnectionBudget, ConnectionLimits, ConnectionPermit};
@@ -17,4 +18,5 @@
 pub use load_report::{BadLoadReport, LoadReport};
 pub use probe_budget::{MeasuredTarget, ProbeBudget};
 pub use probe_plan::{ProbeEnd, ProbePermit, ProbePlan};
+pub use rate_limits::{RateLimitReport, RateLimits};
 pub use share::{BadShare, FleetShare};
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -152,6 +152,7 @@
         platform: PlatformWord::default(),
         domain_entries: 0,
         crash_reports: Vec::new(),
+        rate_limits: Vec::new(),
         quarantine_digest: Default::default(),
         behind: false,
         restart_safe: false,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -50,6 +50,8 @@
   quarantineDigest @19 :UInt64;
   # Digest of the requests that the sender quarantines; 0 if there are none.
 
+  rateLimits @20 :List(RateLimit);
+
   enum State {
     live @0;
     leaving @1;
@@ -81,6 +83,17 @@
   # Time since the last crash and the last answer; the default means no known answer.
 }
 
+struct RateLimit {
+  # The sender's record of a target's rate limit in thousandths of a request a second. The limit
+  # applies to all entries together.
+
+  target @0 :Text;
+  milliPerS @1 :UInt64 = 0xffffffffffffffff;
+  # The default means that the target has removed its limit.
+  answeredMs @2 :UInt32;
+  # Time since the last answer on which the record is based.
+}
+
 struct LoadHint {
   target @0 :Text;
   loadPermille @1 :UInt32;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use shallotfork_measure::RateLimitReport;
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_types::{
     Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision, TargetId,
@@ -71,6 +72,8 @@
     pub crash_reports: Vec<CrashReport>,
     /// Digest of the requests that the sender quarantines.
     pub quarantine_digest: QuarantineDigest,
+    /// Recently changed or refreshed rate limits of targets.
+    pub rate_limits: Vec<RateLimitReport>,
     /// Whether its sudden end would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use capnp::{Error, Result};
+use shallotfork_measure::RateLimitReport;
 use shallotfork_once::{
     ClaimAnswer, Completion, HeaderField, KeptAnswer, OperationId, SECRET_BYTES, SealedEnd,
     SealedLedger, SealedOperation, SealedSession, Secret,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
-    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille, Revision,
-    TargetId,
+    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille, RequestRate,
+    Revision, TargetId,
 };
 
 use crate::key::NONCE_BYTES;
@@ -148,6 +149,12 @@
             write_crash_report(report, all.reborrow().get(index));
         }
     }
+    if !beat.rate_limits.is_empty() {
+        let mut all = to.reborrow().init_rate_limits(length(beat.rate_limits.len()));
+        for (index, report) in (0..).zip(&beat.rate_limits) {
+            write_rate_limit(report, all.reborrow().get(index));
+        }
+    }
     if !beat.news.is_empty() {
         let mut all = to.reborrow().init_news(length(beat.news.len()));
         for (index, news) in (0..).zip(&beat.news) {
@@ -194,6 +201,24 @@
     }
 }
 
+/// Wire value for a removed rate limit.
+const NO_RATE_LIMIT: u64 = u64::MAX;
+
+fn write_rate_limit(report: &RateLimitReport, mut to: schema::rate_limit::Builder<'_>) {
+    to.set_target(report.target.as_str());
+    to.set_milli_per_s(report.limit.map_or(NO_RATE_LIMIT, RequestRate::milli_per_s));
+    to.set_answered_ms(write_age(Some(report.answered_ago)));
+}
+
+fn read_rate_limit(from: schema::rate_limit::Reader<'_>) -> Result<RateLimitReport> {
+    let milli_per_s = from.get_milli_per_s();
+    Ok(RateLimitReport {
+        target: TargetId::new(from.get_target()?.to_str()?).map_err(invalid)?,
+        limit: (milli_per_s != NO_RATE_LIMIT).then(|| RequestRate::from_milli_per_s(milli_per_s)),
+        answered_ago: Duration::from_millis(from.get_answered_ms().into()),
+    })
+}
+
 /// An age that is not known.
 const NO_AGE_MS: u32 = u32::MAX;
 
@@ -242,6 +267,7 @@
         behind: from.get_behind(),
         crash_reports: from.get_crash_reports()?.iter().map(read_crash_report).collect(),
         quarantine_digest: QuarantineDigest::new(from.get_quarantine_digest()),
+        rate_limits: from.get_rate_limits()?.iter().map(read_rate_limit).collect::<Result<_>>()?,
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         strength: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use shallotfork_measure::RateLimitReport;
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, HeaderField, Issuer, KeptAnswer,
     LedgerPart, OnceConfig, OperationId, Secret, Session,
@@ -18,8 +19,8 @@
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
-    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille, Revision,
-    TargetId, VmId,
+    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille,
+    RequestRate, Revision, TargetId, VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -199,6 +200,11 @@
     }
 }
 
+fn rate_limit(limit: Option<RequestRate>) -> RateLimitReport {
+    let target = TargetId::new("t2").unwrap();
+    RateLimitReport { target, limit, answered_ago: Duration::from_millis(30) }
+}
+
 fn heartbeat() -> Heartbeat {
     let target = TargetId::new("t1").unwrap();
     Heartbeat {
@@ -221,6 +227,11 @@
         behind: true,
         crash_reports: vec![crash_report(Some(Duration::from_millis(20))), crash_report(None)],
         quarantine_digest: QuarantineDigest::new(11),
+        rate_limits: vec![
+            rate_limit(Some(RequestRate::from_milli_per_s(1_500))),
+            rate_limit(Some(RequestRate::ZERO)),
+            rate_limit(None),
+        ],
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         strength: PerSecond::new(700),
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -122,6 +122,7 @@
         platform: PlatformWord::default(),
         domain_entries: 0,
         crash_reports: Vec::new(),
+        rate_limits: Vec::new(),
         quarantine_digest: Default::default(),
         behind: false,
         restart_safe: state.ledger.borrow().running() == 0,
