fix(gateway): a request has the same fingerprint however its host is spelled

A repeat of a quarantined request with its host in capitals was sent and crashed its target: routes are found by the host in lower case, and the fingerprint took it as it came. The test failed before with 502 in place of 503.

--- a/crates/gateway/src/traffic/job.rs
+++ b/crates/gateway/src/traffic/job.rs
@@ -101,9 +101,10 @@
                     values.flat_map(|value| [name.as_str().as_bytes(), value.as_bytes()])
                 })
                 .collect();
+            let host = request.service.as_str().to_ascii_lowercase();
             self.context.fingerprint_key.fingerprint(&RequestContent {
                 method: request.method.as_str(),
-                host: request.service.as_str(),
+                host: &host,
                 path_and_query: request.path_and_query.as_str(),
                 caller_headers: &caller_headers,
                 body: &request.body,
