fix(fleet): use weak entries when all strong ones of a failure domain are behind

On a site whose VMs are short of processor time, callers of a failure domain were still sent to its two strong entries, both of which were behind with their work, while its 45 weak entries, which together carry several times as much, stood idle.

Six entries, four of them weak, carry less than two strong ones, because each entry gets as many callers as the weakest, so none was added.

Where the leading entries are all behind and a weaker one follows, now consider as many entries as are needed to carry more than the leading ones do.

--- a/crates/fleet/src/helpers.rs
+++ b/crates/fleet/src/helpers.rs
@@ -34,7 +34,8 @@
         let here: Vec<&Candidate> = here.take(ACTIVE_MAX).collect();
         let usually = here.iter().filter(|entry| named.contains(&entry.vm)).count();
         let late = here.iter().filter(|entry| behind.contains(&entry.vm)).count();
-        let most = here.len().min(usually + late * HELPERS);
+        let most =
+            here.len().min(usually + late * HELPERS).max(count_exceeding_behind(&here, behind));
         let best = (usually..=most).max_by_key(|count| carried_by(*count, &here));
         named.extend(here.iter().take(best.unwrap_or(usually)).map(|entry| &entry.vm));
     }
@@ -44,3 +45,20 @@
 fn carried_by(count: usize, here: &[&Candidate]) -> u64 {
     if count == 0 { 0 } else { carried(count, here) }
 }
+
+/// Returns the smallest number of entries that together carry more than the leading run of entries that
+/// are behind, so that weaker entries do not stay idle when all stronger ones are overloaded.
+///
+/// Returns 0 if the first entry is not behind, if the entry after the run is missing or not weaker, or if
+/// no number of entries carries more.
+fn count_exceeding_behind(here: &[&Candidate], behind: &BTreeSet<VmId>) -> usize {
+    let leading = here.iter().take_while(|entry| behind.contains(&entry.vm)).count();
+    let next_is_weaker =
+        leading > 0 && leading < here.len() && here[leading].strength < here[leading - 1].strength;
+    if !next_is_weaker {
+        return 0;
+    }
+    let count =
+        (leading + 1..=here.len()).find(|count| carried(*count, here) > carried(leading, here));
+    count.unwrap_or(0)
+}
