refactor(gateway): one place decides whether a request needs a fingerprint

Record::merge returned a value that nobody read. No behaviour changes: the tests of the quarantine, the fleet model of a crashing request, crashing_request and whole_path pass.

--- a/crates/gateway/src/traffic/quarantine.rs
+++ b/crates/gateway/src/traffic/quarantine.rs
@@ -29,11 +29,7 @@
 /// Returns the refusal if the request is quarantined, or suspected and not to be sent yet.
 pub fn begin_run(job: &Job, send: SendKind) -> Result<Option<SuspectRun<'_>>, Shed> {
     let context = &job.context;
-    // Avoids hashing requests while there are no records.
-    if lock(&context.quarantine).is_empty() {
-        return Ok(None);
-    }
-    let fingerprint = job.fingerprint();
+    let Some(fingerprint) = fingerprint_if_needed(job) else { return Ok(None) };
     let mut quarantine = lock(&context.quarantine);
     match quarantine.admit(fingerprint, send, context.clock.now()) {
         Admission::Clear => Ok(None),
@@ -52,14 +48,17 @@
 
 /// Whether a request is neither suspected nor quarantined.
 pub fn is_clear(job: &Job) -> bool {
-    let context = &job.context;
-    if lock(&context.quarantine).is_empty() {
-        return true;
-    }
-    let fingerprint = job.fingerprint();
-    let admission =
-        lock(&context.quarantine).admit(fingerprint, SendKind::First, context.clock.now());
-    admission == Admission::Clear
+    fingerprint_if_needed(job).is_none_or(|fingerprint| {
+        let now = job.context.clock.now();
+        let quarantine = lock(&job.context.quarantine);
+        quarantine.admit(fingerprint, SendKind::First, now) == Admission::Clear
+    })
+}
+
+/// Returns the request's fingerprint; `None` while there are no records, to avoid hashing requests.
+fn fingerprint_if_needed(job: &Job) -> Option<RequestFingerprint> {
+    let has_records = !lock(&job.context.quarantine).is_empty();
+    has_records.then(|| job.fingerprint())
 }
 
 /// Records and logs that a target crashed while running a request that was sent to it at `sent_at`.
@@ -87,12 +86,9 @@
 
 /// Records that a target answered the request.
 pub fn note_answer(job: &Job) {
-    let context = &job.context;
-    if lock(&context.quarantine).is_empty() {
-        return;
+    if let Some(fingerprint) = fingerprint_if_needed(job) {
+        lock(&job.context.quarantine).record_answer(fingerprint, job.context.clock.now());
     }
-    let fingerprint = job.fingerprint();
-    lock(&context.quarantine).record_answer(fingerprint, context.clock.now());
 }
 
 /// Logs that a request was quarantined. `source` is `own` for crashes that this process observed and
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -52,11 +52,11 @@
         self.changed_at = now;
     }
 
-    /// Merges the record of another process. Returns whether this record changed.
+    /// Merges the record of another process.
     ///
     /// Takes the larger crash count instead of the sum, because both processes may have had runs on
     /// the same target, or on targets that crashed together.
-    pub(crate) fn merge(&mut self, report: &CrashReport, now: Mono) -> bool {
+    pub(crate) fn merge(&mut self, report: &CrashReport, now: Mono) {
         let before = (self.crashes, self.answered_at);
         let answered_at = report.answered_ago.map(|ago| now.minus(ago));
         if answered_at > self.answered_at {
@@ -71,11 +71,9 @@
             self.crashes = report.crashes;
             self.crashed_at = crashed_at;
         }
-        let changed = before != (self.crashes, self.answered_at);
-        if changed {
+        if before != (self.crashes, self.answered_at) {
             self.changed_at = now;
         }
-        changed
     }
 
     /// Returns the record as a report to other processes.
