refactor(balance): the processes that share slots are set once, by name

The pool kept their number beside their names, set by two calls in a row; the number follows from the names. The gateway's two arms for targets that have left or restarted, alike but for one line, are one.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -55,10 +55,8 @@
     pub(super) learnt: Learnt,
     /// Changes of belief that nobody has taken yet.
     beliefs: Vec<Belief>,
-    /// Processes that send requests of the service to these targets, this one included.
-    sharers: usize,
-    /// Names of the processes that callers are sent to, used to compute rate limit shares.
-    sharer_names: Vec<String>,
+    /// Names of the processes that callers are sent to, which send requests to these targets.
+    sharers: Vec<String>,
     serving_slots: u32,
     /// Bounds the probes while requests wait.
     probes: ProbeBudget,
@@ -76,27 +74,21 @@
             queue: SlotQueue::default(),
             learnt,
             beliefs: Vec::new(),
-            sharers: 1,
-            sharer_names: Vec::new(),
+            sharers: Vec::new(),
             serving_slots: 0,
             probes: ProbeBudget::new(),
             last_id: 0,
         }
     }
 
-    /// Says how many processes share the slots, this one included.
-    pub fn set_sharers(&mut self, sharers: usize) {
-        self.sharers = sharers.max(1);
-    }
-
     /// Sets the names of the processes that share the slots and recomputes the shares of all rate
     /// limits. This process is included only if callers are sent to it.
-    pub fn set_sharer_names(&mut self, names: Vec<String>, now: Mono) {
-        self.sharer_names = names;
+    pub fn set_sharers(&mut self, sharers: Vec<String>, now: Mono) {
+        self.sharers = sharers;
         for (id, target) in &mut self.targets {
             let Some(current) = target.rate_share else { continue };
             let limit = current.limit();
-            let share = compute_share(limit, id, &self.config.name, &self.sharer_names);
+            let share = compute_share(limit, id, &self.config.name, &self.sharers);
             target.rate_share = Some(current.updated(limit, share, now));
         }
     }
@@ -106,7 +98,7 @@
     pub fn set_rate_limit(&mut self, id: &TargetId, limit: Option<RequestRate>, now: Mono) {
         let Some(target) = self.targets.get_mut(id) else { return };
         target.rate_share = limit.map(|limit| {
-            let share = compute_share(limit, id, &self.config.name, &self.sharer_names);
+            let share = compute_share(limit, id, &self.config.name, &self.sharers);
             let new = RateShare::new(limit, share, now);
             target.rate_share.map_or(new, |current| current.updated(limit, share, now))
         });
@@ -120,7 +112,7 @@
     /// away to those nearby; one that has less takes what is free anywhere, since its own failure
     /// domain may have few.
     pub(super) fn has_share(&self) -> bool {
-        self.attempts.len() * self.sharers >= self.serving_slots() as usize
+        self.attempts.len() * self.sharers.len().max(1) >= self.serving_slots() as usize
     }
 
     /// Slots of all targets that take new work.
--- a/crates/balance/tests/rate_limits.rs
+++ b/crates/balance/tests/rate_limits.rs
@@ -59,7 +59,7 @@
         let sharers = names[..sharers].to_vec();
         let process = |name: &String| {
             let mut pool = named_pool(name, &[TARGET]);
-            pool.set_sharer_names(sharers.clone(), at(0));
+            pool.set_sharers(sharers.clone(), at(0));
             pool.set_rate_limit(&id(TARGET), Some(limit), at(0));
             Process { name: name.clone(), pool, running: Vec::new(), pending_view: None }
         };
@@ -90,7 +90,7 @@
             if let Some((_, view)) =
                 process.pending_view.take_if(|(learned_ms, _)| *learned_ms <= now_ms)
             {
-                process.pool.set_sharer_names(view, at(now_ms));
+                process.pool.set_sharers(view, at(now_ms));
             }
             let ended = process.running.extract_if(.., |(ends_ms, _)| *ends_ms <= now_ms);
             for (_, assignment) in ended {
@@ -156,12 +156,12 @@
 #[test]
 fn a_request_is_refused_at_once_if_the_process_has_no_share_of_any_limit() {
     let mut pool = named_pool("vm-1", &[TARGET]);
-    pool.set_sharer_names(vec!["vm-0".to_owned()], at(0));
+    pool.set_sharers(vec!["vm-0".to_owned()], at(0));
     pool.set_rate_limit(&id(TARGET), Some(rate("1")), at(0));
     let Admission::Shed(shed) = pool.admit(ask(0), at(0)) else { panic!("expected a refusal") };
     assert_eq!(shed.reason, ShedReason::NoTarget);
     assert!(shed.retry_after > Duration::ZERO);
-    pool.set_sharer_names(vec!["vm-1".to_owned()], at(0));
+    pool.set_sharers(vec!["vm-1".to_owned()], at(0));
     sent(pool.admit(ask(2_000), at(2_000)));
 }
 
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -80,17 +80,11 @@
     let context = &state.context;
     log_changes(state, changed);
     for change in changed {
-        match change {
-            RosterChange::Restarted(id) => {
-                context.links.forget(id);
-                lock(&context.rate_limits).forget(id);
-                context.services.all().iter().for_each(|(_, slots)| slots.restarted(id));
-            }
-            RosterChange::Left(id) => {
-                context.links.forget(id);
-                lock(&context.rate_limits).forget(id);
-            }
-            _ => {}
+        let (RosterChange::Restarted(id) | RosterChange::Left(id)) = change else { continue };
+        context.links.forget(id);
+        lock(&context.rate_limits).forget(id);
+        if matches!(change, RosterChange::Restarted(_)) {
+            context.services.all().iter().for_each(|(_, slots)| slots.restarted(id));
         }
     }
     publish_routes(state);
@@ -137,8 +131,7 @@
 
 fn set_sharers(state: &State, slots: &ServiceSlots) {
     let fleet = state.context.fleet.load();
-    slots.set_sharers(fleet.named.len());
-    slots.set_sharer_names(fleet.named.iter().map(|entry| entry.vm.to_string()).collect());
+    slots.set_sharers(fleet.named.iter().map(|entry| entry.vm.to_string()).collect());
 }
 
 /// Publishes the targets, and gives each service's slots theirs if these have changed.
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -159,15 +159,10 @@
         Some(self.assigned(assignment))
     }
 
-    /// Takes how many entries send requests to the targets.
-    pub fn set_sharers(&self, sharers: usize) {
-        self.lock().pool.set_sharers(sharers);
-    }
-
     /// Sets the names of the entries that send requests to the targets.
-    pub fn set_sharer_names(&self, names: Vec<String>) {
+    pub fn set_sharers(&self, sharers: Vec<String>) {
         let now = self.clock.now();
-        self.lock().pool.set_sharer_names(names, now);
+        self.lock().pool.set_sharers(sharers, now);
     }
 
     /// Sets the rate limit of a target, which applies to all entries together; `None` removes it.
