feat(evacuation): keep requests away from evacuated failure domains

Cause: the operator's request to evacuate a failure domain was never read; the word stood nowhere in the code.

Change: the platform's key becomes an EvacuationChange in platform/; crates/evacuation (pure) keeps what is in force by revision; the gateway publishes it with the targets. Targets of an evacuated domain serve no new work, which covers first and second sends, hedges, waiting requests and questions; a request that was assigned a slot there before is checked again after the question to its target and right before it is sent.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallotfork_types::{Mono, RequestRate, TargetId};
+use shallotfork_types::{FailureDomain, Mono, RequestRate, TargetId};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
@@ -242,11 +242,13 @@
         self.learnt.may_have_paces() && self.targets.get(id).is_some_and(is_stale)
     }
 
-    /// Whether the target says that another slot, or a later one, is better: it works slowly now, or
-    /// other processes fill it.
+    /// Whether another slot, or a later one, is better: the target takes no new work any more, works
+    /// slowly now by its own word, or is filled by other processes.
     pub fn is_unfit(&self, id: &TargetId, ask: &SlotAsk, now: Mono) -> bool {
         let Some(target) = self.targets.get(id) else { return true };
-        target.is_overfull(now) || target.is_slow(ask, now, &self.config, &self.learnt)
+        !target.published.serving
+            || target.is_overfull(now)
+            || target.is_slow(ask, now, &self.config, &self.learnt)
     }
 
     /// A target answered without telling its load. If none has ever told it, none is asked again.
@@ -315,6 +317,12 @@
         self.queue.len()
     }
 
+    /// Attempts in flight at targets of one failure domain.
+    pub fn running_in(&self, failure_domain: &FailureDomain) -> usize {
+        let there = |t: &&Target| t.published.failure_domain == *failure_domain;
+        self.targets.values().filter(there).map(|target| target.running.len()).sum()
+    }
+
     /// Attempts in flight.
     pub fn running(&self) -> usize {
         self.attempts.len()
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -100,6 +100,8 @@
         let returning = self.targets.values().filter_map(Target::ejected_until);
         let returning = returning.filter(|until| *until > now).min();
         let wait = match (reason, returning) {
+            // No slot is expected, so that there is no better estimate.
+            _ if self.serving_slots() == 0 => self.config.retry_after_max,
             (ShedReason::NoTarget, Some(until)) => until.since(now),
             _ => self.wait_for_slots(self.queue.len() + 1),
         };
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -31,6 +31,10 @@
     ROUTES_ACCEPTED = 2005 Info "routes in force";
     ROUTES_REFUSED = 2006 Error "routes refused: they are not valid";
     TOLD_REFUSED = 2007 Warning "published items of another entry not taken";
+    EVACUATION_BEGUN = 2008 Info "failure domain evacuated: its targets get nothing more";
+    EVACUATION_ENDED = 2009 Info "failure domain taken back: its targets are used again";
+    EVACUATION_INVALID = 2010 Error "request to evacuate a failure domain ignored: it is not valid";
+    EVACUATION_RUNNING = 2011 Info "requests still run in an evacuated failure domain";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use shallotfork_evacuation::EvacuationChange;
 use shallotfork_roster::Change;
 use shallotfork_routes::RouteTable;
 use shallotfork_types::Revision;
@@ -75,6 +76,10 @@
     BadRoutes(String),
     /// What became of a target's entry.
     Target(Change),
+    /// What became of the evacuation of a failure domain.
+    Evacuation(EvacuationChange),
+    /// A request to evacuate that can't be read; nothing changes.
+    BadEvacuation(String),
     /// Nothing that concerns this process.
     Ignored,
 }
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -4,7 +4,11 @@
 use std::sync::Arc;
 
 use shallotfork_balance::SlotTarget;
-use shallotfork_events::{ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event};
+use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
+use shallotfork_events::{
+    EVACUATION_BEGUN, EVACUATION_ENDED, EVACUATION_INVALID, ROUTES_ACCEPTED, ROUTES_REFUSED,
+    TARGET_CHANGED, TARGETS_CHANGED, event,
+};
 use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
 use shallotfork_routes::{Offer, RouteTable};
 use shallotfork_types::{Revision, ServiceName, TargetId};
@@ -20,13 +24,21 @@
 /// Changes of targets in one reading that are logged one by one.
 const CHANGE_LINES_MAX: usize = 20;
 
+/// Changes of targets and evacuations among published items.
+#[derive(Debug, Default)]
+struct Taken {
+    targets: Vec<Change>,
+    evacuations: Vec<EvacuationChange>,
+}
+
 /// Takes everything that a full read brought, which began at `revision`.
 pub fn take_all(state: &State, items: &[RawItem], revision: Revision) {
     state.archive.borrow_mut().replace(items, revision);
-    let changes = take_routes(state, items);
+    let Taken { targets, evacuations } = take_routes(state, items);
     let now = state.context.clock.now();
-    let changed = state.roster.borrow_mut().replace(changes, revision, now);
-    publish(state, &changed);
+    let evacuated = state.evacuations.borrow_mut().replace(evacuations, revision, now);
+    let changed = state.roster.borrow_mut().replace(targets, revision, now);
+    publish(state, &changed, &evacuated);
 }
 
 /// Takes what has changed since the position of the archive.
@@ -35,10 +47,11 @@
     if changes.items.is_empty() {
         return;
     }
-    let targets = take_routes(state, &changes.items);
+    let Taken { targets, evacuations } = take_routes(state, &changes.items);
     let now = state.context.clock.now();
+    let evacuated = state.evacuations.borrow_mut().apply(evacuations, now);
     let changed = state.roster.borrow_mut().apply(targets, now);
-    publish(state, &changed);
+    publish(state, &changed, &evacuated);
 }
 
 /// Ends targets that have been missing for too long.
@@ -46,13 +59,13 @@
     note_sight(state);
     let changed = state.roster.borrow_mut().expire(state.context.clock.now());
     if !changed.is_empty() {
-        publish(state, &changed);
+        publish(state, &changed, &[]);
     }
 }
 
-/// Takes the routes among the items and returns the changes of targets.
-fn take_routes(state: &State, items: &[RawItem]) -> Vec<Change> {
-    let mut targets = Vec::new();
+/// Takes the routes among the items and returns the other changes.
+fn take_routes(state: &State, items: &[RawItem]) -> Taken {
+    let mut taken = Taken::default();
     for item in items {
         match state.feed.decode(item) {
             Decoded::Routes(table) => offer(state, table, item.revision),
@@ -60,11 +73,16 @@
                 event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
                     "revision" => item.revision.value());
             }
-            Decoded::Target(change) => targets.push(change),
+            Decoded::Target(change) => taken.targets.push(change),
+            Decoded::Evacuation(change) => taken.evacuations.push(change),
+            Decoded::BadEvacuation(reason) => {
+                event!(state.context.log, EVACUATION_INVALID, "reason" => reason,
+                    "revision" => item.revision.value());
+            }
             Decoded::Ignored => {}
         }
     }
-    targets
+    taken
 }
 
 fn offer(state: &State, table: RouteTable, revision: Revision) {
@@ -75,10 +93,11 @@
     }
 }
 
-/// Publishes routes and targets as they are known now.
-fn publish(state: &State, changed: &[RosterChange]) {
+/// Publishes routes, evacuations and targets as they are known now.
+fn publish(state: &State, changed: &[RosterChange], evacuated: &[EvacuationEvent]) {
     let context = &state.context;
     log_changes(state, changed);
+    log_evacuations(state, evacuated);
     for change in changed {
         let (RosterChange::Restarted(id) | RosterChange::Left(id)) = change else { continue };
         context.links.forget(id);
@@ -88,12 +107,44 @@
         }
     }
     publish_routes(state);
+    if !evacuated.is_empty() {
+        publish_evacuated(state);
+    }
     let version = state.roster.borrow().version();
-    if state.published_version.replace(version) != version {
+    if state.published_version.replace(version) != version || !evacuated.is_empty() {
         publish_targets(state);
     }
 }
 
+fn log_evacuations(state: &State, events: &[EvacuationEvent]) {
+    let log = &state.context.log;
+    for event in events {
+        match event {
+            EvacuationEvent::Began(evacuation) => {
+                event!(log, EVACUATION_BEGUN,
+                    "failure_domain" => evacuation.failure_domain.as_str(),
+                    "revision" => evacuation.revision.value());
+            }
+            EvacuationEvent::Ended(evacuation) => {
+                let lasted = state.now().since(evacuation.learned_at);
+                event!(log, EVACUATION_ENDED,
+                    "failure_domain" => evacuation.failure_domain.as_str(),
+                    "revision" => evacuation.revision.value(),
+                    "lasted_ms" => u64::try_from(lasted.as_millis()).unwrap_or(u64::MAX));
+            }
+        }
+    }
+}
+
+/// Publishes which failure domains are evacuated. Requests that were assigned a target before check
+/// this again before they are sent.
+fn publish_evacuated(state: &State) {
+    let published = state.context.published.load();
+    let evacuated = Arc::new(state.evacuations.borrow().in_force());
+    let published = Published { evacuated, ..Published::clone(&published) };
+    state.context.published.store(Arc::new(published));
+}
+
 /// A line for each change, or one for many: after a common start hundreds of entries each read
 /// hundreds of targets, and would write for longer than they read.
 fn log_changes(state: &State, changed: &[RosterChange]) {
@@ -140,7 +191,7 @@
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetEntry> =
         roster.targets().into_iter().map(|(id, entry)| (id.clone(), entry.clone())).collect();
-    let by_service = by_service(&targets);
+    let by_service = by_service(&targets, &state.evacuations.borrow());
     let count = targets.len();
     let published = context.published.load();
     let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
@@ -165,21 +216,28 @@
 
 /// The targets by service. Every entry may send to each of them, and prefers those nearby: what others
 /// send there it hears from the targets themselves, before it sends.
-fn by_service(targets: &HashMap<TargetId, TargetEntry>) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
+fn by_service(
+    targets: &HashMap<TargetId, TargetEntry>,
+    evacuations: &Evacuations,
+) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
     for (id, entry) in targets {
-        by_service.entry(entry.service.clone()).or_default().push(slot_target(id, entry));
+        let evacuated = evacuations.contains(&entry.failure_domain);
+        by_service
+            .entry(entry.service.clone())
+            .or_default()
+            .push(slot_target(id, entry, evacuated));
     }
     by_service.values_mut().for_each(|targets| targets.sort_by(|a, b| a.id.cmp(&b.id)));
     by_service
 }
 
-fn slot_target(id: &TargetId, entry: &TargetEntry) -> SlotTarget {
+fn slot_target(id: &TargetId, entry: &TargetEntry, evacuated: bool) -> SlotTarget {
     SlotTarget {
         id: id.clone(),
         failure_domain: entry.failure_domain.clone(),
         slots: entry.slots,
-        serving: entry.availability == Availability::Serving,
+        serving: entry.availability == Availability::Serving && !evacuated,
         cold_for: entry.cold_for,
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use shallotfork_balance::SlotTarget;
+use shallotfork_evacuation::Evacuations;
 use shallotfork_feed::{Archive, CatchUp, Feed};
 use shallotfork_fleet::{Beliefs, FleetMember, OwnState};
 use shallotfork_membership::{Announcement, ListedVm};
@@ -31,6 +32,8 @@
     pub in_force: RefCell<InForce>,
     /// The targets.
     pub roster: RefCell<Roster>,
+    /// The evacuations of failure domains.
+    pub evacuations: RefCell<Evacuations>,
     /// The platform.
     pub feed: Arc<dyn Feed>,
     /// Published items as last seen.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -26,6 +26,7 @@
 use crate::control::reader::read_on;
 use crate::control::state::{State, own_announcement};
 use crate::traffic::apply_rate_limit;
+use shallotfork_evacuation::Evacuations;
 use shallotfork_feed::{Archive, CatchUp, Feed};
 use shallotfork_fleet::FleetMember;
 
@@ -166,6 +167,7 @@
         peers: Peers::new(key.clone(), own.clone(), peer_config()),
         in_force: RefCell::new(InForce::new()),
         roster: RefCell::new(Roster::new(RosterConfig::default())),
+        evacuations: RefCell::new(Evacuations::new()),
         feed,
         archive: RefCell::new(Archive::new()),
         catch_up: RefCell::new(CatchUp::new()),
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -1,12 +1,13 @@
 //! What the control thread publishes for the traffic threads.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use shallotfork_evacuation::Evacuation;
 use shallotfork_fleet::ActiveEntry;
 use shallotfork_roster::TargetEntry;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::{Mono, TargetId};
+use shallotfork_types::{FailureDomain, Mono, TargetId};
 
 /// What is published, as this process knows it.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +16,8 @@
     pub table: Option<Arc<RouteTable>>,
     /// Every target, draining ones included.
     pub targets: Arc<HashMap<TargetId, TargetEntry>>,
+    /// Failure domains whose targets get nothing more.
+    pub evacuated: Arc<BTreeMap<FailureDomain, Evacuation>>,
     /// Since when the platform has not answered; `None` while it does.
     pub platform_lost_at: Option<Mono>,
 }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -284,7 +284,7 @@
     let sent_at = context.clock.now();
     let timeout = job.left(sent_at);
     let (Some((endpoint, domain)), Some(request)) = (place, outgoing(job, &target, timeout)) else {
-        // The target left between choice and sending.
+        // The target left, or its failure domain was evacuated, between choice and sending.
         return AttemptEnd::Unreached;
     };
     let owner = |_status: StatusCode, headers: &HeaderMap| owner(context, &job.request_id, headers);
@@ -330,11 +330,13 @@
     crashed: bool,
 }
 
-/// Where a target is reached, and in which failure domain; `None` once it has left.
+/// Where a target is reached, and in which failure domain; `None` once it has left or its failure
+/// domain is evacuated.
 fn place_of(context: &Context, target: &TargetId) -> Option<(Endpoint, FailureDomain)> {
     let published = context.published.load();
     let entry = published.targets.get(target)?;
-    Some((entry.endpoint, entry.failure_domain.clone()))
+    let evacuated = published.evacuated.contains_key(&entry.failure_domain);
+    (!evacuated).then(|| (entry.endpoint, entry.failure_domain.clone()))
 }
 
 /// Logs an attempt that brought no answer to pass on.
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -1,12 +1,12 @@
-//! Tells once a second how full each service's slots are and how late this process is, so that a
-//! refusal can be explained.
+//! Tells once a second how full each service's slots are, how late this process is and what still
+//! runs in evacuated failure domains, so that a refusal can be explained.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::gauge;
 use shallotfork_balance::SlotSummary;
-use shallotfork_events::{BEHIND, SERVICE_LOAD, event};
+use shallotfork_events::{BEHIND, EVACUATION_RUNNING, SERVICE_LOAD, event};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::ServiceName;
 
@@ -22,6 +22,7 @@
     while ticks.tick().await.is_some() {
         report_lateness(&context);
         report_quarantine(&context);
+        report_evacuations(&context);
         for (service, slots) in context.services.all() {
             report(&context, &service, &slots.summary());
         }
@@ -46,6 +47,29 @@
     gauge!("shallotfork_quarantined_requests").set(quarantined as f64);
 }
 
+fn report_evacuations(context: &Context) {
+    let evacuated = Arc::clone(&context.published.load().evacuated);
+    let services = context.services.all();
+    let mut running_in_all = 0;
+    for evacuation in evacuated.values() {
+        let domain = &evacuation.failure_domain;
+        let running: usize = services.iter().map(|(_, slots)| slots.running_in(domain)).sum();
+        running_in_all += running;
+        if running == 0 {
+            continue;
+        }
+        let since = context.clock.now().since(evacuation.learned_at);
+        event!(context.log, EVACUATION_RUNNING,
+            "failure_domain" => domain.as_str(),
+            "revision" => evacuation.revision.value(),
+            "since_ms" => u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+            "running" => running,
+        );
+    }
+    gauge!("shallotfork_evacuated_domains").set(evacuated.len() as f64);
+    gauge!("shallotfork_evacuated_running").set(running_in_all as f64);
+}
+
 fn report(context: &Context, service: &ServiceName, load: &SlotSummary) {
     let label = service.to_string();
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -12,7 +12,7 @@
 use shallotfork_events::slog::Logger;
 use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
 use shallotfork_timer::Clock;
-use shallotfork_types::{Mono, RequestRate, ServiceName, TargetId};
+use shallotfork_types::{FailureDomain, Mono, RequestRate, ServiceName, TargetId};
 use tokio::sync::{Notify, oneshot};
 
 use crate::context::lock;
@@ -232,6 +232,11 @@
         self.lock().pool.usual_time(class)
     }
 
+    /// Attempts in flight at targets of one failure domain.
+    pub fn running_in(&self, failure_domain: &FailureDomain) -> usize {
+        self.lock().pool.running_in(failure_domain)
+    }
+
     /// What the slots look like now.
     pub fn summary(&self) -> SlotSummary {
         let now = self.clock.now();
