feat(balance): send cold targets no more than they bear

Cause: how long a target stays cold was taken when it was first seen and never again, the warm-up rate of its service and the cold time in its health answers were not read, and nothing bounded what a cold target gets.

Change: a cold target is limited by the mechanism for rate limits, with shares for the entries that callers are sent to; the limit ends with the cold time. The cold time is taken from each change of the published entry and from health answers. A fleet in parts shares the rate by what each part sees; an entry that has just started has none for a second. A turn is used up when the request leaves. Waits and refusals count a cold target for its share. Its crashes are no mark against requests. Times of cold targets are not learnt. A cold time or warm-up rate that is none is left out and logged (2012, 5007), the rest of the item holds; before, a negative cold time ended its target. An unreadable request to evacuate no longer ends an evacuation at the next full read.

A second mechanism (slow start by slots) was weighed and not built: it bounds what runs at once, not what arrives.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallotfork_types::{FailureDomain, Mono, RequestRate, TargetId};
+use shallotfork_types::{FailureDomain, Mono, Permille, RequestRate, TargetId, Warmup};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
@@ -57,6 +57,10 @@
     beliefs: Vec<Belief>,
     /// Names of the processes that callers are sent to, which send requests to these targets.
     sharers: Vec<String>,
+    /// The part of what cold targets bear that these processes may use.
+    sharers_part: Permille,
+    /// What targets bear while they are cold; `None` if they have no such limit.
+    warmup: Option<Warmup>,
     serving_slots: u32,
     /// Bounds the probes while requests wait.
     probes: ProbeBudget,
@@ -75,22 +79,66 @@
             learnt,
             beliefs: Vec::new(),
             sharers: Vec::new(),
+            sharers_part: Permille::new(0),
+            warmup: None,
             serving_slots: 0,
             probes: ProbeBudget::new(),
             last_id: 0,
         }
     }
 
-    /// Sets the names of the processes that share the slots and recomputes the shares of all rate
-    /// limits. This process is included only if callers are sent to it.
-    pub fn set_sharers(&mut self, sharers: Vec<String>, now: Mono) {
+    /// Sets the names of the processes that share the slots and recomputes the shares of all limits.
+    /// This process is included only if callers are sent to it. `part` is what these processes may
+    /// use of what cold targets bear: less than the whole if they see only a part of the fleet. Before
+    /// the first call it is nothing.
+    pub fn set_sharers(&mut self, sharers: Vec<String>, part: Permille, now: Mono) {
         self.sharers = sharers;
+        self.sharers_part = part;
         for (id, target) in &mut self.targets {
             let Some(current) = target.rate_share else { continue };
             let limit = current.limit();
             let share = compute_share(limit, id, &self.config.name, &self.sharers);
             target.rate_share = Some(current.updated(limit, share, now));
         }
+        self.update_warmup_shares(now);
+    }
+
+    /// Sets what targets bear while they are cold; `None` if they have no such limit.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>, now: Mono) {
+        if self.warmup == warmup {
+            return;
+        }
+        self.warmup = warmup;
+        self.update_warmup_shares(now);
+    }
+
+    /// Takes a target's own word on how much longer it is cold. Returns whether it was taken for warm
+    /// until now.
+    pub fn told_cold_for(&mut self, id: &TargetId, cold_for: Duration, now: Mono) -> bool {
+        let cold_max = self.cold_max();
+        let Some(target) = self.targets.get_mut(id) else { return false };
+        let was_cold = target.is_cold(now);
+        target.told_cold_for(cold_for.min(cold_max), now);
+        !was_cold && target.is_cold(now)
+    }
+
+    /// Whether a target is cold.
+    pub fn is_cold(&self, id: &TargetId, now: Mono) -> bool {
+        self.targets.get(id).is_some_and(|target| target.is_cold(now))
+    }
+
+    fn update_warmup_shares(&mut self, now: Mono) {
+        for (id, target) in &mut self.targets {
+            let share = self.warmup.map(|warmup| {
+                let limit = warmup.rate.part(self.sharers_part);
+                (warmup, compute_share(limit, id, &self.config.name, &self.sharers))
+            });
+            target.set_warmup(share, now);
+        }
+    }
+
+    fn cold_max(&self) -> Duration {
+        self.warmup.map_or(Duration::MAX, |warmup| warmup.duration)
     }
 
     /// Sets the rate limit of a target, which applies to all processes together; `None` removes it.
@@ -123,16 +171,19 @@
     /// Takes the published targets; what is known of those that stay is kept.
     pub fn set_targets(&mut self, published: Vec<SlotTarget>, now: Mono) -> Vec<Woken> {
         let mut known = std::mem::take(&mut self.targets);
-        for target in published {
+        let cold_max = self.cold_max();
+        for mut target in published {
+            target.cold_for = target.cold_for.min(cold_max);
             let id = target.id.clone();
             let next = match known.remove(&id) {
-                Some(old) => old.with_published(target),
+                Some(old) => old.with_published(target, now),
                 None => Target::new(target, &self.config, now),
             };
             self.targets.insert(id, next);
         }
         let serving = self.targets.values().filter(|target| target.published.serving);
         self.serving_slots = serving.map(|target| target.published.slots).sum();
+        self.update_warmup_shares(now);
         self.wake(now)
     }
 
@@ -140,6 +191,7 @@
     pub fn restarted(&mut self, id: &TargetId, now: Mono) {
         let Some(old) = self.targets.remove(id) else { return };
         self.targets.insert(id.clone(), Target::new(old.published, &self.config, now));
+        self.update_warmup_shares(now);
     }
 
     /// Decides about a request.
@@ -147,7 +199,7 @@
         if ask.deadline <= now {
             return Admission::Shed(self.shed(ShedReason::DeadlinePassed, now));
         }
-        if !self.has_target_for(&ask) {
+        if !self.has_target_for(&ask, now) {
             return Admission::Shed(self.shed(ShedReason::NoTarget, now));
         }
         let ahead = self.queue.iter().filter(|(_, other)| self.goes_before(other, &ask, now));
@@ -242,11 +294,13 @@
         self.learnt.may_have_paces() && self.targets.get(id).is_some_and(is_stale)
     }
 
-    /// Whether another slot, or a later one, is better: the target takes no new work any more, works
-    /// slowly now by its own word, or is filled by other processes.
-    pub fn is_unfit(&self, id: &TargetId, ask: &SlotAsk, now: Mono) -> bool {
-        let Some(target) = self.targets.get(id) else { return true };
+    /// Whether another slot than the one assigned, or a later one, is better: the target takes no new
+    /// work any more, has turned cold, works slowly now by its own word, or is filled by other
+    /// processes.
+    pub fn is_unfit(&self, assignment: &Assignment, ask: &SlotAsk, now: Mono) -> bool {
+        let Some(target) = self.targets.get(&assignment.target) else { return true };
         !target.published.serving
+            || target.was_assigned_warm(assignment.attempt)
             || target.is_overfull(now)
             || target.is_slow(ask, now, &self.config, &self.learnt)
     }
@@ -333,8 +387,8 @@
         Duration::from_micros((self.learnt.work_us(class) * self.learnt.mean_pace()) as u64)
     }
 
-    pub(super) fn has_target_for(&self, ask: &SlotAsk) -> bool {
-        self.targets.iter().any(|(id, t)| t.accepts_work() && !ask.exclude.contains(id))
+    pub(super) fn has_target_for(&self, ask: &SlotAsk, now: Mono) -> bool {
+        self.targets.iter().any(|(id, t)| t.accepts_work(now) && !ask.exclude.contains(id))
     }
 
     pub(super) fn assign(
--- a/crates/balance/src/slots/rate_share.rs
+++ b/crates/balance/src/slots/rate_share.rs
@@ -4,7 +4,7 @@
 
 use shallotfork_types::{Mono, RequestRate, TargetId, rendezvous_weight};
 
-/// Paces the requests of one process to a target with a rate limit.
+/// Paces the requests of one process to a target with a rate limit, or to one that is cold.
 ///
 /// The limit applies to all processes together. Splitting it evenly among all of them could leave
 /// each with far less than one request a second, so at most as many processes send as the limit has
@@ -43,6 +43,11 @@
         Self { limit, share, interval_start }
     }
 
+    /// Returns a copy whose first request waits for one full interval.
+    pub(super) fn restarted(self, now: Mono) -> Self {
+        Self { interval_start: now, ..self }
+    }
+
     pub(super) fn may_send(&self, now: Mono) -> bool {
         self.share.interval().is_some_and(|interval| self.interval_start.plus(interval) <= now)
     }
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Mono, RequestRate, rendezvous_weight};
+use shallotfork_types::{Mono, RequestRate, Warmup, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
 use super::estimate::{Learnt, PaceReport};
@@ -51,6 +51,8 @@
     pub(super) crowded: bool,
     /// Whether it has left for the target; until then it holds a slot here only.
     pub(super) sent: bool,
+    /// Whether the target has turned cold since the slot was assigned.
+    assigned_warm: bool,
     pub(super) expected_us: f64,
 }
 
@@ -76,9 +78,14 @@
     ejected_until: Option<Mono>,
     others: Option<Others>,
     cold_until: Mono,
+    /// Whether the target itself said in a health answer that it is cold. What is published may be
+    /// older than that.
+    cold_by_own_word: bool,
     probed_at: Option<Mono>,
     /// This process's share of the target's rate limit; `None` if the target has no limit.
     pub(super) rate_share: Option<RateShare>,
+    /// This process's share of what the target bears while it is cold.
+    pub(super) warmup_share: Option<RateShare>,
 }
 
 impl Target {
@@ -98,14 +105,74 @@
             ejected_until: None,
             others: None,
             cold_until,
+            cold_by_own_word: false,
             probed_at: None,
             rate_share: None,
+            warmup_share: None,
         }
     }
 
     /// The same target as published now.
-    pub(super) fn with_published(self, published: SlotTarget) -> Self {
-        Self { published, ..self }
+    pub(super) fn with_published(self, published: SlotTarget, now: Mono) -> Self {
+        let told_anew = published.cold_for != self.published.cold_for;
+        let mut target = Self { published, ..self };
+        let cold_for = target.published.cold_for;
+        if told_anew && (cold_for > Duration::ZERO || !target.cold_by_own_word) {
+            target.set_cold_for(cold_for, now);
+        }
+        target
+    }
+
+    pub(super) fn is_cold(&self, now: Mono) -> bool {
+        self.cold_until > now
+    }
+
+    /// Takes the target's own word on how much longer it is cold.
+    pub(super) fn told_cold_for(&mut self, cold_for: Duration, now: Mono) {
+        self.cold_by_own_word = cold_for > Duration::ZERO;
+        self.set_cold_for(cold_for, now);
+    }
+
+    fn set_cold_for(&mut self, cold_for: Duration, now: Mono) {
+        let was_cold = self.is_cold(now);
+        self.cold_until = now.plus(cold_for);
+        if was_cold || !self.is_cold(now) {
+            return;
+        }
+        self.warmup_share = self.warmup_share.map(|share| share.restarted(now));
+        let unsent = self.running.iter_mut().filter(|running| !running.sent);
+        unsent.for_each(|running| running.assigned_warm = true);
+    }
+
+    /// Sets what the target bears while it is cold.
+    pub(super) fn set_warmup(&mut self, warmup: Option<(Warmup, RequestRate)>, now: Mono) {
+        self.warmup_share = warmup.map(|(warmup, share)| {
+            self.cold_until = self.cold_until.min(now.plus(warmup.duration));
+            let new = RateShare::new(warmup.rate, share, now);
+            self.warmup_share.map_or(new, |current| current.updated(warmup.rate, share, now))
+        });
+    }
+
+    /// This process's shares of the limits on what the target gets from all processes together.
+    pub(super) fn shares(&self, now: Mono) -> impl Iterator<Item = &RateShare> {
+        let warmup_share = self.warmup_share.iter().filter(move |_| self.is_cold(now));
+        self.rate_share.iter().chain(warmup_share)
+    }
+
+    fn is_limited(&self, now: Mono) -> bool {
+        self.shares(now).next().is_some()
+    }
+
+    /// Whether the limits on what the target gets allow another request now.
+    fn may_send(&self, now: Mono) -> bool {
+        let has_unsent = || self.running.iter().any(|running| !running.sent);
+        self.shares(now).all(|share| share.may_send(now)) && !(self.is_limited(now) && has_unsent())
+    }
+
+    /// Whether an attempt was assigned before the target turned cold, and so without regard to what
+    /// it bears.
+    pub(super) fn was_assigned_warm(&self, attempt: AttemptId) -> bool {
+        self.running.iter().any(|running| running.attempt == attempt && running.assigned_warm)
     }
 
     pub(super) fn is_ejected(&self, now: Mono) -> bool {
@@ -129,16 +196,15 @@
     }
 
     /// Whether this process may send requests to the target, now or later.
-    pub(super) fn accepts_work(&self) -> bool {
-        self.published.serving
-            && self.rate_share.is_none_or(|rate_share| rate_share.share() > RequestRate::ZERO)
+    pub(super) fn accepts_work(&self, now: Mono) -> bool {
+        self.published.serving && self.shares(now).all(|share| share.share() > RequestRate::ZERO)
     }
 
-    /// Free slots that this process may fill; zero until the rate limit share allows the next
-    /// request. One that has its share already takes those of a target in another failure domain
+    /// Free slots that this process may fill; zero until its shares of the target's limits allow the
+    /// next request. One that has its share already takes those of a target in another failure domain
     /// only as long as half of them are free.
     pub(super) fn open_slots(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> u32 {
-        if self.rate_share.is_some_and(|rate_share| !rate_share.may_send(now)) {
+        if !self.may_send(now) {
             return 0;
         }
         if !has_share || !self.is_far(config) {
@@ -217,7 +283,7 @@
 
     /// Expected time of a request of this class at the usual pace, in microseconds.
     fn unhindered_us(&self, class: &WorkClass, crowded: bool, now: Mono, learnt: &Learnt) -> f64 {
-        let cold = if self.cold_until > now { COLD_FACTOR } else { 1.0 };
+        let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
         learnt.work_us(class) * self.speed.max(cold) * learnt.crowding(crowded)
     }
 
@@ -247,9 +313,6 @@
 
     pub(super) fn start(&mut self, attempt: AttemptId, class: &WorkClass, now: Mono) {
         let crowded = self.would_crowd(now);
-        if let Some(rate_share) = &mut self.rate_share {
-            rate_share.record_send(now);
-        }
         let running = Running {
             attempt,
             class: class.clone(),
@@ -257,6 +320,7 @@
             pace: None,
             crowded,
             sent: false,
+            assigned_warm: false,
             expected_us: f64::INFINITY,
         };
         self.running.push(running);
@@ -277,10 +341,15 @@
         let (class, crowded) = (self.running[place].class.clone(), self.running[place].crowded);
         let expected_us = self.unhindered_us(&class, crowded, now, learnt) * pace;
         let running = &mut self.running[place];
+        let first = !running.sent;
         running.started = now;
         running.sent = true;
         running.pace = known;
         running.expected_us = expected_us;
+        if first {
+            let shares = self.rate_share.iter_mut().chain(&mut self.warmup_share);
+            shares.for_each(|share| share.record_send(now));
+        }
     }
 
     pub(super) fn end(&mut self, attempt: AttemptId) -> Option<Running> {
@@ -297,7 +366,7 @@
         now: Mono,
     ) -> Option<BeliefChange> {
         match outcome {
-            SlotOutcome::Answered { latency } => self.answered(running, latency, learnt, now),
+            SlotOutcome::Answered { latency } => self.answered(running, latency, learnt),
             SlotOutcome::Cancelled => None,
             SlotOutcome::Failed => self.failed(config.failures_max, config, now),
             SlotOutcome::Unreachable | SlotOutcome::TimedOut | SlotOutcome::Misdirected => {
@@ -314,7 +383,6 @@
         running: &Running,
         latency: Duration,
         learnt: &mut Learnt,
-        now: Mono,
     ) -> Option<BeliefChange> {
         let returned = self.ejections > 0;
         self.failures -= self.failures * FAILURE_WEIGHT;
@@ -323,28 +391,21 @@
         self.ejected_until = None;
         // Without the pace it can't be told whether the target or its neighbours took the time.
         if let Some(pace) = running.pace {
-            self.measure(running, latency, pace, learnt, now);
+            self.measure(running, latency, pace, learnt);
         }
         returned.then_some(BeliefChange::Returned)
     }
 
-    fn measure(
-        &mut self,
-        running: &Running,
-        latency: Duration,
-        pace: f64,
-        learnt: &mut Learnt,
-        now: Mono,
-    ) {
+    fn measure(&mut self, running: &Running, latency: Duration, pace: f64, learnt: &mut Learnt) {
+        if self.is_cold(running.started) {
+            return;
+        }
         let time_us = latency.as_micros() as f64;
         let usual_us = learnt.work_us(&running.class) * pace * learnt.crowding(running.crowded);
         let ratio = (time_us / usual_us).min(SPEED_SAMPLE_MAX);
         self.speed += (ratio - self.speed) * SPEED_WEIGHT;
         self.speed = self.speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
-        let cold = self.cold_until > now;
-        if !cold {
-            learnt.saw_time(&running.class, time_us, pace, running.crowded);
-        }
+        learnt.saw_time(&running.class, time_us, pace, running.crowded);
     }
 
     fn failed(
@@ -391,15 +452,15 @@
         self.failed(UNANSWERED_MAX, config, now)
     }
 
-    /// Whether a probe would tell something: its pace would be guessed otherwise. A target with a rate
-    /// limit is not probed, because a probe is itself a request.
+    /// Whether a probe would tell something: its pace would be guessed otherwise. A target that bears
+    /// few requests is not probed, because a probe is itself a request.
     pub(super) fn wants_probe(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> bool {
         let stale = |at: Mono| now.since(at) >= config.probe_after;
         let unknown = self.pace_is_stale(now, config.probe_after);
         let due = self.probed_at.is_none_or(stale);
         unknown
             && due
-            && self.rate_share.is_none()
+            && !self.is_limited(now)
             && !self.is_ejected(now)
             && self.open_slots(now, config, has_share) > 0
     }
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -57,7 +57,7 @@
             .filter(usable)
             .map(|(_, target)| target.open_slots(now, &self.config, has_share));
         let free = free.sum::<u32>() as usize;
-        self.wait_for_slots((ahead + 1).saturating_sub(free))
+        self.wait_for_slots((ahead + 1).saturating_sub(free), now)
     }
 
     /// Free slots at targets that look sound, slow ones included.
@@ -72,8 +72,8 @@
             .sum()
     }
 
-    fn wait_for_slots(&self, count: usize) -> Duration {
-        let slots = self.effective_slots();
+    fn wait_for_slots(&self, count: usize, now: Mono) -> Duration {
+        let slots = self.effective_slots(now);
         if slots <= 0.0 {
             return self.config.retry_after_max;
         }
@@ -81,18 +81,17 @@
         Duration::from_micros(wait_us as u64)
     }
 
-    /// Number of slots that this process can keep busy. A target with a rate limit counts only for
-    /// the slots that this process's share of the limit occupies on average.
-    fn effective_slots(&self) -> f64 {
+    /// Number of slots that this process can keep busy. A target with a limit, or one that is cold,
+    /// counts only for the slots that this process's share occupies on average.
+    fn effective_slots(&self, now: Mono) -> f64 {
         let usual_s = self.learnt.usual_us() / 1e6;
+        let unused_at = |target: &Target| {
+            let slots = f64::from(target.published.slots);
+            let used = target.shares(now).map(|share| share.share().per_s() * usual_s);
+            (slots - used.fold(slots, f64::min)).max(0.0)
+        };
         let serving = self.targets.values().filter(|target| target.published.serving);
-        let limited =
-            serving.filter_map(|target| Some((target.published.slots, target.rate_share?)));
-        let unused: f64 = limited
-            .map(|(slots, rate_share)| {
-                (f64::from(slots) - rate_share.share().per_s() * usual_s).max(0.0)
-            })
-            .sum();
+        let unused: f64 = serving.map(unused_at).sum();
         f64::from(self.serving_slots().max(1)) - unused
     }
 
@@ -103,7 +102,7 @@
             // No slot is expected, so that there is no better estimate.
             _ if self.serving_slots() == 0 => self.config.retry_after_max,
             (ShedReason::NoTarget, Some(until)) => until.since(now),
-            _ => self.wait_for_slots(self.queue.len() + 1),
+            _ => self.wait_for_slots(self.queue.len() + 1, now),
         };
         let wait = wait.clamp(self.config.retry_after_min, self.config.retry_after_max);
         Shed { retry_after: wait, reason }
--- a/crates/balance/src/slots/wake.rs
+++ b/crates/balance/src/slots/wake.rs
@@ -74,7 +74,7 @@
         if ask.deadline <= now {
             return Some(Resolution::Shed(self.shed(ShedReason::DeadlinePassed, now)));
         }
-        if !self.has_target_for(ask) {
+        if !self.has_target_for(ask, now) {
             return Some(Resolution::Shed(self.shed(ShedReason::NoTarget, now)));
         }
         if !hopeless && let Some(assignment) = self.assign(ask, Choice::Quick, now) {
--- a/crates/balance/tests/slots.rs
+++ b/crates/balance/tests/slots.rs
@@ -301,9 +301,9 @@
     let mut pool = pool(&["a"]);
     let assignment = sent(pool.admit(ask(0), at(0)));
     pool.report(&id("a"), figures(1, USUAL), at(1));
-    assert!(!pool.is_unfit(&assignment.target, &ask(0), at(1)));
+    assert!(!pool.is_unfit(&assignment, &ask(0), at(1)));
     pool.report(&id("a"), figures(2, USUAL), at(2));
-    assert!(pool.is_unfit(&assignment.target, &ask(0), at(2)));
+    assert!(pool.is_unfit(&assignment, &ask(0), at(2)));
 }
 
 /// Both slots are taken for 160 ms, one gets free each 80. A stallholder's look-up that waits for it
--- a/crates/balance/tests/slots_asked.rs
+++ b/crates/balance/tests/slots_asked.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use shallotfork_balance::{Admission, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
-use shallotfork_types::FailureDomain;
+use shallotfork_types::{FailureDomain, Permille};
 
 use support::{
     SLOW, USUAL, answered, ask, at, figures, id, learn_work, pool, queued, sent, target,
@@ -55,7 +55,7 @@
 #[test]
 fn a_process_with_its_share_leaves_far_slots_to_those_nearby() {
     let mut pool = pool_with_a_far_target();
-    pool.set_sharers(two_sharers(), at(0));
+    pool.set_sharers(two_sharers(), Permille::new(1000), at(0));
     let _near = [(); 2].map(|()| sent(pool.admit(ask(0), at(0))));
     pool.report(&id("far"), figures(1, USUAL), at(0));
     queued(pool.admit(ask(0), at(0)));
@@ -66,7 +66,7 @@
 #[test]
 fn a_process_with_less_than_its_share_takes_what_is_free() {
     let mut pool = pool_with_a_far_target();
-    pool.set_sharers(two_sharers(), at(0));
+    pool.set_sharers(two_sharers(), Permille::new(1000), at(0));
     pool.report(&id("near"), figures(2, USUAL), at(0));
     let chosen = [(); 2].map(|()| sent(pool.admit(ask(0), at(0))).target);
     assert_eq!(chosen, [id("far"), id("far")]);
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -267,7 +267,7 @@
         let woken = self.pool.report(&assignment.target, figures, self.now());
         self.deliver(woken);
         let ask = self.slot_ask(&request);
-        if !self.pool.is_unfit(&assignment.target, &ask, self.now()) {
+        if !self.pool.is_unfit(&assignment, &ask, self.now()) {
             return self.send(request, assignment);
         }
         let woken = self.pool.finish(assignment.attempt, SlotOutcome::Cancelled, None, self.now());
--- a/crates/evacuation/src/evacuations.rs
+++ b/crates/evacuation/src/evacuations.rs
@@ -7,6 +7,17 @@
 /// Ended evacuations that are remembered, so that older news does not bring them back.
 const ENDED_MAX: usize = 1024;
 
+/// What is published of a failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// It is to be evacuated.
+    Evacuated,
+    /// Something that can't be read; what was in force stays.
+    Unreadable,
+    /// Nothing, or nothing any more.
+    Removed,
+}
+
 /// One published change of an evacuation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationChange {
@@ -14,8 +25,8 @@
     pub failure_domain: FailureDomain,
     /// Revision of the change.
     pub revision: Revision,
-    /// Whether the failure domain is evacuated from this revision on.
-    pub evacuated: bool,
+    /// What is published since then.
+    pub known: Known,
 }
 
 /// A failure domain whose targets get nothing more.
@@ -86,7 +97,7 @@
             self.records.iter().filter(is_missing).map(|(domain, _)| domain.clone()).collect();
         let mut events = self.apply(published, now);
         for failure_domain in missing {
-            let ended = EvacuationChange { failure_domain, revision, evacuated: false };
+            let ended = EvacuationChange { failure_domain, revision, known: Known::Removed };
             events.extend(self.apply_one(ended, now));
         }
         self.read_through = self.read_through.max(revision);
@@ -108,14 +119,18 @@
     }
 
     fn apply_one(&mut self, change: EvacuationChange, now: Mono) -> Option<EvacuationEvent> {
-        let EvacuationChange { failure_domain, revision, evacuated } = change;
+        let EvacuationChange { failure_domain, revision, known: published } = change;
         let before = self.records.get(&failure_domain).copied();
         let known = before.map_or(Revision::NONE, |before| before.revision);
         if revision < known.max(self.read_through) {
             return None;
         }
         let evacuated_before = before.and_then(|before| before.evacuated_at);
-        let evacuated_at = evacuated.then(|| evacuated_before.unwrap_or(now));
+        let evacuated_at = match published {
+            Known::Evacuated => Some(evacuated_before.unwrap_or(now)),
+            Known::Unreadable => evacuated_before,
+            Known::Removed => None,
+        };
         let record = Record { revision, evacuated_at };
         self.records.insert(failure_domain.clone(), record);
         match (evacuated_before, evacuated_at) {
--- a/crates/evacuation/src/lib.rs
+++ b/crates/evacuation/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod evacuations;
 
-pub use evacuations::{Evacuation, EvacuationChange, EvacuationEvent, Evacuations};
+pub use evacuations::{Evacuation, EvacuationChange, EvacuationEvent, Evacuations, Known};
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -35,6 +35,7 @@
     EVACUATION_ENDED = 2009 Info "failure domain taken back: its targets are used again";
     EVACUATION_INVALID = 2010 Error "request to evacuate a failure domain ignored: it is not valid";
     EVACUATION_RUNNING = 2011 Info "requests still run in an evacuated failure domain";
+    PUBLISHED_IGNORED = 2012 Warning "part of a published item ignored: it is not valid";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
@@ -48,6 +49,8 @@
     TARGETS_CHANGED = 5004 Info "many published targets changed at once";
     TARGET_RATE_LIMIT = 5005 Info "rate limit of a target changed";
     RATE_LIMIT_INVALID = 5006 Warning "rate limit of a target ignored: it is not a decimal number";
+    WARMUP_INVALID = 5007 Warning "cold time of a target ignored: it is not a number of milliseconds";
+    TARGET_COLD = 5008 Info "target turned cold";
     PLATFORM_LOST = 6001 Warning "platform unreachable";
     PLATFORM_BACK = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -71,15 +71,30 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decoded {
     /// A table of routes.
-    Routes(RouteTable),
+    Routes {
+        /// The table.
+        table: RouteTable,
+        /// What in it is not valid and was left out.
+        ignored: Vec<String>,
+    },
     /// A table of routes that can't be used; the one in force stays.
     BadRoutes(String),
     /// What became of a target's entry.
-    Target(Change),
+    Target {
+        /// The change.
+        change: Change,
+        /// What in the entry is not valid and was left out.
+        ignored: Option<String>,
+    },
     /// What became of the evacuation of a failure domain.
     Evacuation(EvacuationChange),
-    /// A request to evacuate that can't be read; nothing changes.
-    BadEvacuation(String),
+    /// A request to evacuate that can't be read.
+    BadEvacuation {
+        /// Why.
+        reason: String,
+        /// The change, if the failure domain is known.
+        change: Option<EvacuationChange>,
+    },
     /// Nothing that concerns this process.
     Ignored,
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -65,8 +65,8 @@
     pub last_answer: watch::Sender<Option<Mono>>,
     /// Bounds the lines about requests that went well.
     pub lines: LineBudget,
-    /// Bounds the lines about rate limits that are not valid.
-    pub invalid_limit_lines: LineBudget,
+    /// Bounds the lines about what targets say that is not valid.
+    pub invalid_lines: LineBudget,
     /// Signalled when a request begins.
     pub begins: Notify,
     /// How late the traffic threads do their work.
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use shallotfork_events::{ACTIVE_CHANGED, ENTRY_CHANGED, event};
 use shallotfork_fleet::{ActiveEntry, Beliefs};
@@ -12,6 +13,9 @@
 use crate::control::state::State;
 use crate::snapshot::Fleet;
 
+/// Time after the start in which an entry meets the others: a few heartbeats.
+const SETTLING: Duration = Duration::from_millis(1000);
+
 /// Publishes what is believed of the fleet for the directory, if it has changed.
 pub fn name_entries(state: &State) {
     let beliefs = state.beliefs();
@@ -34,13 +38,25 @@
             "known" => state.known.get());
     }
     let active = named.is_empty() || is_named(&named, &state.context.settings.vm);
-    let fleet = Fleet { named, active, live, known: state.known.get() };
-    state.context.fleet.store(Arc::new(fleet));
-    if changed {
+    let settled = state.context.fleet.load().settled;
+    let fleet = Fleet { named, active, live, known: state.known.get(), settled };
+    let part = fleet.part();
+    let part_before = state.context.fleet.swap(Arc::new(fleet)).part();
+    if changed || part_before != part {
         publish_sharers(state);
     }
 }
 
+/// Notes once that this process has run for long enough to have met the others.
+pub fn note_settled(state: &State) {
+    let fleet = state.context.fleet.load();
+    if fleet.settled || state.now().since(state.started_at) < SETTLING {
+        return;
+    }
+    state.context.fleet.store(Arc::new(Fleet { settled: true, ..Fleet::clone(&fleet) }));
+    publish_sharers(state);
+}
+
 /// Whether others are named beside this entry now for the callers who come here. These keep their
 /// connections for as long as this entry stays named, so that the others would get new callers only.
 fn wants_callers_spread(state: &State, before: &[ActiveEntry], now: &[ActiveEntry]) -> bool {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -6,16 +6,17 @@
 use shallotfork_balance::SlotTarget;
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
 use shallotfork_events::{
-    EVACUATION_BEGUN, EVACUATION_ENDED, EVACUATION_INVALID, ROUTES_ACCEPTED, ROUTES_REFUSED,
-    TARGET_CHANGED, TARGETS_CHANGED, event,
+    EVACUATION_BEGUN, EVACUATION_ENDED, EVACUATION_INVALID, PUBLISHED_IGNORED, ROUTES_ACCEPTED,
+    ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event,
 };
 use shallotfork_roster::{Availability, Change, RosterChange, TargetEntry};
 use shallotfork_routes::{Offer, RouteTable};
-use shallotfork_types::{Revision, ServiceName, TargetId};
+use shallotfork_types::{Revision, ServiceName, TargetId, Warmup};
 
 use crate::context::lock;
 use crate::control::reader::note_sight;
 use crate::control::state::State;
+use crate::line_budget::LineLeave;
 use crate::snapshot::Published;
 use crate::traffic::ServiceSlots;
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
@@ -68,16 +69,23 @@
     let mut taken = Taken::default();
     for item in items {
         match state.feed.decode(item) {
-            Decoded::Routes(table) => offer(state, table, item.revision),
+            Decoded::Routes { table, ignored } => {
+                ignored.iter().for_each(|reason| log_ignored(state, item, reason));
+                offer(state, table, item.revision);
+            }
             Decoded::BadRoutes(reason) => {
                 event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
                     "revision" => item.revision.value());
             }
-            Decoded::Target(change) => taken.targets.push(change),
+            Decoded::Target { change, ignored } => {
+                ignored.iter().for_each(|reason| log_ignored(state, item, reason));
+                taken.targets.push(change);
+            }
             Decoded::Evacuation(change) => taken.evacuations.push(change),
-            Decoded::BadEvacuation(reason) => {
+            Decoded::BadEvacuation { reason, change } => {
                 event!(state.context.log, EVACUATION_INVALID, "reason" => reason,
                     "revision" => item.revision.value());
+                taken.evacuations.extend(change);
             }
             Decoded::Ignored => {}
         }
@@ -85,6 +93,16 @@
     taken
 }
 
+/// Logs a part of a published item that is not valid. Targets publish their entries again every
+/// second or so.
+fn log_ignored(state: &State, item: &RawItem, reason: &str) {
+    let LineLeave::Write { left_out } = state.context.invalid_lines.ask(state.now()) else {
+        return;
+    };
+    event!(state.context.log, PUBLISHED_IGNORED, "key" => &item.key, "reason" => reason,
+        "revision" => item.revision.value(), "left_out" => left_out);
+}
+
 fn offer(state: &State, table: RouteTable, revision: Revision) {
     let (version, routes) = (table.version(), table.routes().count());
     if state.in_force.borrow_mut().offer(table) == Offer::Accepted {
@@ -163,6 +181,14 @@
     let published = state.context.published.load();
     let table = state.in_force.borrow().table().cloned();
     state.context.published.store(Arc::new(Published { table, ..Published::clone(&published) }));
+    for (service, slots) in state.context.services.all() {
+        slots.set_warmup(warmup_of(state, &service));
+    }
+}
+
+fn warmup_of(state: &State, service: &ServiceName) -> Option<Warmup> {
+    let in_force = state.in_force.borrow();
+    in_force.table()?.services().get(service)?.warmup
 }
 
 /// Publishes since when the platform counts as away.
@@ -182,7 +208,8 @@
 
 fn set_sharers(state: &State, slots: &ServiceSlots) {
     let fleet = state.context.fleet.load();
-    slots.set_sharers(fleet.named.iter().map(|entry| entry.vm.to_string()).collect());
+    let names = fleet.named.iter().map(|entry| entry.vm.to_string()).collect();
+    slots.set_sharers(names, fleet.part());
 }
 
 /// Publishes the targets, and gives each service's slots theirs if these have changed.
@@ -205,6 +232,7 @@
         if given.get(&service) != Some(&targets) {
             let slots = context.slots(&service);
             set_sharers(state, &slots);
+            slots.set_warmup(warmup_of(state, &service));
             slots.set_targets(targets.clone());
             for (target, limit) in lock(&context.rate_limits).all() {
                 slots.set_rate_limit(target, Some(limit));
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -21,6 +21,7 @@
 use crate::context::{Context, lock};
 use crate::control::beats::{beats, tell_leaving};
 use crate::control::handler::Handler;
+use crate::control::naming::note_settled;
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
@@ -140,6 +141,7 @@
             },
             _ = tidy.tick() => {
                 expire_targets(&state);
+                note_settled(&state);
                 state.context.links.tidy();
                 lock(&state.context.quarantine).expire(state.now());
                 expire_rate_limits(&state.context);
@@ -179,6 +181,7 @@
         seeds: RefCell::new(context.settings.seeds.clone()),
         ready,
         known: Cell::new(1),
+        started_at: context.clock.now(),
         context,
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -23,6 +23,8 @@
     pub load: HeaderName,
     /// A target's rate limit in requests per second, for all entries together.
     pub rate_limit: HeaderName,
+    /// Milliseconds for which a target stays cold, in health answers.
+    pub warmup_remaining_ms: HeaderName,
 }
 
 /// Paths that are not those of any route.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,8 +40,8 @@
 /// answers today, so that in the ordinary case each can be followed by its id.
 const REQUEST_LINES: PerSecond = PerSecond::new(400);
 
-/// Lines a second about rate limits that are not valid; targets may repeat one in every answer.
-const INVALID_LIMIT_LINES: PerSecond = PerSecond::new(1);
+/// Lines a second about what targets say that is not valid; they may repeat it in every answer.
+const INVALID_LINES: PerSecond = PerSecond::new(1);
 
 /// What a platform's adapter brings.
 pub struct Program {
@@ -104,7 +104,7 @@
         deadlines: Deadlines::default(),
         last_answer: watch::Sender::new(None),
         lines: LineBudget::new(REQUEST_LINES),
-        invalid_limit_lines: LineBudget::new(INVALID_LIMIT_LINES),
+        invalid_lines: LineBudget::new(INVALID_LINES),
         begins: Notify::new(),
         lateness: Mutex::default(),
         rate_limits: Mutex::default(),
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -7,7 +7,7 @@
 use shallotfork_fleet::ActiveEntry;
 use shallotfork_roster::TargetEntry;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::{FailureDomain, Mono, TargetId};
+use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
 
 /// What is published, as this process knows it.
 #[derive(Debug, Clone, Default)]
@@ -33,4 +33,23 @@
     pub live: usize,
     /// The most entries known at one time.
     pub known: usize,
+    /// Whether this process has run for long enough to have met the others.
+    pub settled: bool,
+}
+
+impl Fleet {
+    /// The part of what the whole fleet may do that this process and those that it sees may do: all
+    /// of it if it sees most of the fleet. All parts of a divided fleet together have less than one
+    /// and a half. A process that has just started may take itself for the only one, so that it has
+    /// no part.
+    pub fn part(&self) -> Permille {
+        if !self.settled {
+            return Permille::new(0);
+        }
+        if self.live * 2 > self.known {
+            return Permille::new(1000);
+        }
+        let permille = self.live * 1000 / self.known.max(1);
+        Permille::new(u32::try_from(permille).unwrap_or(1000))
+    }
 }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -146,7 +146,7 @@
             return Ok(assigned);
         }
         match probe(&job.context, &job.service, slots, &target).await {
-            Probed::Reported if !slots.is_unfit(&target, &ask) => return Ok(assigned),
+            Probed::Reported if !assigned.is_unfit(&ask) => return Ok(assigned),
             Probed::Reported => {}
             Probed::Untold => {
                 slots.untold();
@@ -292,6 +292,7 @@
     let asked =
         LinkRequest { target: &target, endpoint, request, timeout, repeatable, owner: &owner };
     assigned.sending();
+    let cold = assigned.is_cold();
     let sent_bytes = message_bytes(asked.request.headers(), job.request.body.len());
     Carried::Requests.count(&domain, sent_bytes);
     let result = context.links.send(asked).await;
@@ -308,7 +309,8 @@
     }
     assigned.finish(outcome, figures);
     let crashed = target_may_have_crashed(&result) && refuses_connections(job, endpoint).await;
-    if crashed {
+    // Cold targets crash under more than they bear, whatever the request.
+    if crashed && !cold {
         note_crash(job, &target, sent_at);
     }
     report(job, &target, &result, &AttemptReport { outcome, latency, crashed });
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -7,11 +7,13 @@
 use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::Full;
 use metrics::counter;
+use shallotfork_events::{WARMUP_INVALID, event};
 use shallotfork_exchange::{AnswerOwner, LinkRequest};
 use shallotfork_types::{Endpoint, FailureDomain, ServiceName, TargetId};
 
 use crate::carried::{Carried, message_bytes};
 use crate::context::Context;
+use crate::line_budget::LineLeave;
 use crate::traffic::judge::figures;
 use crate::traffic::service_slots::ServiceSlots;
 
@@ -92,6 +94,7 @@
         return Probed::Silent { late_by };
     };
     Carried::Questions.count(&domain, message_bytes(&answer.headers, answer.body.len()));
+    note_warmup(context, slots, target, &answer.headers);
     match figures(&context.dialect, &answer) {
         Some(figures) => {
             slots.report(target, figures);
@@ -101,6 +104,17 @@
     }
 }
 
+/// Takes how much longer a target says it is cold. One that does not say may be either.
+fn note_warmup(context: &Context, slots: &ServiceSlots, target: &TargetId, headers: &HeaderMap) {
+    let Some(value) = headers.get(&context.dialect.headers.warmup_remaining_ms) else { return };
+    let remaining_ms = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    if let Some(remaining_ms) = remaining_ms {
+        slots.told_cold_for(target, Duration::from_millis(remaining_ms));
+    } else if let LineLeave::Write { left_out } = context.invalid_lines.ask(context.clock.now()) {
+        event!(context.log, WARMUP_INVALID, "target" => target.as_str(), "left_out" => left_out);
+    }
+}
+
 /// Where a target tells its health.
 struct Health {
     endpoint: Endpoint,
--- a/crates/gateway/src/traffic/rate_limit.rs
+++ b/crates/gateway/src/traffic/rate_limit.rs
@@ -65,7 +65,7 @@
 }
 
 fn log_invalid(context: &Context, target: &TargetId) {
-    let LineLeave::Write { left_out } = context.invalid_limit_lines.ask(context.clock.now()) else {
+    let LineLeave::Write { left_out } = context.invalid_lines.ask(context.clock.now()) else {
         return;
     };
     event!(context.log, RATE_LIMIT_INVALID, "target" => target.as_str(), "left_out" => left_out);
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -10,9 +10,11 @@
     SlotTarget, Ticket, Woken, WorkClass,
 };
 use shallotfork_events::slog::Logger;
-use shallotfork_events::{TARGET_EJECTED, TARGET_RETURNED, event};
+use shallotfork_events::{TARGET_COLD, TARGET_EJECTED, TARGET_RETURNED, event};
 use shallotfork_timer::Clock;
-use shallotfork_types::{FailureDomain, Mono, RequestRate, ServiceName, TargetId};
+use shallotfork_types::{
+    FailureDomain, Mono, Permille, RequestRate, ServiceName, TargetId, Warmup,
+};
 use tokio::sync::{Notify, oneshot};
 
 use crate::context::lock;
@@ -58,6 +60,18 @@
         &self.assignment.target
     }
 
+    /// Whether another slot, or a later one, is better now.
+    pub fn is_unfit(&self, ask: &SlotAsk) -> bool {
+        let now = self.slots.clock.now();
+        self.slots.lock().pool.is_unfit(&self.assignment, ask, now)
+    }
+
+    /// Whether the target is cold.
+    pub fn is_cold(&self) -> bool {
+        let now = self.slots.clock.now();
+        self.slots.lock().pool.is_cold(&self.assignment.target, now)
+    }
+
     /// Says that the attempt leaves for its target now.
     pub fn sending(&self) {
         let now = self.slots.clock.now();
@@ -159,10 +173,27 @@
         Some(self.assigned(assignment))
     }
 
-    /// Sets the names of the entries that send requests to the targets.
-    pub fn set_sharers(&self, sharers: Vec<String>) {
+    /// Sets the names of the entries that send requests to the targets, and the part of what cold
+    /// targets bear that these may use.
+    pub fn set_sharers(&self, sharers: Vec<String>, part: Permille) {
         let now = self.clock.now();
-        self.lock().pool.set_sharers(sharers, now);
+        self.lock().pool.set_sharers(sharers, part, now);
+    }
+
+    /// Sets what the targets bear while they are cold.
+    pub fn set_warmup(&self, warmup: Option<Warmup>) {
+        let now = self.clock.now();
+        self.lock().pool.set_warmup(warmup, now);
+    }
+
+    /// Takes a target's own word on how much longer it is cold.
+    pub fn told_cold_for(&self, target: &TargetId, cold_for: Duration) {
+        let now = self.clock.now();
+        if self.lock().pool.told_cold_for(target, cold_for, now) {
+            event!(self.log, TARGET_COLD, "service" => self.name.as_str(),
+                "target" => target.as_str(),
+                "cold_ms" => u64::try_from(cold_for.as_millis()).unwrap_or(u64::MAX));
+        }
     }
 
     /// Sets the rate limit of a target, which applies to all entries together; `None` removes it.
@@ -197,12 +228,6 @@
         self.lock().pool.wants_check(target, now)
     }
 
-    /// Whether a target says that another slot, or a later one, is better.
-    pub fn is_unfit(&self, target: &TargetId, ask: &SlotAsk) -> bool {
-        let now = self.clock.now();
-        self.lock().pool.is_unfit(target, ask, now)
-    }
-
     /// A target answered without telling its load.
     pub fn untold(&self) {
         self.lock().pool.untold();
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shallotfork_types::{Bytes, ParseError, ServiceName};
+use shallotfork_types::{Bytes, ParseError, ServiceName, Warmup};
 use thiserror::Error;
 
 use crate::route::{Route, RouteName};
@@ -48,6 +48,8 @@
     pub health_path: String,
     /// Connections that a target takes from all processes together.
     pub connections_max: u32,
+    /// What its targets bear while they are cold; `None` if they have no such limit.
+    pub warmup: Option<Warmup>,
 }
 
 /// What callers may send, and how long they may take.
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -34,7 +34,8 @@
 }
 
 fn table(version: u64, routes: Vec<Route>) -> Result<RouteTable, Vec<TableError>> {
-    let spec = || ServiceSpec { health_path: "/health".to_owned(), connections_max: 200 };
+    let spec =
+        || ServiceSpec { health_path: "/health".to_owned(), connections_max: 200, warmup: None };
     let services = BTreeMap::from([(service("a"), spec()), (service("b"), spec())]);
     let limits = CallerLimits {
         header_max: Bytes::from_kib(16),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,6 +16,7 @@
 mod revision;
 mod size;
 mod verdict;
+mod warmup;
 
 pub use address::Endpoint;
 pub use id::{CallerName, FailureDomain, Region, ServiceName, TargetId, VmId};
@@ -30,3 +31,4 @@
 pub use revision::Revision;
 pub use size::Bytes;
 pub use verdict::Verdict;
+pub use warmup::Warmup;
--- a/crates/types/src/request_rate.rs
+++ b/crates/types/src/request_rate.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use crate::ParseError;
+use crate::{ParseError, Permille};
 
 const MILLI: u64 = 1000;
 /// Higher rates are clamped to this value when parsed.
@@ -46,6 +46,12 @@
         Self { milli_per_s: self.milli_per_s / (parts.max(1) as u64) }
     }
 
+    /// Returns this part of the rate, rounded down.
+    #[must_use]
+    pub fn part(self, part: Permille) -> Self {
+        Self { milli_per_s: part.of(self.milli_per_s) }
+    }
+
     /// Returns the interval between successive requests; `None` if the rate is zero.
     pub fn interval(self) -> Option<Duration> {
         (self.milli_per_s > 0).then(|| Duration::from_secs(MILLI) / self.saturating_milli_per_s())
