feat(balance): leave slots free that slow down a target by more than they add

Cause: a target of six slots was filled to the last before another was taken, and under overload all were full. Only the last slot counted as crowded, so that in calm times too requests were put on a busy target beside idle ones.

Change: a target counts as crowded beyond two thirds of its slots. How much longer runs take that met a crowd is compared with others at the same time; while the slots add less than that, they are left free at targets of three slots or more. One target in eight is always filled and one never, so that a change shows. Waits count the slots that are used.

--- a/crates/balance/src/slots/estimate.rs
+++ b/crates/balance/src/slots/estimate.rs
@@ -13,9 +13,17 @@
 const WORK_WEIGHT: f64 = 0.05;
 /// Weight of a new sample in what a second request beside the first one costs.
 const CROWDING_WEIGHT: f64 = 0.02;
-/// What a target's last free slot costs before it has been measured, as a multiple of the time at
-/// a target with a slot to spare.
+/// What a run on a crowded target costs before it has been measured, as a multiple of the time on one
+/// with slots to spare.
 const CROWDING_GUESS: f64 = 1.4;
+/// How much longer runs take on crowded targets before that has been measured; so much that these are
+/// kept uncrowded.
+const SLOWDOWN_GUESS: f64 = 1.5;
+/// The part of a run for which its target is crowded at least, if it is at all. What a crowd costs is
+/// measured over whole runs.
+const CROWDED_PART: f64 = 0.5;
+/// Part of a target's slots that can be in use without crowding it, in thousandths.
+const UNCROWDED_PERMILLE: u32 = 667;
 /// Bounds of the measured cost; noise must not turn it into a gain.
 const CROWDING_BOUNDS: (f64, f64) = (1.0, 3.0);
 /// Weight of a new report in the mean pace.
@@ -23,6 +31,11 @@
 /// Samples are cut at this multiple of the estimate, so that a single hang moves no mean.
 const SAMPLE_MAX: f64 = 4.0;
 
+/// Requests that a target of so many slots is expected to run without slowing down.
+pub(super) fn uncrowded_slots(slots: u32) -> u32 {
+    (slots * UNCROWDED_PERMILLE / 1000).max(1)
+}
+
 /// How long work takes at a target now, in thousandths of the usual time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Pace(u32);
@@ -65,8 +78,13 @@
     work_us: BTreeMap<WorkClass, f64>,
     /// Mean over all classes, for one that is new.
     any_work_us: Option<f64>,
-    /// What the last free slot of a target costs.
+    /// What a run on a crowded target costs.
     crowding: f64,
+    /// Mean times of runs on targets that were crowded meanwhile, and on others, as multiples of the
+    /// time expected of an uncrowded one. Both are measured at the same time, so that what slows down
+    /// all targets alike shows in both.
+    crowded_time: f64,
+    uncrowded_time: f64,
     /// Mean of the paces that targets report.
     pace: f64,
     /// Whether any target has told its pace; `None` before one was asked.
@@ -80,6 +98,8 @@
             work_us: BTreeMap::new(),
             any_work_us: None,
             crowding: CROWDING_GUESS,
+            crowded_time: SLOWDOWN_GUESS,
+            uncrowded_time: 1.0,
             pace: 1.0,
             has_paces: None,
         }
@@ -108,6 +128,25 @@
         if crowded { self.crowding } else { 1.0 }
     }
 
+    /// Whether a target of so many slots serves more when all of them are filled than when it is kept
+    /// uncrowded.
+    pub(super) fn crowded_slots_pay(&self, slots: u32) -> bool {
+        let gain = f64::from(slots) / f64::from(uncrowded_slots(slots)) - 1.0;
+        self.slowdown() - 1.0 < gain * CROWDED_PART
+    }
+
+    /// How much longer runs take that met a crowd.
+    pub(super) fn slowdown(&self) -> f64 {
+        self.crowded_time / self.uncrowded_time
+    }
+
+    /// Takes the time of a run, as a multiple of the expected one, on a target that was crowded
+    /// meanwhile or was not.
+    pub(super) fn saw_crowd(&mut self, ratio: f64, crowded: bool) {
+        let time = if crowded { &mut self.crowded_time } else { &mut self.uncrowded_time };
+        *time += (ratio.min(SAMPLE_MAX) - *time) * CROWDING_WEIGHT;
+    }
+
     pub(super) fn mean_pace(&self) -> f64 {
         self.pace
     }
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -160,7 +160,7 @@
     /// away to those nearby; one that has less takes what is free anywhere, since its own failure
     /// domain may have few.
     pub(super) fn has_share(&self) -> bool {
-        self.attempts.len() * self.sharers.len().max(1) >= self.serving_slots() as usize
+        self.attempts.len() * self.sharers.len().max(1) >= self.usable_slots() as usize
     }
 
     /// Slots of all targets that take new work.
@@ -168,6 +168,12 @@
         self.serving_slots
     }
 
+    /// Those of them that are used at a time.
+    pub(super) fn usable_slots(&self) -> u32 {
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        serving.map(|target| target.usable_slots(&self.learnt)).sum()
+    }
+
     /// Takes the published targets; what is known of those that stay is kept.
     pub fn set_targets(&mut self, published: Vec<SlotTarget>, now: Mono) -> Vec<Woken> {
         let mut known = std::mem::take(&mut self.targets);
@@ -344,9 +350,10 @@
         if self.queue.is_empty() {
             return Vec::new();
         }
-        let (config, has_share) = (&self.config, self.has_share());
+        let (config, learnt, has_share) = (&self.config, &self.learnt, self.has_share());
         let serving = self.targets.iter().filter(|(_, target)| target.published.serving);
-        let wanted = serving.filter(|(_, target)| target.wants_probe(now, config, has_share));
+        let wanted =
+            serving.filter(|(_, target)| target.wants_probe(now, config, learnt, has_share));
         let mut order: Vec<(bool, Mono, &TargetId)> =
             wanted.map(|(id, target)| (target.is_far(config), target.told_at(), id)).collect();
         order.sort();
@@ -416,7 +423,7 @@
         let open = among.filter(|(id, target)| {
             target.published.serving
                 && !ask.exclude.contains(id)
-                && target.open_slots(now, config, has_share) > 0
+                && target.open_slots(now, config, learnt, has_share) > 0
         });
         let open = open.filter(|(_, target)| {
             choice == Choice::Any || !target.is_slow(ask, now, config, learnt)
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -5,7 +5,7 @@
 use shallotfork_types::{Mono, RequestRate, Warmup, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
-use super::estimate::{Learnt, PaceReport};
+use super::estimate::{Learnt, PaceReport, uncrowded_slots};
 use super::published::{BeliefChange, LoadFigures, SlotOutcome, SlotTarget};
 use super::rate_share::RateShare;
 use super::{SlotAsk, WorkClass};
@@ -26,6 +26,11 @@
 /// Part of a far target's slots that a process may fill which has its share already, as a divisor. With
 /// less, spare slots stay unused; with more, one failure domain takes slots that another needs.
 const FAR_SLOTS_DIVISOR: u32 = 2;
+/// Fewest slots of a target that may be kept uncrowded. Of two, one would be left.
+const SPARED_SLOTS_MIN: u32 = 3;
+/// Of so many targets one is always filled and one is always kept uncrowded, whatever pays, so that
+/// both can be compared and a change shows.
+const COMPARED_DIVISOR: u64 = 8;
 /// How long a target's account of requests from other processes counts.
 const OTHERS_MEMORY: Duration = Duration::from_millis(500);
 /// How much slower a target is for some seconds after its start, until it has been measured.
@@ -49,6 +54,8 @@
     /// The pace at which it was sent; `None` when it was not known.
     pub(super) pace: Option<f64>,
     pub(super) crowded: bool,
+    /// Whether the target was crowded at any time since.
+    met_crowd: bool,
     /// Whether it has left for the target; until then it holds a slot here only.
     pub(super) sent: bool,
     /// Whether the target has turned cold since the slot was assigned.
@@ -191,8 +198,21 @@
         })
     }
 
-    pub(super) fn free_slots(&self, now: Mono) -> u32 {
-        self.published.slots.saturating_sub(self.used(now))
+    /// Slots that are used at a time. Those that slow down all runs of a target by more than they add
+    /// are left free.
+    pub(super) fn usable_slots(&self, learnt: &Learnt) -> u32 {
+        let slots = self.published.slots;
+        let fills = slots < SPARED_SLOTS_MIN
+            || match self.turn % COMPARED_DIVISOR {
+                0 => true,
+                1 => false,
+                _ => learnt.crowded_slots_pay(slots),
+            };
+        if fills { slots } else { uncrowded_slots(slots) }
+    }
+
+    pub(super) fn free_slots(&self, now: Mono, learnt: &Learnt) -> u32 {
+        self.usable_slots(learnt).saturating_sub(self.used(now))
     }
 
     /// Whether this process may send requests to the target, now or later.
@@ -203,12 +223,18 @@
     /// Free slots that this process may fill; zero until its shares of the target's limits allow the
     /// next request. One that has its share already takes those of a target in another failure domain
     /// only as long as half of them are free.
-    pub(super) fn open_slots(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> u32 {
+    pub(super) fn open_slots(
+        &self,
+        now: Mono,
+        config: &SlotPoolConfig,
+        learnt: &Learnt,
+        has_share: bool,
+    ) -> u32 {
         if !self.may_send(now) {
             return 0;
         }
         if !has_share || !self.is_far(config) {
-            return self.free_slots(now);
+            return self.free_slots(now, learnt);
         }
         let open_to_far = (self.published.slots / FAR_SLOTS_DIVISOR).max(1);
         open_to_far.saturating_sub(self.used(now))
@@ -232,9 +258,9 @@
         self.used(now) > self.published.slots
     }
 
-    /// Whether one more request takes the last slot.
+    /// Whether one more request crowds the target.
     pub(super) fn would_crowd(&self, now: Mono) -> bool {
-        self.published.slots > 1 && self.free_slots(now) <= 1
+        self.published.slots > 1 && self.used(now) >= uncrowded_slots(self.published.slots)
     }
 
     /// The pace by a report that is fresh enough to be relied on.
@@ -319,11 +345,15 @@
             started: now,
             pace: None,
             crowded,
+            met_crowd: false,
             sent: false,
             assigned_warm: false,
             expected_us: f64::INFINITY,
         };
         self.running.push(running);
+        if crowded {
+            self.running.iter_mut().for_each(|running| running.met_crowd = true);
+        }
     }
 
     /// The attempt leaves now, at the pace that the target reported last.
@@ -405,6 +435,7 @@
         let ratio = (time_us / usual_us).min(SPEED_SAMPLE_MAX);
         self.speed += (ratio - self.speed) * SPEED_WEIGHT;
         self.speed = self.speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        learnt.saw_crowd(time_us / (learnt.work_us(&running.class) * pace), running.met_crowd);
         learnt.saw_time(&running.class, time_us, pace, running.crowded);
     }
 
@@ -454,7 +485,13 @@
 
     /// Whether a probe would tell something: its pace would be guessed otherwise. A target that bears
     /// few requests is not probed, because a probe is itself a request.
-    pub(super) fn wants_probe(&self, now: Mono, config: &SlotPoolConfig, has_share: bool) -> bool {
+    pub(super) fn wants_probe(
+        &self,
+        now: Mono,
+        config: &SlotPoolConfig,
+        learnt: &Learnt,
+        has_share: bool,
+    ) -> bool {
         let stale = |at: Mono| now.since(at) >= config.probe_after;
         let unknown = self.pace_is_stale(now, config.probe_after);
         let due = self.probed_at.is_none_or(stale);
@@ -462,7 +499,7 @@
             && due
             && !self.is_limited(now)
             && !self.is_ejected(now)
-            && self.open_slots(now, config, has_share) > 0
+            && self.open_slots(now, config, learnt, has_share) > 0
     }
 
     /// When it was heard of last; before all others if it never was.
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -55,7 +55,7 @@
             .targets
             .iter()
             .filter(usable)
-            .map(|(_, target)| target.open_slots(now, &self.config, has_share));
+            .map(|(_, target)| target.open_slots(now, &self.config, &self.learnt, has_share));
         let free = free.sum::<u32>() as usize;
         self.wait_for_slots((ahead + 1).saturating_sub(free), now)
     }
@@ -68,7 +68,7 @@
         let serving = self.targets.values().filter(|target| target.published.serving);
         serving
             .filter(good)
-            .map(|target| target.open_slots(now, &self.config, has_share) as usize)
+            .map(|target| target.open_slots(now, &self.config, &self.learnt, has_share) as usize)
             .sum()
     }
 
@@ -86,13 +86,13 @@
     fn effective_slots(&self, now: Mono) -> f64 {
         let usual_s = self.learnt.usual_us() / 1e6;
         let unused_at = |target: &Target| {
-            let slots = f64::from(target.published.slots);
+            let slots = f64::from(target.usable_slots(&self.learnt));
             let used = target.shares(now).map(|share| share.share().per_s() * usual_s);
             (slots - used.fold(slots, f64::min)).max(0.0)
         };
         let serving = self.targets.values().filter(|target| target.published.serving);
         let unused: f64 = serving.map(unused_at).sum();
-        f64::from(self.serving_slots().max(1)) - unused
+        f64::from(self.usable_slots().max(1)) - unused
     }
 
     pub(super) fn shed(&self, reason: ShedReason, now: Mono) -> Shed {
--- a/crates/balance/src/slots/wake.rs
+++ b/crates/balance/src/slots/wake.rs
@@ -36,7 +36,8 @@
     fn is_open(&self, id: &TargetId, now: Mono) -> bool {
         let has_share = self.has_share();
         self.targets.get(id).is_some_and(|target| {
-            target.published.serving && target.open_slots(now, &self.config, has_share) > 0
+            target.published.serving
+                && target.open_slots(now, &self.config, &self.learnt, has_share) > 0
         })
     }
 
