feat(fleet): tell callers all entries of their region

Cause: callers were told the entries of their failure domain, most often one.

Change: regions come from the settings; a caller is told all named entries of its region if none is more than twice as strong as another, else those of its failure domain as before. Where regions are not known nothing changes.

Test: what callers are told in two regions, with weak entries, without an entry of their own.

--- a/crates/fleet/src/active.rs
+++ b/crates/fleet/src/active.rs
@@ -1,8 +1,8 @@
 //! Which entries callers are sent to.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use shallotfork_types::{Endpoint, FailureDomain, VmId};
+use shallotfork_types::{Endpoint, FailureDomain, PerSecond, Region, VmId};
 
 use crate::order::Candidate;
 
@@ -13,6 +13,9 @@
 /// of them carry: two strong entries with half of the processor to spare beat two strong and ten
 /// weak ones.
 const ENOUGH_DIVISOR: u64 = 2;
+/// An entry that is this many times as strong as another is not named beside it to callers of other
+/// failure domains.
+const ALIKE_FACTOR: u32 = 2;
 /// Entries of one failure domain that callers are sent to at most; the platform's callers read no
 /// more addresses in an answer.
 pub(crate) const ACTIVE_MAX: usize = 64;
@@ -26,14 +29,41 @@
     pub failure_domain: FailureDomain,
     /// Where callers reach it.
     pub callers: Endpoint,
+    /// Requests a second that it could carry.
+    pub strength: PerSecond,
 }
 
-/// Where a caller in a failure domain is sent: to the entries that stand there or, if none does or
-/// the caller does not say where it stands, to all.
-pub fn entries_for(active: &[ActiveEntry], domain: Option<&FailureDomain>) -> Vec<Endpoint> {
-    let near = active.iter().filter(|entry| domain == Some(&entry.failure_domain));
-    let near: Vec<Endpoint> = near.map(|entry| entry.callers).collect();
-    if near.is_empty() { active.iter().map(|entry| entry.callers).collect() } else { near }
+/// Which failure domains stand in which region.
+pub type Regions = BTreeMap<FailureDomain, Region>;
+
+/// Where a caller in a failure domain is sent: to the entries of its region if they are about equally
+/// strong, else to those of its failure domain, and to all if there are none or the caller does not
+/// say where it stands.
+///
+/// A caller chooses one of several addresses by chance, and another one at once when that one fails.
+/// With one address, of an entry that is killed, all callers of a failure domain wait until they may
+/// ask for a new one. A weak entry would get as many callers as a strong one, though.
+pub fn entries_for(
+    active: &[ActiveEntry],
+    regions: &Regions,
+    domain: Option<&FailureDomain>,
+) -> Vec<Endpoint> {
+    let region = domain.and_then(|domain| regions.get(domain));
+    let in_region =
+        |entry: &&ActiveEntry| region.is_some() && regions.get(&entry.failure_domain) == region;
+    let in_domain = |entry: &&ActiveEntry| domain == Some(&entry.failure_domain);
+    let of_region: Vec<&ActiveEntry> = active.iter().filter(in_region).collect();
+    let of_domain: Vec<&ActiveEntry> = active.iter().filter(in_domain).collect();
+    let all: Vec<&ActiveEntry> = active.iter().collect();
+    let choices = [if are_alike(&of_region) { of_region } else { Vec::new() }, of_domain, all];
+    let chosen = choices.into_iter().find(|entries| !entries.is_empty()).unwrap_or_default();
+    chosen.into_iter().take(ACTIVE_MAX).map(|entry| entry.callers).collect()
+}
+
+/// Whether none of the entries is more than twice as strong as another.
+fn are_alike(entries: &[&ActiveEntry]) -> bool {
+    let strengths = || entries.iter().map(|entry| entry.strength.value());
+    strengths().max() <= strengths().min().map(|weakest| weakest.saturating_mul(ALIKE_FACTOR))
 }
 
 /// The entries that callers are sent to, of those in the order of
--- a/crates/fleet/src/beliefs.rs
+++ b/crates/fleet/src/beliefs.rs
@@ -136,6 +136,7 @@
         vm: entry.vm.clone(),
         failure_domain: entry.failure_domain.clone(),
         callers: entry.callers,
+        strength: entry.strength,
     };
     chosen.map(active).collect()
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
 mod told;
 mod words;
 
-pub use active::{ActiveEntry, active_entries, entries_for};
+pub use active::{ActiveEntry, Regions, active_entries, entries_for};
 pub use beat::Beat;
 pub use beliefs::Beliefs;
 pub use contacts::{Contacts, Standing, contacts};
--- a/crates/fleet/tests/active.rs
+++ b/crates/fleet/tests/active.rs
@@ -7,9 +7,9 @@
 
 use quickcheck::QuickCheck;
 use shallotfork_fleet::{
-    ActiveEntry, Candidate, active_entries, entries_for, fleet_order, with_helpers,
+    ActiveEntry, Candidate, Regions, active_entries, entries_for, fleet_order, with_helpers,
 };
-use shallotfork_types::{Endpoint, FailureDomain, PerSecond, VmId};
+use shallotfork_types::{Endpoint, FailureDomain, PerSecond, Region, VmId};
 
 const HALLS: usize = 3;
 
@@ -81,16 +81,43 @@
         vm: VmId::new(&format!("vm-{number}")).unwrap(),
         failure_domain: hall(domain),
         callers: format!("10.0.0.{number}:80").parse().unwrap(),
+        strength: PerSecond::new(833),
     };
+    let none = Regions::new();
     let active = [entry(1, 0), entry(2, 1), entry(3, 1)];
     let all: Vec<Endpoint> = active.iter().map(|entry| entry.callers).collect();
-    let sent: BTreeMap<usize, Vec<Endpoint>> =
-        (0..HALLS).map(|number| (number, entries_for(&active, Some(&hall(number))))).collect();
+    let sent: BTreeMap<usize, Vec<Endpoint>> = (0..HALLS)
+        .map(|number| (number, entries_for(&active, &none, Some(&hall(number)))))
+        .collect();
     assert_eq!(sent[&0], all[..1]);
     assert_eq!(sent[&1], all[1..]);
     assert_eq!(sent[&2], all);
-    assert_eq!(entries_for(&active, None), all);
-    assert!(entries_for(&[], Some(&hall(0))).is_empty());
+    assert_eq!(entries_for(&active, &none, None), all);
+    assert!(entries_for(&[], &none, Some(&hall(0))).is_empty());
+}
+
+/// Guards against callers who know a single address and wait, when its entry is killed, until they may
+/// ask for another one.
+#[test]
+fn a_caller_is_told_other_entries_of_its_region() {
+    let entry = |number: usize, strength: u32| ActiveEntry {
+        vm: VmId::new(&format!("vm-{number}")).unwrap(),
+        failure_domain: hall(number),
+        callers: format!("10.0.0.{number}:80").parse().unwrap(),
+        strength: PerSecond::new(strength),
+    };
+    let region = |name: &str| Region::new(name).unwrap();
+    let regions: Regions =
+        [(hall(0), region("north")), (hall(1), region("north")), (hall(2), region("south"))].into();
+    let sent = |active: &[ActiveEntry], number: usize| {
+        entries_for(active, &regions, Some(&hall(number))).len()
+    };
+    let alike = [entry(0, 833), entry(1, 500), entry(2, 833)];
+    assert_eq!((0..HALLS).map(|number| sent(&alike, number)).collect::<Vec<_>>(), [2, 2, 1]);
+    let unlike = [entry(0, 833), entry(1, 104), entry(2, 833)];
+    assert_eq!((0..HALLS).map(|number| sent(&unlike, number)).collect::<Vec<_>>(), [1, 1, 1]);
+    assert_eq!(sent(&alike[1..], 0), 1, "the only one of the region");
+    assert_eq!(sent(&alike[2..], 0), 1, "the only one there is");
 }
 
 /// How many entries are named in each hall, while the first `late` of the first one's hall are behind.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use shallotfork_fleet::Regions;
 use shallotfork_types::{Bytes, Endpoint, FailureDomain, PerSecond, Permille, VmId};
 
 /// Where the process listens.
@@ -26,6 +27,8 @@
     pub vm: VmId,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// Which failure domains stand in which region; empty when that is not known.
+    pub regions: Regions,
     /// Requests a second that this VM could carry, by its processor and its link.
     pub strength: PerSecond,
     /// Where it listens.
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -18,16 +18,15 @@
 
 /// Answers a caller who asks for addresses.
 ///
-/// A caller is sent to the entries of its own failure domain, if it has any, so that its requests and
-/// their answers cross to no other. The answer is kept for a short time, so that callers follow soon
-/// when a named entry is lost.
+/// The answer is kept for a short time, so that callers follow soon when a named entry is lost.
 pub fn directory(context: &Arc<Context>, request: &poem::Request) -> poem::Response {
     if request.uri().path() != context.dialect.paths.directory {
         return StatusCode::NOT_FOUND.into_response();
     }
     let fleet = context.fleet.load();
     let question = request.uri().query().unwrap_or_default();
-    let mut named = entries_for(&fleet.named, (context.dialect.caller_domain)(question).as_ref());
+    let domain = (context.dialect.caller_domain)(question);
+    let mut named = entries_for(&fleet.named, &context.settings.regions, domain.as_ref());
     if named.is_empty() {
         // Nobody is known before the first heartbeats; this process serves as well as any.
         named.push(context.settings.ports.callers);
