fix(balance): after the loss of a failure domain, wait for sound targets

Cause: when more than half of the targets looked bad, the evidence against them was ignored, although sound ones were only full. Attempts that were lost together also counted as failures one after the other: six at once doubled the pause of their target to its longest, 4 s, and wrote a line each (2044 lines 5001 in one second).

Change: evidence is ignored only if all serving targets look bad, as the documentation says. Failures of a target that is left out already neither lengthen the pause nor are logged.

Tests: both failed before on (a request sent to a dead target; six pauses for three targets).

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -454,11 +454,13 @@
         }
     }
 
-    /// Whether so many targets look bad that the fault is more likely this process's own.
+    /// Whether all targets look bad, so that the fault is more likely this process's own. While some
+    /// look sound, even if they are full, those that look bad are not tried: after the loss of a
+    /// failure domain requests would be spent on dead targets and refused, that a sound one could have
+    /// served a moment later.
     fn ignores_evidence(&self, now: Mono) -> bool {
-        let serving = || self.targets.values().filter(|target| target.published.serving);
-        let bad = serving().filter(|t| t.is_ejected(now) || t.is_overdue(now, &self.config));
-        bad.count() * 2 > serving().count()
+        let mut serving = self.targets.values().filter(|target| target.published.serving);
+        serving.all(|target| target.is_ejected(now) || target.is_overdue(now, &self.config))
     }
 
     fn next_id(&mut self) -> u64 {
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -447,7 +447,8 @@
     ) -> Option<BeliefChange> {
         self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
         self.failures_in_row += 1;
-        if self.failures_in_row < tolerated {
+        // Attempts that were under way when it was left out say nothing new.
+        if self.failures_in_row < tolerated || self.is_ejected(now) {
             return None;
         }
         let pause = config.ejection * 2u32.pow(self.ejections.min(DOUBLINGS_MAX));
