--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -8,6 +8,7 @@
 mod ask;
 mod config;
 mod estimate;
+mod limits;
 mod pool;
 mod probe_budget;
 mod published;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -3,14 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallotfork_types::{FailureDomain, Mono, Permille, RequestRate, TargetId, Warmup};
+use shallotfork_types::{FailureDomain, Mono, Permille, TargetId, Warmup};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Learnt;
 use super::probe_budget::ProbeBudget;
 use super::published::{Belief, LoadFigures, SlotOutcome, SlotTarget};
 use super::queue::SlotQueue;
-use super::rate_share::{RateShare, compute_share};
 use super::target::Target;
 use super::{SlotAsk, WorkClass};
 use crate::{Admission, Assignment, AttemptId, Shed, ShedReason, Ticket, Woken};
@@ -56,11 +55,11 @@
     /// Changes of belief that nobody has taken yet.
     beliefs: Vec<Belief>,
     /// Names of the processes that callers are sent to, which send requests to these targets.
-    sharers: Vec<String>,
+    pub(super) sharers: Vec<String>,
     /// The part of what cold targets bear that these processes may use.
-    sharers_part: Permille,
+    pub(super) sharers_part: Permille,
     /// What targets bear while they are cold; `None` if they have no such limit.
-    warmup: Option<Warmup>,
+    pub(super) warmup: Option<Warmup>,
     serving_slots: u32,
     /// Bounds the probes while requests wait.
     probes: ProbeBudget,
@@ -87,71 +86,6 @@
         }
     }
 
-    /// Sets the names of the processes that share the slots and recomputes the shares of all limits.
-    /// This process is included only if callers are sent to it. `part` is what these processes may
-    /// use of what cold targets bear: less than the whole if they see only a part of the fleet. Before
-    /// the first call it is nothing.
-    pub fn set_sharers(&mut self, sharers: Vec<String>, part: Permille, now: Mono) {
-        self.sharers = sharers;
-        self.sharers_part = part;
-        for (id, target) in &mut self.targets {
-            let Some(current) = target.rate_share else { continue };
-            let limit = current.limit();
-            let share = compute_share(limit, id, &self.config.name, &self.sharers);
-            target.rate_share = Some(current.updated(limit, share, now));
-        }
-        self.update_warmup_shares(now);
-    }
-
-    /// Sets what targets bear while they are cold; `None` if they have no such limit.
-    pub fn set_warmup(&mut self, warmup: Option<Warmup>, now: Mono) {
-        if self.warmup == warmup {
-            return;
-        }
-        self.warmup = warmup;
-        self.update_warmup_shares(now);
-    }
-
-    /// Takes a target's own word on how much longer it is cold. Returns whether it was taken for warm
-    /// until now.
-    pub fn told_cold_for(&mut self, id: &TargetId, cold_for: Duration, now: Mono) -> bool {
-        let cold_max = self.cold_max();
-        let Some(target) = self.targets.get_mut(id) else { return false };
-        let was_cold = target.is_cold(now);
-        target.told_cold_for(cold_for.min(cold_max), now);
-        !was_cold && target.is_cold(now)
-    }
-
-    /// Whether a target is cold.
-    pub fn is_cold(&self, id: &TargetId, now: Mono) -> bool {
-        self.targets.get(id).is_some_and(|target| target.is_cold(now))
-    }
-
-    fn update_warmup_shares(&mut self, now: Mono) {
-        for (id, target) in &mut self.targets {
-            let share = self.warmup.map(|warmup| {
-                let limit = warmup.rate.part(self.sharers_part);
-                (warmup, compute_share(limit, id, &self.config.name, &self.sharers))
-            });
-            target.set_warmup(share, now);
-        }
-    }
-
-    fn cold_max(&self) -> Duration {
-        self.warmup.map_or(Duration::MAX, |warmup| warmup.duration)
-    }
-
-    /// Sets the rate limit of a target, which applies to all processes together; `None` removes it.
-    /// Unknown targets are ignored.
-    pub fn set_rate_limit(&mut self, id: &TargetId, limit: Option<RequestRate>, now: Mono) {
-        let Some(target) = self.targets.get_mut(id) else { return };
-        target.rate_share = limit.map(|limit| {
-            let share = compute_share(limit, id, &self.config.name, &self.sharers);
-            let new = RateShare::new(limit, share, now);
-            target.rate_share.map_or(new, |current| current.updated(limit, share, now))
-        });
-    }
-
     /// Whether this process uses as many slots as any of those that share them may.
     ///
     /// Under overload each process fills a slot that it gives back again before another one hears of
@@ -189,7 +123,7 @@
         }
         let serving = self.targets.values().filter(|target| target.published.serving);
         self.serving_slots = serving.map(|target| target.published.slots).sum();
-        self.update_warmup_shares(now);
+        self.add_warmup_shares(now);
         self.wake(now)
     }
 
@@ -197,7 +131,7 @@
     pub fn restarted(&mut self, id: &TargetId, now: Mono) {
         let Some(old) = self.targets.remove(id) else { return };
         self.targets.insert(id.clone(), Target::new(old.published, &self.config, now));
-        self.update_warmup_shares(now);
+        self.add_warmup_shares(now);
     }
 
     /// Decides about a request.
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Mono, RequestRate, Warmup, rendezvous_weight};
+use shallotfork_types::{Mono, RequestRate, rendezvous_weight};
 
 use super::config::SlotPoolConfig;
 use super::estimate::{Learnt, PaceReport, uncrowded_slots};
@@ -59,7 +59,7 @@
     /// Whether it has left for the target; until then it holds a slot here only.
     pub(super) sent: bool,
     /// Whether the target has turned cold since the slot was assigned.
-    assigned_warm: bool,
+    pub(super) assigned_warm: bool,
     pub(super) expected_us: f64,
 }
 
@@ -84,10 +84,10 @@
     ejections: u32,
     ejected_until: Option<Mono>,
     others: Option<Others>,
-    cold_until: Mono,
+    pub(super) cold_until: Mono,
     /// Whether the target itself said in a health answer that it is cold. What is published may be
     /// older than that.
-    cold_by_own_word: bool,
+    pub(super) cold_by_own_word: bool,
     probed_at: Option<Mono>,
     /// This process's share of the target's rate limit; `None` if the target has no limit.
     pub(super) rate_share: Option<RateShare>,
@@ -130,58 +130,6 @@
         target
     }
 
-    pub(super) fn is_cold(&self, now: Mono) -> bool {
-        self.cold_until > now
-    }
-
-    /// Takes the target's own word on how much longer it is cold.
-    pub(super) fn told_cold_for(&mut self, cold_for: Duration, now: Mono) {
-        self.cold_by_own_word = cold_for > Duration::ZERO;
-        self.set_cold_for(cold_for, now);
-    }
-
-    fn set_cold_for(&mut self, cold_for: Duration, now: Mono) {
-        let was_cold = self.is_cold(now);
-        self.cold_until = now.plus(cold_for);
-        if was_cold || !self.is_cold(now) {
-            return;
-        }
-        self.warmup_share = self.warmup_share.map(|share| share.restarted(now));
-        let unsent = self.running.iter_mut().filter(|running| !running.sent);
-        unsent.for_each(|running| running.assigned_warm = true);
-    }
-
-    /// Sets what the target bears while it is cold.
-    pub(super) fn set_warmup(&mut self, warmup: Option<(Warmup, RequestRate)>, now: Mono) {
-        self.warmup_share = warmup.map(|(warmup, share)| {
-            self.cold_until = self.cold_until.min(now.plus(warmup.duration));
-            let new = RateShare::new(warmup.rate, share, now);
-            self.warmup_share.map_or(new, |current| current.updated(warmup.rate, share, now))
-        });
-    }
-
-    /// This process's shares of the limits on what the target gets from all processes together.
-    pub(super) fn shares(&self, now: Mono) -> impl Iterator<Item = &RateShare> {
-        let warmup_share = self.warmup_share.iter().filter(move |_| self.is_cold(now));
-        self.rate_share.iter().chain(warmup_share)
-    }
-
-    fn is_limited(&self, now: Mono) -> bool {
-        self.shares(now).next().is_some()
-    }
-
-    /// Whether the limits on what the target gets allow another request now.
-    fn may_send(&self, now: Mono) -> bool {
-        let has_unsent = || self.running.iter().any(|running| !running.sent);
-        self.shares(now).all(|share| share.may_send(now)) && !(self.is_limited(now) && has_unsent())
-    }
-
-    /// Whether an attempt was assigned before the target turned cold, and so without regard to what
-    /// it bears.
-    pub(super) fn was_assigned_warm(&self, attempt: AttemptId) -> bool {
-        self.running.iter().any(|running| running.attempt == attempt && running.assigned_warm)
-    }
-
     pub(super) fn is_ejected(&self, now: Mono) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
     }
