fix(balance): shares of cold targets are computed for cold targets only

There 99 weak VMs are named, and each change of them had every entry sort 99 names by hash for each of 1001 targets, cold or not.

Change: a target has a share while it is cold, computed when it turns cold and when the sharers change; the hash of a name is computed once in a sort. The slots in use are counted when a list or an answer changes them and not for each choice.

--- a/crates/balance/src/slots/limits.rs
+++ b/crates/balance/src/slots/limits.rs
@@ -27,7 +27,8 @@
         if was_cold || !self.is_cold(now) {
             return;
         }
-        self.warmup_share = self.warmup_share.map(|share| share.restarted(now));
+        // The one of an earlier cold time is out of date.
+        self.warmup_share = None;
         let unsent = self.running.iter_mut().filter(|running| !running.sent);
         unsent.for_each(|running| running.assigned_warm = true);
     }
@@ -97,7 +98,11 @@
         let Some(target) = self.targets.get_mut(id) else { return false };
         let was_cold = target.is_cold(now);
         target.told_cold_for(cold_for.min(cold_max), now);
-        !was_cold && target.is_cold(now)
+        let turned_cold = !was_cold && target.is_cold(now);
+        if turned_cold {
+            self.add_warmup_shares(now);
+        }
+        turned_cold
     }
 
     /// Whether a target is cold.
@@ -110,13 +115,16 @@
         self.share_warmup(|_| true, now);
     }
 
-    /// Computes it for targets that are new.
+    /// Computes it for targets that have turned cold.
     pub(super) fn add_warmup_shares(&mut self, now: Mono) {
         self.share_warmup(|target| target.warmup_share.is_none(), now);
     }
 
+    /// Only cold targets have a share: it takes a hash for each process that shares the slots, and with
+    /// a thousand targets and a hundred processes a small VM would be busy for seconds.
     fn share_warmup(&mut self, wanted: impl Fn(&Target) -> bool, now: Mono) {
-        let wanted = self.targets.iter_mut().filter(|(_, target)| wanted(target));
+        let cold = self.targets.iter_mut().filter(|(_, target)| target.is_cold(now));
+        let wanted = cold.filter(|(_, target)| wanted(target));
         for (id, target) in wanted {
             let share = self.warmup.map(|warmup| {
                 let limit = warmup.rate.part(self.sharers_part);
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -61,6 +61,9 @@
     /// What targets bear while they are cold; `None` if they have no such limit.
     pub(super) warmup: Option<Warmup>,
     serving_slots: u32,
+    /// Those of them that are used at a time. Counted when it may change, and not for each choice:
+    /// with hundreds of targets and waiting requests that would take longer than serving them.
+    usable_slots: u32,
     /// Bounds the probes while requests wait.
     probes: ProbeBudget,
     last_id: u64,
@@ -81,6 +84,7 @@
             sharers_part: Permille::new(0),
             warmup: None,
             serving_slots: 0,
+            usable_slots: 0,
             probes: ProbeBudget::new(),
             last_id: 0,
         }
@@ -104,8 +108,12 @@
 
     /// Those of them that are used at a time.
     pub(super) fn usable_slots(&self) -> u32 {
+        self.usable_slots
+    }
+
+    fn count_usable_slots(&mut self) {
         let serving = self.targets.values().filter(|target| target.published.serving);
-        serving.map(|target| target.usable_slots(&self.learnt)).sum()
+        self.usable_slots = serving.map(|target| target.usable_slots(&self.learnt)).sum();
     }
 
     /// Takes the published targets; what is known of those that stay is kept.
@@ -124,6 +132,7 @@
         let serving = self.targets.values().filter(|target| target.published.serving);
         self.serving_slots = serving.map(|target| target.published.slots).sum();
         self.add_warmup_shares(now);
+        self.count_usable_slots();
         self.wake(now)
     }
 
@@ -196,6 +205,7 @@
                 target.report(without_the_answered(figures), &mut self.learnt, now);
             }
         }
+        self.count_usable_slots();
         self.probes.answered();
         self.wake_for(&id, now)
     }
--- a/crates/balance/src/slots/rate_share.rs
+++ b/crates/balance/src/slots/rate_share.rs
@@ -43,11 +43,6 @@
         Self { limit, share, interval_start }
     }
 
-    /// Returns a copy whose first request waits for one full interval.
-    pub(super) fn restarted(self, now: Mono) -> Self {
-        Self { interval_start: now, ..self }
-    }
-
     pub(super) fn may_send(&self, now: Mono) -> bool {
         self.share.interval().is_some_and(|interval| self.interval_start.plus(interval) <= now)
     }
@@ -69,7 +64,7 @@
         return limit;
     }
     let mut selected: Vec<&String> = sharer_names.iter().collect();
-    selected.sort_by_key(|name| Reverse(rendezvous_weight(target.as_str(), name)));
+    selected.sort_by_cached_key(|name| Reverse(rendezvous_weight(target.as_str(), name)));
     let selected_max = usize::try_from(limit.whole_per_s()).unwrap_or(usize::MAX);
     selected.truncate(selected_max.clamp(1, sharer_names.len()));
     if selected.iter().any(|name| *name == own_name) {
--- a/crates/balance/tests/cold_targets.rs
+++ b/crates/balance/tests/cold_targets.rs
@@ -10,7 +10,7 @@
 #[allow(dead_code, reason = "each test file uses its part")]
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use shallotfork_balance::{Admission, SlotPool, SlotTarget};
 use shallotfork_types::{Permille, RequestRate, Warmup};
@@ -196,3 +196,18 @@
     pool.finish(assignment.attempt, answered(), Some(figures(1, 1000)), at(1_400));
     assert_eq!(pool.usual_time(&ask(0).class), before);
 }
+
+/// Guards against a fleet of small VMs that is busy for seconds with the shares of targets that are not
+/// cold, whenever a name changes among those that callers are sent to.
+#[test]
+fn a_change_of_sharers_is_cheap_while_targets_are_warm() {
+    let mut pool = named_pool("vm-0", &[]);
+    pool.set_warmup(warmup(3_000), at(0));
+    pool.set_targets((0..1000).map(|number| cold(&format!("mill-{number}"), 0)).collect(), at(0));
+    let began = Instant::now();
+    for round in 0..20 {
+        let names = (round..round + 100).map(|number| format!("vm-{number}")).collect();
+        pool.set_sharers(names, WHOLE, at(0));
+    }
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
