refactor(gateway, balance): one piece for shares, for who sees most of the fleet, and for a process's age

Read once more: RateShare::allotted serves rate limits and cold targets, which each built or updated a share by themselves; Fleet::sees_most serves the retry allowance and the parts of a divided fleet; Context::age serves the directory and the settling of an entry, whose own start time the clock's zero already gave. A send asks once whether its target is cold, with the lock that it takes anyway. entries_for returns early in place of a list of lists. Behaviour as before; the tests' assertions are unchanged (two closures became loops because sending returns a value).

--- a/crates/balance/src/slots/limits.rs
+++ b/crates/balance/src/slots/limits.rs
@@ -33,15 +33,6 @@
         unsent.for_each(|running| running.assigned_warm = true);
     }
 
-    /// Sets what the target bears while it is cold.
-    pub(super) fn set_warmup(&mut self, warmup: Option<(Warmup, RequestRate)>, now: Mono) {
-        self.warmup_share = warmup.map(|(warmup, share)| {
-            self.cold_until = self.cold_until.min(now.plus(warmup.duration));
-            let new = RateShare::new(warmup.rate, share, now);
-            self.warmup_share.map_or(new, |current| current.updated(warmup.rate, share, now))
-        });
-    }
-
     /// This process's shares of the limits on what the target gets from all processes together.
     pub(super) fn shares(&self, now: Mono) -> impl Iterator<Item = &RateShare> {
         let warmup_share = self.warmup_share.iter().filter(move |_| self.is_cold(now));
@@ -73,11 +64,12 @@
     pub fn set_sharers(&mut self, sharers: Vec<String>, part: Permille, now: Mono) {
         self.sharers = sharers;
         self.sharers_part = part;
-        for (id, target) in &mut self.targets {
-            let Some(current) = target.rate_share else { continue };
-            let limit = current.limit();
-            let share = compute_share(limit, id, &self.config.name, &self.sharers);
-            target.rate_share = Some(current.updated(limit, share, now));
+        let Self { targets, config, sharers, .. } = self;
+        for (id, target) in targets {
+            target.rate_share = target.rate_share.map(|current| {
+                let limit = current.limit();
+                current.updated(limit, compute_share(limit, id, &config.name, sharers), now)
+            });
         }
         self.update_warmup_shares(now);
     }
@@ -123,14 +115,15 @@
     /// Only cold targets have a share: it takes a hash for each process that shares the slots, and with
     /// a thousand targets and a hundred processes a small VM would be busy for seconds.
     fn share_warmup(&mut self, wanted: impl Fn(&Target) -> bool, now: Mono) {
-        let cold = self.targets.iter_mut().filter(|(_, target)| target.is_cold(now));
-        let wanted = cold.filter(|(_, target)| wanted(target));
-        for (id, target) in wanted {
-            let share = self.warmup.map(|warmup| {
-                let limit = warmup.rate.part(self.sharers_part);
-                (warmup, compute_share(limit, id, &self.config.name, &self.sharers))
+        let Self { targets, config, sharers, sharers_part, warmup, .. } = self;
+        let cold = targets.iter_mut().filter(|(_, target)| target.is_cold(now));
+        for (id, target) in cold.filter(|(_, target)| wanted(target)) {
+            target.warmup_share = warmup.map(|Warmup { duration, rate }| {
+                target.cold_until = target.cold_until.min(now.plus(duration));
+                let limit = rate.part(*sharers_part);
+                let share = compute_share(limit, id, &config.name, sharers);
+                RateShare::allotted(target.warmup_share, limit, share, now)
             });
-            target.set_warmup(share, now);
         }
     }
 
@@ -144,8 +137,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         target.rate_share = limit.map(|limit| {
             let share = compute_share(limit, id, &self.config.name, &self.sharers);
-            let new = RateShare::new(limit, share, now);
-            target.rate_share.map_or(new, |current| current.updated(limit, share, now))
+            RateShare::allotted(target.rate_share, limit, share, now)
         });
     }
 }
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -260,12 +260,12 @@
         self.learnt.untold();
     }
 
-    /// An attempt leaves for its target now.
-    pub fn sending(&mut self, attempt: AttemptId, now: Mono) {
-        let Some(id) = self.attempts.get(&attempt) else { return };
-        if let Some(target) = self.targets.get_mut(id) {
-            target.sending(attempt, now, &self.config, &self.learnt);
-        }
+    /// An attempt leaves for its target now. Returns whether the target is cold.
+    pub fn sending(&mut self, attempt: AttemptId, now: Mono) -> bool {
+        let Some(id) = self.attempts.get(&attempt) else { return false };
+        let Some(target) = self.targets.get_mut(id) else { return false };
+        target.sending(attempt, now, &self.config, &self.learnt);
+        target.is_cold(now)
     }
 
     /// A target did not answer when it was asked for its pace. This process noticed later than it
--- a/crates/balance/src/slots/rate_share.rs
+++ b/crates/balance/src/slots/rate_share.rs
@@ -20,10 +20,21 @@
 
 impl RateShare {
     /// Creates a share that allows its first request after one full interval.
-    pub(super) fn new(limit: RequestRate, share: RequestRate, now: Mono) -> Self {
+    fn new(limit: RequestRate, share: RequestRate, now: Mono) -> Self {
         Self { limit, share, interval_start: now }
     }
 
+    /// Returns the share to use from now on, given the one in use before, if any.
+    pub(super) fn allotted(
+        before: Option<Self>,
+        limit: RequestRate,
+        share: RequestRate,
+        now: Mono,
+    ) -> Self {
+        let new = Self::new(limit, share, now);
+        before.map_or(new, |before| before.updated(limit, share, now))
+    }
+
     /// Returns the limit for all processes together.
     pub(super) fn limit(&self) -> RequestRate {
         self.limit
--- a/crates/balance/tests/slots.rs
+++ b/crates/balance/tests/slots.rs
@@ -105,7 +105,9 @@
     learn_work(&mut pool, "a");
     let now = 1000;
     let running = [0, 1].map(|_| sent(pool.admit(ask(now), at(now))));
-    running.iter().for_each(|assignment| pool.sending(assignment.attempt, at(now)));
+    for assignment in &running {
+        pool.sending(assignment.attempt, at(now));
+    }
     let patient = |returning: bool| {
         let ask = ask(now).with_returning(returning);
         SlotAsk { objective: at(now + 5000), ..ask }
@@ -313,7 +315,9 @@
     let mut pool = pool(&["a"]);
     learn_work(&mut pool, "a");
     let running = [0, 1].map(|_| sent(pool.admit(ask(1000), at(1000))));
-    running.iter().for_each(|assignment| pool.sending(assignment.attempt, at(1000)));
+    for assignment in &running {
+        pool.sending(assignment.attempt, at(1000));
+    }
     let ticket = queued(pool.admit(ask(1000), at(1000)));
     assert_eq!(pool.expire(at(1150)), []);
     let woken = pool.finish(running[0].attempt, answered(), Some(figures(2, USUAL)), at(1160));
--- a/crates/balance/tests/slots_lost_domain.rs
+++ b/crates/balance/tests/slots_lost_domain.rs
@@ -17,7 +17,9 @@
 fn pool_after_loss() -> SlotPool {
     let mut pool = pool(&[DEAD[0], DEAD[1], DEAD[2], SOUND]);
     let running: Vec<_> = (0..8).map(|_| sent(pool.admit(ask(0), at(0)))).collect();
-    running.iter().for_each(|assignment| pool.sending(assignment.attempt, at(0)));
+    for assignment in &running {
+        pool.sending(assignment.attempt, at(0));
+    }
     for assignment in running.iter().filter(|assignment| assignment.target != id(SOUND)) {
         pool.finish(assignment.attempt, SlotOutcome::Unreachable, None, at(10));
     }
--- a/crates/fleet/src/active.rs
+++ b/crates/fleet/src/active.rs
@@ -52,12 +52,18 @@
     let in_region =
         |entry: &&ActiveEntry| region.is_some() && regions.get(&entry.failure_domain) == region;
     let in_domain = |entry: &&ActiveEntry| domain == Some(&entry.failure_domain);
+    let addresses = |entries: &[&ActiveEntry]| {
+        entries.iter().take(ACTIVE_MAX).map(|entry| entry.callers).collect()
+    };
     let of_region: Vec<&ActiveEntry> = active.iter().filter(in_region).collect();
+    if !of_region.is_empty() && are_alike(&of_region) {
+        return addresses(&of_region);
+    }
     let of_domain: Vec<&ActiveEntry> = active.iter().filter(in_domain).collect();
-    let all: Vec<&ActiveEntry> = active.iter().collect();
-    let choices = [if are_alike(&of_region) { of_region } else { Vec::new() }, of_domain, all];
-    let chosen = choices.into_iter().find(|entries| !entries.is_empty()).unwrap_or_default();
-    chosen.into_iter().take(ACTIVE_MAX).map(|entry| entry.callers).collect()
+    if !of_domain.is_empty() {
+        return addresses(&of_domain);
+    }
+    addresses(&active.iter().collect::<Vec<_>>())
 }
 
 /// Whether none of the entries is more than twice as strong as another.
--- a/crates/fleet/tests/active.rs
+++ b/crates/fleet/tests/active.rs
@@ -17,6 +17,15 @@
     FailureDomain::new(&format!("hall-{number}")).unwrap()
 }
 
+fn active(number: usize, domain: usize, strength: u32) -> ActiveEntry {
+    ActiveEntry {
+        vm: VmId::new(&format!("vm-{number}")).unwrap(),
+        failure_domain: hall(domain),
+        callers: format!("10.0.0.{number}:80").parse().unwrap(),
+        strength: PerSecond::new(strength),
+    }
+}
+
 /// Entries in three halls in turn; `(count, strength)`.
 fn fleet(strengths: &[(usize, u32)]) -> Vec<Candidate> {
     let all = strengths.iter().flat_map(|(count, strength)| vec![*strength; *count]);
@@ -77,22 +86,17 @@
 /// A caller in a hall without an entry, or one that does not say where it is, is sent somewhere.
 #[test]
 fn a_caller_is_sent_to_its_own_failure_domain() {
-    let entry = |number: usize, domain: usize| ActiveEntry {
-        vm: VmId::new(&format!("vm-{number}")).unwrap(),
-        failure_domain: hall(domain),
-        callers: format!("10.0.0.{number}:80").parse().unwrap(),
-        strength: PerSecond::new(833),
-    };
+    let entry = |number, domain| active(number, domain, 833);
     let none = Regions::new();
-    let active = [entry(1, 0), entry(2, 1), entry(3, 1)];
-    let all: Vec<Endpoint> = active.iter().map(|entry| entry.callers).collect();
+    let named = [entry(1, 0), entry(2, 1), entry(3, 1)];
+    let all: Vec<Endpoint> = named.iter().map(|entry| entry.callers).collect();
     let sent: BTreeMap<usize, Vec<Endpoint>> = (0..HALLS)
-        .map(|number| (number, entries_for(&active, &none, Some(&hall(number)))))
+        .map(|number| (number, entries_for(&named, &none, Some(&hall(number)))))
         .collect();
     assert_eq!(sent[&0], all[..1]);
     assert_eq!(sent[&1], all[1..]);
     assert_eq!(sent[&2], all);
-    assert_eq!(entries_for(&active, &none, None), all);
+    assert_eq!(entries_for(&named, &none, None), all);
     assert!(entries_for(&[], &none, Some(&hall(0))).is_empty());
 }
 
@@ -100,12 +104,7 @@
 /// ask for another one.
 #[test]
 fn a_caller_is_told_other_entries_of_its_region() {
-    let entry = |number: usize, strength: u32| ActiveEntry {
-        vm: VmId::new(&format!("vm-{number}")).unwrap(),
-        failure_domain: hall(number),
-        callers: format!("10.0.0.{number}:80").parse().unwrap(),
-        strength: PerSecond::new(strength),
-    };
+    let entry = |number, strength| active(number, number, strength);
     let region = |name: &str| Region::new(name).unwrap();
     let regions: Regions =
         [(hall(0), region("north")), (hall(1), region("north")), (hall(2), region("south"))].into();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -80,6 +80,11 @@
 }
 
 impl Context {
+    /// How long this process has run; its clock begins with it.
+    pub fn age(&self) -> Duration {
+        self.clock.now().since(Mono::ZERO)
+    }
+
     /// The service for the next request of a route.
     pub fn choose_service(&self, route: &Route) -> ServiceName {
         lock(&self.splitter).next(route)
--- a/crates/gateway/src/control/naming.rs
+++ b/crates/gateway/src/control/naming.rs
@@ -50,7 +50,7 @@
 /// Notes once that this process has run for long enough to have met the others.
 pub fn note_settled(state: &State) {
     let fleet = state.context.fleet.load();
-    if fleet.settled || state.now().since(state.started_at) < SETTLING {
+    if fleet.settled || state.context.age() < SETTLING {
         return;
     }
     state.context.fleet.store(Arc::new(Fleet { settled: true, ..Fleet::clone(&fleet) }));
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -54,8 +54,6 @@
     pub seeds: RefCell<Vec<Endpoint>>,
     /// Becomes true once routes and targets have been read; the traffic side waits for it.
     pub ready: watch::Sender<bool>,
-    /// When the control thread started.
-    pub started_at: Mono,
     /// The most heads that were live at one time.
     pub known: Cell<usize>,
 }
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -181,7 +181,6 @@
         seeds: RefCell::new(context.settings.seeds.clone()),
         ready,
         known: Cell::new(1),
-        started_at: context.clock.now(),
         context,
     }
 }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -38,6 +38,11 @@
 }
 
 impl Fleet {
+    /// Whether this process sees most of the fleet, so that no other part of it does.
+    pub fn sees_most(&self) -> bool {
+        self.live * 2 > self.known
+    }
+
     /// The part of what the whole fleet may do that this process and those that it sees may do: all
     /// of it if it sees most of the fleet. All parts of a divided fleet together have less than one
     /// and a half. A process that has just started may take itself for the only one, so that it has
@@ -46,7 +51,7 @@
         if !self.settled {
             return Permille::new(0);
         }
-        if self.live * 2 > self.known {
+        if self.sees_most() {
             return Permille::new(1000);
         }
         let permille = self.live * 1000 / self.known.max(1);
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -291,8 +291,7 @@
     let repeatable = job.is_repeatable();
     let asked =
         LinkRequest { target: &target, endpoint, request, timeout, repeatable, owner: &owner };
-    assigned.sending();
-    let cold = assigned.is_cold();
+    let cold = assigned.sending();
     let sent_bytes = message_bytes(asked.request.headers(), job.request.body.len());
     Carried::Requests.count(&domain, sent_bytes);
     let result = context.links.send(asked).await;
@@ -408,11 +407,10 @@
 fn repeat_allowance(context: &Context) -> RetryAllowance {
     let settings = &context.settings;
     let fleet = context.fleet.load();
-    let sees_most = fleet.live * 2 > fleet.known;
     let whole = u64::from(settings.retry_extra);
     let all_active = ACTIVE_SHARE.of(whole);
     let active = all_active / (fleet.named.len().max(1) as u64);
     let others = (whole - 2 * all_active) / (fleet.known.max(1) as u64);
-    let extra = if fleet.active && sees_most { active } else { others };
+    let extra = if fleet.active && fleet.sees_most() { active } else { others };
     RetryAllowance { share: settings.retry_share, extra: u32::try_from(extra).unwrap_or(0) }
 }
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -6,7 +6,6 @@
 use http::StatusCode;
 use poem::IntoResponse;
 use shallotfork_fleet::entries_for;
-use shallotfork_types::Mono;
 
 use crate::context::Context;
 
@@ -39,7 +38,7 @@
 /// How long a caller may keep an answer: shorter while this process may not know the fleet yet, and
 /// so names another entry than the rest does.
 fn answer_keep(context: &Context) -> Duration {
-    let young = context.clock.now() < Mono::ZERO.plus(YOUNG_FOR);
+    let young = context.age() < YOUNG_FOR;
     let keep = context.settings.answer_keep;
     if young { keep.min(YOUNG_KEEP) } else { keep }
 }
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -66,16 +66,10 @@
         self.slots.lock().pool.is_unfit(&self.assignment, ask, now)
     }
 
-    /// Whether the target is cold.
-    pub fn is_cold(&self) -> bool {
+    /// Says that the attempt leaves for its target now. Returns whether the target is cold.
+    pub fn sending(&self) -> bool {
         let now = self.slots.clock.now();
-        self.slots.lock().pool.is_cold(&self.assignment.target, now)
-    }
-
-    /// Says that the attempt leaves for its target now.
-    pub fn sending(&self) {
-        let now = self.slots.clock.now();
-        self.slots.lock().pool.sending(self.assignment.attempt, now);
+        self.slots.lock().pool.sending(self.assignment.attempt, now)
     }
 
     /// Reports how the attempt ended, with the load that the target reported in its answer.
