--- a/crates/evacuation/src/evacuations.rs
+++ b/crates/evacuation/src/evacuations.rs
@@ -58,8 +58,9 @@
 
 /// The evacuations in force.
 ///
-/// A change counts only if its revision is above the one known for its failure domain: full reads
-/// may be stale and overlap with the watch, and an evacuation must not revert.
+/// A change counts only if its revision is not below the one known for its failure domain, nor below
+/// that of the latest full read: full reads may be stale and overlap with the watch, and an evacuation
+/// must not revert.
 #[derive(Debug, Default)]
 pub struct Evacuations {
     records: BTreeMap<FailureDomain, Record>,
