fix(membership): tell a VM that is heard again of the suspicion against it

What callers saw: an entry that runs is named to nobody for good, after one wrong suspicion.

Cause: all others go by a suspicion until its VM refutes it by a higher round, and the VM learns of it from those whom it calls. These hear it first, which ends their own suspicion, and then answer that they believe it alive. Nobody else speaks to a VM that is suspected; hearsay brings the suspicion back to those who heard it.

Change: who hears a VM that was suspected tells it so in each heartbeat, until its round is higher. shallotd answers in the same way.

In the view: a_vm_that_is_heard_again_is_told_of_the_suspicion_until_it_refutes_it.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -338,6 +338,7 @@
         let version = self.view.version();
         let since = self.told.get_mut(to).and_then(|told| told.take_due(version, now));
         news.extend(since.map_or_else(Vec::new, |since| self.view.news_since(since)));
+        news.extend(self.view.suspicion_of(to));
         news.into_iter().map(|news| (news.about.listed.vm.clone(), news)).collect()
     }
 
--- a/crates/fleet/tests/late_entries.rs
+++ b/crates/fleet/tests/late_entries.rs
@@ -58,3 +58,18 @@
         assert_eq!(model.suspicions_by(late, OBSERVED_MS), 0, "seed {seed}");
     }
 }
+
+/// Guards against lateness that hides a loss: callers are sent to a lost entry for as long as it counts
+/// as late.
+#[test]
+fn late_entries_that_are_lost_are_noticed() {
+    const LOSS_MAX_MS: u64 = 5_000;
+    for seed in SEEDS {
+        let mut model = running(seed);
+        let late = late_ones(&model);
+        model.late_ms.extend(late.iter().map(|index| (*index, LATE_MS)));
+        model.run_for(OBSERVED_MS);
+        model.lose(|index, _| late.contains(&index));
+        assert!(model.converge(LOSS_MAX_MS).is_some(), "seed {seed}");
+    }
+}
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -249,3 +249,20 @@
     case = case.with_wait(10).with_heartbeat(1, 7, false).with_wait(3);
     assert_eq!(case.state(1), Some(EntryState::Suspected));
 }
+
+/// Guards against a VM that lives and is left out for good: whoever heard it knows better, and nobody
+/// tells it of the suspicion that all others go by.
+#[test]
+fn a_vm_that_is_heard_again_is_told_of_the_suspicion_until_it_refutes_it() {
+    let mut case = Case::new().with_heartbeat(1, 7, false).watching_all().with_wait(3);
+    assert_eq!(case.view.suspicion_of(&vm(1)), None, "it has not been heard since");
+    case = case.with_heartbeat(1, 7, false);
+    let news = case.view.suspicion_of(&vm(1)).unwrap();
+    assert!(news.suspected);
+    let mut suspected = View::new(ViewConfig::default(), &says(1, 7, false), Mono::ZERO);
+    suspected.told(&news, Mono::ZERO);
+    assert_eq!(suspected.own_round(), news.about.round + 1);
+    let refuted = Announcement { round: suspected.own_round(), ..says(1, 7, false) };
+    case.view.heard(&refuted, case.now);
+    assert_eq!(case.view.suspicion_of(&vm(1)), None);
+}
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -152,7 +152,8 @@
     if leaving { PeerState::Leaving } else { PeerState::Live }
 }
 
-fn peer_news(news: News) -> PeerNews {
+/// News as it is carried to other entries.
+pub fn peer_news(news: News) -> PeerNews {
     let Announcement { listed, incarnation, round } = news.about;
     PeerNews {
         state: peer_state(listed.leaving),
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -13,7 +13,7 @@
 use crate::control::lists_pull::{published, pull_lists_from, value_change};
 use crate::control::lists_source::ListSource;
 use crate::control::lists_take::take_lists;
-use crate::control::members::{heard, own_heartbeat};
+use crate::control::members::{heard, own_heartbeat, peer_news};
 use crate::control::operations::claim_here;
 use crate::control::state::State;
 
@@ -36,7 +36,9 @@
 
     async fn heartbeat(&self, from: &PeerId, beat: Heartbeat) -> Heartbeat {
         heard(&self.state, from, &beat);
-        let own = own_heartbeat(&self.state);
+        let mut own = own_heartbeat(&self.state);
+        let suspicion = self.state.view.borrow().suspicion_of(&from.vm);
+        own.news.extend(suspicion.map(peer_news));
         tokio::task::spawn_local(pull_lists_from(Rc::clone(&self.state), from.clone(), beat));
         own
     }
