fix(gateway, balance): an answer to a question about a target's load counts also when it comes late

Missing before: nothing told what connections to targets are opened for.

Cause: a target whose slots are taken lets a new connection wait until one is free. A question was given up after 50 ms and its connection closed, so that the next one needed a new connection, which waited again. What follows is sent without knowing the target's pace, into phases in which work takes five times as long.

Change: a request still waits 50 ms, and longer by as much as its entry is late; the question itself lives for a second, its answer counts whenever it comes, and its connection is kept. A target that owes an answer is passed over until it answers, in place of being ejected; one that has not answered after a second, or can't be reached, counts as failed, and is ejected after two such failures as before.

Tried and not kept: home targets, one in each failure domain for each target where more than three entries are named there.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -268,17 +268,31 @@
         target.is_cold(now)
     }
 
-    /// A target did not answer when it was asked for its pace. This process noticed later than it
-    /// wanted to, by `late_by`.
+    /// A target has not answered soon when it was asked for its load. It most likely has no slot for
+    /// the question; until it answers, others are chosen before it.
+    pub fn unanswered(&mut self, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.is_silent = true;
+        }
+    }
+
+    /// A target has answered a question about its load, whether it told it or not.
+    pub fn probe_answered(&mut self, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.is_silent = false;
+        }
+    }
+
+    /// A target could not be asked for its load, or has not answered at all. This process noticed
+    /// later than it wanted to, by `late_by`.
     ///
     /// A process that is short of processor time finds no answer in time although all have come.
     /// Right after a loss of all entries that would leave out sound targets by the dozen.
-    pub fn unanswered(&mut self, id: &TargetId, late_by: Duration, now: Mono) {
-        if late_by > OWN_LATENESS_MAX {
-            return;
-        }
-        if let Some(target) = self.targets.get_mut(id) {
-            let change = target.unanswered(&self.config, now);
+    pub fn probe_failed(&mut self, id: &TargetId, late_by: Duration, now: Mono) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.is_silent = false;
+        if late_by <= OWN_LATENESS_MAX {
+            let change = target.probe_failed(&self.config, now);
             self.beliefs.extend(change.map(|change| Belief { target: id.clone(), change }));
         }
     }
@@ -372,8 +386,8 @@
         let open = open.filter(|(_, target)| {
             choice == Choice::Any || !target.is_slow(ask, now, config, learnt)
         });
-        let (good, bad): (Vec<_>, Vec<_>) = open
-            .partition(|(_, target)| !target.is_ejected(now) && !target.is_overdue(now, config));
+        let (good, bad): (Vec<_>, Vec<_>) =
+            open.partition(|(_, target)| target.looks_sound(now, config));
         let candidates = if good.is_empty() && self.ignores_evidence(now) { bad } else { good };
         let cost = |target: &Target| target.cost_us(ask, now, config, learnt);
         let order = |a: &Target, b: &Target| cost(a).total_cmp(&cost(b)).then(a.turn.cmp(&b.turn));
@@ -404,7 +418,7 @@
     /// served a moment later.
     fn ignores_evidence(&self, now: Mono) -> bool {
         let mut serving = self.targets.values().filter(|target| target.published.serving);
-        serving.all(|target| target.is_ejected(now) || target.is_overdue(now, &self.config))
+        serving.all(|target| !target.looks_sound(now, &self.config))
     }
 
     fn next_id(&mut self) -> u64 {
--- a/crates/balance/src/slots/summary.rs
+++ b/crates/balance/src/slots/summary.rs
@@ -18,6 +18,8 @@
     pub serving: usize,
     /// Of these, targets that are left out after failures.
     pub ejected: usize,
+    /// Targets that owe an answer to a question about their load.
+    pub silent: usize,
     /// Targets at which an attempt takes far longer than expected.
     pub overdue: usize,
     /// Targets whose slots are all taken.
@@ -43,6 +45,7 @@
             running: self.attempts.len(),
             serving: serving.len(),
             ejected: count(&|target| target.is_ejected(now)),
+            silent: count(&|target| target.is_silent),
             overdue: count(&|target| target.is_overdue(now, &self.config)),
             full: count(&|target| target.free_slots(now, &self.learnt) == 0),
             free_slots: self.free_slots(now),
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -40,9 +40,8 @@
 const UNKNOWN_PACE_WEIGHT: f64 = 0.05;
 /// A request waits for a quicker slot only if this multiple of its usual time is left.
 const WAIT_MARGIN: f64 = 1.2;
-/// Probes in a row without an answer after which a target is left out. One can be lost with a
-/// packet.
-const UNANSWERED_MAX: u32 = 2;
+/// Probes in a row that fail after which a target is left out. One can be lost with a packet.
+const PROBES_FAILED_MAX: u32 = 2;
 /// Doublings of the time for which a target is left out.
 const DOUBLINGS_MAX: u32 = 6;
 
@@ -89,6 +88,8 @@
     /// older than that.
     pub(super) cold_by_own_word: bool,
     probed_at: Option<Mono>,
+    /// Whether it owes an answer to a question about its load that should have come by now.
+    pub(super) is_silent: bool,
     /// This process's share of the target's rate limit; `None` if the target has no limit.
     pub(super) rate_share: Option<RateShare>,
     /// This process's share of what the target bears while it is cold.
@@ -114,6 +115,7 @@
             cold_until,
             cold_by_own_word: false,
             probed_at: None,
+            is_silent: false,
             rate_share: None,
             warmup_share: None,
         }
@@ -134,6 +136,12 @@
         self.ejected_until.is_some_and(|until| until > now)
     }
 
+    /// Whether nothing speaks against choosing it: it is not left out, answers questions, and no attempt
+    /// seems to hang there.
+    pub(super) fn looks_sound(&self, now: Mono, config: &SlotPoolConfig) -> bool {
+        !self.is_ejected(now) && !self.is_silent && !self.is_overdue(now, config)
+    }
+
     pub(super) fn ejected_until(&self) -> Option<Mono> {
         self.ejected_until
     }
@@ -424,12 +432,12 @@
         self.pace.is_none_or(|report| now.since(report.at) >= after)
     }
 
-    pub(super) fn unanswered(
+    pub(super) fn probe_failed(
         &mut self,
         config: &SlotPoolConfig,
         now: Mono,
     ) -> Option<BeliefChange> {
-        self.failed(UNANSWERED_MAX, config, now)
+        self.failed(PROBES_FAILED_MAX, config, now)
     }
 
     /// Whether a probe would tell something: its pace would be guessed otherwise. A target that bears
@@ -448,6 +456,7 @@
             && due
             && !self.is_limited(now)
             && !self.is_ejected(now)
+            && !self.is_silent
             && self.open_slots(now, config, learnt, has_share) > 0
     }
 
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -47,7 +47,7 @@
     /// taken, one gets free every (usual time / slots).
     pub(super) fn expected_wait(&self, ahead: usize, ask: &SlotAsk, now: Mono) -> Duration {
         let usable = |(id, target): &(&TargetId, &Target)| {
-            let good = !target.is_ejected(now) && !target.is_overdue(now, &self.config);
+            let good = target.looks_sound(now, &self.config);
             target.published.serving && good && !ask.exclude.contains(id)
         };
         let has_share = self.has_share();
@@ -62,8 +62,7 @@
 
     /// Free slots at targets that look sound, slow ones included.
     pub(super) fn free_slots(&self, now: Mono) -> usize {
-        let good =
-            |target: &&Target| !target.is_ejected(now) && !target.is_overdue(now, &self.config);
+        let good = |target: &&Target| target.looks_sound(now, &self.config);
         let has_share = self.has_share();
         let serving = self.targets.values().filter(|target| target.published.serving);
         serving
--- a/crates/balance/tests/slots_silence.rs
+++ b/crates/balance/tests/slots_silence.rs
@@ -4,35 +4,62 @@
 
 use std::time::Duration;
 
-use shallotfork_balance::{SlotPool, SlotPoolConfig, SlotTarget};
+use shallotfork_balance::{Admission, SlotAsk, SlotPool, SlotPoolConfig, SlotTarget, WorkClass};
 use shallotfork_types::{FailureDomain, Mono, TargetId};
 
 fn mill() -> TargetId {
     TargetId::new("mill").unwrap()
 }
 
-fn pool() -> SlotPool {
-    let mut pool = SlotPool::new(SlotPoolConfig::default());
-    let target = SlotTarget {
-        id: mill(),
+fn target(id: &TargetId) -> SlotTarget {
+    SlotTarget {
+        id: id.clone(),
         failure_domain: FailureDomain::new("hall").unwrap(),
         slots: 2,
         serving: true,
         cold_for: Duration::ZERO,
-    };
-    pool.set_targets(vec![target], Mono::ZERO);
+    }
+}
+
+fn pool() -> SlotPool {
+    let mut pool = SlotPool::new(SlotPoolConfig::default());
+    pool.set_targets(vec![target(&mill())], Mono::ZERO);
     pool
 }
 
+fn ask(now: Mono) -> SlotAsk {
+    let objective = now.plus(Duration::from_millis(500));
+    SlotAsk::new(WorkClass::new("reads"), now, objective, objective)
+}
+
+/// Guards against requests that are sent to a dead target because one lost question proves nothing.
 #[test]
-fn a_target_that_is_silent_twice_is_left_out() {
+fn a_target_whose_questions_fail_twice_is_left_out() {
     let mut pool = pool();
-    pool.unanswered(&mill(), Duration::ZERO, Mono::from_millis(10));
+    pool.probe_failed(&mill(), Duration::ZERO, Mono::from_millis(10));
     assert_eq!(pool.summary(Mono::from_millis(11)).ejected, 0, "an answer can be lost");
-    pool.unanswered(&mill(), Duration::from_millis(2), Mono::from_millis(70));
+    pool.probe_failed(&mill(), Duration::from_millis(2), Mono::from_millis(70));
     assert_eq!(pool.summary(Mono::from_millis(71)).ejected, 1);
 }
 
+/// Guards against sending a request to a target that has not answered its question yet, while another
+/// one answers.
+#[test]
+fn a_target_that_owes_an_answer_is_passed_over_until_it_answers() {
+    let mut pool = pool();
+    let other = TargetId::new("other").unwrap();
+    pool.set_targets(vec![target(&mill()), target(&other)], Mono::ZERO);
+    pool.unanswered(&mill());
+    let now = Mono::from_millis(60);
+    for _ in 0..2 {
+        let Admission::Send(assignment) = pool.admit(ask(now), now) else { panic!("no slot") };
+        assert_eq!(assignment.target, other);
+    }
+    pool.probe_answered(&mill());
+    let Admission::Send(assignment) = pool.admit(ask(now), now) else { panic!("no slot") };
+    assert_eq!(assignment.target, mill());
+}
+
 /// All entries start at once, and three of them get every caller who has waited. Busy for a tenth
 /// of a second, they find the answers of dozens of sound targets too late, and left these out just
 /// when every slot was needed.
@@ -40,7 +67,9 @@
 fn silence_that_a_busy_process_only_seems_to_hear_counts_for_nothing() {
     let mut pool = pool();
     for asked in 1..10 {
-        pool.unanswered(&mill(), Duration::from_millis(60), Mono::from_millis(asked * 100));
+        let now = Mono::from_millis(asked * 100);
+        pool.unanswered(&mill());
+        pool.probe_failed(&mill(), Duration::from_millis(60), now);
     }
     assert_eq!(pool.summary(Mono::from_millis(1000)).ejected, 0);
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -51,6 +51,7 @@
     RATE_LIMIT_INVALID = 5006 Warning "rate limit of a target ignored: it is not a decimal number";
     WARMUP_INVALID = 5007 Warning "cold time of a target ignored: it is not a number of milliseconds";
     TARGET_COLD = 5008 Info "target turned cold";
+    TARGET_CONNECTIONS = 5009 Info "connections opened to targets";
     PLATFORM_LOST = 6001 Warning "platform unreachable";
     PLATFORM_BACK = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -20,6 +20,7 @@
 mod link;
 mod link_config;
 mod links;
+mod openings;
 mod presence;
 mod problem;
 mod read_whole;
@@ -41,6 +42,7 @@
 };
 pub use link_config::LinkConfig;
 pub use links::{AnswerOwner, LinkRequest, OwnerFn, TargetLinks};
+pub use openings::{Openings, Purpose};
 pub use presence::CallerPresence;
 pub use problem::Problem;
 pub use read_whole::{BodyLimits, WholeRequest, read_whole};
--- a/crates/exchange/src/links.rs
+++ b/crates/exchange/src/links.rs
@@ -20,6 +20,7 @@
 use crate::headers::strip_hop_by_hop;
 use crate::link::{Link, SendError};
 use crate::link_config::LinkConfig;
+use crate::openings::{OpeningCounters, Openings, Purpose};
 
 /// Whether an answer is to the request that waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +48,8 @@
     pub repeatable: bool,
     /// Tells whose an answer is.
     pub owner: OwnerFn<'a>,
+    /// What a connection that has to be opened for it counts as.
+    pub purpose: Purpose,
 }
 
 /// The connections of the process to all targets; cheap to clone.
@@ -60,12 +63,13 @@
     config: LinkConfig,
     budget: BodyBudget,
     idle: Arc<Mutex<HashMap<TargetId, Vec<Link>>>>,
+    openings: OpeningCounters,
 }
 
 impl TargetLinks {
     /// Opens no connection yet.
     pub fn new(config: LinkConfig, budget: BodyBudget) -> Self {
-        Self { config, budget, idle: Arc::default() }
+        Self { config, budget, idle: Arc::default(), openings: OpeningCounters::default() }
     }
 
     /// Sends a request once and reads the answer whole. Dropping the future closes the connection.
@@ -117,10 +121,20 @@
     /// Distinguishes a target that has crashed from one that has only reset a connection.
     /// Returns `false` for any other result, including a timeout.
     pub async fn refuses_connections(&self, endpoint: Endpoint) -> bool {
-        let opened = Link::open(endpoint, &self.config).await;
+        let opened = self.open(endpoint, Purpose::PortCheck).await;
         opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Connections opened so far.
+    pub fn openings(&self) -> Openings {
+        self.openings.read()
+    }
+
+    async fn open(&self, endpoint: Endpoint, purpose: Purpose) -> io::Result<Link> {
+        self.openings.count(purpose);
+        Link::open(endpoint, &self.config).await
+    }
+
     async fn send_on_a_link(
         &self,
         asked: &LinkRequest<'_>,
@@ -133,7 +147,7 @@
                 Err(SendError::Sent(cause)) => return Err(may_have_run(cause)),
             }
         }
-        let opened = Link::open(asked.endpoint, &self.config).await;
+        let opened = self.open(asked.endpoint, asked.purpose).await;
         let mut link = opened.map_err(|_| not_run(FailureCause::ConnectFailed))?;
         match link.send(request).await {
             Ok(response) => Ok((link, response)),
--- a/crates/exchange/tests/links.rs
+++ b/crates/exchange/tests/links.rs
@@ -11,8 +11,8 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use shallotfork_exchange::{
-    AnswerOwner, AttemptFailure, BodyBudget, FailureCause, LinkConfig, LinkRequest, TargetLinks,
-    WholeAnswer,
+    AnswerOwner, AttemptFailure, BodyBudget, FailureCause, LinkConfig, LinkRequest, Purpose,
+    TargetLinks, WholeAnswer,
 };
 use shallotfork_types::{Endpoint, TargetId, Verdict};
 use support::{BUDGET, RawTarget};
@@ -72,6 +72,7 @@
             timeout: self.timeout,
             repeatable: self.repeatable,
             owner: &owner,
+            purpose: Purpose::Request,
         };
         self.links.send(asked).await
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,7 +20,7 @@
 use crate::line_budget::LineBudget;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
-use crate::traffic::ServiceSlots;
+use crate::traffic::{ProbeCounts, ServiceSlots};
 
 /// Work that waits longer than this for the processor makes callers notice; a busy process has shorter
 /// waits.
@@ -51,6 +51,8 @@
     pub callers: ServeControl,
     /// Connections to targets.
     pub links: TargetLinks,
+    /// How questions to targets for their load ended.
+    pub probe_counts: ProbeCounts,
     /// Bytes of bodies held.
     pub bodies: BodyBudget,
     /// Slots of each service.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -32,7 +32,7 @@
 use crate::settings::GatewaySettings;
 use crate::snapshot::{Fleet, Published};
 use crate::traffic::{
-    directory, front, lateness, may_begin_early, probes, readiness, service_load,
+    ProbeCounts, directory, front, lateness, may_begin_early, probes, readiness, service_load,
 };
 use shallotfork_feed::Feed;
 
@@ -97,6 +97,7 @@
         fleet: ArcSwap::from_pointee(Fleet::default()),
         callers: ServeControl::new(),
         links: TargetLinks::new(LinkConfig::default(), bodies.clone()),
+        probe_counts: ProbeCounts::default(),
         bodies,
         services: Services::default(),
         waits: Arc::new(Notify::new()),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use shallotfork_balance::{RetryAllowance, Shed, SlotOutcome};
 use shallotfork_events::{ATTEMPT_FAILED, event};
-use shallotfork_exchange::{AnswerOwner, AttemptFailure, LinkRequest, WholeAnswer};
+use shallotfork_exchange::{AnswerOwner, AttemptFailure, LinkRequest, Purpose, WholeAnswer};
 use shallotfork_quarantine::SendKind;
 use shallotfork_types::{Endpoint, FailureDomain, Permille, TargetId, Verdict};
 
@@ -147,12 +147,11 @@
         }
         match probe(&job.context, &job.service, slots, &target).await {
             Probed::Reported if !assigned.is_unfit(&ask) => return Ok(assigned),
-            Probed::Reported => {}
+            Probed::Reported | Probed::Silent => {}
             Probed::Untold => {
                 slots.untold();
                 return Ok(assigned);
             }
-            Probed::Silent { late_by } => slots.unanswered(&target, late_by),
         }
     }
     slots.admit(ask).await
@@ -289,8 +288,15 @@
     };
     let owner = |_status: StatusCode, headers: &HeaderMap| owner(context, &job.request_id, headers);
     let repeatable = job.is_repeatable();
-    let asked =
-        LinkRequest { target: &target, endpoint, request, timeout, repeatable, owner: &owner };
+    let asked = LinkRequest {
+        target: &target,
+        endpoint,
+        request,
+        timeout,
+        repeatable,
+        owner: &owner,
+        purpose: Purpose::Request,
+    };
     let cold = assigned.sending();
     let sent_bytes = message_bytes(asked.request.headers(), job.request.body.len());
     Carried::Requests.count(&domain, sent_bytes);
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use metrics::counter;
 use shallotfork_events::{WARMUP_INVALID, event};
-use shallotfork_exchange::{AnswerOwner, LinkRequest};
+use shallotfork_exchange::{AnswerOwner, LinkRequest, Purpose};
 use shallotfork_types::{Endpoint, FailureDomain, ServiceName, TargetId};
 
 use crate::carried::{Carried, message_bytes};
@@ -20,9 +20,11 @@
 /// How often the pools are asked which targets to probe; half of the time between two probes of a
 /// target.
 const LOOK: Duration = Duration::from_millis(12);
-/// An answer that takes longer says nothing about the present any more; a request that waits for it
-/// is sent elsewhere.
-const TIMEOUT: Duration = Duration::from_millis(50);
+/// A request that waits longer for the answer is sent elsewhere.
+const PROMPT: Duration = Duration::from_millis(50);
+/// A target that has not answered after this time is taken to have failed. Above the time for which
+/// a busy target keeps a new connection waiting.
+const TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Probes, and ends waits that have lasted long enough, for as long as the process runs.
 ///
@@ -59,15 +61,41 @@
     Reported,
     /// It answered without telling its load, or can't be asked.
     Untold,
-    /// It did not answer in time.
-    Silent {
-        /// By how much this process itself was late to notice.
-        late_by: Duration,
-    },
+    /// It has not answered yet, or can't be reached.
+    Silent,
 }
 
-/// Asks one target for its load.
+/// Asks one target for its load and waits a short time for the answer.
+///
+/// One that comes later still counts, and its connection is kept. A busy target lets a new connection
+/// wait until it has a slot; closed after the short time and opened anew for each question, most of
+/// them would never be answered, while each takes processor time on both sides.
 pub async fn probe(
+    context: &Arc<Context>,
+    service: &ServiceName,
+    slots: &Arc<ServiceSlots>,
+    target: &TargetId,
+) -> Probed {
+    // An answer that has come may wait that long until it is read.
+    let patience = PROMPT + context.late_by();
+    let asking = {
+        let (context, slots) = (Arc::clone(context), Arc::clone(slots));
+        let (service, target) = (service.clone(), target.clone());
+        tokio::spawn(async move { ask(&context, &service, &slots, &target).await })
+    };
+    match tokio::time::timeout(patience, asking).await {
+        Ok(Ok(probed)) => probed,
+        // The task ends early only with the process.
+        Ok(Err(_)) => Probed::Silent,
+        Err(_) => {
+            slots.unanswered(target);
+            context.probe_counts.silent();
+            Probed::Silent
+        }
+    }
+}
+
+async fn ask(
     context: &Context,
     service: &ServiceName,
     slots: &Arc<ServiceSlots>,
@@ -86,14 +114,18 @@
         timeout: TIMEOUT,
         repeatable: true,
         owner: &|_: StatusCode, _: &HeaderMap| AnswerOwner::Own,
+        purpose: Purpose::Probe,
     };
     counter!("shallotfork_probes").increment(1);
+    context.probe_counts.asked();
     let asked_at = context.clock.now();
     let Ok(answer) = context.links.send(asked).await else {
         let late_by = context.clock.now().since(asked_at).saturating_sub(TIMEOUT);
-        return Probed::Silent { late_by };
+        slots.probe_failed(target, late_by);
+        return Probed::Silent;
     };
     Carried::Questions.count(&domain, message_bytes(&answer.headers, answer.body.len()));
+    slots.probe_answered(target);
     note_warmup(context, slots, target, &answer.headers);
     match figures(&context.dialect, &answer) {
         Some(figures) => {
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -6,7 +6,8 @@
 
 use metrics::gauge;
 use shallotfork_balance::SlotSummary;
-use shallotfork_events::{BEHIND, EVACUATION_RUNNING, SERVICE_LOAD, event};
+use shallotfork_events::{BEHIND, EVACUATION_RUNNING, SERVICE_LOAD, TARGET_CONNECTIONS, event};
+use shallotfork_exchange::Openings;
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::ServiceName;
 
@@ -19,8 +20,10 @@
 /// Reports for as long as the process runs.
 pub async fn service_load(context: Arc<Context>, timer: TimerService) {
     let mut ticks = timer.subscribe(Schedule::new(EVERY));
+    let mut counts = TargetCounts::default();
     while ticks.tick().await.is_some() {
         report_lateness(&context);
+        counts = report_connections(&context, counts);
         report_quarantine(&context);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
@@ -42,6 +45,30 @@
     );
 }
 
+/// Connections and questions to targets since the process began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct TargetCounts {
+    openings: Openings,
+    probes_asked: u64,
+    probes_silent: u64,
+}
+
+/// Reports what was added since `before`; returns the counts of now.
+fn report_connections(context: &Context, before: TargetCounts) -> TargetCounts {
+    let (probes_asked, probes_silent) = context.probe_counts.read();
+    let now = TargetCounts { openings: context.links.openings(), probes_asked, probes_silent };
+    if now != before {
+        event!(context.log, TARGET_CONNECTIONS,
+            "for_requests" => now.openings.requests - before.openings.requests,
+            "for_probes" => now.openings.probes - before.openings.probes,
+            "for_port_checks" => now.openings.port_checks - before.openings.port_checks,
+            "probes" => now.probes_asked - before.probes_asked,
+            "probes_silent" => now.probes_silent - before.probes_silent,
+        );
+    }
+    now
+}
+
 fn report_quarantine(context: &Context) {
     let quarantined = lock(&context.quarantine).quarantined(context.clock.now());
     gauge!("shallotfork_quarantined_requests").set(quarantined as f64);
@@ -84,6 +111,7 @@
         "running" => load.running,
         "serving" => load.serving,
         "ejected" => load.ejected,
+        "silent" => load.silent,
         "overdue" => load.overdue,
         "full" => load.full,
         "free_slots" => load.free_slots,
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -227,12 +227,22 @@
         self.lock().pool.untold();
     }
 
-    /// A target did not answer when it was asked for its pace; this process noticed too late by
-    /// `late_by`.
-    pub fn unanswered(&self, target: &TargetId, late_by: Duration) {
+    /// A target has not answered soon when it was asked for its load.
+    pub fn unanswered(&self, target: &TargetId) {
+        self.lock().pool.unanswered(target);
+    }
+
+    /// A target has answered a question about its load, whether it told it or not.
+    pub fn probe_answered(&self, target: &TargetId) {
+        self.lock().pool.probe_answered(target);
+    }
+
+    /// A target could not be asked for its load, or has not answered at all; this process noticed too
+    /// late by `late_by`.
+    pub fn probe_failed(&self, target: &TargetId, late_by: Duration) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.pool.unanswered(target, late_by, now);
+        inner.pool.probe_failed(target, late_by, now);
         let beliefs = inner.pool.take_beliefs();
         drop(inner);
         self.report_beliefs(&beliefs);
