fix(gateway): refuse a request at once when all targets that were asked are full

What callers saw, on VMs short of processor time: after a burst one request in ten had no answer, the others came late.

Cause: a request whose four questions about a target's load had no answer was sent to a fifth target unasked, which most likely was full too. It waited there for seconds, or its answer never came, and kept the slots taken that others needed, long after the burst.

Change: a target that accepts a new connection and lets the question wait is full; one that accepts none, or is silent on a kept connection, may be lost, and counts as before. A request that met only full ones is refused with the time when a slot is expected; nothing of it was sent. Where targets of the service answer fewer than a quarter of all questions soon, silence says nothing, and nobody is refused for it.

Tests: a_request_is_refused_as_full_only_where_targets_usually_answer_soon; targets_that_answer_questions_late_are_not_ejected failed with refusals without that condition.

--- a/crates/balance/src/slots/estimate.rs
+++ b/crates/balance/src/slots/estimate.rs
@@ -28,6 +28,9 @@
 const CROWDING_BOUNDS: (f64, f64) = (1.0, 3.0);
 /// Weight of a new report in the mean pace.
 const PACE_WEIGHT: f64 = 0.01;
+/// Part of all questions that are answered soon at least where targets answer soon, as a divisor. Fewer
+/// are while all targets are full.
+const SOON_DIVISOR: u64 = 4;
 /// Samples are cut at this multiple of the estimate, so that a single hang moves no mean.
 const SAMPLE_MAX: f64 = 4.0;
 
@@ -89,6 +92,9 @@
     pace: f64,
     /// Whether any target has told its pace; `None` before one was asked.
     has_paces: Option<bool>,
+    /// Questions about a target's load that were answered soon, and all of them.
+    answered_soon: u64,
+    asked: u64,
 }
 
 impl Learnt {
@@ -102,6 +108,8 @@
             uncrowded_time: 1.0,
             pace: 1.0,
             has_paces: None,
+            answered_soon: 0,
+            asked: 0,
         }
     }
 
@@ -124,6 +132,16 @@
         self.has_paces.get_or_insert(false);
     }
 
+    pub(super) fn saw_question(&mut self, answered_soon: bool) {
+        self.asked += 1;
+        self.answered_soon += u64::from(answered_soon);
+    }
+
+    /// Whether targets usually answer questions about their load soon.
+    pub(super) fn answers_soon(&self) -> bool {
+        self.answered_soon * SOON_DIVISOR > self.asked
+    }
+
     pub(super) fn crowding(&self, crowded: bool) -> f64 {
         if crowded { self.crowding } else { 1.0 }
     }
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -271,11 +271,23 @@
     /// A target has not answered soon when it was asked for its load. It most likely has no slot for
     /// the question; until it answers, others are chosen before it.
     pub fn unanswered(&mut self, id: &TargetId) {
+        self.learnt.saw_question(false);
         if let Some(target) = self.targets.get_mut(id) {
             target.is_silent = true;
         }
     }
 
+    /// A target has answered soon when it was asked for its load.
+    pub fn answered_soon(&mut self) {
+        self.learnt.saw_question(true);
+    }
+
+    /// The refusal of a request that found only targets which let the question wait, as full ones do;
+    /// `None` if sound targets of this service answer as late.
+    pub fn shed_full(&self, now: Mono) -> Option<Shed> {
+        self.learnt.answers_soon().then(|| self.shed(ShedReason::DeadlineTooNear, now))
+    }
+
     /// A target has answered a question about its load, whether it told it or not.
     pub fn probe_answered(&mut self, id: &TargetId) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/balance/tests/slots_silence.rs
+++ b/crates/balance/tests/slots_silence.rs
@@ -73,3 +73,17 @@
     }
     assert_eq!(pool.summary(Mono::from_millis(1000)).ejected, 0);
 }
+
+/// Guards against refusals of requests that sound targets would have served, where these answer
+/// questions late.
+#[test]
+fn a_request_is_refused_as_full_only_where_targets_usually_answer_soon() {
+    let mut pool = pool();
+    let now = Mono::from_millis(10);
+    assert_eq!(pool.shed_full(now), None, "nothing is known");
+    pool.answered_soon();
+    (0..2).for_each(|_| pool.unanswered(&mill()));
+    assert!(pool.shed_full(now).is_some());
+    (0..10).for_each(|_| pool.unanswered(&mill()));
+    assert_eq!(pool.shed_full(now), None);
+}
--- a/crates/exchange/src/links.rs
+++ b/crates/exchange/src/links.rs
@@ -50,6 +50,8 @@
     pub owner: OwnerFn<'a>,
     /// What a connection that has to be opened for it counts as.
     pub purpose: Purpose,
+    /// Told when a new connection has been opened for it, before it is sent.
+    pub opened: &'a (dyn Fn() + Sync),
 }
 
 /// The connections of the process to all targets; cheap to clone.
@@ -149,6 +151,7 @@
         }
         let opened = self.open(asked.endpoint, asked.purpose).await;
         let mut link = opened.map_err(|_| not_run(FailureCause::ConnectFailed))?;
+        (asked.opened)();
         match link.send(request).await {
             Ok(response) => Ok((link, response)),
             Err(SendError::Unsent(_)) => Err(not_run(FailureCause::ConnectFailed)),
--- a/crates/exchange/tests/links.rs
+++ b/crates/exchange/tests/links.rs
@@ -73,6 +73,7 @@
             repeatable: self.repeatable,
             owner: &owner,
             purpose: Purpose::Request,
+            opened: &|| {},
         };
         self.links.send(asked).await
     }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -131,6 +131,9 @@
 
 /// A slot at a target that has just said that it is neither slow nor full.
 ///
+/// A request is refused when all targets that were asked are full. Sent to one of them it would wait
+/// there, and with many entries that do so the targets stay full long after a burst.
+///
 /// Targets share hosts with neighbours that slow them down for a fraction of a second at a time; a
 /// run keeps the pace at which it began. Reports with earlier answers are too old to tell.
 async fn checked_place(
@@ -139,6 +142,7 @@
     trial: &Trial,
 ) -> Result<Assigned, Shed> {
     let ask = job.ask(&trial.avoided);
+    let mut full = 0;
     for _ in 0..CHECKS_MAX {
         let assigned = slots.admit(ask.clone()).await?;
         let target = assigned.target().clone();
@@ -147,6 +151,7 @@
         }
         match probe(&job.context, &job.service, slots, &target).await {
             Probed::Reported if !assigned.is_unfit(&ask) => return Ok(assigned),
+            Probed::Full => full += 1,
             Probed::Reported | Probed::Silent => {}
             Probed::Untold => {
                 slots.untold();
@@ -154,6 +159,11 @@
             }
         }
     }
+    if full == CHECKS_MAX
+        && let Some(shed) = slots.shed_full()
+    {
+        return Err(shed);
+    }
     slots.admit(ask).await
 }
 
@@ -296,6 +306,7 @@
         repeatable,
         owner: &owner,
         purpose: Purpose::Request,
+        opened: &|| {},
     };
     let cold = assigned.sending();
     let sent_bytes = message_bytes(asked.request.headers(), job.request.body.len());
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -1,6 +1,7 @@
 //! Asks targets for their load, so that requests are not sent blind.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -61,6 +62,8 @@
     Reported,
     /// It answered without telling its load, or can't be asked.
     Untold,
+    /// It has accepted a new connection and has not answered on it yet: its slots are taken.
+    Full,
     /// It has not answered yet, or can't be reached.
     Silent,
 }
@@ -78,28 +81,38 @@
 ) -> Probed {
     // An answer that has come may wait that long until it is read.
     let patience = PROMPT + context.late_by();
+    let is_accepted = Arc::new(AtomicBool::new(false));
     let asking = {
         let (context, slots) = (Arc::clone(context), Arc::clone(slots));
         let (service, target) = (service.clone(), target.clone());
-        tokio::spawn(async move { ask(&context, &service, &slots, &target).await })
+        let is_accepted = Arc::clone(&is_accepted);
+        tokio::spawn(async move { ask(&context, &service, &slots, &target, &is_accepted).await })
     };
     match tokio::time::timeout(patience, asking).await {
-        Ok(Ok(probed)) => probed,
+        Ok(Ok(probed)) => {
+            if probed != Probed::Silent {
+                slots.answered_soon();
+            }
+            probed
+        }
         // The task ends early only with the process.
         Ok(Err(_)) => Probed::Silent,
         Err(_) => {
             slots.unanswered(target);
             context.probe_counts.silent();
-            Probed::Silent
+            if is_accepted.load(Ordering::Relaxed) { Probed::Full } else { Probed::Silent }
         }
     }
 }
 
+/// Asks the target and takes its answer whenever it comes. Sets `is_accepted` once a new connection
+/// has been opened for the question.
 async fn ask(
     context: &Context,
     service: &ServiceName,
     slots: &Arc<ServiceSlots>,
     target: &TargetId,
+    is_accepted: &AtomicBool,
 ) -> Probed {
     let Some(Health { endpoint, domain, uri }) = health(context, service, target) else {
         return Probed::Untold;
@@ -115,6 +128,7 @@
         repeatable: true,
         owner: &|_: StatusCode, _: &HeaderMap| AnswerOwner::Own,
         purpose: Purpose::Probe,
+        opened: &|| is_accepted.store(true, Ordering::Relaxed),
     };
     counter!("shallotfork_probes").increment(1);
     context.probe_counts.asked();
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -227,6 +227,18 @@
         self.lock().pool.untold();
     }
 
+    /// A target has answered soon when it was asked for its load.
+    pub fn answered_soon(&self) {
+        self.lock().pool.answered_soon();
+    }
+
+    /// What to tell a caller whose request found only targets that are full; `None` if it can't be told
+    /// whether they are, because targets of this service usually answer late.
+    pub fn shed_full(&self) -> Option<Shed> {
+        let now = self.clock.now();
+        self.lock().pool.shed_full(now)
+    }
+
     /// A target has not answered soon when it was asked for its load.
     pub fn unanswered(&self, target: &TargetId) {
         self.lock().pool.unanswered(target);
