fix(balance): refuse as full only where many processes share the targets

What callers saw: refusals on deployments of a few named entries, where waiting serves.

Change: requests are refused as full only where more than twelve entries are named.

Test, failing before: no_request_is_refused_as_full_where_few_processes_share_the_targets.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -17,6 +17,9 @@
 /// Beyond this, what did not come in time may have come; a timer is a millisecond or two late.
 const OWN_LATENESS_MAX: Duration = Duration::from_millis(8);
 
+/// Processes that share the targets of a service and each know most of what runs there.
+const FEW_SHARERS: usize = 12;
+
 /// Targets that are asked at one turn for each request that waits. Most of those that are asked turn
 /// out to be slow still; with one, the end of a slow phase would often go unseen.
 const PROBES_PER_WAITING: usize = 4;
@@ -283,9 +286,11 @@
     }
 
     /// The refusal of a request that found only targets which let the question wait, as full ones do;
-    /// `None` if sound targets of this service answer as late.
+    /// `None` if sound targets of this service answer as late, or if so few processes share the targets
+    /// that this one's own count of free slots says more.
     pub fn shed_full(&self, now: Mono) -> Option<Shed> {
-        self.learnt.answers_soon().then(|| self.shed(ShedReason::DeadlineTooNear, now))
+        let is_full = self.sharers.len() > FEW_SHARERS && self.learnt.answers_soon();
+        is_full.then(|| self.shed(ShedReason::DeadlineTooNear, now))
     }
 
     /// A target has answered a question about its load, whether it told it or not.
--- a/crates/balance/tests/slots_silence.rs
+++ b/crates/balance/tests/slots_silence.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use shallotfork_balance::{Admission, SlotAsk, SlotPool, SlotPoolConfig, SlotTarget, WorkClass};
-use shallotfork_types::{FailureDomain, Mono, TargetId};
+use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
 
 fn mill() -> TargetId {
     TargetId::new("mill").unwrap()
@@ -21,6 +21,10 @@
     }
 }
 
+fn sharers(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("vm-{number}")).collect()
+}
+
 fn pool() -> SlotPool {
     let mut pool = SlotPool::new(SlotPoolConfig::default());
     pool.set_targets(vec![target(&mill())], Mono::ZERO);
@@ -80,6 +84,7 @@
 fn a_request_is_refused_as_full_only_where_targets_usually_answer_soon() {
     let mut pool = pool();
     let now = Mono::from_millis(10);
+    pool.set_sharers(sharers(40), Permille::new(1000), now);
     assert_eq!(pool.shed_full(now), None, "nothing is known");
     pool.answered_soon();
     (0..2).for_each(|_| pool.unanswered(&mill()));
@@ -87,3 +92,14 @@
     (0..10).for_each(|_| pool.unanswered(&mill()));
     assert_eq!(pool.shed_full(now), None);
 }
+
+/// Guards against refusals where few processes share the targets: one that counts a free slot knows
+/// better than four unanswered questions.
+#[test]
+fn no_request_is_refused_as_full_where_few_processes_share_the_targets() {
+    let mut pool = pool();
+    let now = Mono::from_millis(10);
+    pool.set_sharers(sharers(3), Permille::new(1000), now);
+    pool.answered_soon();
+    assert_eq!(pool.shed_full(now), None);
+}
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -47,7 +47,7 @@
     pub targets: usize,
     /// Whether its work waits for the processor.
     pub behind: bool,
-    /// How late it does its own part of the exchange of heartbeats.
+    /// How late it does its work, heartbeats among it.
     pub late_by: Duration,
 }
 
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -233,7 +233,7 @@
     }
 
     /// What to tell a caller whose request found only targets that are full; `None` if it can't be told
-    /// whether they are, because targets of this service usually answer late.
+    /// whether they are.
     pub fn shed_full(&self) -> Option<Shed> {
         let now = self.clock.now();
         self.lock().pool.shed_full(now)
