test(harness): pausing a program waits until it stands still

A fault of the harness, not of the product.

Change: Program::pause waits until /proc shows every thread stopped; all tests that pause a program use it.

--- a/tests/src/program.rs
+++ b/tests/src/program.rs
@@ -1,10 +1,11 @@
 //! One started program.
 
 use std::env;
-use std::fs::File;
+use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
 use rustix::process::{Pid, Signal, kill_process};
@@ -15,6 +16,11 @@
 
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const EXIT_LIMIT: Duration = Duration::from_secs(60);
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+/// Time between two looks at whether a process stands still.
+const STOP_LOOK: Duration = Duration::from_millis(1);
+/// State of a thread that a signal has stopped, in `/proc/PID/task/TID/stat`.
+const STOPPED: &str = "T";
 
 /// A child process that is killed when this value is dropped.
 #[derive(Debug)]
@@ -68,12 +74,20 @@
         self.child.kill().await.with_context(|| format!("killing {}", self.name))
     }
 
-    /// Pauses the process with SIGSTOP.
+    /// Pauses the process with SIGSTOP and waits until all its threads stand still. On a busy machine
+    /// they go on for milliseconds after the signal was sent, and answer what arrives meanwhile.
     ///
     /// # Errors
-    /// When the process has ended.
+    /// When the process has ended, or does not stop.
     pub fn pause(&self) -> anyhow::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let pid = self.pid().with_context(|| format!("{} has ended", self.name))?;
+        let began = Instant::now();
+        while !all_threads_stopped(pid)? {
+            ensure!(began.elapsed() < STOP_LIMIT, "{} does not stop", self.name);
+            thread::sleep(STOP_LOOK);
+        }
+        Ok(())
     }
 
     /// Wakes the process with SIGCONT.
@@ -134,3 +148,16 @@
     }
     bail!("ended before it was ready");
 }
+
+fn all_threads_stopped(pid: u32) -> anyhow::Result<bool> {
+    for task in fs::read_dir(format!("/proc/{pid}/task"))? {
+        // A thread may have ended since the folder was read.
+        let Ok(stat) = fs::read_to_string(task?.path().join("stat")) else { continue };
+        // The name in brackets may hold anything; the state follows it.
+        let state = stat.rsplit_once(')').and_then(|(_, rest)| rest.split_whitespace().next());
+        if state != Some(STOPPED) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
