refactor(membership, balance, gateway): a suspicion belongs to its member; support code used where it was written again

Read once more; behaviour as before, but for one case named below.

- View kept a second map, by VM, of suspicions that are not refuted, and searched it at each period for members that were forgotten.
Each member holds its own now.
It ends with its run: a process that starts anew is no longer asked once to refute a suspicion of its earlier run.
- An answer that tells a target's load took the lock of its service's slots twice; SlotPool::report clears the silence itself.
- ProbeCounts::read returns a named type in place of a pair.
Assertions are as they were.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -216,6 +216,7 @@
     /// Takes a target's account of its load that came with a probe's answer.
     pub fn report(&mut self, id: &TargetId, figures: LoadFigures, now: Mono) -> Vec<Woken> {
         let Some(target) = self.targets.get_mut(id) else { return Vec::new() };
+        target.is_silent = false;
         target.report(figures, &mut self.learnt, now);
         self.wake_for(id, now)
     }
@@ -293,7 +294,7 @@
         is_full.then(|| self.shed(ShedReason::DeadlineTooNear, now))
     }
 
-    /// A target has answered a question about its load, whether it told it or not.
+    /// A target has answered a question about its load without telling it.
     pub fn probe_answered(&mut self, id: &TargetId) {
         if let Some(target) = self.targets.get_mut(id) {
             target.is_silent = false;
--- a/crates/balance/tests/slots_silence.rs
+++ b/crates/balance/tests/slots_silence.rs
@@ -2,66 +2,48 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+#[path = "support/slots.rs"]
+#[allow(dead_code, reason = "each test file uses its part")]
+mod support;
+
 use std::time::Duration;
 
-use shallotfork_balance::{Admission, SlotAsk, SlotPool, SlotPoolConfig, SlotTarget, WorkClass};
-use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
+use shallotfork_types::{Permille, TargetId};
 
-fn mill() -> TargetId {
-    TargetId::new("mill").unwrap()
-}
+use support::{ask, at, id, pool, sent};
 
-fn target(id: &TargetId) -> SlotTarget {
-    SlotTarget {
-        id: id.clone(),
-        failure_domain: FailureDomain::new("hall").unwrap(),
-        slots: 2,
-        serving: true,
-        cold_for: Duration::ZERO,
-    }
+const MILL: &str = "mill";
+const OTHER: &str = "other";
+
+fn mill() -> TargetId {
+    id(MILL)
 }
 
 fn sharers(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("vm-{number}")).collect()
 }
 
-fn pool() -> SlotPool {
-    let mut pool = SlotPool::new(SlotPoolConfig::default());
-    pool.set_targets(vec![target(&mill())], Mono::ZERO);
-    pool
-}
-
-fn ask(now: Mono) -> SlotAsk {
-    let objective = now.plus(Duration::from_millis(500));
-    SlotAsk::new(WorkClass::new("reads"), now, objective, objective)
-}
-
 /// Guards against requests that are sent to a dead target because one lost question proves nothing.
 #[test]
 fn a_target_whose_questions_fail_twice_is_left_out() {
-    let mut pool = pool();
-    pool.probe_failed(&mill(), Duration::ZERO, Mono::from_millis(10));
-    assert_eq!(pool.summary(Mono::from_millis(11)).ejected, 0, "an answer can be lost");
-    pool.probe_failed(&mill(), Duration::from_millis(2), Mono::from_millis(70));
-    assert_eq!(pool.summary(Mono::from_millis(71)).ejected, 1);
+    let mut pool = pool(&[MILL]);
+    pool.probe_failed(&mill(), Duration::ZERO, at(10));
+    assert_eq!(pool.summary(at(11)).ejected, 0, "an answer can be lost");
+    pool.probe_failed(&mill(), Duration::from_millis(2), at(70));
+    assert_eq!(pool.summary(at(71)).ejected, 1);
 }
 
 /// Guards against sending a request to a target that has not answered its question yet, while another
 /// one answers.
 #[test]
 fn a_target_that_owes_an_answer_is_passed_over_until_it_answers() {
-    let mut pool = pool();
-    let other = TargetId::new("other").unwrap();
-    pool.set_targets(vec![target(&mill()), target(&other)], Mono::ZERO);
+    let mut pool = pool(&[MILL, OTHER]);
     pool.unanswered(&mill());
-    let now = Mono::from_millis(60);
     for _ in 0..2 {
-        let Admission::Send(assignment) = pool.admit(ask(now), now) else { panic!("no slot") };
-        assert_eq!(assignment.target, other);
+        assert_eq!(sent(pool.admit(ask(60), at(60))).target, id(OTHER));
     }
     pool.probe_answered(&mill());
-    let Admission::Send(assignment) = pool.admit(ask(now), now) else { panic!("no slot") };
-    assert_eq!(assignment.target, mill());
+    assert_eq!(sent(pool.admit(ask(60), at(60))).target, mill());
 }
 
 /// All entries start at once, and three of them get every caller who has waited. Busy for a tenth
@@ -69,21 +51,21 @@
 /// when every slot was needed.
 #[test]
 fn silence_that_a_busy_process_only_seems_to_hear_counts_for_nothing() {
-    let mut pool = pool();
+    let mut pool = pool(&[MILL]);
     for asked in 1..10 {
-        let now = Mono::from_millis(asked * 100);
+        let now = at(asked * 100);
         pool.unanswered(&mill());
         pool.probe_failed(&mill(), Duration::from_millis(60), now);
     }
-    assert_eq!(pool.summary(Mono::from_millis(1000)).ejected, 0);
+    assert_eq!(pool.summary(at(1000)).ejected, 0);
 }
 
 /// Guards against refusals of requests that sound targets would have served, where these answer
 /// questions late.
 #[test]
 fn a_request_is_refused_as_full_only_where_targets_usually_answer_soon() {
-    let mut pool = pool();
-    let now = Mono::from_millis(10);
+    let mut pool = pool(&[MILL]);
+    let now = at(10);
     pool.set_sharers(sharers(40), Permille::new(1000), now);
     assert_eq!(pool.shed_full(now), None, "nothing is known");
     pool.answered_soon();
@@ -97,8 +79,8 @@
 /// better than four unanswered questions.
 #[test]
 fn no_request_is_refused_as_full_where_few_processes_share_the_targets() {
-    let mut pool = pool();
-    let now = Mono::from_millis(10);
+    let mut pool = pool(&[MILL]);
+    let now = at(10);
     pool.set_sharers(sharers(3), Permille::new(1000), now);
     pool.answered_soon();
     assert_eq!(pool.shed_full(now), None);
--- a/crates/fleet/tests/late_entries.rs
+++ b/crates/fleet/tests/late_entries.rs
@@ -17,10 +17,11 @@
 
 /// Requests that an entry can carry; half of all entries are named to callers.
 const SMALL: u32 = 67;
+const ENTRIES: usize = 141;
 const LATE: usize = 7;
 
 fn running(seed: u64) -> Model {
-    let mut model = Model::new(seed, 3, &[(141, SMALL)]);
+    let mut model = Model::new(seed, 3, &[(ENTRIES, SMALL)]);
     model.start_all();
     model.run_for(5_000);
     model
@@ -40,7 +41,7 @@
         let mut model = running(seed);
         let late = late_ones(&model);
         model.late_ms.extend(late.iter().map(|index| (*index, LATE_MS)));
-        let observer = (0..141).find(|index| !late.contains(index)).unwrap();
+        let observer = (0..ENTRIES).find(|index| !late.contains(index)).unwrap();
         let suspicions = model.suspicions_by(observer, OBSERVED_MS);
         let most = late.len() * SUSPICIONS_EACH;
         assert!(suspicions <= most, "seed {seed}: {suspicions} of {} late entries", late.len());
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -203,10 +203,7 @@
 
     /// An entry notices how late it is with its heartbeats.
     pub fn set_late_by(&mut self, index: usize, late_by: Duration) {
-        if let Some(member) = self.vms[index].member.as_mut() {
-            let own = member.own_state();
-            member.set_own_state(OwnState { late_by, ..own });
-        }
+        self.change_own(index, |own| OwnState { late_by, ..own });
     }
 
     /// How often an entry has come to suspect others, sampled for so long.
@@ -234,9 +231,12 @@
 
     /// An entry's work begins, or ends, to wait for its processor.
     pub fn set_behind(&mut self, index: usize, behind: bool) {
+        self.change_own(index, |own| OwnState { behind, ..own });
+    }
+
+    fn change_own(&mut self, index: usize, change: impl FnOnce(OwnState) -> OwnState) {
         if let Some(member) = self.vms[index].member.as_mut() {
-            let own = member.own_state();
-            member.set_own_state(OwnState { behind, ..own });
+            member.set_own_state(change(member.own_state()));
         }
     }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -17,7 +17,7 @@
 pub use directory::{directory, readiness};
 pub use front::{front, may_begin_early};
 pub use lateness::lateness;
-pub use probe_counts::ProbeCounts;
+pub use probe_counts::{ProbeCounts, Probes};
 pub use probes::probes;
 pub use quarantine::log_quarantined;
 pub use rate_limit::apply_rate_limit;
--- a/crates/gateway/src/traffic/probe_counts.rs
+++ b/crates/gateway/src/traffic/probe_counts.rs
@@ -3,6 +3,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Questions to targets since the process began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Probes {
+    /// Targets that were asked.
+    pub asked: u64,
+    /// Questions that had no answer in time.
+    pub silent: u64,
+}
+
+/// The counters behind [`Probes`].
 #[derive(Debug, Default)]
 pub struct ProbeCounts {
     asked: AtomicU64,
@@ -20,8 +29,9 @@
         self.silent.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// How many targets were asked, and how many of these questions had no answer in time.
-    pub fn read(&self) -> (u64, u64) {
-        (self.asked.load(Ordering::Relaxed), self.silent.load(Ordering::Relaxed))
+    /// The counts of now.
+    pub fn read(&self) -> Probes {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Probes { asked: read(&self.asked), silent: read(&self.silent) }
     }
 }
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -139,14 +139,16 @@
         return Probed::Silent;
     };
     Carried::Questions.count(&domain, message_bytes(&answer.headers, answer.body.len()));
-    slots.probe_answered(target);
     note_warmup(context, slots, target, &answer.headers);
     match figures(&context.dialect, &answer) {
         Some(figures) => {
             slots.report(target, figures);
             Probed::Reported
         }
-        None => Probed::Untold,
+        None => {
+            slots.probe_answered(target);
+            Probed::Untold
+        }
     }
 }
 
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -12,6 +12,7 @@
 use shallotfork_types::ServiceName;
 
 use crate::context::{Context, lock};
+use crate::traffic::Probes;
 
 /// Time between two lines of a service. A queue that matters lasts for longer, and one line for a
 /// few services in a second is nothing beside the lines about requests.
@@ -49,21 +50,20 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct TargetCounts {
     openings: Openings,
-    probes_asked: u64,
-    probes_silent: u64,
+    probes: Probes,
 }
 
 /// Reports what was added since `before`; returns the counts of now.
 fn report_connections(context: &Context, before: TargetCounts) -> TargetCounts {
-    let (probes_asked, probes_silent) = context.probe_counts.read();
-    let now = TargetCounts { openings: context.links.openings(), probes_asked, probes_silent };
+    let now =
+        TargetCounts { openings: context.links.openings(), probes: context.probe_counts.read() };
     if now != before {
         event!(context.log, TARGET_CONNECTIONS,
             "for_requests" => now.openings.requests - before.openings.requests,
             "for_probes" => now.openings.probes - before.openings.probes,
             "for_port_checks" => now.openings.port_checks - before.openings.port_checks,
-            "probes" => now.probes_asked - before.probes_asked,
-            "probes_silent" => now.probes_silent - before.probes_silent,
+            "probes" => now.probes.asked - before.probes.asked,
+            "probes_silent" => now.probes.silent - before.probes.silent,
         );
     }
     now
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -244,7 +244,7 @@
         self.lock().pool.unanswered(target);
     }
 
-    /// A target has answered a question about its load, whether it told it or not.
+    /// A target has answered a question about its load without telling it.
     pub fn probe_answered(&self, target: &TargetId) {
         self.lock().pool.probe_answered(target);
     }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -15,6 +15,9 @@
     pub(crate) round: u32,
     said_leaving: bool,
     suspected: bool,
+    /// The round of a suspicion that ended when this run was heard, and that the run has not refuted
+    /// by a higher one.
+    unrefuted_round: Option<u32>,
     /// Whether heartbeats are exchanged with it, so that its silence means something.
     watched: bool,
     pub(crate) quiet_since: Mono,
@@ -32,6 +35,7 @@
             round: 0,
             said_leaving: false,
             suspected: false,
+            unrefuted_round: None,
             watched: false,
             quiet_since: now,
             leniency: Leniency::default(),
@@ -67,7 +71,11 @@
         if !self.may_become(from.incarnation, fresh, now) {
             return false;
         }
+        if self.state() == EntryState::Suspected {
+            self.unrefuted_round = Some(self.round);
+        }
         self.take(from);
+        self.unrefuted_round = self.unrefuted_round.filter(|round| from.round <= *round);
         self.clear_suspicion(now);
         self.quiet_since = now;
         true
@@ -127,6 +135,7 @@
             self.round = 0;
             self.said_leaving = false;
             self.leniency = Leniency::default();
+            self.unrefuted_round = None;
         }
         let leaving = self.listed.leaving && self.on_list;
         self.listed = ListedVm { leaving, ..from.listed.clone() };
@@ -195,4 +204,11 @@
         let about = Announcement { listed, incarnation, round: self.round };
         Some(News { about, suspected: self.suspected })
     }
+
+    /// The suspicion that its VM still has to refute, as news for it.
+    pub(crate) fn unrefuted_suspicion(&self) -> Option<News> {
+        let round = self.unrefuted_round?;
+        let news = self.news()?;
+        Some(News { about: Announcement { round, ..news.about }, suspected: true })
+    }
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -29,8 +29,6 @@
     relays: bool,
     /// Whether others were heard again since the last period, who may have missed this process.
     heard_again: bool,
-    /// VMs that were heard while they were suspected, with the round that the suspicion was about.
-    unrefuted: BTreeMap<VmId, u32>,
 }
 
 impl View {
@@ -49,7 +47,6 @@
             passed_on: None,
             relays: true,
             heard_again: false,
-            unrefuted: BTreeMap::new(),
         }
     }
 
@@ -127,13 +124,8 @@
         if before != after || round_before != round {
             self.changed(&from.listed.vm, self.relays);
         }
-        let vm = &from.listed.vm;
         if before.state == EntryState::Suspected && after.state == EntryState::Live {
             self.heard_again = true;
-            self.unrefuted.insert(vm.clone(), round_before);
-        }
-        if self.unrefuted.get(vm).is_some_and(|suspected| from.round > *suspected) {
-            self.unrefuted.remove(vm);
         }
         counted
     }
@@ -185,11 +177,7 @@
     /// Whoever hears it knows that it lives; all others go by the suspicion until it is refuted. They do
     /// not speak to a VM that they suspect, so that nobody else would tell it.
     pub fn suspicion_of(&self, vm: &VmId) -> Option<News> {
-        let round = *self.unrefuted.get(vm)?;
-        let mut news = self.members.get(vm)?.news()?;
-        news.about.round = round;
-        news.suspected = true;
-        Some(news)
+        self.members.get(vm)?.unrefuted_suspicion()
     }
 
     /// Takes this process's own decision to leave.
@@ -242,8 +230,6 @@
             vm == &own || member.on_list || now.since(member.quiet_since) <= keep_for
         });
         self.version += u64::from(self.members.len() != count);
-        let members = &self.members;
-        self.unrefuted.retain(|vm, _| members.contains_key(vm));
         // Once for all that were heard again: hundreds may come back in one period.
         if std::mem::take(&mut self.heard_again) {
             self.raise_own_round();
