feat(gateway): log what entries read from each other, its size and the time that it takes

Cause: no line tells which entry reads published items from which, how many bytes that is and how long it takes, nor up to which revision an entry knows what is published; a slow link that is full cannot be told from an entry that stands still. Lines 2013 (a large or slow reading), 2014 (what an entry tells others, once a second while it is much), the revision in lines 1007 and 2007, and two metrics, shallotfork_revision and shallotfork_told_bytes. No decision changes.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -36,6 +36,8 @@
     EVACUATION_INVALID = 2010 Error "request to evacuate a failure domain ignored: it is not valid";
     EVACUATION_RUNNING = 2011 Info "requests still run in an evacuated failure domain";
     PUBLISHED_IGNORED = 2012 Warning "part of a published item ignored: it is not valid";
+    ITEMS_READ = 2013 Info "published items read from another entry";
+    ITEMS_TOLD = 2014 Info "published items told to other entries";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -28,7 +28,9 @@
         lateness.note(tick.late, tick.now);
         if tick.late > STOOD_STILL {
             let late_ms = u64::try_from(tick.late.as_millis()).unwrap_or(u64::MAX);
-            event!(state.context.log, RESUMED, "late_ms" => late_ms);
+            let revision = state.archive.borrow().position();
+            event!(state.context.log, RESUMED, "late_ms" => late_ms,
+                "revision" => revision.value());
             state.fleet.borrow_mut().resumed(tick.now);
         }
         let behind = state.context.is_behind();
@@ -78,8 +80,7 @@
             Carried::Heartbeats.count(&answer.failure_domain, client.take_bytes());
             heard(&state, client.peer(), &answer);
             if should_read_from(&state, &answer) {
-                pull(Rc::clone(&state), Rc::clone(&client)).await;
-                Carried::Lists.count(&answer.failure_domain, client.take_bytes());
+                pull(&state, &client, &answer.failure_domain).await;
             }
         }
         // The next heartbeat opens a new connection.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -17,6 +17,7 @@
 
 use crate::context::Context;
 use crate::control::peers::Peers;
+use crate::control::relay::TellCount;
 
 /// All state that only the control thread touches.
 ///
@@ -40,6 +41,8 @@
     pub archive: RefCell<Archive>,
     /// When other entries are asked for published items.
     pub catch_up: RefCell<CatchUp>,
+    /// What other entries were told.
+    pub told: TellCount,
     /// Since when the platform has counted as away; `None` while it does not.
     pub away_since: Cell<Option<Mono>>,
     /// The beliefs that callers are named entries by.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -25,6 +25,7 @@
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
+use crate::control::relay::{TellCount, report_told};
 use crate::control::state::{State, own_announcement};
 use crate::traffic::apply_rate_limit;
 use shallotfork_evacuation::Evacuations;
@@ -39,6 +40,8 @@
 const CONNECTIONS_MAX: usize = 1024;
 /// How often lapsed targets and idle connections are looked after.
 const TIDY: Duration = Duration::from_millis(250);
+/// How often what other entries were told is reported.
+const REPORT: Duration = Duration::from_secs(1);
 /// What the control thread takes over from start-up.
 pub struct ControlParts {
     /// Shared with the traffic threads.
@@ -126,6 +129,7 @@
     let timer = TimerService::new(state.context.clock);
     tokio::task::spawn_local(beats(Rc::clone(&state), timer.clone()));
     let mut tidy = timer.subscribe(Schedule::new(TIDY));
+    let mut report = timer.subscribe(Schedule::new(REPORT));
     loop {
         tokio::select! {
             command = commands.recv() => match command {
@@ -139,6 +143,7 @@
                 Some(Command::SetSeeds(seeds)) => *state.seeds.borrow_mut() = seeds,
                 None => return,
             },
+            _ = report.tick() => report_told(&state),
             _ = tidy.tick() => {
                 expire_targets(&state);
                 note_settled(&state);
@@ -173,6 +178,7 @@
         feed,
         archive: RefCell::new(Archive::new()),
         catch_up: RefCell::new(CatchUp::new()),
+        told: TellCount::default(),
         away_since: Cell::new(None),
         named_by: RefCell::new(None),
         role_look: Notify::new(),
