fix(gateway, feed): hand on no more published items than the link bears

What callers saw: requests at entries behind 10 Mbit/s served by routes that had been replaced three seconds before, and a second late; readiness that failed for four seconds without any fault. Cause: all entries of a failure domain ask the first three there for a change at the same moment, and each of these answers all of them at once. With a table of thousands of routes, nearly 1 MB, that is tens of megabytes; where two of the three are strong, the third stands behind 10 Mbit/s and sends for ten seconds. All else that it sends waits behind it for seconds: questions to other entries, so that it learns of no change itself, answers, requests to targets. Change: Uplink, a leaky bucket at half of the link's rate. Beyond 200 ms of it others are told that this one is busy (an overloaded error of the RPC library, so no change of the schema) and ask the next one that knows more at once. A reading that goes on to bring bytes keeps others from beginning, so that one large table is not read three times. Why it works: what waits on the link before a heartbeat or a request is bounded by 200 ms of half of the link and one answer.

--- a/crates/feed/src/catch_up.rs
+++ b/crates/feed/src/catch_up.rs
@@ -4,8 +4,7 @@
 
 use shallotfork_types::{Mono, Revision};
 
-/// How long one reading keeps others from beginning; a change of 20 KB crosses the weakest link of
-/// 10 Mbit/s in a tenth of that.
+/// How long one reading keeps others from beginning while nothing of its answer comes.
 const PATIENCE: Duration = Duration::from_millis(300);
 
 /// Lets one reading begin at a time, near ones first.
@@ -15,7 +14,8 @@
 /// to spread there: each change would cross once for every entry otherwise.
 #[derive(Debug, Default)]
 pub struct CatchUp {
-    began_at: Option<Mono>,
+    /// When the reading in progress began, or a part of its answer came.
+    heard_at: Option<Mono>,
     /// What a far entry was heard to know beyond this one, and when.
     far: Option<(Revision, Mono)>,
 }
@@ -33,16 +33,23 @@
     /// transfer, 5 s, would go by the old routes and targets for as long, although all others tell
     /// it that they know more. So another reading may begin when one does not end soon.
     pub fn begin(&mut self, now: Mono) -> bool {
-        let busy = self.began_at.is_some_and(|at| now.since(at) < PATIENCE);
+        let busy = self.heard_at.is_some_and(|at| now.since(at) < PATIENCE);
         if !busy {
-            self.began_at = Some(now);
+            self.heard_at = Some(now);
         }
         !busy
     }
 
+    /// The reading goes on: a part of the answer has come.
+    pub fn progress(&mut self, now: Mono) {
+        if let Some(at) = &mut self.heard_at {
+            *at = now;
+        }
+    }
+
     /// A reading has ended, with or without an answer.
     pub fn end(&mut self) {
-        self.began_at = None;
+        self.heard_at = None;
     }
 
     /// Whether a far entry was heard to know more than this one does now.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,8 +4,10 @@
 mod catch_up;
 mod check;
 mod feed;
+mod uplink;
 
 pub use archive::{Archive, Told};
 pub use catch_up::CatchUp;
 pub use check::TellError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
+pub use uplink::Uplink;
--- a/crates/feed/tests/catch_up.rs
+++ b/crates/feed/tests/catch_up.rs
@@ -60,3 +60,16 @@
     assert!(!catch_up.far_knows(revision(7), revision(7), SPREAD, at(450)));
     assert!(catch_up.far_knows(revision(9), revision(7), SPREAD, at(600)));
 }
+
+/// Guards against reading the same large table twice at a time: a second reading takes half of the
+/// link from the first.
+#[test]
+fn a_reading_that_goes_on_keeps_others_from_beginning() {
+    let mut catch_up = CatchUp::new();
+    assert!(catch_up.begin(at(0)));
+    catch_up.progress(at(250));
+    assert!(!catch_up.begin(at(400)));
+    catch_up.progress(at(500));
+    assert!(!catch_up.begin(at(790)));
+    assert!(catch_up.begin(at(800)), "nothing has come for too long");
+}
--- a/crates/gateway/src/control/beats.rs
+++ b/crates/gateway/src/control/beats.rs
@@ -12,7 +12,8 @@
 use crate::carried::Carried;
 use crate::control::hearing::{heard, own_heartbeat};
 use crate::control::naming::name_entries;
-use crate::control::relay::{pull, should_read_from};
+use crate::control::reading::{Source, pull};
+use crate::control::relay::should_read_from;
 use crate::control::state::State;
 
 /// A tick that is late by this much means that the process stood still.
@@ -80,7 +81,8 @@
             Carried::Heartbeats.count(&answer.failure_domain, client.take_bytes());
             heard(&state, client.peer(), &answer);
             if should_read_from(&state, &answer) {
-                pull(&state, &client, &answer.failure_domain).await;
+                let failure_domain = answer.failure_domain;
+                pull(&state, Source { client: Rc::clone(&client), failure_domain }).await;
             }
         }
         // The next heartbeat opens a new connection.
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -56,7 +56,7 @@
         None
     }
 
-    async fn changes(&self, after: Revision) -> Changes {
+    async fn changes(&self, after: Revision) -> Option<Changes> {
         told(&self.state, after)
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod publish;
 mod reader;
+mod reading;
 mod relay;
 mod state;
 mod thread;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,7 +7,7 @@
 
 use shallotfork_balance::SlotTarget;
 use shallotfork_evacuation::Evacuations;
-use shallotfork_feed::{Archive, CatchUp, Feed};
+use shallotfork_feed::{Archive, CatchUp, Feed, Uplink};
 use shallotfork_fleet::{Beliefs, FleetMember, OwnState};
 use shallotfork_membership::{Announcement, ListedVm};
 use shallotfork_roster::Roster;
@@ -17,6 +17,7 @@
 
 use crate::context::Context;
 use crate::control::peers::Peers;
+use crate::control::reading::Source;
 use crate::control::relay::TellCount;
 
 /// All state that only the control thread touches.
@@ -41,8 +42,12 @@
     pub archive: RefCell<Archive>,
     /// When other entries are asked for published items.
     pub catch_up: RefCell<CatchUp>,
+    /// Other entries that may be read from when the one that is read from is busy.
+    pub sources: RefCell<Vec<Source>>,
     /// What other entries were told.
     pub told: TellCount,
+    /// What of the link that may take.
+    pub uplink: RefCell<Uplink>,
     /// Since when the platform has counted as away; `None` while it does not.
     pub away_since: Cell<Option<Mono>>,
     /// The beliefs that callers are named entries by.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -29,7 +29,7 @@
 use crate::control::state::{State, own_announcement};
 use crate::traffic::apply_rate_limit;
 use shallotfork_evacuation::Evacuations;
-use shallotfork_feed::{Archive, CatchUp, Feed};
+use shallotfork_feed::{Archive, CatchUp, Feed, Uplink};
 use shallotfork_fleet::FleetMember;
 
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
@@ -178,7 +178,9 @@
         feed,
         archive: RefCell::new(Archive::new()),
         catch_up: RefCell::new(CatchUp::new()),
+        sources: RefCell::default(),
         told: TellCount::default(),
+        uplink: RefCell::new(Uplink::new(context.settings.link)),
         away_since: Cell::new(None),
         named_by: RefCell::new(None),
         role_look: Notify::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use shallotfork_fleet::Regions;
-use shallotfork_types::{Bytes, Endpoint, FailureDomain, PerSecond, Permille, VmId};
+use shallotfork_types::{
+    Bytes, BytesPerSecond, Endpoint, FailureDomain, PerSecond, Permille, VmId,
+};
 
 /// Where the process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +33,8 @@
     pub regions: Regions,
     /// Requests a second that this VM could carry, by its processor and its link.
     pub strength: PerSecond,
+    /// What the VM's link carries in each direction.
+    pub link: BytesPerSecond,
     /// Where it listens.
     pub ports: Ports,
     /// Peer ports of some entries, which may be down or out of date.
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -69,8 +69,8 @@
         Some(self.issuer.borrow_mut().issue(Mono::ZERO))
     }
 
-    async fn changes(&self, after: Revision) -> Changes {
-        Changes { revision: after, values: Vec::new(), whole: false }
+    async fn changes(&self, after: Revision) -> Option<Changes> {
+        Some(Changes { revision: after, values: Vec::new(), whole: false })
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -64,6 +64,11 @@
         carried - self.taken.replace(carried)
     }
 
+    /// Bytes that the connection has carried in both directions since it was opened.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried.get()
+    }
+
     /// Whether the connection has broken.
     pub fn is_closed(&self) -> bool {
         self.driver.0.is_finished()
@@ -181,7 +186,8 @@
     /// Fetches the published values changed after a revision.
     ///
     /// # Errors
-    /// When no valid answer comes in time.
+    /// [`PeerError::Busy`] when the peer hands on as much as it can, else when no valid answer comes in
+    /// time.
     pub async fn changes(&self, after: Revision) -> Result<Changes, PeerError> {
         let mut request = self.calls.changes_request();
         request.get().set_after(after.value());
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -14,6 +14,8 @@
     TimedOut,
     /// One side did not prove the shared key, or is not the VM that was asked for.
     Refused,
+    /// The peer hands on as much as it can; another one may be asked now, this one later.
+    Busy,
     /// The peer answered with an error or with something that is not valid.
     Invalid(String),
 }
@@ -24,6 +26,7 @@
             Self::Unreachable(reason) => write!(f, "peer unreachable: {reason}"),
             Self::TimedOut => f.write_str("peer did not answer in time"),
             Self::Refused => f.write_str("peer refused: shared key not proved or other VM"),
+            Self::Busy => f.write_str("peer is busy"),
             Self::Invalid(reason) => write!(f, "peer's answer not valid: {reason}"),
         }
     }
@@ -34,6 +37,7 @@
 impl From<capnp::Error> for PeerError {
     fn from(error: capnp::Error) -> Self {
         match error.kind {
+            capnp::ErrorKind::Overloaded => Self::Busy,
             capnp::ErrorKind::Disconnected => Self::Unreachable(error.to_string()),
             _ => Self::Invalid(error.to_string()),
         }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -42,8 +42,9 @@
     /// The peer wants a session that is issued here; `None` while leaving or without room.
     fn issue(&self) -> impl Future<Output = Option<Session>>;
 
-    /// The peer wants the published values changed after a revision.
-    fn changes(&self, after: Revision) -> impl Future<Output = Changes>;
+    /// The peer wants the published values changed after a revision; `None` while this process hands
+    /// on as much as its link bears.
+    fn changes(&self, after: Revision) -> impl Future<Output = Option<Changes>>;
 
     /// The peer offers published values.
     fn push(&self, from: &PeerId, changes: Changes) -> impl Future<Output = ()>;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -269,7 +269,9 @@
         mut results: schema::peer::ChangesResults,
     ) -> CapnpResult {
         let after = Revision::new(params.get()?.get_after());
-        let changes = self.handler.changes(after).await;
+        let Some(changes) = self.handler.changes(after).await else {
+            return Err(Error::overloaded("hands on as much as the link bears".to_owned()));
+        };
         wire::write_changes(&changes, results.get().init_changes());
         Ok(())
     }
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -29,7 +29,8 @@
 /// Answers what the test laid out, and notes what it was told.
 struct Fake {
     answer: RefCell<ClaimAnswer>,
-    changes: Changes,
+    /// `None` while it is busy.
+    changes: Option<Changes>,
     session: Session,
     calls: RefCell<Vec<String>>,
     parts: RefCell<Vec<LedgerPart>>,
@@ -92,7 +93,7 @@
         Some(self.session.clone())
     }
 
-    async fn changes(&self, after: Revision) -> Changes {
+    async fn changes(&self, after: Revision) -> Option<Changes> {
         self.note(format!("changes after {after}"));
         self.changes.clone()
     }
@@ -124,7 +125,7 @@
         let endpoint = Endpoint::new(listener.local_addr().unwrap());
         let fake = Rc::new(Fake {
             answer: RefCell::new(ClaimAnswer::Granted),
-            changes: changes(),
+            changes: Some(changes()),
             session: operation("k").session().clone(),
             calls: RefCell::default(),
             parts: RefCell::default(),
--- a/crates/peer/tests/stranger.rs
+++ b/crates/peer/tests/stranger.rs
@@ -61,7 +61,7 @@
         unreachable!("issue to a stranger")
     }
 
-    async fn changes(&self, _after: Revision) -> Changes {
+    async fn changes(&self, _after: Revision) -> Option<Changes> {
         unreachable!("changes to a stranger")
     }
 
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -80,10 +80,10 @@
         self.state.ledger.borrow_mut().issue(now)
     }
 
-    async fn changes(&self, after: Revision) -> Changes {
+    async fn changes(&self, after: Revision) -> Option<Changes> {
         let lists = self.state.lists.borrow();
         let values = lists.newer_than(after).into_iter().map(value_change).collect();
-        Changes { revision: lists.cursor.complete(), values, whole: false }
+        Some(Changes { revision: lists.cursor.complete(), values, whole: false })
     }
 
     async fn push(&self, from: &PeerId, changes: Changes) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,7 +25,7 @@
 pub use lists_digest::ListsDigest;
 pub use mono::Mono;
 pub use parse::ParseError;
-pub use rate::{Millicores, PerSecond, Permille};
+pub use rate::{BytesPerSecond, Millicores, PerSecond, Permille};
 pub use rendezvous::rendezvous_weight;
 pub use request_rate::RequestRate;
 pub use revision::Revision;
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ParseError;
+use crate::{Bytes, ParseError};
 
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident, $unit:literal) => {
@@ -60,6 +60,11 @@
     Millicores, "m"
 }
 
+number_type! {
+    /// Bytes in a second.
+    BytesPerSecond, "B/s"
+}
+
 impl Permille {
     /// This share of `whole`, rounded down.
     pub fn of(self, whole: u64) -> u64 {
@@ -67,6 +72,22 @@
     }
 }
 
+impl BytesPerSecond {
+    /// This share of the rate, rounded down.
+    #[must_use]
+    pub fn share(self, share: Permille) -> Self {
+        Self(u32::try_from(share.of(u64::from(self.0))).unwrap_or(u32::MAX))
+    }
+
+    /// Time that so many bytes take; [`Duration::MAX`] at a rate of zero.
+    pub fn time_for(self, bytes: Bytes) -> Duration {
+        if self.0 == 0 {
+            return Duration::MAX;
+        }
+        Duration::from_secs_f64(bytes.value() as f64 / f64::from(self.0))
+    }
+}
+
 impl PerSecond {
     /// Time between two events at this rate; `None` when the rate is zero.
     pub fn spacing(self) -> Option<Duration> {
