fix(gateway, feed, peer): large items cross between entries compressed

What callers saw: with the bound on what an entry hands on alone, a change of a large table would be late in force. Cause: an operator's table of routes is one item. Any change of it, even of one weight, is handed to every entry whole: 0.9 MB to 49 entries of a failure domain, over links of 10 Mbit/s among others. Change: items of 4 KiB or more are packed by deflate (flate2), once for all that ask, and only for those who say that they take them so; an entry of an older release goes on getting them as they are.

--- a/crates/feed/src/check.rs
+++ b/crates/feed/src/check.rs
@@ -1,6 +1,6 @@
 //! Whether published items from another entry may be taken.
 
-use shallotfork_types::Revision;
+use shallotfork_types::{Bytes, Revision};
 use thiserror::Error;
 
 use crate::archive::{Archive, Told};
@@ -25,6 +25,9 @@
     /// It has more items than any platform publishes.
     #[error("it has {0} items, more than are taken at once")]
     TooMany(usize),
+    /// A packed item is not what it says, or too large.
+    #[error("an item can't be unpacked to {0} bytes")]
+    BadPacked(Bytes),
     /// An item has no key, or revision zero.
     #[error("an item has no key or no revision")]
     BadItem,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,10 +4,12 @@
 mod catch_up;
 mod check;
 mod feed;
+mod pack;
 mod uplink;
 
 pub use archive::{Archive, Told};
 pub use catch_up::CatchUp;
 pub use check::TellError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
+pub use pack::{Packer, unpack};
 pub use uplink::Uplink;
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -7,8 +7,7 @@
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId};
-use shallotfork_types::Revision;
+use shallotfork_peer::{Changes, ChangesAsked, Heartbeat, PeerHandler, PeerId};
 
 use crate::control::hearing::{heard, own_heartbeat};
 use crate::control::relay::told;
@@ -56,8 +55,8 @@
         None
     }
 
-    async fn changes(&self, after: Revision) -> Option<Changes> {
-        told(&self.state, after)
+    async fn changes(&self, asked: ChangesAsked) -> Option<Changes> {
+        told(&self.state, asked)
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -4,13 +4,13 @@
 
 use metrics::{counter, gauge};
 use shallotfork_events::{ITEMS_TOLD, event};
-use shallotfork_peer::{Changes, Heartbeat, ValueChange};
+use shallotfork_peer::{Changes, ChangesAsked, Heartbeat, ValueChange};
 use shallotfork_types::{Bytes, Revision};
 
 use crate::control::publish::{take_all, take_changes};
 use crate::control::reader::note_synced;
 use crate::control::state::State;
-use shallotfork_feed::{FeedChanges, RawItem, TellError, Told};
+use shallotfork_feed::{FeedChanges, RawItem, TellError, Told, unpack};
 
 /// From this size on, what is read from other entries or told to them is logged.
 pub const LARGE: Bytes = Bytes::from_kib(64);
@@ -63,14 +63,21 @@
 
 /// What another entry is told that knows everything up to `after`; `None` while the link has enough to
 /// carry.
-pub fn told(state: &State, after: Revision) -> Option<Changes> {
+pub fn told(state: &State, asked: ChangesAsked) -> Option<Changes> {
     let now = state.now();
     if state.uplink.borrow().is_full(now) {
         state.told.put_off.set(state.told.put_off.get() + 1);
         return None;
     }
-    let told = state.archive.borrow().after(after);
-    let values: Vec<ValueChange> = told.changes.items.into_iter().map(value).collect();
+    let told = state.archive.borrow().after(asked.after);
+    let mut packer = state.packer.borrow_mut();
+    let items = told.changes.items.into_iter();
+    let values: Vec<ValueChange> = items
+        .map(|item| {
+            let packed = if asked.takes_packed { packer.pack(&item) } else { None };
+            value(&item, packed)
+        })
+        .collect();
     let size = values.iter().map(|value| value.name.len() + value.content.len()).sum::<usize>();
     state.told.add(size as u64);
     state.uplink.borrow_mut().hand_on(Bytes::new(size as u64), now);
@@ -83,7 +90,7 @@
 /// Why it can't be taken.
 pub fn take(state: &State, changes: Changes) -> Result<(), TellError> {
     let Changes { revision, values, whole } = changes;
-    let items = values.into_iter().map(item).collect();
+    let items = values.into_iter().map(item).collect::<Result<_, _>>()?;
     let told = Told { changes: FeedChanges { items, revision }, whole };
     state.archive.borrow().check(&told)?;
     if whole {
@@ -95,13 +102,24 @@
     Ok(())
 }
 
-fn value(item: RawItem) -> ValueChange {
+/// An item as it is handed on, with its packed content if it has one.
+fn value(item: &RawItem, packed: Option<&[u8]>) -> ValueChange {
     let RawItem { key, revision, content } = item;
-    let removed = content.is_none();
-    ValueChange { name: key, revision, content: content.unwrap_or_default(), removed }
+    let whole = content.as_deref().unwrap_or_default();
+    ValueChange {
+        name: key.clone(),
+        revision: *revision,
+        content: packed.unwrap_or(whole).to_vec(),
+        unpacked_size: packed.map(|_| Bytes::new(whole.len() as u64)),
+        removed: content.is_none(),
+    }
 }
 
-fn item(value: ValueChange) -> RawItem {
-    let ValueChange { name, revision, content, removed } = value;
-    RawItem { key: name, revision, content: (!removed).then_some(content) }
+fn item(value: ValueChange) -> Result<RawItem, TellError> {
+    let ValueChange { name, revision, content, unpacked_size, removed } = value;
+    let content = match unpacked_size {
+        Some(size) => unpack(&content, size)?,
+        None => content,
+    };
+    Ok(RawItem { key: name, revision, content: (!removed).then_some(content) })
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,7 +7,7 @@
 
 use shallotfork_balance::SlotTarget;
 use shallotfork_evacuation::Evacuations;
-use shallotfork_feed::{Archive, CatchUp, Feed, Uplink};
+use shallotfork_feed::{Archive, CatchUp, Feed, Packer, Uplink};
 use shallotfork_fleet::{Beliefs, FleetMember, OwnState};
 use shallotfork_membership::{Announcement, ListedVm};
 use shallotfork_roster::Roster;
@@ -40,6 +40,8 @@
     pub feed: Arc<dyn Feed>,
     /// Published items as last seen.
     pub archive: RefCell<Archive>,
+    /// Published items as they are handed on.
+    pub packer: RefCell<Packer>,
     /// When other entries are asked for published items.
     pub catch_up: RefCell<CatchUp>,
     /// Other entries that may be read from when the one that is read from is busy.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -29,7 +29,7 @@
 use crate::control::state::{State, own_announcement};
 use crate::traffic::apply_rate_limit;
 use shallotfork_evacuation::Evacuations;
-use shallotfork_feed::{Archive, CatchUp, Feed, Uplink};
+use shallotfork_feed::{Archive, CatchUp, Feed, Packer, Uplink};
 use shallotfork_fleet::FleetMember;
 
 /// Time to open a connection to an entry or to have an answer; shorter than the silence after which
@@ -177,6 +177,7 @@
         evacuations: RefCell::new(Evacuations::new()),
         feed,
         archive: RefCell::new(Archive::new()),
+        packer: RefCell::new(Packer::new()),
         catch_up: RefCell::new(CatchUp::new()),
         sources: RefCell::default(),
         told: TellCount::default(),
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -17,8 +17,8 @@
     Open, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
-    Changes, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer,
-    PeerState, PlatformWord,
+    Changes, ChangesAsked, Heartbeat, PeerClient, PeerConfig, PeerHandler, PeerId, PeerKey,
+    PeerServer, PeerState, PlatformWord,
 };
 use shallotfork_types::{
     Endpoint, FailureDomain, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Revision,
@@ -69,8 +69,8 @@
         Some(self.issuer.borrow_mut().issue(Mono::ZERO))
     }
 
-    async fn changes(&self, after: Revision) -> Option<Changes> {
-        Some(Changes { revision: after, values: Vec::new(), whole: false })
+    async fn changes(&self, asked: ChangesAsked) -> Option<Changes> {
+        Some(Changes { revision: asked.after, values: Vec::new(), whole: false })
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -20,7 +20,8 @@
   close @3 (operation :Operation, number :UInt64) -> (answer :ClaimAnswer);
   lookup @4 (operation :Operation) -> (held :Bool, answer :ClaimAnswer);
   issue @5 () -> (session :Text);
-  changes @6 (after :UInt64) -> (changes :Changes);
+  changes @6 (after :UInt64, takesPacked :Bool) -> (changes :Changes);
+  # With `takesPacked` large contents may come compressed.
   push @7 (changes :Changes) -> ();
   handoff @8 (ledger :SealedLedger, index :UInt32, count :UInt32) -> (accepted :Bool);
 }
@@ -150,6 +151,8 @@
   revision @1 :UInt64;
   content @2 :Data;
   removed @3 :Bool;
+  unpackedBytes @4 :UInt32;
+  # Size of the content before it was compressed (deflate); 0 if it is not compressed.
 }
 
 struct SealedLedger {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -183,7 +183,7 @@
         .await
     }
 
-    /// Fetches the published values changed after a revision.
+    /// Fetches the published values changed after a revision; contents may come packed.
     ///
     /// # Errors
     /// [`PeerError::Busy`] when the peer hands on as much as it can, else when no valid answer comes in
@@ -191,6 +191,7 @@
     pub async fn changes(&self, after: Revision) -> Result<Changes, PeerError> {
         let mut request = self.calls.changes_request();
         request.get().set_after(after.value());
+        request.get().set_takes_packed(true);
         within(self.config.bulk_timeout, async {
             let response = request.send().promise.await?;
             Ok(wire::read_changes(response.get()?.get_changes()?)?)
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -6,9 +6,8 @@
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_types::Revision;
 
-use crate::{Changes, Heartbeat, PeerId};
+use crate::{Changes, ChangesAsked, Heartbeat, PeerId};
 
 /// Functions that a peer may call once it has proved the shared key.
 ///
@@ -44,7 +43,7 @@
 
     /// The peer wants the published values changed after a revision; `None` while this process hands
     /// on as much as its link bears.
-    fn changes(&self, after: Revision) -> impl Future<Output = Option<Changes>>;
+    fn changes(&self, asked: ChangesAsked) -> impl Future<Output = Option<Changes>>;
 
     /// The peer offers published values.
     fn push(&self, from: &PeerId, changes: Changes) -> impl Future<Output = ()>;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,7 +25,8 @@
 pub use handler::PeerHandler;
 pub use key::{KEY_BYTES_MIN, KeyError, PeerKey};
 pub use message::{
-    Changes, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord, ValueChange,
+    Changes, ChangesAsked, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord,
+    ValueChange,
 };
 pub use peer_config::PeerConfig;
 pub use server::PeerServer;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,8 +5,8 @@
 use shallotfork_measure::RateLimitReport;
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_types::{
-    Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision, TargetId,
-    VmId,
+    Bytes, Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision,
+    TargetId, VmId,
 };
 
 /// One run of the process on one VM, proved by the handshake.
@@ -137,6 +137,15 @@
     pub whole: bool,
 }
 
+/// A question for published values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChangesAsked {
+    /// Up to which revision all is known.
+    pub after: Revision,
+    /// Whether contents may come packed.
+    pub takes_packed: bool,
+}
+
 /// One published value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ValueChange {
@@ -144,8 +153,10 @@
     pub name: String,
     /// Revision of its last change.
     pub revision: Revision,
-    /// The whole content; empty when it was removed.
+    /// The whole content, packed if `unpacked_size` is set; empty when it was removed.
     pub content: Vec<u8>,
+    /// Size of the content once it is unpacked; `None` if it is not packed.
+    pub unpacked_size: Option<Bytes>,
     /// Whether it is no longer published.
     pub removed: bool,
 }
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -4093,11 +4093,15 @@
             pub fn get_after(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_takes_packed(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4155,6 +4159,14 @@
             pub fn set_after(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_takes_packed(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_takes_packed(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4166,31 +4178,38 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(99, 195, 103, 22, 38, 171, 71, 230),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(99, 104, 97, 110, 103, 101, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4199,10 +4218,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 107, 101, 115, 80, 97, 99),
+                ::capnp::word(107, 101, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4216,9 +4245,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xe647_ab26_1667_c363;
         }
     }
@@ -9405,6 +9434,10 @@
         pub fn get_removed(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_unpacked_bytes(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -9507,6 +9540,14 @@
         pub fn set_removed(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_unpacked_bytes(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_unpacked_bytes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9518,7 +9559,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(220, 255, 120, 104, 3, 192, 255, 203),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -9528,42 +9569,49 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 86, 97, 108, 117, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9597,6 +9645,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 112, 97, 99, 107, 101, 100),
+            ::capnp::word(66, 121, 116, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9604,6 +9661,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9617,9 +9675,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1,4];
         pub(crate) const TYPE_ID: u64 = 0xcbff_c003_6878_ffdc;
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -19,7 +19,7 @@
 use crate::metered::Metered;
 use crate::peer_capnp as schema;
 use crate::wire;
-use crate::{PeerConfig, PeerHandler, PeerId, PeerKey};
+use crate::{ChangesAsked, PeerConfig, PeerHandler, PeerId, PeerKey};
 
 type CapnpResult = Result<(), Error>;
 
@@ -268,8 +268,12 @@
         params: schema::peer::ChangesParams,
         mut results: schema::peer::ChangesResults,
     ) -> CapnpResult {
-        let after = Revision::new(params.get()?.get_after());
-        let Some(changes) = self.handler.changes(after).await else {
+        let params = params.get()?;
+        let asked = ChangesAsked {
+            after: Revision::new(params.get_after()),
+            takes_packed: params.get_takes_packed(),
+        };
+        let Some(changes) = self.handler.changes(asked).await else {
             return Err(Error::overloaded("hands on as much as the link bears".to_owned()));
         };
         wire::write_changes(&changes, results.get().init_changes());
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -11,8 +11,8 @@
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
-    IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille, RequestRate,
-    Revision, TargetId,
+    Bytes, IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille,
+    RequestRate, Revision, TargetId,
 };
 
 use crate::key::NONCE_BYTES;
@@ -303,6 +303,7 @@
         value.set_revision(change.revision.value());
         value.set_content(&change.content);
         value.set_removed(change.removed);
+        value.set_unpacked_bytes(change.unpacked_size.map_or(0, unpacked_bytes));
     }
 }
 
@@ -312,11 +313,19 @@
     Ok(Changes { revision, values, whole: from.get_whole() })
 }
 
+fn unpacked_bytes(size: Bytes) -> u32 {
+    u32::try_from(size.value()).unwrap_or(u32::MAX)
+}
+
 fn read_value(from: schema::value::Reader<'_>) -> Result<ValueChange> {
     Ok(ValueChange {
         name: from.get_name()?.to_string()?,
         revision: Revision::new(from.get_revision()),
         content: from.get_content()?.to_vec(),
+        unpacked_size: match from.get_unpacked_bytes() {
+            0 => None,
+            bytes => Some(Bytes::new(u64::from(bytes))),
+        },
         removed: from.get_removed(),
     })
 }
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -14,8 +14,8 @@
     LedgerPart, OnceConfig, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
-    Changes, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler, PeerId, PeerKey,
-    PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
+    Changes, ChangesAsked, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler,
+    PeerId, PeerKey, PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
@@ -93,8 +93,8 @@
         Some(self.session.clone())
     }
 
-    async fn changes(&self, after: Revision) -> Option<Changes> {
-        self.note(format!("changes after {after}"));
+    async fn changes(&self, asked: ChangesAsked) -> Option<Changes> {
+        self.note(format!("changes after {}", asked.after));
         self.changes.clone()
     }
 
@@ -169,6 +169,7 @@
         name: "rules".to_owned(),
         revision: Revision::new(7),
         content: b"[default]".to_vec(),
+        unpacked_size: Some(Bytes::new(400)),
         removed: false,
     };
     Changes { revision: Revision::new(8), values: vec![value], whole: true }
--- a/crates/peer/tests/stranger.rs
+++ b/crates/peer/tests/stranger.rs
@@ -11,8 +11,10 @@
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_peer::{Changes, Heartbeat, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer};
-use shallotfork_types::{Incarnation, Revision, VmId};
+use shallotfork_peer::{
+    Changes, ChangesAsked, Heartbeat, PeerConfig, PeerHandler, PeerId, PeerKey, PeerServer,
+};
+use shallotfork_types::{Incarnation, VmId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
@@ -61,7 +63,7 @@
         unreachable!("issue to a stranger")
     }
 
-    async fn changes(&self, _after: Revision) -> Option<Changes> {
+    async fn changes(&self, _asked: ChangesAsked) -> Option<Changes> {
         unreachable!("changes to a stranger")
     }
 
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -111,13 +111,18 @@
         name: list.name.to_string(),
         revision: list.revision,
         content: list.content.into_bytes(),
+        unpacked_size: None,
         removed: false,
     }
 }
 
-/// A peer's value as a published list; `None` for names or texts that this version cannot read.
+/// A peer's value as a published list; `None` for names or texts that this version cannot read,
+/// packed ones among them.
 pub fn published(change: ValueChange) -> Option<PublishedList> {
     let name: ListName = change.name.parse().ok()?;
+    if change.unpacked_size.is_some() {
+        return None;
+    }
     let content = String::from_utf8(change.content).ok()?;
     Some(PublishedList { name, revision: change.revision, content })
 }
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -7,8 +7,7 @@
 use shallotfork_once::{
     ClaimAnswer, ClaimId, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_peer::{Changes, Heartbeat, PeerHandler, PeerId};
-use shallotfork_types::Revision;
+use shallotfork_peer::{Changes, ChangesAsked, Heartbeat, PeerHandler, PeerId};
 
 use crate::control::lists_pull::{published, pull_lists_from, value_change};
 use crate::control::lists_source::ListSource;
@@ -80,9 +79,9 @@
         self.state.ledger.borrow_mut().issue(now)
     }
 
-    async fn changes(&self, after: Revision) -> Option<Changes> {
+    async fn changes(&self, asked: ChangesAsked) -> Option<Changes> {
         let lists = self.state.lists.borrow();
-        let values = lists.newer_than(after).into_iter().map(value_change).collect();
+        let values = lists.newer_than(asked.after).into_iter().map(value_change).collect();
         Some(Changes { revision: lists.cursor.complete(), values, whole: false })
     }
 
