fix(gateway): after a stale reading, watch from the oldest page on

What callers saw: requests sent to a target that had left, or a changed route not served, until the entry starts again. Cause: a full reading goes on watching from the first page's revision. Pages that may be stale can come from a replica that is behind: a later page then lacks what changed before the first page's revision, and the watch never tells it. Change: the position after a full reading is the lowest revision of its pages. Readings that are up to date have rising revisions, so that nothing changes for them.

--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -87,20 +87,21 @@
     }
 }
 
-/// Reads everything. Pages are no snapshot, so that watching goes on from the first one's
-/// revision: what changed meanwhile is told again.
+/// Reads everything. Pages are no snapshot, so that watching goes on from the oldest one's revision:
+/// what changed meanwhile is told again. Of stale pages any may be the oldest.
 async fn full_read(state: &State, freshness: Freshness) -> Result<(), FeedError> {
     let mut items: Vec<RawItem> = Vec::new();
     let mut after: Option<String> = None;
-    let mut first: Option<Revision> = None;
+    let mut oldest: Option<Revision> = None;
     loop {
         let page = state.feed.page(after.as_deref(), freshness);
         let page = in_time(PAGE_TIMEOUT, page).await?;
-        let began = *first.get_or_insert(page.revision);
+        let known = oldest.map_or(page.revision, |revision| revision.min(page.revision));
+        oldest = Some(known);
         items.extend(page.items);
         let Some(next) = page.next_after else {
             platform_answers(state);
-            take_all(state, &items, began);
+            take_all(state, &items, known);
             note_synced(state);
             return Ok(());
         };
