fix(gateway, platform): calls to the platform end by silence, not by the time that their answer takes

What callers saw: an entry that starts behind a slow link while the table of routes is large is not ready for as long as no other entry tells it the routes; after a loss of all entries at once none can. Cause: a page had to be there whole within one second. A table of 1 MiB is 1.4 MB in the platform's encoding, and a link of 10 Mbit/s carries 1.25 MB in a second: every reading was cut off just before its end, and begun anew. Change: a call is given up when its answer brings nothing for as long as it could take as a whole before (1 s for a page, 0.4 s beyond the wait of a watch), and after 10 s in any case. A dead connection is noticed as soon as before.

--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -99,14 +99,27 @@
     Ignored,
 }
 
-/// Reads what is published. No call retries, waits or caches: that is decided by the caller.
+/// Reads what is published. No call retries, waits or caches: that is decided by the caller, who also
+/// says after how much silence a call is given up. How long an answer takes as a whole depends on its
+/// size and on the link of the VM.
 #[async_trait]
 pub trait Feed: Debug + Send + Sync {
     /// Reads the items whose keys come after `after`, or the first ones.
-    async fn page(&self, after: Option<&str>, freshness: Freshness) -> Result<FeedPage, FeedError>;
+    async fn page(
+        &self,
+        after: Option<&str>,
+        freshness: Freshness,
+        silence_max: Duration,
+    ) -> Result<FeedPage, FeedError>;
 
-    /// Waits up to `wait` for items that changed after a revision; with none it answers empty.
-    async fn changes(&self, after: Revision, wait: Duration) -> Result<FeedChanges, FeedError>;
+    /// Waits up to `wait` for items that changed after a revision; with none it answers empty. The
+    /// wait does not count as silence.
+    async fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+        silence_max: Duration,
+    ) -> Result<FeedChanges, FeedError>;
 
     /// Reads one item.
     fn decode(&self, item: &RawItem) -> Decoded;
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -18,11 +18,13 @@
 /// happens to all readers at once, others have to take their place soon enough for a change to be in
 /// force everywhere within the users' two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
-/// An answer that is this much later than it should be means that the connection is dead, and not
-/// only that the platform is slow.
-const CALL_SLACK: Duration = Duration::from_millis(400);
-/// The longest time for one page.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// A watch that brings nothing for this much longer than it waits means that the connection is dead,
+/// and not only that the platform is slow.
+const WATCH_SILENCE_MAX: Duration = Duration::from_millis(400);
+/// Longest silence of a page.
+const PAGE_SILENCE_MAX: Duration = Duration::from_millis(1000);
+/// Longest time for one answer as a whole, for platforms that send it a byte at a time.
+const CALL_MAX: Duration = Duration::from_secs(10);
 /// Pause after a change, so that changes that come together cost one call.
 const GATHER: Duration = Duration::from_millis(150);
 /// First pause after a failed call, doubled with each further one.
@@ -94,8 +96,8 @@
     let mut after: Option<String> = None;
     let mut oldest: Option<Revision> = None;
     loop {
-        let page = state.feed.page(after.as_deref(), freshness);
-        let page = in_time(PAGE_TIMEOUT, page).await?;
+        let page = state.feed.page(after.as_deref(), freshness, PAGE_SILENCE_MAX);
+        let page = in_time(CALL_MAX, page).await?;
         let known = oldest.map_or(page.revision, |revision| revision.min(page.revision));
         oldest = Some(known);
         items.extend(page.items);
@@ -110,8 +112,8 @@
 }
 
 async fn watch(state: &State, after: Revision) -> Result<(), FeedError> {
-    let changes = state.feed.changes(after, WATCH_WAIT);
-    let changes = in_time(WATCH_WAIT + CALL_SLACK, changes).await?;
+    let changes = state.feed.changes(after, WATCH_WAIT, WATCH_SILENCE_MAX);
+    let changes = in_time(CALL_MAX, changes).await?;
     let changed = !changes.items.is_empty();
     platform_answers(state);
     take_changes(state, &changes);
