fix(gateway, peer): many small items cross between entries in one compressed bundle

An entry that starts and hears of another one before its own first reading has ended asks for everything, hundreds of targets one by one. Change: items below 4 KiB are encoded together and packed, when that is 4 KiB or more; a bundle of everything is kept for those who ask at the same revision. Only for those who say that they take it so.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -11,5 +11,5 @@
 pub use catch_up::CatchUp;
 pub use check::TellError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
-pub use pack::{Packer, unpack};
+pub use pack::{PACK_FROM, Packer, pack, unpack};
 pub use uplink::Uplink;
--- a/crates/feed/src/pack.rs
+++ b/crates/feed/src/pack.rs
@@ -11,8 +11,8 @@
 use crate::check::TellError;
 use crate::feed::RawItem;
 
-/// Smaller contents are handed on as they are.
-const PACK_FROM: usize = 4 * 1024;
+/// Smaller contents are not packed one by one.
+pub const PACK_FROM: usize = 4 * 1024;
 /// The largest content that is unpacked; several times what any platform holds under one key.
 const UNPACKED_MAX: Bytes = Bytes::from_mib(8);
 
@@ -51,7 +51,13 @@
     }
 }
 
-/// Undoes [`Packer::pack`].
+/// Packs one content; `None` if it is small or gets no smaller.
+pub fn pack(content: &[u8]) -> Option<Vec<u8>> {
+    let packed = (content.len() >= PACK_FROM).then(|| deflate(content))?;
+    (packed.len() < content.len()).then_some(packed)
+}
+
+/// Undoes [`Packer::pack`] and [`pack`].
 ///
 /// # Errors
 /// When the content is not a packed one of that size, or the size is larger than any content.
--- a/crates/gateway/src/control/handler.rs
+++ b/crates/gateway/src/control/handler.rs
@@ -10,8 +10,8 @@
 use shallotfork_peer::{Changes, ChangesAsked, Heartbeat, PeerHandler, PeerId};
 
 use crate::control::hearing::{heard, own_heartbeat};
-use crate::control::relay::told;
 use crate::control::state::State;
+use crate::control::telling::told;
 
 /// Answers heartbeats. On a platform without sessions there are no operations to claim, so that
 /// every call about them is answered as by a process that issued none.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod reading;
 mod relay;
 mod state;
+mod telling;
 mod thread;
 
 pub use thread::{ControlHandle, ControlParts, start};
--- a/crates/gateway/src/control/reading.rs
+++ b/crates/gateway/src/control/reading.rs
@@ -8,8 +8,9 @@
 use shallotfork_types::{FailureDomain, Mono, Revision};
 
 use crate::carried::Carried;
-use crate::control::relay::{LARGE, take};
+use crate::control::relay::take;
 use crate::control::state::State;
+use crate::control::telling::LARGE;
 
 /// A reading that takes at least this long is logged, whatever its size.
 const SLOW: Duration = Duration::from_millis(300);
@@ -63,9 +64,8 @@
         }
     })?;
     let Changes { revision, whole, .. } = changes;
-    let items = changes.values.len();
     match take(state, changes) {
-        Ok(()) => {
+        Ok(items) => {
             report(state, source, &Reading { after, began_at, revision, items, bytes, whole })
         }
         Err(error) => refused(state, source, after, began_at, &error.to_string()),
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -10,15 +10,16 @@
 use shallotfork_feed::{Archive, CatchUp, Feed, Packer, Uplink};
 use shallotfork_fleet::{Beliefs, FleetMember, OwnState};
 use shallotfork_membership::{Announcement, ListedVm};
+use shallotfork_peer::Bundle;
 use shallotfork_roster::Roster;
 use shallotfork_routes::InForce;
-use shallotfork_types::{Endpoint, Mono, ServiceName};
+use shallotfork_types::{Endpoint, Mono, Revision, ServiceName};
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
 use crate::control::peers::Peers;
 use crate::control::reading::Source;
-use crate::control::relay::TellCount;
+use crate::control::telling::TellCount;
 
 /// All state that only the control thread touches.
 ///
@@ -42,6 +43,8 @@
     pub archive: RefCell<Archive>,
     /// Published items as they are handed on.
     pub packer: RefCell<Packer>,
+    /// All small items as they are handed on together, and at which revision.
+    pub whole_bundle: RefCell<Option<(Revision, Bundle)>>,
     /// When other entries are asked for published items.
     pub catch_up: RefCell<CatchUp>,
     /// Other entries that may be read from when the one that is read from is busy.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -25,8 +25,8 @@
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::read_on;
-use crate::control::relay::{TellCount, report_told};
 use crate::control::state::{State, own_announcement};
+use crate::control::telling::{TellCount, report_told};
 use crate::traffic::apply_rate_limit;
 use shallotfork_evacuation::Evacuations;
 use shallotfork_feed::{Archive, CatchUp, Feed, Packer, Uplink};
@@ -178,6 +178,7 @@
         feed,
         archive: RefCell::new(Archive::new()),
         packer: RefCell::new(Packer::new()),
+        whole_bundle: RefCell::default(),
         catch_up: RefCell::new(CatchUp::new()),
         sources: RefCell::default(),
         told: TellCount::default(),
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -70,7 +70,7 @@
     }
 
     async fn changes(&self, asked: ChangesAsked) -> Option<Changes> {
-        Some(Changes { revision: asked.after, values: Vec::new(), whole: false })
+        Some(Changes { revision: asked.after, values: Vec::new(), whole: false, bundle: None })
     }
 
     async fn push(&self, _from: &PeerId, _changes: Changes) {}
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -144,6 +144,14 @@
   values @1 :List(Value);
   whole @2 :Bool;
   # Values that are not listed do not exist any more.
+  bundle @3 :Data;
+  # Further values: a message with a struct `Values`, compressed (deflate). Only for those who take it.
+  unpackedBundleBytes @4 :UInt32;
+  # Size of the bundle before it was compressed; 0 if there is none.
+}
+
+struct Values {
+  values @0 :List(Value);
 }
 
 struct Value {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,8 +25,9 @@
 pub use handler::PeerHandler;
 pub use key::{KEY_BYTES_MIN, KeyError, PeerKey};
 pub use message::{
-    Changes, ChangesAsked, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord,
+    Bundle, Changes, ChangesAsked, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord,
     ValueChange,
 };
 pub use peer_config::PeerConfig;
 pub use server::PeerServer;
+pub use wire::{decode_values, encode_values};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -135,6 +135,17 @@
     pub values: Vec<ValueChange>,
     /// Whether these are all values, so that others do not exist any more.
     pub whole: bool,
+    /// Further values, which are handed on together.
+    pub bundle: Option<Bundle>,
+}
+
+/// Values that are packed together. Hundreds of small ones are much alike.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bundle {
+    /// What [`encode_values`](crate::encode_values) makes of the values, packed.
+    pub content: Vec<u8>,
+    /// Size of the content once it is unpacked.
+    pub unpacked_size: Bytes,
 }
 
 /// A question for published values.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -9158,11 +9158,23 @@
         pub fn get_whole(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_bundle(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_unpacked_bundle_bytes(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9244,6 +9256,30 @@
         pub fn set_whole(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_bundle(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_bundle(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_bundle(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_bundle(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_unpacked_bundle_bytes(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_unpacked_bundle_bytes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9255,45 +9291,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 49, 144, 145, 226, 178, 165, 223),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 97, 110, 103),
             ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -9323,12 +9373,32 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 110, 100, 108, 101, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 112, 97, 99, 107, 101, 100),
+            ::capnp::word(66, 117, 110, 100, 108, 101, 66, 121),
+            ::capnp::word(116, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9342,13 +9412,224 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,4,1,2];
         pub(crate) const TYPE_ID: u64 = 0xdfa5_b2e2_9190_3139;
     }
 }
 
+pub mod values {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_values(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::value::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_values(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_values(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::value::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_values(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::value::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_values(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::value::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_values(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(214, 216, 114, 232, 13, 125, 165, 145),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 86, 97, 108, 117, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 97, 108, 117, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 255, 120, 104, 3, 192, 255, 203),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0x91a5_7d0d_e872_d8d6;
+    }
+}
+
 pub mod value {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -17,7 +17,10 @@
 
 use crate::key::NONCE_BYTES;
 use crate::peer_capnp as schema;
-use crate::{Changes, Heartbeat, LoadHint, PeerId, PeerNews, PeerState, PlatformWord, ValueChange};
+use crate::{
+    Bundle, Changes, Heartbeat, LoadHint, PeerError, PeerId, PeerNews, PeerState, PlatformWord,
+    ValueChange,
+};
 
 pub(crate) fn invalid(error: ParseError) -> Error {
     Error::failed(error.to_string())
@@ -296,9 +299,19 @@
 pub(crate) fn write_changes(changes: &Changes, mut to: schema::changes::Builder<'_>) {
     to.set_revision(changes.revision.value());
     to.set_whole(changes.whole);
-    let mut values = to.init_values(length(changes.values.len()));
-    for (index, change) in (0..).zip(&changes.values) {
-        let mut value = values.reborrow().get(index);
+    if let Some(bundle) = &changes.bundle {
+        to.set_bundle(&bundle.content);
+        to.set_unpacked_bundle_bytes(unpacked_bytes(bundle.unpacked_size));
+    }
+    write_values(&changes.values, to.init_values(length(changes.values.len())));
+}
+
+fn write_values(
+    values: &[ValueChange],
+    mut to: capnp::struct_list::Builder<'_, schema::value::Owned>,
+) {
+    for (index, change) in (0..).zip(values) {
+        let mut value = to.reborrow().get(index);
         value.set_name(&change.name[..]);
         value.set_revision(change.revision.value());
         value.set_content(&change.content);
@@ -307,10 +320,36 @@
     }
 }
 
+/// Encodes values for a [`Bundle`].
+pub fn encode_values(values: &[ValueChange]) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    let to = message.init_root::<schema::values::Builder<'_>>();
+    write_values(values, to.init_values(length(values.len())));
+    capnp::serialize::write_message_to_words(&message)
+}
+
+/// Undoes [`encode_values`].
+///
+/// # Errors
+/// When these are no encoded values.
+pub fn decode_values(content: &[u8]) -> std::result::Result<Vec<ValueChange>, PeerError> {
+    let options = capnp::message::ReaderOptions::new();
+    let message = capnp::serialize::read_message(&mut &content[..], options)?;
+    let values = message.get_root::<schema::values::Reader<'_>>()?.get_values()?;
+    Ok(values.iter().map(read_value).collect::<Result<_>>()?)
+}
+
 pub(crate) fn read_changes(from: schema::changes::Reader<'_>) -> Result<Changes> {
     let values = from.get_values()?.iter().map(read_value).collect::<Result<_>>()?;
     let revision = Revision::new(from.get_revision());
-    Ok(Changes { revision, values, whole: from.get_whole() })
+    let bundle = match from.get_unpacked_bundle_bytes() {
+        0 => None,
+        bytes => Some(Bundle {
+            content: from.get_bundle()?.to_vec(),
+            unpacked_size: Bytes::new(u64::from(bytes)),
+        }),
+    };
+    Ok(Changes { revision, values, whole: from.get_whole(), bundle })
 }
 
 fn unpacked_bytes(size: Bytes) -> u32 {
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -14,8 +14,9 @@
     LedgerPart, OnceConfig, OperationId, Secret, Session,
 };
 use shallotfork_peer::{
-    Changes, ChangesAsked, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError, PeerHandler,
-    PeerId, PeerKey, PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
+    Bundle, Changes, ChangesAsked, Heartbeat, LoadHint, PeerClient, PeerConfig, PeerError,
+    PeerHandler, PeerId, PeerKey, PeerNews, PeerServer, PeerState, PlatformWord, ValueChange,
+    encode_values,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_types::{
@@ -172,7 +173,11 @@
         unpacked_size: Some(Bytes::new(400)),
         removed: false,
     };
-    Changes { revision: Revision::new(8), values: vec![value], whole: true }
+    let bundle = Bundle {
+        content: encode_values(std::slice::from_ref(&value)),
+        unpacked_size: Bytes::new(900),
+    };
+    Changes { revision: Revision::new(8), values: vec![value], whole: true, bundle: Some(bundle) }
 }
 
 fn kept() -> Arc<KeptAnswer> {
