fix(balance): ask a busy target whether it has turned cold

Cause: an entry asks a target before it sends to it if the target's last report of its load is older than 10 ms. Ordinary answers report the load, but only answers to questions tell whether the target is cold; a target that answers every 10 ms is never asked. Ruled out: that entries stop asking for good, as suspected before (the same entry asks the same targets before and after), and questions that are lost. Change: the word on being cold has an age of its own, 50 ms, where the service has a warm-up and the target tells it. Test: a_busy_target_is_asked_whether_it_has_turned_cold failed before (9 requests unasked, and on). Looked for elsewhere: rate limits are told with every answer, so that they have no such gap.

--- a/crates/balance/src/slots/config.rs
+++ b/crates/balance/src/slots/config.rs
@@ -15,6 +15,10 @@
     /// Age of a target's last report after which it is asked again before a request is sent to it;
     /// default 10 ms, a small part of a slow phase; asking takes one round trip.
     pub check_after: Duration,
+    /// Age of a target's last word on whether it is cold after which it is asked again before a
+    /// request is sent to it, if its service has a warm-up; default 50 ms. Only answers to questions
+    /// tell it, and a busy target's other answers keep its load known without one.
+    pub check_cold_after: Duration,
     /// Time between two probes of a target while requests wait for it to end a slow phase; default
     /// 25 ms, a small part of such a phase.
     pub probe_after: Duration,
@@ -55,6 +59,7 @@
             first_guess: Duration::from_millis(100),
             pace_memory: Duration::from_millis(150),
             check_after: Duration::from_millis(10),
+            check_cold_after: Duration::from_millis(50),
             probe_after: Duration::from_millis(25),
             late_wait_permille: 250,
             name: String::new(),
--- a/crates/balance/src/slots/limits.rs
+++ b/crates/balance/src/slots/limits.rs
@@ -17,10 +17,16 @@
 
     /// Takes the target's own word on how much longer it is cold.
     pub(super) fn told_cold_for(&mut self, cold_for: Duration, now: Mono) {
+        self.cold_told_at = Some(now);
         self.cold_by_own_word = cold_for > Duration::ZERO;
         self.set_cold_for(cold_for, now);
     }
 
+    /// Whether the target tells when it is cold, and may have turned cold since it last did.
+    pub(super) fn may_have_turned_cold(&self, now: Mono, after: Duration) -> bool {
+        self.cold_told_at.is_some_and(|at| now.since(at) >= after)
+    }
+
     pub(super) fn set_cold_for(&mut self, cold_for: Duration, now: Mono) {
         let was_cold = self.is_cold(now);
         self.cold_until = now.plus(cold_for);
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -243,9 +243,11 @@
 
     /// Whether a target should be asked for its pace before a request is sent to it.
     pub fn wants_check(&self, id: &TargetId, now: Mono) -> bool {
-        let is_stale =
-            |t: &Target| t.rate_share.is_none() && t.pace_is_stale(now, self.config.check_after);
-        self.learnt.may_have_paces() && self.targets.get(id).is_some_and(is_stale)
+        let SlotPoolConfig { check_after, check_cold_after, .. } = self.config;
+        let Some(target) = self.targets.get(id) else { return false };
+        let is_stale = target.pace_is_stale(now, check_after)
+            || self.warmup.is_some() && target.may_have_turned_cold(now, check_cold_after);
+        self.learnt.may_have_paces() && target.rate_share.is_none() && is_stale
     }
 
     /// Whether another slot than the one assigned, or a later one, is better: the target takes no new
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -87,6 +87,8 @@
     /// Whether the target itself said in a health answer that it is cold. What is published may be
     /// older than that.
     pub(super) cold_by_own_word: bool,
+    /// When it last told in a health answer how much longer it is cold, if at all.
+    pub(super) cold_told_at: Option<Mono>,
     probed_at: Option<Mono>,
     /// Whether it owes an answer to a question about its load that should have come by now.
     pub(super) is_silent: bool,
@@ -114,6 +116,7 @@
             others: None,
             cold_until,
             cold_by_own_word: false,
+            cold_told_at: None,
             probed_at: None,
             is_silent: false,
             rate_share: None,
--- a/crates/balance/tests/cold_targets.rs
+++ b/crates/balance/tests/cold_targets.rs
@@ -141,6 +141,28 @@
     }
 }
 
+/// Guards against a busy target that turns cold unnoticed: its answers tell its load so often that it
+/// is never asked, and only answers to questions tell that it is cold.
+#[test]
+fn a_busy_target_is_asked_whether_it_has_turned_cold() {
+    let mut pool = named_pool("vm-0", &[TARGET]);
+    pool.set_sharers(vec!["vm-0".to_owned()], WHOLE, at(0));
+    pool.set_warmup(warmup(3_000), at(0));
+    pool.told_cold_for(&id(TARGET), Duration::ZERO, at(0));
+    let mut unasked = 0;
+    for now_ms in (0..1_000).step_by(8) {
+        let assignment = sent(pool.admit(ask(now_ms), at(now_ms)));
+        if pool.wants_check(&id(TARGET), at(now_ms)) {
+            pool.told_cold_for(&id(TARGET), Duration::ZERO, at(now_ms));
+            unasked = 0;
+        }
+        pool.sending(assignment.attempt, at(now_ms));
+        unasked += 1;
+        pool.finish(assignment.attempt, answered(), Some(figures(1, 100)), at(now_ms + 5));
+        assert!(unasked <= allowed_in_window() / 2, "{unasked} requests since it was asked");
+    }
+}
+
 /// Guards against an old published entry that ends the cold time which the target itself told.
 #[test]
 fn a_published_entry_ends_no_cold_time_that_the_target_told_itself() {
