--- a/crates/feed/src/catch_up.rs
+++ b/crates/feed/src/catch_up.rs
@@ -31,7 +31,7 @@
     /// An entry that loses power while it is being read from does not answer any more, and its
     /// connection does not break. Whoever went on waiting for it for the whole time of a long
     /// transfer, 5 s, would go by the old routes and targets for as long, although all others tell
-    /// it that they know more. So another reading may begin when one does not end soon.
+    /// it that they know more. So another reading may begin when nothing more comes of one.
     pub fn begin(&mut self, now: Mono) -> bool {
         let busy = self.heard_at.is_some_and(|at| now.since(at) < PATIENCE);
         if !busy {
--- a/crates/gateway/src/control/reading.rs
+++ b/crates/gateway/src/control/reading.rs
@@ -80,16 +80,16 @@
     after: Revision,
 ) -> Result<Changes, PeerError> {
     let mut answer = std::pin::pin!(client.changes(after));
-    let mut seen_bytes = client.carried_bytes();
+    let mut seen_bytes = client.received_bytes();
     loop {
         if let Ok(answer) = tokio::time::timeout(PROGRESS_LOOK, answer.as_mut()).await {
             return answer;
         }
-        let carried_bytes = client.carried_bytes();
-        if carried_bytes > seen_bytes {
+        let received_bytes = client.received_bytes();
+        if received_bytes > seen_bytes {
             state.catch_up.borrow_mut().progress(state.now());
         }
-        seen_bytes = carried_bytes;
+        seen_bytes = received_bytes;
     }
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -35,6 +35,7 @@
     driver: Driver,
     /// Bytes of both directions since the connection was opened.
     carried: Rc<Cell<u64>>,
+    received_bytes: Rc<Cell<u64>>,
     /// Of these, what has been taken account of.
     taken: Cell<u64>,
 }
@@ -64,9 +65,9 @@
         carried - self.taken.replace(carried)
     }
 
-    /// Bytes that the connection has carried in both directions since it was opened.
-    pub fn carried_bytes(&self) -> u64 {
-        self.carried.get()
+    /// Bytes received since the connection was opened; they grow while an answer comes.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.get()
     }
 
     /// Whether the connection has broken.
@@ -259,6 +260,7 @@
     stream.set_nodelay(true).map_err(unreachable)?;
     let metered = Metered::new(stream.compat());
     let carried = metered.carried();
+    let received_bytes = metered.received_bytes();
     let (reader, writer) = metered.split();
     let options = reader_options(config);
     let network = twoparty::VatNetwork::new(reader, writer, RpcSide::Client, options);
@@ -292,7 +294,8 @@
         return Err(PeerError::Refused);
     }
     let calls = response.get()?.get_peer()?;
-    Ok(PeerClient { calls, peer, config: config.clone(), driver, carried, taken: Cell::new(0) })
+    let (config, taken) = (config.clone(), Cell::new(0));
+    Ok(PeerClient { calls, peer, config, driver, carried, received_bytes, taken })
 }
 
 /// Runs the connection, and closes it when the client or the handshake is given up.
--- a/crates/peer/src/metered.rs
+++ b/crates/peer/src/metered.rs
@@ -18,13 +18,19 @@
     received: Counter,
     sent: Counter,
     carried: Rc<Cell<u64>>,
+    received_bytes: Rc<Cell<u64>>,
 }
 
 impl<S> Metered<S> {
     pub(crate) fn new(inner: S) -> Self {
         let received = counter!(PEER_BYTES, "direction" => "received");
         let sent = counter!(PEER_BYTES, "direction" => "sent");
-        Self { inner, received, sent, carried: Rc::default() }
+        Self { inner, received, sent, carried: Rc::default(), received_bytes: Rc::default() }
+    }
+
+    /// Bytes received since the connection was opened, as they grow.
+    pub(crate) fn received_bytes(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.received_bytes)
     }
 
     /// Bytes of both directions since the connection was opened, as they grow.
@@ -42,6 +48,7 @@
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         if let Poll::Ready(Ok(count)) = read {
             self.received.increment(count as u64);
+            self.received_bytes.set(self.received_bytes.get() + count as u64);
             self.carried.set(self.carried.get() + count as u64);
         }
         read
