fix(gateway): an entry that can serve nobody does not name itself to callers

Cause: an entry that knows no other one named itself, also before it knew any routes. Callers came, were refused, came back 0.3 s later with the same answer of the directory, and some had no attempt left. Change: it answers 503 then. Callers try another entry, or keep the entries that they used before. Test: an_entry_that_knows_no_routes_does_not_name_itself failed before.

--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -27,6 +27,10 @@
     let domain = (context.dialect.caller_domain)(question);
     let mut named = entries_for(&fleet.named, &context.settings.regions, domain.as_ref());
     if named.is_empty() {
+        if !context.is_serving() {
+            // Callers that keep an older answer do better with it.
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
         // Nobody is known before the first heartbeats; this process serves as well as any.
         named.push(context.settings.ports.callers);
     }
