fix(gateway): an entry whose own reading hangs learns from the others, also if it is a reader

What callers saw: an entry that is not ready, or goes by old routes, for as long as its call to the platform hangs. Change: it asks at once while it knows nothing, and else when it stays behind what others know for longer than a change takes to spread; its own watch is quicker than that when it works.

--- a/crates/gateway/src/control/reading.rs
+++ b/crates/gateway/src/control/reading.rs
@@ -17,6 +17,9 @@
 /// How often it is looked whether an answer goes on to come.
 const PROGRESS_LOOK: Duration = Duration::from_millis(100);
 
+/// Other entries that are remembered while one is read from.
+const SOURCES_MAX: usize = 8;
+
 /// An entry that knows more than this one.
 pub struct Source {
     /// The connection to it.
@@ -28,7 +31,10 @@
 /// Reads from another entry, and from the next one that knows more while it is busy.
 pub async fn pull(state: &State, source: Source) {
     if !state.catch_up.borrow_mut().begin(state.now()) {
-        state.sources.borrow_mut().push(source);
+        let mut sources = state.sources.borrow_mut();
+        if sources.len() < SOURCES_MAX {
+            sources.push(source);
+        }
         return;
     }
     state.sources.borrow_mut().clear();
@@ -37,6 +43,7 @@
         let is_busy = read_from(state, &source).await == Err(PeerError::Busy);
         next = if is_busy { state.sources.borrow_mut().pop() } else { None };
     }
+    state.sources.borrow_mut().clear();
     state.catch_up.borrow_mut().end();
 }
 
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -10,16 +10,19 @@
 
 /// Whether to read from another entry what it knows beyond this one.
 ///
-/// One that can't read the platform itself may know more all the same, from those who can.
+/// One that can't read the platform itself may know more all the same, from those who can. An entry
+/// that reads the platform learns of most changes from there first; one that stays behind what
+/// others know for longer than it takes to spread has a reading that hangs.
 pub fn should_read_from(state: &State, beat: &Heartbeat) -> bool {
     let (known, own) = (beat.synced_revision, state.archive.borrow().position());
     let beliefs = state.beliefs();
     let settings = &state.context.settings;
-    if known <= own || beliefs.readers.contains(&settings.vm) {
+    if known <= own {
         return false;
     }
-    let near = beat.failure_domain == settings.failure_domain;
-    if near || own == Revision::NONE || beliefs.contacts.hears_readers {
+    let reads = beliefs.readers.contains(&settings.vm);
+    let near = beat.failure_domain == settings.failure_domain && !reads;
+    if near || own == Revision::NONE || beliefs.contacts.hears_readers && !reads {
         return true;
     }
     state.catch_up.borrow_mut().far_knows(known, own, beliefs.spread_time(), state.now())
