fix(gateway): a full reading that is older than what is known is not taken

What targets saw: requests at a target that had left, until the entry starts again. Cause: a first reading may be seconds old and take seconds. When another entry has told everything in the meantime, its end brought back items that have been removed since: what was told whole holds no removals, and the position stays, so that the watch never tells them. Change: a reading whose position is below the known one is dropped.

--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -103,8 +103,12 @@
         items.extend(page.items);
         let Some(next) = page.next_after else {
             platform_answers(state);
-            take_all(state, &items, known);
-            note_synced(state);
+            // What others have told meanwhile is complete, and these items would bring back what
+            // has been removed since.
+            if known >= state.archive.borrow().position() {
+                take_all(state, &items, known);
+                note_synced(state);
+            }
             return Ok(());
         };
         after = Some(next);
