feat(reachability,gateway): report how many targets an entry reaches

Cause: the logs of an entry that reaches no target and of one whose targets have failed are the same lines 5001 and 7004. The hypotheses of the incident (a path of the entry's own, late news, short of something else) could not be told apart.

Change: a pure crate keeps the latest evidence of each target: an answer, or an attempt or probe that ended without one. Line 5010, once a second while any target is unreachable, and the metric shallotfork_targets say how many are reachable, unreachable and unknown, and how old the last answer of any target is. No decision depends on it.

Test: targets_are_counted_by_their_last_evidence, evidence_of_old_answers_and_removed_targets_is_dropped.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -54,6 +54,7 @@
     WARMUP_INVALID = 5007 Warning "remaining warm-up time of a target ignored: it is not a number of milliseconds";
     TARGET_COLD = 5008 Info "target turned cold";
     TARGET_CONNECTIONS = 5009 Info "connections opened to targets";
+    TARGETS_UNREACHABLE = 5010 Warning "targets unreachable from this entry";
     PLATFORM_DISCONNECTED = 6001 Warning "platform unreachable";
     PLATFORM_RECONNECTED = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,6 +11,7 @@
 use shallotfork_lifecycle::Phase;
 use shallotfork_measure::{RateLimits, SchedulingDelay};
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
+use shallotfork_reachability::ReachEvidence;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
@@ -76,6 +77,8 @@
     pub scheduling_delay: Mutex<SchedulingDelay>,
     /// Rate limits advertised by targets.
     pub rate_limits: Mutex<RateLimits>,
+    /// Evidence of which targets this process reaches.
+    pub reach_evidence: Mutex<ReachEvidence>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
     /// Crash records of requests, shared by the traffic and control threads.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -114,6 +114,7 @@
         request_started: Notify::new(),
         scheduling_delay: Mutex::default(),
         rate_limits: Mutex::default(),
+        reach_evidence: Mutex::default(),
         fingerprint_key,
         quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
     });
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -24,6 +24,7 @@
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::{begin_run, is_clear, record_answer, record_crash};
 use crate::traffic::rate_limit::record_rate_limit;
+use crate::traffic::reach::record_reach;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::traffic::service_slots::{ServiceSlots, SlotGuard};
 use crate::transfer::{TransferKind, message_bytes};
@@ -342,6 +343,7 @@
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let reported_load =
         result.as_ref().ok().and_then(|answer| parse_reported_load(&context.dialect, answer));
+    record_reach(context, &target, &result);
     if let Ok(answer) = &result
         && outcome != SlotOutcome::Misdirected
     {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod problem_responses;
 mod quarantine;
 mod rate_limit;
+mod reach;
 mod routed_request;
 mod scheduling_delay;
 mod service_load;
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -15,6 +15,7 @@
 use crate::context::Context;
 use crate::log_budget::LogDecision;
 use crate::traffic::attempt_outcome::parse_reported_load;
+use crate::traffic::reach::record_reach;
 use crate::traffic::service_slots::ServiceSlots;
 use crate::transfer::{TransferKind, message_bytes};
 
@@ -141,7 +142,9 @@
     counter!("shallotfork_probes").increment(1);
     context.probe_counts.record_sent();
     let sent_at = context.clock.now();
-    let Ok(answer) = context.target_connections.send(target_request).await else {
+    let result = context.target_connections.send(target_request).await;
+    record_reach(context, target, &result);
+    let Ok(answer) = result else {
         let delay = context.clock.now().since(sent_at).saturating_sub(PROBE_TIMEOUT);
         slots.record_failed_probe(target, delay);
         return ProbeResult::Unanswered;
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -13,6 +13,7 @@
 
 use crate::context::{Context, lock};
 use crate::traffic::ProbeTotals;
+use crate::traffic::reach::report_reach;
 
 /// Interval between two log lines about a service. A relevant queue lasts longer than this, and one
 /// line a second for each of a few services adds little to the lines about requests.
@@ -26,6 +27,7 @@
         report_scheduling_delay(&context);
         counts = report_connections(&context, counts);
         report_quarantine(&context);
+        report_reach(&context);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
             report_slots(&context, &service, &slots.summary());
--- /dev/null
+++ b/crates/reachability/src/lib.rs
@@ -0,0 +1,5 @@
+//! Which targets a process reaches, by the evidence of its own attempts and probes.
+
+mod evidence;
+
+pub use evidence::{ReachEvidence, ReachSummary};
