--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -51,6 +51,8 @@
     Quarantined,
     /// The request is suspected of crashing targets and must not be sent yet.
     Suspected,
+    /// This process reaches no target.
+    NoPath,
 }
 
 impl ShedReason {
@@ -64,6 +66,7 @@
             Self::RetryBudget => "retry-budget",
             Self::Quarantined => "quarantined",
             Self::Suspected => "suspected",
+            Self::NoPath => "no-path",
         }
     }
 }
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -151,6 +151,12 @@
         self.add_warmup_shares(now);
     }
 
+    /// Discards the failures of all targets, which were those of this process's own path to them.
+    pub fn clear_failures(&mut self, now: Mono) -> Vec<ResolvedTicket> {
+        self.targets.values_mut().for_each(Target::clear_failures);
+        self.wake(now)
+    }
+
     /// Admits, queues or sheds a request.
     pub fn admit(&mut self, request: SlotRequest, now: Mono) -> Admission {
         if request.deadline <= now {
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -444,6 +444,15 @@
         );
     }
 
+    /// Discards all failures, so that the target is used like one that has never failed.
+    pub(super) fn clear_failures(&mut self) {
+        self.failure_rate = 0.0;
+        self.consecutive_failures = 0;
+        self.ejections = 0;
+        self.ejected_until = None;
+        self.is_silent = false;
+    }
+
     fn record_failure(
         &mut self,
         failures_max: u32,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -45,6 +45,8 @@
     PEER_REFUSED = 4003 Warning "peer refused: it did not prove the shared key";
     ENTRY_STATE_CHANGED = 4004 Info "state of an entry changed";
     ADVERTISED_ENTRIES_CHANGED = 4005 Info "entries advertised to callers changed";
+    PATH_LOST = 4006 Warning "this entry reaches no target: it steps aside and forwards its requests";
+    PATH_RESTORED = 4007 Info "this entry reaches targets again";
     TARGET_EJECTED = 5001 Warning "target ejected";
     TARGET_RETURNED = 5002 Info "ejected target used again";
     TARGET_CHANGED = 5003 Info "published target changed";
--- a/crates/exchange/src/opened_connections.rs
+++ b/crates/exchange/src/opened_connections.rs
@@ -12,6 +12,8 @@
     Probe,
     /// To check whether the target's port refuses connections.
     PortCheck,
+    /// To check whether the target can be reached. Always opens a connection.
+    PathCheck,
 }
 
 /// Number of connections opened since the start of the process, including failed ones.
@@ -23,12 +25,14 @@
     pub probes: u64,
     /// For checks whether a port refuses connections.
     pub port_checks: u64,
+    /// For checks whether targets can be reached.
+    pub path_checks: u64,
 }
 
 /// The counters behind [`OpenedConnections`]; clones share them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ConnectionCounters {
-    counters: Arc<[AtomicU64; 3]>,
+    counters: Arc<[AtomicU64; 4]>,
 }
 
 impl ConnectionCounters {
@@ -42,6 +46,7 @@
             requests: read(ConnectionPurpose::Request),
             probes: read(ConnectionPurpose::Probe),
             port_checks: read(ConnectionPurpose::PortCheck),
+            path_checks: read(ConnectionPurpose::PathCheck),
         }
     }
 
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -116,6 +116,15 @@
         self.lock().remove(target);
     }
 
+    /// Closes the connections that have been idle for at least `idle_for`. Those of a path that was
+    /// interrupted meanwhile may be dead.
+    pub fn close_idle_for(&self, idle_for: Duration) {
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            connections.retain(|connection| connection.is_usable(idle_for));
+        }
+    }
+
     /// Closes idle connections that can't be reused any more.
     pub fn prune_idle(&self) {
         let idle_timeout = self.config.idle_timeout;
@@ -174,6 +183,9 @@
     /// Takes the most recently used connection, which is the least likely to have been dropped by
     /// the target.
     fn take_idle(&self, request: &TargetRequest<'_>) -> Option<TargetConnection> {
+        if request.purpose == ConnectionPurpose::PathCheck {
+            return None;
+        }
         let config = &self.config;
         let idle_timeout =
             if request.repeatable { config.idle_timeout } else { config.idle_timeout_unrepeatable };
--- a/crates/fleet/src/fleet_view.rs
+++ b/crates/fleet/src/fleet_view.rs
@@ -15,6 +15,10 @@
 use crate::ranking::{Candidate, rank_entries};
 use crate::readers::{choose_readers, may_become_reader};
 
+/// Key of entries that reach no target in the digest of core entries. All entries must use the same
+/// one.
+const ISOLATED_KEY: &str = "isolated";
+
 /// The state from which a view of the fleet is computed.
 #[derive(Debug)]
 pub(crate) struct ViewInputs<'a> {
@@ -57,6 +61,9 @@
     pub readers: Vec<VmId>,
     /// Entries that are advertised to callers, best first.
     pub advertised: Vec<AdvertisedEntry>,
+    /// Entries to which requests can be forwarded while this entry reaches no target: the advertised
+    /// ones, if these reach targets.
+    pub fallback: Vec<AdvertisedEntry>,
     /// Entries that the whole fleet knows.
     pub core_entries: BTreeSet<VmId>,
     /// Digest of the core entries. Two entries that know different core entries have different
@@ -75,10 +82,11 @@
         let is_serving = |vm: &VmId| {
             if vm == own { inputs.is_serving } else { !inputs.starting_until.contains_key(vm) }
         };
-        let serving: Vec<Candidate> =
-            ranking.iter().filter(|entry| is_serving(&entry.vm)).cloned().collect();
         let entries: BTreeMap<VmId, EntryVm> =
             inputs.entries.iter().map(|entry| (entry.vm.clone(), entry.clone())).collect();
+        let serving: Vec<Candidate> =
+            ranking.iter().filter(|entry| is_serving(&entry.vm)).cloned().collect();
+        let (serving, reach_targets) = prefer_connected(serving, &entries);
         let usual = select_advertised_entries(inputs.target_count, &serving);
         let usual_vms: BTreeSet<VmId> = usual.iter().map(|entry| entry.vm.clone()).collect();
         let own_overloaded = inputs.is_overloaded.then_some(own);
@@ -88,7 +96,7 @@
             advertised_entries(&entries, &add_overflow_entries(&usual, &serving, &overloaded));
         let ranked_vms: Vec<VmId> = ranking.iter().map(|entry| entry.vm.clone()).collect();
         let readers = choose_readers(&ranked_vms, &inputs.disconnected);
-        let core_entries = select_core_entries(&ranking, &usual_vms);
+        let core_entries = select_core_entries(&connected_first(&ranking, &entries), &usual_vms);
         let domain_entries = domain_entries(&inputs, &ranking);
         let contacts = select_contacts(&FleetPosition {
             own: &candidate(inputs.own),
@@ -98,13 +106,15 @@
             may_become_reader: may_become_reader(own, &ranked_vms, &inputs.disconnected),
             domain_entries: domain_entries as usize,
         });
+        let fallback = if reach_targets { advertised.clone() } else { Vec::new() };
         Self {
+            fallback: fallback.into_iter().filter(|entry| entry.vm != *own).collect(),
             valid_until: inputs
                 .starting_until
                 .into_values()
                 .chain(inputs.overloaded_until.into_values())
                 .min(),
-            core_digest: core_digest(&core_entries),
+            core_digest: core_digest(&core_entries, &entries),
             core_entries: core_entries.into_iter().collect(),
             entries,
             ranking,
@@ -141,6 +151,25 @@
     rank_entries(live.map(Candidate::from).collect())
 }
 
+/// Returns the ranking with the entries that reach no target last. The fleet has to know enough of
+/// the others when all entries that it usually knows are cut from the targets.
+fn connected_first(ranking: &[Candidate], entries: &BTreeMap<VmId, EntryVm>) -> Vec<Candidate> {
+    let mut sorted = ranking.to_vec();
+    sorted.sort_by_key(|entry| is_isolated(entries, &entry.vm));
+    sorted
+}
+
+/// Leaves out the entries that reach no target, unless that is true of all: then all are equal, and
+/// callers need an address to come back to. Returns whether the entries reach targets.
+fn prefer_connected(
+    serving: Vec<Candidate>,
+    entries: &BTreeMap<VmId, EntryVm>,
+) -> (Vec<Candidate>, bool) {
+    let is_connected = |entry: &&Candidate| !is_isolated(entries, &entry.vm);
+    let connected: Vec<Candidate> = serving.iter().filter(is_connected).cloned().collect();
+    if connected.is_empty() { (serving, false) } else { (connected, true) }
+}
+
 /// Adds the caller endpoints to the selected entries.
 fn advertised_entries(
     entries: &BTreeMap<VmId, EntryVm>,
@@ -164,15 +193,20 @@
     u32::try_from(count).unwrap_or(u32::MAX).max(inputs.reported_domain_entries)
 }
 
-/// Computes the digest of the core entries from their names alone. The selection of advertised
-/// entries does not depend on incarnations, and hundreds of these change after a simultaneous
-/// start.
-fn core_digest(core_entries: &[VmId]) -> ListsDigest {
-    let weights = core_entries.iter().map(|vm| rendezvous_weight(vm.as_str(), ""));
+/// Computes the digest of the core entries from their names and from which of them reach no target.
+/// The selection of advertised entries does not depend on incarnations, and hundreds of these change
+/// after a simultaneous start.
+fn core_digest(core_entries: &[VmId], entries: &BTreeMap<VmId, EntryVm>) -> ListsDigest {
+    let state = |vm| if is_isolated(entries, vm) { ISOLATED_KEY } else { "" };
+    let weights = core_entries.iter().map(|vm| rendezvous_weight(vm.as_str(), state(vm)));
     // The rotation makes the digest depend on the order.
     ListsDigest::new(weights.fold(0, |digest, weight| digest.rotate_left(7) ^ weight))
 }
 
+fn is_isolated(entries: &BTreeMap<VmId, EntryVm>, vm: &VmId) -> bool {
+    entries.get(vm).is_some_and(|entry| entry.isolated)
+}
+
 fn candidate(own: &Announcement) -> Candidate {
     let listed = own.listed.clone();
     Candidate { vm: listed.vm, failure_domain: listed.failure_domain, capacity: listed.capacity }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -202,16 +202,31 @@
     }
 
     /// Starts to leave the fleet and returns the endpoints to notify at once, according to the view
-    /// before. An entry that forwards updates, as advertised entries do, notifies all entries that
-    /// it knows; any other one only those that it exchanges heartbeats with.
+    /// before.
     pub fn leave(&mut self, now: Mono) -> Vec<Endpoint> {
         let before = self.view(now);
         self.set_own_state(OwnState { is_leaving: true, ..self.own_state });
-        let contacts = &before.contacts;
-        let notified = before.ranking.iter().map(|entry| &entry.vm).filter(|vm| {
+        self.endpoints_to_notify(&before)
+    }
+
+    /// Records whether this process reaches no target, and returns the endpoints to notify at once,
+    /// according to the view before. Entries that were to learn it by the next heartbeats would
+    /// send callers here meanwhile.
+    pub fn set_isolated(&mut self, isolated: bool, now: Mono) -> Vec<Endpoint> {
+        let before = self.view(now);
+        self.membership.set_own_isolated(isolated);
+        self.endpoints_to_notify(&before)
+    }
+
+    /// Returns the endpoints to notify of a change of this entry: an entry that forwards updates, as
+    /// advertised entries do, notifies all entries that it knows; any other one only those that it
+    /// exchanges heartbeats with.
+    fn endpoints_to_notify(&self, view: &FleetView) -> Vec<Endpoint> {
+        let contacts = &view.contacts;
+        let notified = view.ranking.iter().map(|entry| &entry.vm).filter(|vm| {
             *vm != self.own_vm() && (contacts.forwards_updates || contacts.monitored.contains(vm))
         });
-        notified.filter_map(|vm| before.endpoint(vm)).collect()
+        notified.filter_map(|vm| view.endpoint(vm)).collect()
     }
 
     /// Creates the heartbeat for an entry.
@@ -224,7 +239,8 @@
         let view = self.view(now);
         let updates = self.due_updates(&view, to, now);
         let round = self.membership.own_round();
-        let mut from = Announcement { round, ..self.own.clone() };
+        let isolated = self.membership.is_own_isolated();
+        let mut from = Announcement { round, isolated, ..self.own.clone() };
         from.listed.leaving = self.own_state.is_leaving;
         FleetHeartbeat {
             from,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -69,6 +69,8 @@
     member: Option<FleetMember>,
     started_at: Mono,
     quarantine: Quarantine,
+    /// Whether its process reaches no target.
+    isolated: bool,
 }
 
 /// A send of the crashing request.
@@ -119,7 +121,7 @@
             .collect();
         let by_endpoint =
             vms.iter().enumerate().map(|(index, vm)| (vm.listed.peers, index)).collect();
-        let seeds = [20, 40, 60].map(|index| vms[index].listed.peers).to_vec();
+        let seeds = [20, 40, 60].map(|index| vms[index % vms.len()].listed.peers).to_vec();
         Self {
             vms,
             by_endpoint,
@@ -193,6 +195,16 @@
         Some(member.view(now).advertised.iter().map(|entry| entry.vm.clone()).collect())
     }
 
+    /// Returns the number of entries in the model.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Returns the name of an entry.
+    pub fn name_of(&self, index: usize) -> VmId {
+        self.vms[index].listed.vm.clone()
+    }
+
     /// Returns the index of an entry in the model.
     pub fn index_of(&self, vm: &VmId) -> usize {
         self.vms.iter().position(|other| other.listed.vm == *vm).unwrap()
@@ -233,6 +245,24 @@
         suspected.map(|entry| entry.vm.clone()).collect()
     }
 
+    /// Sets whether entries reach no target, and makes those that change announce it.
+    pub fn set_isolated(&mut self, indices: impl IntoIterator<Item = usize>, isolated: bool) {
+        for index in indices {
+            let now = self.now;
+            let Some(member) = self.vms[index].member.as_mut() else { continue };
+            let endpoints = member.set_isolated(isolated, now);
+            self.vms[index].isolated = isolated;
+            endpoints.into_iter().for_each(|endpoint| self.call(index, endpoint));
+        }
+    }
+
+    /// Returns the entries to which an entry can forward requests.
+    pub fn fallback_of(&mut self, index: usize) -> Vec<VmId> {
+        let now = self.now;
+        let Some(member) = self.vms[index].member.as_mut() else { return Vec::new() };
+        member.view(now).fallback.iter().map(|entry| entry.vm.clone()).collect()
+    }
+
     /// Sets whether an entry is overloaded.
     pub fn set_overloaded(&mut self, index: usize, is_overloaded: bool) {
         self.update_own(index, |own| OwnState { is_overloaded, ..own });
@@ -252,13 +282,18 @@
 
     /// Returns the entries that are advertised with full knowledge of the fleet.
     pub fn expected_advertised(&self) -> Vec<VmId> {
-        let running = self.vms.iter().filter(|vm| vm.member.is_some());
-        let candidates = running.map(|vm| Candidate {
+        let running: Vec<&Vm> = self.vms.iter().filter(|vm| vm.member.is_some()).collect();
+        let candidates = running.iter().map(|vm| Candidate {
             vm: vm.listed.vm.clone(),
             failure_domain: vm.listed.failure_domain.clone(),
             capacity: vm.listed.capacity,
         });
-        let ranking = rank_entries(candidates.collect());
+        let mut ranking = rank_entries(candidates.collect());
+        let isolated: BTreeSet<&VmId> =
+            running.iter().filter(|vm| vm.isolated).map(|vm| &vm.listed.vm).collect();
+        if isolated.len() < running.len() {
+            ranking.retain(|candidate| !isolated.contains(&candidate.vm));
+        }
         select_advertised_entries(TARGET_COUNT, &ranking)
             .into_iter()
             .map(|entry| entry.vm)
@@ -293,9 +328,11 @@
             listed: vm.listed.clone(),
             incarnation: Incarnation::new(run * 10_000 + index as u64),
             round: 0,
+            isolated: false,
         };
         vm.member = Some(FleetMember::new(own, self.now));
         vm.started_at = self.now;
+        vm.isolated = false;
         vm.quarantine = Quarantine::new(QuarantineConfig::default());
         let own = vm.listed.peers;
         let seed = choose_initial_seed(&self.seeds, own, &mut self.rng);
@@ -457,5 +494,5 @@
         capacity: PerSecond::new(capacity),
     };
     let quarantine = Quarantine::new(QuarantineConfig::default());
-    Vm { listed, run: 0, member: None, started_at: Mono::ZERO, quarantine }
+    Vm { listed, run: 0, member: None, started_at: Mono::ZERO, quarantine, isolated: false }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,7 @@
 //! State shared by the threads of one entry process.
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use shallotfork_lifecycle::Phase;
 use shallotfork_measure::{RateLimits, SchedulingDelay};
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
-use shallotfork_reachability::ReachEvidence;
+use shallotfork_reachability::PathMonitor;
 use shallotfork_routes::{Route, RouteName, Splitter};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
@@ -53,6 +54,10 @@
     pub callers: ServeControl,
     /// Connections to targets.
     pub target_connections: TargetConnections,
+    /// Connections to other entries, for forwarded requests.
+    pub entry_connections: TargetConnections,
+    /// Number of requests forwarded to other entries so far.
+    pub forwarded_count: AtomicUsize,
     /// Counts of load probes of targets, by outcome.
     pub probe_counts: ProbeCounters,
     /// Budget for the bodies held in memory.
@@ -77,8 +82,12 @@
     pub scheduling_delay: Mutex<SchedulingDelay>,
     /// Rate limits advertised by targets.
     pub rate_limits: Mutex<RateLimits>,
-    /// Evidence of which targets this process reaches.
-    pub reach_evidence: Mutex<ReachEvidence>,
+    /// Decides whether this process has lost its path to all targets.
+    pub path_monitor: Mutex<PathMonitor>,
+    /// Signalled when the path to the targets may have to be checked.
+    pub path_suspected: Notify,
+    /// Whether this process reaches no target.
+    pub isolated: watch::Sender<bool>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
     /// Crash records of requests, shared by the traffic and control threads.
@@ -150,6 +159,11 @@
         lock(&self.scheduling_delay).record(delay, self.clock.now());
     }
 
+    /// Whether this process reaches no target.
+    pub fn is_isolated(&self) -> bool {
+        *self.isolated.borrow()
+    }
+
     /// Whether the process is in the phase in which callers may be sent to it.
     pub fn is_serving(&self) -> bool {
         *self.phase.borrow() == Phase::Serving
--- a/crates/gateway/src/control/advertise.rs
+++ b/crates/gateway/src/control/advertise.rs
@@ -12,6 +12,7 @@
 use crate::control::publish::publish_sharers;
 use crate::control::state::ControlState;
 use crate::snapshot::FleetSnapshot;
+use crate::traffic::request_path_check;
 
 /// Time after the start in which an entry discovers the others: a few heartbeats.
 const SETTLE_TIME: Duration = Duration::from_millis(1000);
@@ -26,7 +27,7 @@
     log_view_changes(state, previous.as_deref(), &view);
     let advertised = view.advertised.clone();
     let previous_advertised =
-        previous.map_or_else(Vec::new, |previous| previous.advertised.clone());
+        previous.as_ref().map_or_else(Vec::new, |previous| previous.advertised.clone());
     let has_changed = previous_advertised != advertised;
     if needs_caller_rebalance(state, &previous_advertised, &advertised) {
         rebalance_callers(state);
@@ -41,8 +42,14 @@
     let is_advertised =
         advertised.is_empty() || contains_vm(&advertised, &state.context.settings.vm);
     let is_settled = state.context.fleet.load().is_settled;
+    if is_advertised && !state.context.fleet.load().is_advertised
+        || has_new_isolated_entry(previous.as_deref(), &view)
+    {
+        request_path_check(&state.context);
+    }
     let fleet = FleetSnapshot {
         advertised,
+        fallback: view.fallback.clone(),
         is_advertised,
         live_entries,
         known_entries: state.known_entries.get(),
@@ -86,6 +93,16 @@
     stays && previous != current && current.len() > 1
 }
 
+/// Whether an entry has lost its path to all targets since the previous view. This entry may have
+/// lost it by the same fault, and would not notice before it gets requests.
+fn has_new_isolated_entry(previous: Option<&FleetView>, current: &FleetView) -> bool {
+    let was_isolated = |entry: &EntryVm| {
+        let before = previous.and_then(|view| view.entries.get(&entry.vm));
+        before.is_some_and(|before| before.isolated)
+    };
+    current.entries.values().any(|entry| entry.isolated && !was_isolated(entry))
+}
+
 fn contains_vm(entries: &[AdvertisedEntry], vm: &VmId) -> bool {
     entries.iter().any(|entry| entry.vm == *vm)
 }
@@ -107,6 +124,7 @@
         let incarnation =
             entry.incarnation.map_or_else(|| "unknown".to_owned(), |known| known.to_string());
         event!(state.context.log, ENTRY_STATE_CHANGED, "entry" => entry.vm.as_str(),
-            "state" => entry.state.to_string(), "incarnation" => incarnation);
+            "state" => entry.state.to_string(), "incarnation" => incarnation,
+            "isolated" => entry.isolated);
     }
 }
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -38,6 +38,7 @@
         callers: from.listed.callers,
         peers: from.listed.peers,
         round: from.round,
+        isolated: from.isolated,
         updates: updates.into_iter().map(peer_update).collect(),
         seen_revision: position,
         synced_revision: position,
@@ -113,6 +114,7 @@
         },
         incarnation: peer.incarnation,
         round: heartbeat.round,
+        isolated: heartbeat.isolated,
     }
 }
 
@@ -138,6 +140,7 @@
     PeerUpdate {
         peer: PeerId::new(about.listed.vm, about.incarnation),
         round: about.round,
+        isolated: about.isolated,
         state: peer_state(about.listed.leaving, false),
         suspected,
         failure_domain: about.listed.failure_domain,
@@ -159,6 +162,7 @@
         },
         incarnation: update.peer.incarnation,
         round: update.round,
+        isolated: update.isolated,
     };
     MemberUpdate { about, suspected: update.suspected }
 }
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -63,6 +63,21 @@
 /// Announces immediately, to the entries that need this information, that this process is leaving.
 pub async fn announce_leaving(state: &Rc<ControlState>) {
     let endpoints = state.fleet.borrow_mut().leave(state.now());
+    announce(state, endpoints).await;
+}
+
+/// Announces immediately each loss and each restoration of this process's path to the targets, for
+/// as long as the process runs.
+pub async fn announce_isolation(state: Rc<ControlState>) {
+    let mut isolated = state.context.isolated.subscribe();
+    while isolated.changed().await.is_ok() {
+        let isolated = *isolated.borrow_and_update();
+        let endpoints = state.fleet.borrow_mut().set_isolated(isolated, state.now());
+        announce(&state, endpoints).await;
+    }
+}
+
+async fn announce(state: &Rc<ControlState>, endpoints: Vec<Endpoint>) {
     update_advertised_entries(state);
     let endpoints =
         endpoints.into_iter().map(|endpoint| exchange_heartbeat(Rc::clone(state), endpoint));
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -222,7 +222,7 @@
         roster.targets().into_iter().map(|(id, record)| (id.clone(), record.clone())).collect();
     let by_service = by_service(&targets, &state.evacuations.borrow());
     let count = targets.len();
-    lock(&context.reach_evidence).set_targets(targets.keys());
+    lock(&context.path_monitor).set_targets(targets.keys());
     let published = context.published.load();
     let published = Published { targets: Arc::new(targets), ..Published::clone(&published) };
     context.published.store(Arc::new(published));
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -104,5 +104,6 @@
         },
         incarnation: context.incarnation,
         round: 0,
+        isolated: false,
     }
 }
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -21,7 +21,7 @@
 use crate::context::{Context, lock};
 use crate::control::advertise::mark_settled;
 use crate::control::handler::Handler;
-use crate::control::heartbeats::{announce_leaving, run_heartbeats};
+use crate::control::heartbeats::{announce_isolation, announce_leaving, run_heartbeats};
 use crate::control::peers::Peers;
 use crate::control::publish::expire_targets;
 use crate::control::reader::run_reader;
@@ -129,6 +129,7 @@
     tokio::task::spawn_local(server.serve());
     tokio::task::spawn_local(run_reader(Rc::clone(&state)));
     let timer = TimerService::new(state.context.clock);
+    tokio::task::spawn_local(announce_isolation(Rc::clone(&state)));
     tokio::task::spawn_local(run_heartbeats(Rc::clone(&state), timer.clone()));
     let mut cleanup = timer.subscribe(Schedule::new(CLEANUP_INTERVAL));
     let mut report = timer.subscribe(Schedule::new(REPORT_INTERVAL));
@@ -150,6 +151,7 @@
                 expire_targets(&state);
                 mark_settled(&state);
                 state.context.target_connections.prune_idle();
+                state.context.entry_connections.prune_idle();
                 lock(&state.context.quarantine).expire(state.now());
                 expire_rate_limits(&state.context);
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Start-up and shutdown of the process.
 
 use std::net::TcpListener as StdListener;
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 
 use anyhow::{Context as _, Result};
@@ -16,6 +17,7 @@
 use shallotfork_lifecycle::{Process, Starting};
 use shallotfork_peer::PeerKey;
 use shallotfork_quarantine::{FingerprintKey, Quarantine, QuarantineConfig};
+use shallotfork_reachability::{PathConfig, PathMonitor};
 use shallotfork_routes::Splitter;
 use shallotfork_timer::{Clock, TimerService, unix_time_ms};
 use shallotfork_types::{Endpoint, Incarnation, PerSecond};
@@ -34,7 +36,7 @@
 use crate::snapshot::{FleetSnapshot, Published};
 use crate::traffic::{
     ProbeCounters, handle_directory, handle_readiness, handle_request, may_begin_early,
-    monitor_scheduling_delay, report_service_load, run_probes,
+    monitor_scheduling_delay, report_service_load, run_path_checks, run_probes,
 };
 use shallotfork_feed::Feed;
 
@@ -45,6 +47,10 @@
 /// Log lines per second about invalid data from targets, which may repeat it in every answer.
 const INVALID_LOG_LIMIT: PerSecond = PerSecond::new(1);
 
+/// Maximum number of idle connections to another entry: the concurrent requests of a busy entry that
+/// forwards all of them.
+const ENTRY_IDLE_MAX: usize = 32;
+
 /// What [`run`] needs from the program for a platform.
 pub struct PlatformAdapter {
     /// Settings of the entry.
@@ -102,6 +108,11 @@
             ConnectionConfig::default(),
             body_budget.clone(),
         ),
+        entry_connections: TargetConnections::new(
+            ConnectionConfig { idle_per_target_max: ENTRY_IDLE_MAX, ..ConnectionConfig::default() },
+            body_budget.clone(),
+        ),
+        forwarded_count: AtomicUsize::new(0),
         probe_counts: ProbeCounters::default(),
         body_budget,
         services: Services::default(),
@@ -114,7 +125,9 @@
         request_started: Notify::new(),
         scheduling_delay: Mutex::default(),
         rate_limits: Mutex::default(),
-        reach_evidence: Mutex::default(),
+        path_monitor: Mutex::new(PathMonitor::new(PathConfig::default())),
+        path_suspected: Notify::new(),
+        isolated: watch::Sender::new(false),
         fingerprint_key,
         quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
     });
@@ -185,6 +198,7 @@
     let config = ServeConfig::default();
     tokio::spawn(serve_pipelined(listener, endpoint, config, callers, early));
     tokio::spawn(run_probes(Arc::clone(&context)));
+    tokio::spawn(run_path_checks(Arc::clone(&context)));
     tokio::spawn(monitor_scheduling_delay(Arc::clone(&context)));
     tokio::spawn(report_service_load(Arc::clone(&context), TimerService::new(context.clock)));
     tokio::select! {
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -27,6 +27,8 @@
 pub struct FleetSnapshot {
     /// Entries advertised to callers, best first.
     pub advertised: Vec<AdvertisedEntry>,
+    /// Entries to which requests can be forwarded while this one reaches no target.
+    pub fallback: Vec<AdvertisedEntry>,
     /// Whether callers are sent to this process: it is advertised, or no entry is.
     pub is_advertised: bool,
     /// Core entries that are live in the view of this process.
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use crate::traffic::attempt_outcome::{
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
+use crate::traffic::forward::{forward, reject_without_path, should_forward, wait_until_forwarded};
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::{begin_run, is_clear, record_answer, record_crash};
 use crate::traffic::rate_limit::record_rate_limit;
@@ -72,13 +74,15 @@
     pub tried: Vec<TargetId>,
     /// Time spent waiting for slots.
     pub queued: Duration,
+    /// Whether the request was forwarded to another entry.
+    pub is_forwarded: bool,
 }
 
 impl CompletedRequest {
     /// Returns the outcome of a request that is still running when the process stops.
     pub fn interrupted() -> Self {
         let outcome = RequestOutcome::MayHaveRun { timed_out: true };
-        Self { outcome, tried: Vec::new(), queued: Duration::ZERO }
+        Self { outcome, tried: Vec::new(), queued: Duration::ZERO, is_forwarded: false }
     }
 
     /// Returns the delay after which the caller may send the request again.
@@ -96,15 +100,28 @@
 pub async fn run_attempts(routed: &RoutedRequest) -> CompletedRequest {
     let context = &routed.context;
     let slots = context.slots(&routed.service);
-    slots.record_request();
+    if !should_forward(routed) {
+        slots.record_request();
+    }
     let mut history = AttemptHistory::default();
     loop {
+        if should_forward(routed)
+            && let Some(outcome) = forward(routed).await
+        {
+            return history.complete_forwarded(outcome);
+        }
+        if let Some(shed) = reject_without_path(context) {
+            return history.complete_without_slot(shed);
+        }
         // Rejects a request that the quarantine holds back, before it waits for a slot.
         if let Err(shed) = begin_run(routed, history.next_send_kind()) {
             return history.complete_without_slot(shed);
         }
         let requested_at = context.clock.now();
-        let acquired = acquire_probed_slot(routed, &slots, &history).await;
+        let acquired = tokio::select! {
+            acquired = acquire_probed_slot(routed, &slots, &history) => acquired,
+            () = wait_until_forwarded(routed) => continue,
+        };
         history.queued += context.clock.now().since(requested_at);
         let slot = match acquired {
             Ok(slot) => slot,
@@ -118,7 +135,7 @@
             Ok(run) => run,
             Err(shed) => return history.complete_without_slot(shed),
         };
-        let outcome = send_with_hedge(routed, slot, &mut history).await;
+        let outcome = send_until_forwarded(routed, slot, &mut history).await;
         drop(run);
         if let AttemptOutcome::Answered(answer) = outcome {
             record_answer(routed);
@@ -155,7 +172,7 @@
         if !slots.needs_probe(&target) {
             return Ok(slot);
         }
-        match probe(&routed.context, &routed.service, slots, &target).await {
+        match probe(&routed.context, slots, &target).await {
             ProbeResult::Reported if !slot.is_unfit(&request) => return Ok(slot),
             ProbeResult::Full => full_count += 1,
             ProbeResult::Reported | ProbeResult::Unanswered => {}
@@ -222,7 +239,13 @@
     }
 
     fn complete(self, outcome: RequestOutcome) -> CompletedRequest {
-        CompletedRequest { outcome, tried: self.tried, queued: self.queued }
+        let Self { tried, queued, .. } = self;
+        CompletedRequest { outcome, tried, queued, is_forwarded: false }
+    }
+
+    /// Completes a request that was forwarded to another entry.
+    fn complete_forwarded(self, outcome: RequestOutcome) -> CompletedRequest {
+        CompletedRequest { is_forwarded: true, ..self.complete(outcome) }
     }
 
     /// Completes a request whose first or next attempt was not admitted.
@@ -250,6 +273,23 @@
     }
 }
 
+/// Sends the request as [`send_with_hedge`] does, and gives up an idempotent request that is to be
+/// forwarded because this process has lost its path to the targets.
+async fn send_until_forwarded(
+    routed: &RoutedRequest,
+    slot: SlotGuard,
+    history: &mut AttemptHistory,
+) -> AttemptOutcome {
+    let sending = send_with_hedge(routed, slot, history);
+    if !routed.is_idempotent() {
+        return sending.await;
+    }
+    tokio::select! {
+        outcome = sending => outcome,
+        () = wait_until_forwarded(routed) => AttemptOutcome::Lost,
+    }
+}
+
 /// Sends the request to a target and, if it takes far longer than usual, a hedge to a second one.
 ///
 /// Without hedges, requests at targets that hang or no longer respond would end at the route's
@@ -321,6 +361,7 @@
         answer_owner(context, &routed.request_id, headers)
     };
     let repeatable = routed.is_idempotent();
+    let is_opened = AtomicBool::new(false);
     let target_request = TargetRequest {
         target: &target,
         endpoint,
@@ -329,7 +370,7 @@
         repeatable,
         answer_match: &owner,
         purpose: ConnectionPurpose::Request,
-        on_opened: &|| {},
+        on_opened: &|| is_opened.store(true, Ordering::Relaxed),
     };
     let is_cold = slot.mark_sent();
     let sent_bytes = message_bytes(target_request.request.headers(), routed.request.body.len());
@@ -343,7 +384,7 @@
     let outcome = slot_outcome(&context.dialect, &result, latency);
     let reported_load =
         result.as_ref().ok().and_then(|answer| parse_reported_load(&context.dialect, answer));
-    record_reach(context, &target, &result);
+    record_reach(context, &target, is_opened.into_inner(), &result);
     if let Ok(answer) = &result
         && outcome != SlotOutcome::Misdirected
     {
@@ -435,7 +476,7 @@
 ///
 /// A signed answer without an id is foreign: a success must prove which request it belongs to. An
 /// unsigned answer without an id can only be a failure and counts as an answer to this request.
-fn answer_owner(context: &Context, request_id: &str, headers: &HeaderMap) -> AnswerMatch {
+pub fn answer_owner(context: &Context, request_id: &str, headers: &HeaderMap) -> AnswerMatch {
     let echoed = headers.get(&context.dialect.headers.request_id);
     match echoed {
         Some(id) if id.as_bytes() == request_id.as_bytes() => AnswerMatch::Match,
--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -182,6 +182,7 @@
         "service" => routed.service.as_str(),
         "outcome" => outcome,
         "targets" => targets.join(","),
+        "forwarded" => completed.is_forwarded,
         "retry_after_ms" => completed.retry_after().map_or(0, millis),
         "waited_before_ms" => millis(routed.prior_wait),
         "queued_ms" => millis(completed.queued),
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -4,6 +4,8 @@
 mod attempts;
 mod caller_requests;
 mod directory;
+mod forward;
+mod path_checks;
 mod probe_counters;
 mod probes;
 mod problem_responses;
@@ -17,6 +19,7 @@
 
 pub use caller_requests::{handle_request, may_begin_early};
 pub use directory::{handle_directory, handle_readiness};
+pub use path_checks::{request_path_check, run_path_checks};
 pub use probe_counters::{ProbeCounters, ProbeTotals};
 pub use probes::run_probes;
 pub use quarantine::log_quarantined;
--- /dev/null
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -0,0 +1,118 @@
+//! Checks whether this process reaches targets, and acts on a lost or restored path.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
+use shallotfork_events::{PATH_LOST, PATH_RESTORED, event};
+use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, FailureCause, TargetRequest};
+use shallotfork_reachability::{CheckOutcome, PathChange};
+use shallotfork_roster::Availability;
+use shallotfork_types::TargetId;
+
+use crate::context::{Context, lock};
+use crate::traffic::probes::{HealthEndpoint, health_endpoint};
+use crate::traffic::reach::record_reach;
+use crate::transfer::{TransferKind, message_bytes};
+
+/// Time in which a target must answer a check: the timeout for opening a connection and a few round
+/// trips.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Requests a check of the path to the targets, unless it has been proved recently.
+pub fn request_path_check(context: &Context) {
+    lock(&context.path_monitor).request_check(context.clock.now());
+    context.path_suspected.notify_one();
+}
+
+/// Checks the path to the targets whenever there are signs of its loss, and at intervals until it is
+/// restored, for as long as the process runs.
+pub async fn run_path_checks(context: Arc<Context>) {
+    loop {
+        let known = context.published.load().targets.len();
+        let wait = lock(&context.path_monitor).next_check_in(known, context.clock.now());
+        match wait {
+            None => context.path_suspected.notified().await,
+            Some(wait) if !wait.is_zero() => tokio::time::sleep(wait).await,
+            Some(_) => check_path(&context).await,
+        }
+    }
+}
+
+/// Returns the targets to which a check does no harm: those that take work and neither limit their
+/// requests nor are cold.
+fn checkable_targets(context: &Context) -> Vec<TargetId> {
+    let published = context.published.load();
+    let rate_limits = lock(&context.rate_limits);
+    let is_checkable = |id: &TargetId| {
+        published.targets.get(id).is_some_and(|record| {
+            record.availability == Availability::Serving
+                && record.cold_for.is_zero()
+                && !published.evacuated.contains_key(&record.failure_domain)
+                && rate_limits.limit(id).is_none()
+        })
+    };
+    let mut targets: Vec<TargetId> =
+        published.targets.keys().filter(|id| is_checkable(id)).cloned().collect();
+    targets.sort();
+    targets
+}
+
+async fn check_path(context: &Context) {
+    let targets = checkable_targets(context);
+    let checked = lock(&context.path_monitor).begin_check(&targets, context.clock.now());
+    let outcomes = join_all(checked.iter().map(|target| check_target(context, target))).await;
+    let change = lock(&context.path_monitor).finish_check(&outcomes, context.clock.now());
+    match change {
+        Some(PathChange::Lost) => {
+            event!(context.log, PATH_LOST, "checked" => outcomes.len(),
+                "failed" => outcomes.iter().filter(|outcome| **outcome == CheckOutcome::Failed).count());
+            context.isolated.send_replace(true);
+        }
+        Some(PathChange::Restored { lasted }) => {
+            event!(context.log, PATH_RESTORED,
+                "lasted_ms" => u64::try_from(lasted.as_millis()).unwrap_or(u64::MAX));
+            // Failures of the path say nothing about the targets.
+            context.services.all().iter().for_each(|(_, slots)| slots.clear_failures());
+            context.target_connections.close_idle_for(lasted);
+            context.isolated.send_replace(false);
+        }
+        None => {}
+    }
+}
+
+/// Sends a health request on a new connection.
+async fn check_target(context: &Context, target: &TargetId) -> CheckOutcome {
+    let Some(HealthEndpoint { endpoint, domain, uri }) = health_endpoint(context, target) else {
+        return CheckOutcome::Failed;
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = uri;
+    TransferKind::Probes.record_bytes(&domain, message_bytes(request.headers(), 0));
+    let is_opened = AtomicBool::new(false);
+    let target_request = TargetRequest {
+        target,
+        endpoint,
+        request,
+        // An answer that has arrived may wait for the scheduling delay until it is read.
+        timeout: CHECK_TIMEOUT + context.scheduling_delay(),
+        repeatable: true,
+        answer_match: &|_: StatusCode, _: &HeaderMap| AnswerMatch::Match,
+        purpose: ConnectionPurpose::PathCheck,
+        on_opened: &|| is_opened.store(true, Ordering::Relaxed),
+    };
+    let result = context.target_connections.send(target_request).await;
+    let is_opened = is_opened.into_inner();
+    record_reach(context, target, is_opened, &result);
+    match result {
+        Ok(_) => CheckOutcome::Answered,
+        Err(failure) if is_opened && *failure.cause() == FailureCause::Timeout => {
+            CheckOutcome::Silent
+        }
+        Err(_) => CheckOutcome::Failed,
+    }
+}
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -10,12 +10,12 @@
 use metrics::counter;
 use shallotfork_events::{WARMUP_INVALID, event};
 use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, TargetRequest};
-use shallotfork_types::{Endpoint, FailureDomain, ServiceName, TargetId};
+use shallotfork_types::{Endpoint, FailureDomain, TargetId};
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
 use crate::traffic::attempt_outcome::parse_reported_load;
-use crate::traffic::reach::record_reach;
+use crate::traffic::reach::{record_reach, record_silence};
 use crate::traffic::service_slots::ServiceSlots;
 use crate::transfer::{TransferKind, message_bytes};
 
@@ -46,11 +46,10 @@
         if !context.fleet.load().is_advertised {
             continue;
         }
-        for (service, slots) in services {
+        for (_, slots) in services {
             for target in slots.due_probes() {
                 let (context, slots) = (Arc::clone(&context), Arc::clone(&slots));
-                let service = service.clone();
-                tokio::spawn(async move { probe(&context, &service, &slots, &target).await });
+                tokio::spawn(async move { probe(&context, &slots, &target).await });
             }
         }
     }
@@ -77,7 +76,6 @@
 /// both sides.
 pub async fn probe(
     context: &Arc<Context>,
-    service: &ServiceName,
     slots: &Arc<ServiceSlots>,
     target: &TargetId,
 ) -> ProbeResult {
@@ -86,11 +84,9 @@
     let is_accepted = Arc::new(AtomicBool::new(false));
     let probe_task = {
         let (context, slots) = (Arc::clone(context), Arc::clone(slots));
-        let (service, target) = (service.clone(), target.clone());
+        let target = target.clone();
         let is_accepted = Arc::clone(&is_accepted);
-        tokio::spawn(
-            async move { send_probe(&context, &service, &slots, &target, &is_accepted).await },
-        )
+        tokio::spawn(async move { send_probe(&context, &slots, &target, &is_accepted).await })
     };
     match tokio::time::timeout(timeout, probe_task).await {
         Ok(Ok(result)) => {
@@ -103,6 +99,7 @@
         Ok(Err(_)) => ProbeResult::Unanswered,
         Err(_) => {
             slots.record_unanswered_probe(target);
+            record_silence(context, target);
             context.probe_counts.record_unanswered();
             if is_accepted.load(Ordering::Relaxed) {
                 ProbeResult::Full
@@ -117,13 +114,11 @@
 /// been opened for the probe.
 async fn send_probe(
     context: &Context,
-    service: &ServiceName,
     slots: &Arc<ServiceSlots>,
     target: &TargetId,
     is_accepted: &AtomicBool,
 ) -> ProbeResult {
-    let Some(HealthEndpoint { endpoint, domain, uri }) = health_endpoint(context, service, target)
-    else {
+    let Some(HealthEndpoint { endpoint, domain, uri }) = health_endpoint(context, target) else {
         return ProbeResult::NoLoad;
     };
     let mut request = Request::new(Full::new(Bytes::new()));
@@ -143,7 +138,7 @@
     context.probe_counts.record_sent();
     let sent_at = context.clock.now();
     let result = context.target_connections.send(target_request).await;
-    record_reach(context, target, &result);
+    record_reach(context, target, is_accepted.load(Ordering::Relaxed), &result);
     let Ok(answer) = result else {
         let delay = context.clock.now().since(sent_at).saturating_sub(PROBE_TIMEOUT);
         slots.record_failed_probe(target, delay);
@@ -178,20 +173,21 @@
 }
 
 /// Location of a target's health endpoint.
-struct HealthEndpoint {
-    endpoint: Endpoint,
-    domain: FailureDomain,
-    uri: Uri,
+pub struct HealthEndpoint {
+    /// Address of the target.
+    pub endpoint: Endpoint,
+    /// Failure domain of the target.
+    pub domain: FailureDomain,
+    /// Path of the endpoint.
+    pub uri: Uri,
 }
 
-fn health_endpoint(
-    context: &Context,
-    service: &ServiceName,
-    target: &TargetId,
-) -> Option<HealthEndpoint> {
+/// Returns the location of a target's health endpoint; `None` if the target or its service is not
+/// published.
+pub fn health_endpoint(context: &Context, target: &TargetId) -> Option<HealthEndpoint> {
     let published = context.published.load();
     let record = published.targets.get(target)?;
-    let spec = published.table.as_ref()?.services().get(service)?;
+    let spec = published.table.as_ref()?.services().get(&record.service)?;
     let uri = spec.health_path.parse().ok()?;
     Some(HealthEndpoint { endpoint: record.endpoint, domain: record.failure_domain.clone(), uri })
 }
--- a/crates/gateway/src/traffic/routed_request.rs
+++ b/crates/gateway/src/traffic/routed_request.rs
@@ -12,6 +12,7 @@
 use shallotfork_types::{Mono, ServiceName, TargetId};
 
 use crate::context::Context;
+use crate::traffic::forward::FORWARDED_HEADER;
 
 /// Minimum prior wait of a request that counts as resubmitted. Below it the request was not
 /// rejected before: its deadline is shorter than the longest one only by its time in transit.
@@ -50,6 +51,8 @@
     pub deadline: Mono,
     /// Time that the caller waited before it sent this request, estimated from its deadline.
     pub prior_wait: Duration,
+    /// Whether another entry has forwarded the request.
+    pub is_forwarded: bool,
     /// Whether the caller is still connected.
     pub caller: CallerConnection,
     /// Fingerprint of the request's content, computed on first use.
@@ -60,7 +63,7 @@
     /// Creates a routed request: computes its objective and deadline and chooses a service.
     pub fn new(
         context: Arc<Context>,
-        request: BufferedRequest,
+        mut request: BufferedRequest,
         request_id: String,
         matched: RouteMatch,
         arrived_at: Mono,
@@ -74,6 +77,7 @@
             .plus(caller_timeout.saturating_sub(ANSWER_TRANSIT_MARGIN).min(route.timeout));
         let deadline = context.answer_deadline.borrow().map_or(deadline, |end| deadline.min(end));
         let service = context.choose_service(&route);
+        let is_forwarded = request.headers.remove(FORWARDED_HEADER).is_some();
         Self {
             context,
             request,
@@ -85,6 +89,7 @@
             objective,
             deadline,
             prior_wait,
+            is_forwarded,
             caller,
             fingerprint: OnceLock::new(),
         }
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -66,6 +66,7 @@
             "for_requests" => now.connections.requests - before.connections.requests,
             "for_probes" => now.connections.probes - before.connections.probes,
             "for_port_checks" => now.connections.port_checks - before.connections.port_checks,
+            "for_path_checks" => now.connections.path_checks - before.connections.path_checks,
             "probes" => now.probes.sent - before.probes.sent,
             "probes_silent" => now.probes.unanswered - before.probes.unanswered,
         );
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -209,6 +209,13 @@
         self.lock().pool.reset_target(target, now);
     }
 
+    /// Discards the failures of all targets.
+    pub fn clear_failures(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let resolved = self.lock().pool.clear_failures(now);
+        self.deliver(resolved);
+    }
+
     /// Records the load that a target reported in its answer to a probe.
     pub fn record_load(self: &Arc<Self>, target: &TargetId, reported_load: TargetLoad) {
         let now = self.clock.now();
--- a/crates/membership/src/entry_vm.rs
+++ b/crates/membership/src/entry_vm.rs
@@ -28,8 +28,11 @@
     pub listed: ListedVm,
     /// Incarnation of the announcing process.
     pub incarnation: Incarnation,
-    /// Counter that the announcing process raises each time it refutes a suspicion.
+    /// Counter that the announcing process raises each time it refutes a suspicion or its isolation
+    /// changes.
     pub round: u32,
+    /// Whether the announcing process reaches no target.
+    pub isolated: bool,
 }
 
 /// A membership update: what one VM reports to another about a third one.
@@ -77,6 +80,8 @@
     pub incarnation: Option<Incarnation>,
     /// State of the VM.
     pub state: EntryState,
+    /// Whether the VM reports that it reaches no target.
+    pub isolated: bool,
     /// Number of requests per second that the VM reports it can carry; zero if it reports none.
     pub capacity: PerSecond,
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -14,6 +14,7 @@
     pub(crate) incarnation: Option<Incarnation>,
     pub(crate) round: u32,
     reported_leaving: bool,
+    isolated: bool,
     is_suspected: bool,
     /// Round of a suspicion that ended with a heartbeat of this incarnation, which the incarnation
     /// has not yet refuted by a higher round.
@@ -34,6 +35,7 @@
             incarnation: None,
             round: 0,
             reported_leaving: false,
+            isolated: false,
             is_suspected: false,
             unrefuted_round: None,
             is_monitored: false,
@@ -106,6 +108,7 @@
             return true;
         }
         self.reported_leaving |= about.listed.leaving;
+        self.merge_isolated(about);
         if update.suspected && about.round >= self.round && !seen_recently {
             self.suspect(now);
         }
@@ -152,19 +155,42 @@
             self.incarnation = Some(from.incarnation);
             self.round = 0;
             self.reported_leaving = false;
+            self.isolated = from.isolated;
             self.silence_allowance = SilenceAllowance::default();
             self.unrefuted_round = None;
         }
         let leaving = self.listed.leaving && self.is_listed;
         self.listed = ListedVm { leaving, ..from.listed.clone() };
         self.reported_leaving |= from.listed.leaving;
+        self.merge_isolated(from);
         self.round = self.round.max(from.round);
     }
 
+    /// Applies what an announcement of the known incarnation states about its isolation.
+    ///
+    /// A VM raises its round with each change, so within one round an announcement without the
+    /// statement has passed through an entry that does not forward it.
+    fn merge_isolated(&mut self, about: &Announcement) {
+        if about.round > self.round {
+            self.isolated = about.isolated;
+        } else if about.round == self.round {
+            self.isolated |= about.isolated;
+        }
+    }
+
     pub(crate) fn leave(&mut self) {
         self.reported_leaving = true;
     }
 
+    /// Sets whether the VM of this process is isolated. Returns whether that has changed.
+    pub(crate) fn set_isolated(&mut self, isolated: bool) -> bool {
+        std::mem::replace(&mut self.isolated, isolated) != isolated
+    }
+
+    pub(crate) fn isolated(&self) -> bool {
+        self.isolated
+    }
+
     /// Suspects a monitored VM that has been silent for too long. Returns whether it was not
     /// suspected before.
     pub(crate) fn suspect_if_silent(&mut self, usual_silence: Duration, now: Mono) -> bool {
@@ -193,8 +219,8 @@
         self.last_seen_at = now;
     }
 
-    fn comparable_state(&self) -> (EntryState, Option<Incarnation>, u32) {
-        (self.state(), self.incarnation, self.round)
+    fn comparable_state(&self) -> (EntryState, Option<Incarnation>, u32, bool) {
+        (self.state(), self.incarnation, self.round, self.isolated)
     }
 
     pub(crate) fn state(&self) -> EntryState {
@@ -212,6 +238,7 @@
             peers: self.listed.peers,
             incarnation: self.incarnation,
             state: self.state(),
+            isolated: self.isolated,
             capacity: self.listed.capacity,
         }
     }
@@ -220,7 +247,8 @@
     pub(crate) fn update(&self) -> Option<MemberUpdate> {
         let listed = ListedVm { leaving: self.reported_leaving, ..self.listed.clone() };
         let incarnation = self.incarnation?;
-        let about = Announcement { listed, incarnation, round: self.round };
+        let isolated = self.isolated;
+        let about = Announcement { listed, incarnation, round: self.round, isolated };
         Some(MemberUpdate { about, suspected: self.is_suspected })
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -194,6 +194,20 @@
         self.record_change(&own, true);
     }
 
+    /// Records whether this process reaches no target. A change raises the round, so that it
+    /// replaces what other entries know.
+    pub fn set_own_isolated(&mut self, isolated: bool) {
+        let own = self.own.clone();
+        if self.members.get_mut(&own).is_some_and(|member| member.set_isolated(isolated)) {
+            self.raise_own_round();
+        }
+    }
+
+    /// Returns whether this process reaches no target.
+    pub fn is_own_isolated(&self) -> bool {
+        self.members.get(&self.own).is_some_and(Member::isolated)
+    }
+
     /// Returns the round of this process, which heartbeats carry.
     pub fn own_round(&self) -> u32 {
         self.members.get(&self.own).map_or(0, |member| member.round)
@@ -326,10 +340,10 @@
     }
 }
 
-/// Returns whether updates about a VM are propagated. They are if the VM is no longer live, since
-/// it may have been propagated as live before.
+/// Returns whether updates about a VM are propagated. They are if the VM is no longer live or is
+/// isolated, since it may have been propagated as usable before.
 fn is_propagated(propagated: &Option<BTreeSet<VmId>>, own: &VmId, member: &Member) -> bool {
     let vm = &member.listed.vm;
     let is_selected = propagated.as_ref().is_none_or(|vms| vms.contains(vm));
-    is_selected || vm == own || member.state() != EntryState::Live
+    is_selected || vm == own || member.state() != EntryState::Live || member.isolated()
 }
--- a/crates/membership/tests/updates.rs
+++ b/crates/membership/tests/updates.rs
@@ -106,7 +106,7 @@
 
 fn announcement(index: usize, leaving: bool, round: u32) -> Announcement {
     let listed = ListedVm { leaving, ..listed(index) };
-    Announcement { listed, incarnation: Incarnation::new(index as u64), round }
+    Announcement { listed, incarnation: Incarnation::new(index as u64), round, isolated: false }
 }
 
 #[test]
@@ -288,3 +288,40 @@
     view.suspect(&listed(1).vm, Mono::from_millis(3_000));
     assert_eq!(view.entries()[1].state, EntryState::Suspected);
 }
+
+/// Guards against an isolation that is lost where an entry of an older release, which does not know
+/// of it, forwards the update without it.
+#[test]
+fn isolation_outlives_an_update_without_it() {
+    let update = |round: u32, isolated: bool| MemberUpdate {
+        about: Announcement { isolated, ..announcement(1, false, round) },
+        suspected: false,
+    };
+    let isolated_after = |updates: &[MemberUpdate]| {
+        let own = announcement(0, false, 0);
+        let mut view = MembershipView::new(ViewConfig::default(), &own, Mono::ZERO);
+        updates.iter().for_each(|update| view.receive_update(update, Mono::from_millis(60_000)));
+        let entries = view.entries();
+        entries.iter().find(|entry| entry.vm == listed(1).vm).unwrap().isolated
+    };
+    assert!(isolated_after(&[update(2, true), update(2, false)]));
+    assert!(isolated_after(&[update(2, false), update(2, true)]));
+    assert!(isolated_after(&[update(2, true), update(1, false)]));
+    assert!(!isolated_after(&[update(2, true), update(3, false)]));
+    assert!(!isolated_after(&[update(3, false), update(2, true)]));
+}
+
+/// Guards against a VM that is isolated, or no longer isolated, without the others learning it.
+#[test]
+fn a_change_of_isolation_raises_the_round() {
+    let own = announcement(0, false, 0);
+    let mut view = MembershipView::new(ViewConfig::default(), &own, Mono::ZERO);
+    view.set_own_isolated(false);
+    assert_eq!(view.own_round(), 0);
+    view.set_own_isolated(true);
+    view.set_own_isolated(true);
+    assert_eq!((view.own_round(), view.is_own_isolated()), (1, true));
+    assert!(view.take_due_updates().iter().any(|update| update.about.isolated));
+    view.set_own_isolated(false);
+    assert_eq!((view.own_round(), view.is_own_isolated()), (2, false));
+}
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -151,6 +151,7 @@
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(9),
         round: 0,
+        isolated: false,
         updates: Vec::new(),
         lists_digest: ListsDigest::new(9),
         is_disconnected: false,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -52,6 +52,8 @@
   # Digest of the requests that the sender quarantines; 0 if there are none.
 
   rateLimits @20 :List(RateLimit);
+  isolated @21 :Bool;
+  # The sender reaches no target.
 
   enum State {
     live @0;
@@ -72,6 +74,7 @@
   callers @6 :Text;
   peers @7 :Text;
   strengthPerS @8 :UInt32;
+  isolated @9 :Bool;
 }
 
 struct CrashReport {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -48,8 +48,11 @@
     pub callers: Endpoint,
     /// Endpoint for peers of the sender.
     pub peers: Endpoint,
-    /// Counter that the sender increments each time it refutes a suspicion against itself.
+    /// Counter that the sender increments each time it refutes a suspicion against itself or its
+    /// isolation changes.
     pub round: u32,
+    /// Whether the sender reaches no target.
+    pub isolated: bool,
     /// Membership updates about other VMs.
     pub updates: Vec<PeerUpdate>,
     /// Highest revision known to the sender.
@@ -102,6 +105,8 @@
     pub peer: PeerId,
     /// Highest known round of that process.
     pub round: u32,
+    /// Whether the process reported in that round that it reaches no target.
+    pub isolated: bool,
     /// State that the process reported about itself.
     pub state: PeerState,
     /// Whether the process is suspected because its heartbeats are missing.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5472,6 +5472,10 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_isolated(self) -> bool {
+            self.reader.get_bool_field(19)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5750,6 +5754,14 @@
         pub fn has_rate_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_isolated(self) -> bool {
+            self.builder.get_bool_field(19)
+        }
+        #[inline]
+        pub fn set_isolated(&mut self, value: bool)  {
+            self.builder.set_bool_field(19, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5761,7 +5773,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 367] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 383] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
             ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
@@ -5771,7 +5783,7 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 159, 4, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5781,154 +5793,161 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(45, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -6129,6 +6148,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 111, 108, 97, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6153,6 +6181,7 @@
                 18 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 19 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 20 => <::capnp::struct_list::Owned<crate::peer_capnp::rate_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                21 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6166,9 +6195,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,16,5,10,4,9,7,13,15,11,19,20,14,3,8,1,0,12,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,16,5,21,10,4,9,7,13,15,11,19,20,14,3,8,1,0,12,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -6358,6 +6387,10 @@
         pub fn get_strength_per_s(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_isolated(self) -> bool {
+            self.reader.get_bool_field(113)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6516,6 +6549,14 @@
         pub fn set_strength_per_s(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_isolated(self) -> bool {
+            self.builder.get_bool_field(113)
+        }
+        #[inline]
+        pub fn set_isolated(&mut self, value: bool)  {
+            self.builder.set_bool_field(113, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6527,7 +6568,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 171] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(227, 140, 14, 207, 194, 180, 106, 130),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -6537,76 +6578,83 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 112, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 113, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6683,6 +6731,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 111, 108, 97, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6695,6 +6752,7 @@
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6708,9 +6766,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,7,2,3,8,4,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,9,7,2,3,8,4,0];
         pub(crate) const TYPE_ID: u64 = 0x826a_b4c2_cf0e_8ce3;
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -140,6 +140,7 @@
     to.set_callers(&heartbeat.callers.to_string()[..]);
     to.set_peers(&heartbeat.peers.to_string()[..]);
     to.set_round(heartbeat.round);
+    to.set_isolated(heartbeat.isolated);
     to.set_platform_answered_ms(write_age(heartbeat.platform.last_answer));
     to.set_reader_heard_ms(write_age(heartbeat.platform.reader_last_seen));
     to.set_platform_away_ms(write_age(heartbeat.platform.outage));
@@ -182,6 +183,7 @@
     to.set_vm(update.peer.vm.as_str());
     to.set_incarnation(update.peer.incarnation.value());
     to.set_round(update.round);
+    to.set_isolated(update.isolated);
     to.set_state(write_state(update.state));
     to.set_suspected(update.suspected);
     to.set_failure_domain(update.failure_domain.as_str());
@@ -259,6 +261,7 @@
         callers: from.get_callers()?.to_str()?.parse().map_err(to_capnp_error)?,
         peers: from.get_peers()?.to_str()?.parse().map_err(to_capnp_error)?,
         round: from.get_round(),
+        isolated: from.get_isolated(),
         updates: from.get_news()?.iter().map(read_update).collect::<Result<_>>()?,
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
@@ -284,6 +287,7 @@
     Ok(PeerUpdate {
         peer: read_peer_id(from.get_vm()?, from.get_incarnation())?,
         round: from.get_round(),
+        isolated: from.get_isolated(),
         state: read_state(from.get_state()?),
         suspected: from.get_suspected(),
         failure_domain: from.get_failure_domain()?.to_str()?.parse().map_err(to_capnp_error)?,
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -199,6 +199,7 @@
     PeerUpdate {
         peer: PeerId::new(VmId::new("vm-9").unwrap(), Incarnation::new(9)),
         round: 2,
+        isolated: true,
         state: PeerState::Live,
         suspected: true,
         failure_domain: "coolgardie".parse().unwrap(),
@@ -230,6 +231,7 @@
         callers: "127.0.0.1:8080".parse().unwrap(),
         peers: "127.0.0.1:8081".parse().unwrap(),
         round: 3,
+        isolated: true,
         updates: vec![peer_update()],
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(8),
--- a/crates/reachability/src/evidence.rs
+++ b/crates/reachability/src/evidence.rs
@@ -32,36 +32,41 @@
 ///
 /// Any answer of a target counts as reached, including an error or a rejection.
 #[derive(Debug, Default)]
-pub struct ReachEvidence {
+pub(crate) struct ReachEvidence {
     by_target: BTreeMap<TargetId, Evidence>,
     last_answer_at: Option<Mono>,
 }
 
 impl ReachEvidence {
-    /// Creates a record without evidence.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Sets the known targets and forgets all others.
-    pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a TargetId>) {
-        let known: BTreeSet<&TargetId> = targets.collect();
+    /// Forgets all targets but the known ones.
+    pub(crate) fn retain(&mut self, known: &BTreeSet<&TargetId>) {
         self.by_target.retain(|target, _| known.contains(target));
     }
 
     /// Records that a target answered.
-    pub fn record_answer(&mut self, target: &TargetId, now: Mono) {
+    pub(crate) fn record_answer(&mut self, target: &TargetId, now: Mono) {
         self.last_answer_at = Some(now);
         self.by_target.insert(target.clone(), Evidence { is_reached: true, at: now });
     }
 
     /// Records that no connection to a target could be opened, or that it ended without an answer.
-    pub fn record_failure(&mut self, target: &TargetId, now: Mono) {
+    pub(crate) fn record_failure(&mut self, target: &TargetId, now: Mono) {
         self.by_target.insert(target.clone(), Evidence { is_reached: false, at: now });
     }
 
+    /// Returns when a target answered, if that is the latest evidence of it.
+    pub(crate) fn answered_at(&self, target: &TargetId) -> Option<Mono> {
+        let evidence = self.by_target.get(target).filter(|evidence| evidence.is_reached);
+        evidence.map(|evidence| evidence.at)
+    }
+
+    /// Returns when any target answered last.
+    pub(crate) fn last_answer_at(&self) -> Option<Mono> {
+        self.last_answer_at
+    }
+
     /// Summarizes the evidence about `known` targets.
-    pub fn summary(&self, known: usize, now: Mono) -> ReachSummary {
+    pub(crate) fn summary(&self, known: usize, now: Mono) -> ReachSummary {
         let is_recent = |evidence: &Evidence| now.since(evidence.at) < ANSWER_VALID_FOR;
         let count = |predicate: &dyn Fn(&Evidence) -> bool| {
             self.by_target.values().filter(|evidence| predicate(evidence)).count()
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -119,6 +119,7 @@
         callers: identity.callers,
         peers: identity.peers,
         round: view.own_round(),
+        isolated: view.is_own_isolated(),
         updates: view.take_due_updates().into_iter().map(to_peer_update).collect(),
         seen_revision: lists.cursor.highest_revision(),
         synced_revision: lists.cursor.synced_revision(),
@@ -159,11 +160,12 @@
 
 /// Converts a membership update to a peer message.
 pub fn to_peer_update(update: MemberUpdate) -> PeerUpdate {
-    let Announcement { listed, incarnation, round } = update.about;
+    let Announcement { listed, incarnation, round, isolated } = update.about;
     PeerUpdate {
         state: peer_state(listed.leaving),
         peer: PeerId::new(listed.vm, incarnation),
         round,
+        isolated,
         suspected: update.suspected,
         failure_domain: listed.failure_domain,
         callers: listed.callers,
@@ -182,7 +184,8 @@
         capacity: update.capacity,
     };
     let incarnation = update.peer.incarnation;
-    let about = Announcement { listed, incarnation, round: update.round };
+    let about =
+        Announcement { listed, incarnation, round: update.round, isolated: update.isolated };
     MemberUpdate { about, suspected: update.suspected }
 }
 
@@ -204,7 +207,12 @@
         leaving: heartbeat.state == PeerState::Leaving,
         capacity: heartbeat.capacity,
     };
-    let from = Announcement { listed, incarnation: peer.incarnation, round: heartbeat.round };
+    let from = Announcement {
+        listed,
+        incarnation: peer.incarnation,
+        round: heartbeat.round,
+        isolated: heartbeat.isolated,
+    };
     let now = state.context.clock.now();
     let mut view = state.view.borrow_mut();
     view.receive_heartbeat(&from, now);
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -144,7 +144,7 @@
         leaving: false,
         capacity: PerSecond::default(),
     };
-    Announcement { listed, incarnation: identity.incarnation, round: 0 }
+    Announcement { listed, incarnation: identity.incarnation, round: 0, isolated: false }
 }
 
 fn own_id(context: &Context) -> PeerId {
--- a/crates/slopes/src/members.rs
+++ b/crates/slopes/src/members.rs
@@ -25,7 +25,12 @@
         leaving: false,
         capacity: PerSecond::default(),
     };
-    Ok(Announcement { listed, incarnation: Incarnation::new(index as u64), round: 0 })
+    Ok(Announcement {
+        listed,
+        incarnation: Incarnation::new(index as u64),
+        round: 0,
+        isolated: false,
+    })
 }
 
 /// Measures and prints the processor time of membership operations.
