fix(gateway,reachability): a lost path is not a crash of the targets

A lost connection and a refused new one count as a crash of the target under the request; a cut that resets and refuses looks the same, and the crash is told to the whole fleet.

Change: a crash counts only if another target has answered since, or answers one of three health requests on new connections. Without any other target there is nothing to compare with, and it counts as before.

--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -23,6 +23,7 @@
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
 use crate::traffic::forward::{forward, reject_without_path, should_forward, wait_until_forwarded};
+use crate::traffic::path_checks::reaches_other_targets;
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::{begin_run, is_clear, record_answer, record_crash};
 use crate::traffic::rate_limit::record_rate_limit;
@@ -391,7 +392,10 @@
         record_rate_limit(context, &target, answer);
     }
     slot.finish(outcome, reported_load);
-    let crashed = target_may_have_crashed(&result) && refuses_connections(routed, endpoint).await;
+    let lost_at = context.clock.now();
+    let crashed = target_may_have_crashed(&result)
+        && refuses_connections(routed, endpoint).await
+        && reaches_other_targets(context, &target, lost_at).await;
     // A cold target may crash from overload, whatever the request.
     if crashed && !is_cold {
         record_crash(routed, &target, sent_at);
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -8,11 +8,12 @@
 use futures::future::join_all;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+use rand::seq::IndexedRandom;
 use shallotfork_events::{PATH_LOST, PATH_RESTORED, event};
 use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, FailureCause, TargetRequest};
 use shallotfork_reachability::{CheckOutcome, PathChange};
 use shallotfork_roster::Availability;
-use shallotfork_types::TargetId;
+use shallotfork_types::{Mono, TargetId};
 
 use crate::context::{Context, lock};
 use crate::traffic::probes::{HealthEndpoint, health_endpoint};
@@ -23,6 +24,9 @@
 /// trips.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Number of other targets to connect to when one seems to have crashed.
+const COMPARED_TARGETS: usize = 3;
+
 /// Requests a check of the path to the targets, unless it has been proved recently.
 pub fn request_path_check(context: &Context) {
     lock(&context.path_monitor).request_check(context.clock.now());
@@ -43,6 +47,21 @@
     }
 }
 
+/// Whether this process reaches other targets than the one whose connection it lost at `lost_at`.
+///
+/// A target that resets its connections and refuses new ones has crashed only if others do not do so
+/// as well. Without others there is nothing to compare with.
+pub async fn reaches_other_targets(context: &Context, target: &TargetId, lost_at: Mono) -> bool {
+    if lock(&context.path_monitor).has_other_answered(target, lost_at) {
+        return true;
+    }
+    let others: Vec<TargetId> =
+        checkable_targets(context).into_iter().filter(|other| other != target).collect();
+    let compared = others.sample(&mut rand::rng(), COMPARED_TARGETS);
+    let outcomes = join_all(compared.map(|other| check_target(context, other))).await;
+    outcomes.is_empty() || outcomes.contains(&CheckOutcome::Answered)
+}
+
 /// Returns the targets to which a check does no harm: those that take work and neither limit their
 /// requests nor are cold.
 fn checkable_targets(context: &Context) -> Vec<TargetId> {
--- a/crates/reachability/src/evidence.rs
+++ b/crates/reachability/src/evidence.rs
@@ -60,6 +60,12 @@
         evidence.map(|evidence| evidence.at)
     }
 
+    /// Whether any target but this one has answered after `since`.
+    pub(crate) fn has_other_answered(&self, target: &TargetId, since: Mono) -> bool {
+        let mut others = self.by_target.iter().filter(|(other, _)| *other != target);
+        others.any(|(_, evidence)| evidence.is_reached && evidence.at > since)
+    }
+
     /// Returns when any target answered last.
     pub(crate) fn last_answer_at(&self) -> Option<Mono> {
         self.last_answer_at
--- a/crates/reachability/src/path_monitor.rs
+++ b/crates/reachability/src/path_monitor.rs
@@ -133,6 +133,12 @@
         self.is_isolated() && !self.has_recent_answer(now)
     }
 
+    /// Whether any target but this one has answered after `since`, which shows that a failure of this
+    /// one at that time was not the loss of the path.
+    pub fn has_other_answered(&self, target: &TargetId, since: Mono) -> bool {
+        self.evidence.has_other_answered(target, since)
+    }
+
     /// Sets the known targets and forgets all others.
     pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a TargetId>) {
         let known: BTreeSet<&TargetId> = targets.collect();
--- a/crates/reachability/tests/path_monitor.rs
+++ b/crates/reachability/tests/path_monitor.rs
@@ -229,6 +229,20 @@
     QuickCheck::new().tests(300).rng(generator).quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
 }
 
+/// Guards against a target that counts as crashed although no other one is reached either.
+#[test]
+fn an_answer_of_another_target_excludes_a_lost_path() {
+    let mut monitor = PathMonitor::new(PathConfig::default());
+    monitor.record_answer(&target(1), ConnectionAge::Kept, at(100));
+    monitor.record_answer(&target(0), ConnectionAge::Kept, at(300));
+    assert!(!monitor.has_other_answered(&target(0), at(200)), "only the target itself");
+    monitor.record_answer(&target(1), ConnectionAge::Kept, at(250));
+    assert!(monitor.has_other_answered(&target(0), at(200)));
+    assert!(!monitor.has_other_answered(&target(0), at(250)));
+    monitor.record_failure(&target(1), ConnectionAge::New, at(400));
+    assert!(!monitor.has_other_answered(&target(0), at(200)));
+}
+
 /// Guards against a process that cannot tell its operators how many targets it reaches.
 #[test]
 fn targets_are_counted_by_their_last_evidence() {
