feat(gateway): log what targets state about themselves in answers

Cause: nothing in the logs says what the answers of a target say of it, but for its rate limit. So the hypotheses of the two incidents (a statement that is not read; one that is overwritten; requests that were under way) can't be told apart.

Change: the head of each answer that belongs to its request, of requests, probes and path checks, is read for the statement that the target is leaving and, if it turns the request away, for the rest that it asks for: lines 5011 and 5012. What is neither is line 5013. No decision depends on it.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -57,6 +57,9 @@
     TARGET_COLD = 5008 Info "target turned cold";
     TARGET_CONNECTIONS = 5009 Info "connections opened to targets";
     TARGETS_UNREACHABLE = 5010 Warning "targets unreachable from this entry";
+    TARGET_LEAVING = 5011 Info "target says that it is leaving";
+    TARGET_RESTING = 5012 Info "target asks for rest";
+    STATEMENT_INVALID = 5013 Warning "statement of a target about itself ignored: it is not valid";
     PLATFORM_DISCONNECTED = 6001 Warning "platform unreachable";
     PLATFORM_RECONNECTED = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -23,6 +23,8 @@
     pub load: HeaderName,
     /// Rate limit of a target in requests per second, for all entries together.
     pub rate_limit: HeaderName,
+    /// States in an answer that its target is leaving, by the value `1`.
+    pub leaving: HeaderName,
     /// Milliseconds for which a target stays cold, in answers to health requests.
     pub warmup_remaining_ms: HeaderName,
 }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -30,6 +30,7 @@
 use crate::traffic::reach::record_reach;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::traffic::service_slots::{ServiceSlots, SlotGuard};
+use crate::traffic::target_statements::record_statements;
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Maximum number of unreachable targets before a request is given up. Nothing is sent to these, so
@@ -358,8 +359,12 @@
         // The target was removed, or its failure domain evacuated, after its selection.
         return AttemptOutcome::NotSent;
     };
-    let owner = |_status: StatusCode, headers: &HeaderMap| {
-        answer_owner(context, &routed.request_id, headers)
+    let owner = |status: StatusCode, headers: &HeaderMap| {
+        let owner = answer_owner(context, &routed.request_id, headers);
+        if owner == AnswerMatch::Match {
+            record_statements(context, &target, status, headers);
+        }
+        owner
     };
     let repeatable = routed.is_idempotent();
     let is_opened = AtomicBool::new(false);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod scheduling_delay;
 mod service_load;
 mod service_slots;
+mod target_statements;
 
 pub use caller_requests::{handle_request, may_begin_early};
 pub use directory::{handle_directory, handle_readiness};
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -18,6 +18,7 @@
 use crate::context::{Context, lock};
 use crate::traffic::probes::{HealthEndpoint, health_endpoint};
 use crate::traffic::reach::record_reach;
+use crate::traffic::target_statements::record_statements;
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Time in which a target must answer a check: the timeout for opening a connection and a few round
@@ -120,7 +121,10 @@
         // An answer that has arrived may wait for the scheduling delay until it is read.
         timeout: CHECK_TIMEOUT + context.scheduling_delay(),
         repeatable: true,
-        answer_match: &|_: StatusCode, _: &HeaderMap| AnswerMatch::Match,
+        answer_match: &|status: StatusCode, headers: &HeaderMap| {
+            record_statements(context, target, status, headers);
+            AnswerMatch::Match
+        },
         purpose: ConnectionPurpose::PathCheck,
         on_opened: &|| is_opened.store(true, Ordering::Relaxed),
     };
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -17,6 +17,7 @@
 use crate::traffic::attempt_outcome::parse_reported_load;
 use crate::traffic::reach::{record_reach, record_silence};
 use crate::traffic::service_slots::ServiceSlots;
+use crate::traffic::target_statements::record_statements;
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Interval at which the pools are polled for targets to probe; half of the interval between two
@@ -130,7 +131,10 @@
         request,
         timeout: PROBE_TIMEOUT,
         repeatable: true,
-        answer_match: &|_: StatusCode, _: &HeaderMap| AnswerMatch::Match,
+        answer_match: &|status: StatusCode, headers: &HeaderMap| {
+            record_statements(context, target, status, headers);
+            AnswerMatch::Match
+        },
         purpose: ConnectionPurpose::Probe,
         on_opened: &|| is_accepted.store(true, Ordering::Relaxed),
     };
