fix(gateway,statements,peer,balance): a target that says it leaves gets no new requests

What was seen: requests reached a target up to 6.5 s after the entry had passed on an answer in which it says that it is leaving.

Cause: the statement was not read. An entry learned of the leaving from the platform alone, which answered nothing from 7 to 20 s in the incident. The class: what a target says of itself in an answer is read in some places and not in others; the load and the rate limit were, this and the rest that it asks for were not.

Change: - The head of every answer that belongs to its request is read in one place, for requests, probes and path checks, also if its body breaks off. - statements (pure): a target that says it leaves is leaving until that run of its process is over, whatever the platform lists: a list may be older than the answer. Another start of the process, a success of a request sent after the statement, or five minutes without an answer end it; the last for targets whose start is not known. - Such a target is used no more at once: queued requests, retries and hedges choose others, an attempt whose slot was assigned before is not sent, idle connections are closed. If all targets leave, requests are refused at once. - Heartbeats tell it to the other entries, for 2.5 s; entries of an older release ignore the field.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -119,6 +119,12 @@
         self.usable_slots
     }
 
+    fn count_slots(&mut self) {
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        self.serving_slots = serving.map(|target| target.published.slots).sum();
+        self.count_usable_slots();
+    }
+
     fn count_usable_slots(&mut self) {
         let serving = self.targets.values().filter(|target| target.published.serving);
         self.usable_slots = serving.map(|target| target.usable_slots(&self.estimates)).sum();
@@ -137,10 +143,16 @@
             };
             self.targets.insert(id, next);
         }
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        self.serving_slots = serving.map(|target| target.published.slots).sum();
         self.add_warmup_shares(now);
-        self.count_usable_slots();
+        self.count_slots();
+        self.wake(now)
+    }
+
+    /// Stops the use of a target that takes no new work any more, ahead of what is published.
+    pub fn stop_serving(&mut self, id: &TargetId, now: Mono) -> Vec<ResolvedTicket> {
+        let Some(target) = self.targets.get_mut(id) else { return Vec::new() };
+        target.published.serving = false;
+        self.count_slots();
         self.wake(now)
     }
 
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -5,12 +5,13 @@
 use shallotfork_membership::{Announcement, ListedVm, MemberUpdate};
 use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
+use shallotfork_statements::LeavingReport;
 use shallotfork_types::VmId;
 
 use crate::context::lock;
 use crate::control::reader::update_platform_state;
 use crate::control::state::ControlState;
-use crate::traffic::{apply_rate_limit, log_quarantined};
+use crate::traffic::{apply_rate_limit, log_quarantined, stop_sending};
 
 /// Builds the heartbeat to an entry, with the membership updates that are due to it. `peer_digest`
 /// is the digest in the heartbeat that is being answered, if any.
@@ -50,6 +51,7 @@
         crash_reports,
         quarantine_digest,
         rate_limits: lock(&state.context.rate_limits).reports(state.now()),
+        leaving_targets: lock(&state.context.leaving_targets).reports(state.now()),
         restart_safe: true,
         loads: Vec::new(),
         capacity: from.listed.capacity,
@@ -72,6 +74,7 @@
     update_platform_state(state);
     merge_crash_reports(state, &heartbeat.crash_reports);
     merge_rate_limits(state, &heartbeat.rate_limits);
+    merge_leaving_targets(state, &heartbeat.leaving_targets);
 }
 
 fn quarantine_reports(
@@ -93,6 +96,14 @@
     }
 }
 
+fn merge_leaving_targets(state: &ControlState, reports: &[LeavingReport]) {
+    for report in reports {
+        if lock(&state.context.leaving_targets).merge(report, state.now()) {
+            stop_sending(&state.context, &report.run, "peer");
+        }
+    }
+}
+
 fn merge_crash_reports(state: &ControlState, reports: &[CrashReport]) {
     for report in reports {
         let newly_quarantined = lock(&state.context.quarantine).merge(report, state.now());
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -11,6 +11,7 @@
 };
 use shallotfork_roster::{Availability, RosterChange, TargetChange, TargetRecord};
 use shallotfork_routes::{OfferOutcome, RouteTable};
+use shallotfork_statements::{LeavingTargets, TargetRun};
 use shallotfork_types::{Revision, ServiceName, TargetId, Warmup};
 
 use crate::context::lock;
@@ -58,8 +59,14 @@
 /// Expires targets that have been missing for too long.
 pub fn expire_targets(state: &ControlState) {
     update_platform_state(state);
-    let changed = state.roster.borrow_mut().expire(state.context.clock.now());
-    if !changed.is_empty() {
+    let now = state.context.clock.now();
+    let changed = state.roster.borrow_mut().expire(now);
+    let leaving_version = {
+        let mut leaving_targets = lock(&state.context.leaving_targets);
+        leaving_targets.expire(now);
+        leaving_targets.version()
+    };
+    if !changed.is_empty() || leaving_version != state.published_leaving_version.get() {
         publish(state, &changed, &[]);
     }
 }
@@ -123,15 +130,20 @@
         lock(&context.rate_limits).forget(id);
         if matches!(change, RosterChange::Restarted(_)) {
             context.services.all().iter().for_each(|(_, slots)| slots.reset_target(id));
+            lock(&context.leaving_targets).forget(id);
         }
     }
     publish_routes(state);
     if !evacuated.is_empty() {
         publish_evacuated(state);
     }
+    let leaving_version = lock(&context.leaving_targets).version();
+    let has_new_leaving =
+        state.published_leaving_version.replace(leaving_version) != leaving_version;
     let version = state.roster.borrow().version();
-    if state.published_version.replace(version) != version || !evacuated.is_empty() {
-        publish_targets(state);
+    let has_new_targets = state.published_version.replace(version) != version;
+    if has_new_targets || has_new_leaving || !evacuated.is_empty() {
+        publish_targets(state, has_new_leaving);
     }
 }
 
@@ -214,13 +226,15 @@
     slots.set_sharers(names, fleet.share());
 }
 
-/// Publishes the targets, and passes each service's targets to its slots if they have changed.
-fn publish_targets(state: &ControlState) {
+/// Publishes the targets, and passes each service's targets to its slots if they have changed or
+/// `has_new_leaving` is set: then the traffic threads may have stopped the use of some.
+fn publish_targets(state: &ControlState, has_new_leaving: bool) {
     let context = &state.context;
     let roster = state.roster.borrow();
     let targets: HashMap<TargetId, TargetRecord> =
         roster.targets().into_iter().map(|(id, record)| (id.clone(), record.clone())).collect();
-    let by_service = by_service(&targets, &state.evacuations.borrow());
+    let by_service =
+        by_service(&targets, &state.evacuations.borrow(), &lock(&context.leaving_targets));
     let count = targets.len();
     lock(&context.path_monitor).set_targets(targets.keys());
     let published = context.published.load();
@@ -232,7 +246,7 @@
         assigned.keys().filter(|service| !by_service.contains_key(*service)).cloned().collect();
     let emptied = removed.into_iter().map(|service| (service, Vec::new()));
     for (service, targets) in by_service.into_iter().chain(emptied) {
-        if assigned.get(&service) != Some(&targets) {
+        if has_new_leaving || assigned.get(&service) != Some(&targets) {
             let slots = context.slots(&service);
             set_sharers(state, &slots);
             slots.set_warmup(warmup_of(state, &service));
@@ -250,25 +264,28 @@
 fn by_service(
     targets: &HashMap<TargetId, TargetRecord>,
     evacuations: &Evacuations,
+    leaving_targets: &LeavingTargets,
 ) -> BTreeMap<ServiceName, Vec<SlotTarget>> {
     let mut by_service: BTreeMap<ServiceName, Vec<SlotTarget>> = BTreeMap::new();
     for (id, record) in targets {
-        let evacuated = evacuations.contains(&record.failure_domain);
+        let run = TargetRun::new(id.clone(), record.started_at_ms);
+        let is_barred =
+            evacuations.contains(&record.failure_domain) || leaving_targets.is_leaving(&run);
         by_service
             .entry(record.service.clone())
             .or_default()
-            .push(slot_target(id, record, evacuated));
+            .push(slot_target(id, record, is_barred));
     }
     by_service.values_mut().for_each(|targets| targets.sort_by(|a, b| a.id.cmp(&b.id)));
     by_service
 }
 
-fn slot_target(id: &TargetId, record: &TargetRecord, evacuated: bool) -> SlotTarget {
+fn slot_target(id: &TargetId, record: &TargetRecord, is_barred: bool) -> SlotTarget {
     SlotTarget {
         id: id.clone(),
         failure_domain: record.failure_domain.clone(),
         slots: record.slots,
-        serving: record.availability == Availability::Serving && !evacuated,
+        serving: record.availability == Availability::Serving && !is_barred,
         cold_for: record.cold_for,
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -63,6 +63,8 @@
     pub assigned_targets: RefCell<BTreeMap<ServiceName, Vec<SlotTarget>>>,
     /// Version of the roster that was published last.
     pub published_version: Cell<u64>,
+    /// Version of the leaving targets with which the targets were published last.
+    pub published_leaving_version: Cell<u64>,
     /// Addresses at which other entries may be found.
     pub seeds: RefCell<Vec<Endpoint>>,
     /// Becomes true once routes and targets have been read; the traffic side waits for it.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -192,6 +192,7 @@
         recheck_reader_role: Notify::new(),
         assigned_targets: RefCell::new(BTreeMap::new()),
         published_version: Cell::new(0),
+        published_leaving_version: Cell::new(0),
         seeds: RefCell::new(context.settings.seeds.clone()),
         ready,
         known_entries: Cell::new(1),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -125,6 +125,7 @@
         request_started: Notify::new(),
         scheduling_delay: Mutex::default(),
         rate_limits: Mutex::default(),
+        leaving_targets: Mutex::default(),
         path_monitor: Mutex::new(PathMonitor::new(PathConfig::default())),
         path_suspected: Notify::new(),
         isolated: watch::Sender::new(false),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -16,9 +16,10 @@
     AnswerMatch, AttemptFailure, BufferedAnswer, ConnectionPurpose, TargetRequest,
 };
 use shallotfork_quarantine::SendKind;
+use shallotfork_statements::TargetRun;
 use shallotfork_types::{Endpoint, FailureDomain, Permille, TargetId, Verdict};
 
-use crate::context::Context;
+use crate::context::{Context, lock};
 use crate::traffic::attempt_outcome::{
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
@@ -30,7 +31,7 @@
 use crate::traffic::reach::record_reach;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::traffic::service_slots::{ServiceSlots, SlotGuard};
-use crate::traffic::target_statements::record_statements;
+use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Maximum number of unreachable targets before a request is given up. Nothing is sent to these, so
@@ -351,18 +352,20 @@
     let context = &routed.context;
     let target = slot.target().clone();
     let location = location_of(context, &target);
+    let run = target_run(context, &target);
     let sent_at = context.clock.now();
     let timeout = routed.remaining(sent_at);
     let (Some((endpoint, domain)), Some(request)) =
         (location, build_target_request(routed, &target, timeout))
     else {
-        // The target was removed, or its failure domain evacuated, after its selection.
+        // The target was removed, or has said that it is leaving, or its failure domain was evacuated
+        // after its selection.
         return AttemptOutcome::NotSent;
     };
     let owner = |status: StatusCode, headers: &HeaderMap| {
         let owner = answer_owner(context, &routed.request_id, headers);
         if owner == AnswerMatch::Match {
-            record_statements(context, &target, status, headers);
+            record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
         }
         owner
     };
@@ -424,13 +427,15 @@
     crashed: bool,
 }
 
-/// Returns the endpoint and failure domain of a target; `None` if the target was removed or its
-/// failure domain is evacuated.
+/// Returns the endpoint and failure domain of a target; `None` if the target was removed, is leaving,
+/// or its failure domain is evacuated.
 fn location_of(context: &Context, target: &TargetId) -> Option<(Endpoint, FailureDomain)> {
     let published = context.published.load();
     let record = published.targets.get(target)?;
     let is_evacuated = published.evacuated.contains_key(&record.failure_domain);
-    (!is_evacuated).then(|| (record.endpoint, record.failure_domain.clone()))
+    let run = TargetRun::new(target.clone(), record.started_at_ms);
+    let is_leaving = lock(&context.leaving_targets).is_leaving(&run);
+    (!is_evacuated && !is_leaving).then(|| (record.endpoint, record.failure_domain.clone()))
 }
 
 /// Logs an attempt that was not answered successfully.
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -13,12 +13,13 @@
 use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, FailureCause, TargetRequest};
 use shallotfork_reachability::{CheckOutcome, PathChange};
 use shallotfork_roster::Availability;
+use shallotfork_statements::TargetRun;
 use shallotfork_types::{Mono, TargetId};
 
 use crate::context::{Context, lock};
 use crate::traffic::probes::{HealthEndpoint, health_endpoint};
 use crate::traffic::reach::record_reach;
-use crate::traffic::target_statements::record_statements;
+use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Time in which a target must answer a check: the timeout for opening a connection and a few round
@@ -64,16 +65,18 @@
 }
 
 /// Returns the targets to which a check does no harm: those that take work and neither limit their
-/// requests nor are cold.
+/// requests nor are cold or leaving.
 fn checkable_targets(context: &Context) -> Vec<TargetId> {
     let published = context.published.load();
     let rate_limits = lock(&context.rate_limits);
+    let leaving_targets = lock(&context.leaving_targets);
     let is_checkable = |id: &TargetId| {
         published.targets.get(id).is_some_and(|record| {
             record.availability == Availability::Serving
                 && record.cold_for.is_zero()
                 && !published.evacuated.contains_key(&record.failure_domain)
                 && rate_limits.limit(id).is_none()
+                && !leaving_targets.is_leaving(&TargetRun::new(id.clone(), record.started_at_ms))
         })
     };
     let mut targets: Vec<TargetId> =
@@ -114,6 +117,8 @@
     *request.uri_mut() = uri;
     TransferKind::Probes.record_bytes(&domain, message_bytes(request.headers(), 0));
     let is_opened = AtomicBool::new(false);
+    let run = target_run(context, target);
+    let sent_at = context.clock.now();
     let target_request = TargetRequest {
         target,
         endpoint,
@@ -122,7 +127,7 @@
         timeout: CHECK_TIMEOUT + context.scheduling_delay(),
         repeatable: true,
         answer_match: &|status: StatusCode, headers: &HeaderMap| {
-            record_statements(context, target, status, headers);
+            record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
             AnswerMatch::Match
         },
         purpose: ConnectionPurpose::PathCheck,
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -17,7 +17,7 @@
 use crate::traffic::attempt_outcome::parse_reported_load;
 use crate::traffic::reach::{record_reach, record_silence};
 use crate::traffic::service_slots::ServiceSlots;
-use crate::traffic::target_statements::record_statements;
+use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
 use crate::transfer::{TransferKind, message_bytes};
 
 /// Interval at which the pools are polled for targets to probe; half of the interval between two
@@ -125,6 +125,8 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = uri;
     TransferKind::Probes.record_bytes(&domain, message_bytes(request.headers(), 0));
+    let run = target_run(context, target);
+    let sent_at = context.clock.now();
     let target_request = TargetRequest {
         target,
         endpoint,
@@ -132,7 +134,7 @@
         timeout: PROBE_TIMEOUT,
         repeatable: true,
         answer_match: &|status: StatusCode, headers: &HeaderMap| {
-            record_statements(context, target, status, headers);
+            record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
             AnswerMatch::Match
         },
         purpose: ConnectionPurpose::Probe,
@@ -140,7 +142,6 @@
     };
     counter!("shallotfork_probes").increment(1);
     context.probe_counts.record_sent();
-    let sent_at = context.clock.now();
     let result = context.target_connections.send(target_request).await;
     record_reach(context, target, is_accepted.load(Ordering::Relaxed), &result);
     let Ok(answer) = result else {
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -209,6 +209,13 @@
         self.lock().pool.reset_target(target, now);
     }
 
+    /// Stops the use of a target until targets are published that take new work again.
+    pub fn stop_serving(self: &Arc<Self>, target: &TargetId) {
+        let now = self.clock.now();
+        let resolved = self.lock().pool.stop_serving(target, now);
+        self.deliver(resolved);
+    }
+
     /// Discards the failures of all targets.
     pub fn clear_failures(self: &Arc<Self>) {
         let now = self.clock.now();
--- a/crates/gateway/src/traffic/target_statements.rs
+++ b/crates/gateway/src/traffic/target_statements.rs
@@ -6,9 +6,10 @@
 use http::header::{HeaderName, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use shallotfork_events::{STATEMENT_INVALID, TARGET_LEAVING, TARGET_RESTING, event};
-use shallotfork_types::TargetId;
+use shallotfork_statements::TargetRun;
+use shallotfork_types::{Mono, TargetId};
 
-use crate::context::Context;
+use crate::context::{Context, lock};
 use crate::log_budget::LogDecision;
 
 /// Longest rest that a target can ask for. A longer one is more likely an error than a wish, and would
@@ -19,23 +20,42 @@
 /// Value of the header of a target that is not leaving.
 const IS_STAYING: &str = "0";
 
+/// The run of a target that an answer comes from.
+#[derive(Debug, Clone, Copy)]
+pub struct StatedBy<'a> {
+    /// Run of the target to which the request was sent, as far as it was known then.
+    pub run: &'a TargetRun,
+    /// Time at which the request was sent.
+    pub sent_at: Mono,
+}
+
+/// Returns the current run of a target as the platform publishes it.
+pub fn target_run(context: &Context, target: &TargetId) -> TargetRun {
+    let published = context.published.load();
+    let record = published.targets.get(target);
+    TargetRun::new(target.clone(), record.and_then(|record| record.started_at_ms))
+}
+
 /// Records what an answer's head says about its target. Called for every answer that belongs to its
 /// request, whatever becomes of the body.
 pub fn record_statements(
     context: &Context,
-    target: &TargetId,
+    stated_by: &StatedBy<'_>,
     status: StatusCode,
     headers: &HeaderMap,
 ) {
+    let StatedBy { run, sent_at } = *stated_by;
+    let target = &run.target;
     // Another target answers at the address.
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    if states_leaving(context, target, headers)
-        && let LogDecision::Write { .. } =
-            context.invalid_log_budget.try_acquire(context.clock.now())
-    {
-        event!(context.log, TARGET_LEAVING, "target" => target.as_str());
+    if states_leaving(context, target, headers) {
+        if lock(&context.leaving_targets).record_leaving(run, context.clock.now()) {
+            stop_sending(context, run, "own");
+        }
+    } else if status.is_success() && headers.contains_key(&context.dialect.headers.signature) {
+        lock(&context.leaving_targets).record_staying(run, sent_at);
     }
     if let Some(rest) = requested_rest(context, target, status, headers)
         && let LogDecision::Write { .. } =
@@ -46,6 +66,20 @@
     }
 }
 
+/// Stops sending requests to a target that is leaving, unless it has started again since. `source` is `own` for an answer to this process
+/// and `peer` for a report from a peer.
+pub fn stop_sending(context: &Context, run: &TargetRun, source: &str) {
+    let current = target_run(context, &run.target);
+    if !lock(&context.leaving_targets).is_leaving(&current) {
+        return;
+    }
+    for (_, slots) in context.services.all() {
+        slots.stop_serving(&run.target);
+    }
+    context.target_connections.close_idle(&run.target);
+    event!(context.log, TARGET_LEAVING, "target" => run.target.as_str(), "source" => source);
+}
+
 fn states_leaving(context: &Context, target: &TargetId, headers: &HeaderMap) -> bool {
     let name = &context.dialect.headers.leaving;
     let Some(value) = headers.get(name) else { return false };
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -159,6 +159,7 @@
         domain_entries: 0,
         crash_reports: Vec::new(),
         rate_limits: Vec::new(),
+        leaving_targets: Vec::new(),
         quarantine_digest: Default::default(),
         is_overloaded: false,
         restart_safe: false,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -55,6 +55,8 @@
   isolated @21 :Bool;
   # The sender reaches no target.
 
+  leavingTargets @22 :List(LeavingTarget);
+
   enum State {
     live @0;
     leaving @1;
@@ -98,6 +100,16 @@
   # Time since the last answer on which the record is based.
 }
 
+struct LeavingTarget {
+  # A target that has said in an answer that it is leaving.
+
+  target @0 :Text;
+  startedAtMs @1 :UInt64;
+  # Start of its process in Unix milliseconds; 0 if it is not known.
+  answeredMs @2 :UInt32;
+  # Time since that answer.
+}
+
 struct LoadHint {
   target @0 :Text;
   loadPermille @1 :UInt32;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,6 +4,7 @@
 
 use shallotfork_measure::RateLimitReport;
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
+use shallotfork_statements::LeavingReport;
 use shallotfork_types::{
     Bytes, Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision,
     TargetId, VmId,
@@ -77,6 +78,8 @@
     pub quarantine_digest: QuarantineDigest,
     /// Recently changed or refreshed rate limits of targets.
     pub rate_limits: Vec<RateLimitReport>,
+    /// Targets that have recently said that they are leaving.
+    pub leaving_targets: Vec<LeavingReport>,
     /// Whether a sudden end of the sender would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -10,6 +10,7 @@
     SealedOperation, SealedOutcome, SealedSession, Secret,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
+use shallotfork_statements::{LeavingReport, TargetRun};
 use shallotfork_types::{
     Bytes, IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille,
     RequestRate, Revision, TargetId,
@@ -161,6 +162,13 @@
             write_rate_limit(report, rate_limits.reborrow().get(index));
         }
     }
+    if !heartbeat.leaving_targets.is_empty() {
+        let mut leaving_targets =
+            to.reborrow().init_leaving_targets(list_length(heartbeat.leaving_targets.len()));
+        for (index, report) in (0..).zip(&heartbeat.leaving_targets) {
+            write_leaving_target(report, leaving_targets.reborrow().get(index));
+        }
+    }
     if !heartbeat.updates.is_empty() {
         let mut updates = to.reborrow().init_news(list_length(heartbeat.updates.len()));
         for (index, update) in (0..).zip(&heartbeat.updates) {
@@ -227,6 +235,24 @@
     })
 }
 
+/// Wire value for an unknown start of a target.
+const UNKNOWN_START_MS: u64 = 0;
+
+fn write_leaving_target(report: &LeavingReport, mut to: schema::leaving_target::Builder<'_>) {
+    to.set_target(report.run.target.as_str());
+    to.set_started_at_ms(report.run.started_at_ms.unwrap_or(UNKNOWN_START_MS));
+    to.set_answered_ms(write_age(Some(report.answered_ago)));
+}
+
+fn read_leaving_target(from: schema::leaving_target::Reader<'_>) -> Result<LeavingReport> {
+    let target = TargetId::new(from.get_target()?.to_str()?).map_err(to_capnp_error)?;
+    let started_at_ms = from.get_started_at_ms();
+    Ok(LeavingReport {
+        run: TargetRun::new(target, (started_at_ms != UNKNOWN_START_MS).then_some(started_at_ms)),
+        answered_ago: Duration::from_millis(from.get_answered_ms().into()),
+    })
+}
+
 /// Wire value for an unknown age.
 const UNKNOWN_AGE_MS: u32 = u32::MAX;
 
@@ -277,6 +303,11 @@
         crash_reports: from.get_crash_reports()?.iter().map(read_crash_report).collect(),
         quarantine_digest: QuarantineDigest::new(from.get_quarantine_digest()),
         rate_limits: from.get_rate_limits()?.iter().map(read_rate_limit).collect::<Result<_>>()?,
+        leaving_targets: from
+            .get_leaving_targets()?
+            .iter()
+            .map(read_leaving_target)
+            .collect::<Result<_>>()?,
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         capacity: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -19,6 +19,7 @@
     encode_values,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
+use shallotfork_statements::{LeavingReport, TargetRun};
 use shallotfork_types::{
     Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille,
     RequestRate, Revision, TargetId, VmId,
@@ -223,6 +224,11 @@
     RateLimitReport { target, limit, answered_ago: Duration::from_millis(30) }
 }
 
+fn leaving_target(started_at_ms: Option<u64>) -> LeavingReport {
+    let run = TargetRun::new(TargetId::new("t3").unwrap(), started_at_ms);
+    LeavingReport { run, answered_ago: Duration::from_millis(25) }
+}
+
 fn heartbeat() -> Heartbeat {
     let target = TargetId::new("t1").unwrap();
     Heartbeat {
@@ -251,6 +257,7 @@
             rate_limit(Some(RequestRate::ZERO)),
             rate_limit(None),
         ],
+        leaving_targets: vec![leaving_target(Some(17)), leaving_target(None)],
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         capacity: PerSecond::new(700),
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -129,6 +129,7 @@
         domain_entries: 0,
         crash_reports: Vec::new(),
         rate_limits: Vec::new(),
+        leaving_targets: Vec::new(),
         quarantine_digest: Default::default(),
         is_overloaded: false,
         restart_safe: state.ledger.borrow().running() == 0,
--- /dev/null
+++ b/crates/statements/src/lib.rs
@@ -0,0 +1,7 @@
+//! What targets state about themselves in their answers, and which requests that keeps from them.
+
+mod leaving;
+mod target_run;
+
+pub use leaving::{LeavingReport, LeavingTargets};
+pub use target_run::TargetRun;
