fix(gateway,statements,balance): a target that asks for rest gets nothing until it is over

What was seen: a target had turned an entry away with 503 and asked for 3 s of rest, and got three to five requests from it meanwhile.

The time that a target asks for was not read; it was ejected for the usual 0.4 s, doubled with each failure, and any answer that was under way ended that.

Such a target gets no first sends, retries, hedges, load probes or checks of the path from this entry, whatever its other answers and the other targets do; a slot that was assigned before is not used. If all serving targets of a service rest, requests are refused at once and callers told the end of the first rest. Nothing is told to peers: the rest is asked of one entry.

--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -163,6 +163,13 @@
         self.add_warmup_shares(now);
     }
 
+    /// Sets the time until which a target wants no requests from this process.
+    pub fn set_rest(&mut self, id: &TargetId, until: Mono, now: Mono) -> Vec<ResolvedTicket> {
+        let Some(target) = self.targets.get_mut(id) else { return Vec::new() };
+        target.set_rest(until);
+        self.wake(now)
+    }
+
     /// Discards the failures of all targets, which were those of this process's own path to them.
     pub fn clear_failures(&mut self, now: Mono) -> Vec<ResolvedTicket> {
         self.targets.values_mut().for_each(Target::clear_failures);
@@ -289,11 +296,12 @@
     }
 
     /// Returns whether a later slot or one at another target is better than the assigned one,
-    /// because the target takes no new work any more, has turned cold, reports a slow phase, or is
+    /// because the target takes no new work any more, rests, has turned cold, reports a slow phase, or is
     /// filled by other processes.
     pub fn is_unfit(&self, assignment: &Assignment, request: &SlotRequest, now: Mono) -> bool {
         let Some(target) = self.targets.get(&assignment.target) else { return true };
         !target.published.serving
+            || target.resting_until(now).is_some()
             || target.was_assigned_warm(assignment.attempt)
             || target.is_overfilled(now)
             || target.is_slow(request, now, &self.config, &self.estimates)
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -87,6 +87,8 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<Mono>,
+    /// Time until which the target wants no requests from this process.
+    resting_until: Option<Mono>,
     foreign_requests: Option<ForeignRequests>,
     pub(super) cold_until: Mono,
     /// Whether the target itself has reported in a health answer that it is cold. The published
@@ -118,6 +120,7 @@
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: None,
+            resting_until: None,
             foreign_requests: None,
             cold_until,
             has_reported_cold: false,
@@ -154,6 +157,15 @@
         self.ejected_until
     }
 
+    pub(super) fn set_rest(&mut self, until: Mono) {
+        self.resting_until = Some(until);
+    }
+
+    /// Returns the end of the target's rest; `None` if it does not rest.
+    pub(super) fn resting_until(&self, now: Mono) -> Option<Mono> {
+        self.resting_until.filter(|until| *until > now)
+    }
+
     /// Returns whether an attempt runs so much longer than expected that the target seems to hang.
     pub(super) fn is_overdue(&self, now: Mono, config: &SlotPoolConfig) -> bool {
         self.running.iter().any(|running| {
@@ -181,7 +193,9 @@
 
     /// Returns whether this process may send requests to the target, now or later.
     pub(super) fn accepts_work(&self, now: Mono) -> bool {
-        self.published.serving && self.shares(now).all(|share| share.share() > RequestRate::ZERO)
+        self.published.serving
+            && self.resting_until(now).is_none()
+            && self.shares(now).all(|share| share.share() > RequestRate::ZERO)
     }
 
     /// Returns the number of free slots that this process may fill; zero until its shares of the
@@ -194,7 +208,7 @@
         estimates: &Estimates,
         has_reached_share: bool,
     ) -> u32 {
-        if !self.may_send(now) {
+        if !self.may_send(now) || self.resting_until(now).is_some() {
             return 0;
         }
         if !has_reached_share || !self.is_remote(config) {
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -86,12 +86,15 @@
         Duration::from_micros(wait_us as u64)
     }
 
-    /// Returns the number of slots that this process can keep busy. A target that is cold or has a
-    /// rate limit counts only for the slots that this process's share occupies on average.
+    /// Returns the number of slots that this process can keep busy. A resting target doesn't
+    /// count, and one that is cold or has a rate limit only for the slots that this process's share occupies on average.
     fn effective_slots(&self, now: Mono) -> f64 {
         let usual_s = self.estimates.mean_work_us() / 1e6;
         let unused_at = |target: &Target| {
             let slots = f64::from(target.usable_slots(&self.estimates));
+            if target.resting_until(now).is_some() {
+                return slots;
+            }
             let used = target.shares(now).map(|share| share.share().per_s() * usual_s);
             (slots - used.fold(slots, f64::min)).max(0.0)
         };
@@ -100,7 +103,17 @@
         f64::from(self.usable_slots().max(1)) - unused
     }
 
+    /// Returns the end of the first rest if all serving targets rest.
+    fn all_resting_until(&self, now: Mono) -> Option<Mono> {
+        let serving = self.targets.values().filter(|target| target.published.serving);
+        let rests: Option<Vec<Mono>> = serving.map(|target| target.resting_until(now)).collect();
+        rests?.into_iter().min()
+    }
+
     pub(super) fn shed(&self, reason: ShedReason, now: Mono) -> Shed {
+        if let Some(until) = self.all_resting_until(now) {
+            return Shed { retry_after: until.since(now), reason };
+        }
         let reinstated_at = self.targets.values().filter_map(Target::ejected_until);
         let reinstated_at = reinstated_at.filter(|until| *until > now).min();
         let wait = match (reason, reinstated_at) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -14,7 +14,7 @@
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
 use shallotfork_reachability::PathMonitor;
 use shallotfork_routes::{Route, RouteName, Splitter};
-use shallotfork_statements::LeavingTargets;
+use shallotfork_statements::{LeavingTargets, Rests};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
 use tokio::sync::{Notify, watch};
@@ -91,6 +91,8 @@
     pub isolated: watch::Sender<bool>,
     /// Targets that have said that they are leaving.
     pub leaving_targets: Mutex<LeavingTargets>,
+    /// Targets that have asked this process for rest.
+    pub rests: Mutex<Rests>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
     /// Crash records of requests, shared by the traffic and control threads.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -19,7 +19,7 @@
 use crate::control::state::ControlState;
 use crate::log_budget::LogDecision;
 use crate::snapshot::Published;
-use crate::traffic::ServiceSlots;
+use crate::traffic::{ServiceSlots, target_run};
 use shallotfork_feed::{Decoded, FeedChanges, RawItem};
 use shallotfork_fleet::OwnState;
 
@@ -131,6 +131,7 @@
         if matches!(change, RosterChange::Restarted(_)) {
             context.services.all().iter().for_each(|(_, slots)| slots.reset_target(id));
             lock(&context.leaving_targets).forget(id);
+            lock(&context.rests).forget(id);
         }
     }
     publish_routes(state);
@@ -254,6 +255,13 @@
             for (target, limit) in lock(&context.rate_limits).all() {
                 slots.set_rate_limit(target, Some(limit));
             }
+            // A target that was unlisted for a moment may still rest.
+            let now = context.clock.now();
+            for target in &targets {
+                let run = target_run(context, &target.id);
+                let resting_until = lock(&context.rests).resting_until(&run, now);
+                resting_until.into_iter().for_each(|until| slots.set_rest(&target.id, until));
+            }
             assigned.insert(service, targets);
         }
     }
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -154,6 +154,7 @@
                 state.context.entry_connections.prune_idle();
                 lock(&state.context.quarantine).expire(state.now());
                 expire_rate_limits(&state.context);
+                lock(&state.context.rests).expire(state.now());
             }
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -126,6 +126,7 @@
         scheduling_delay: Mutex::default(),
         rate_limits: Mutex::default(),
         leaving_targets: Mutex::default(),
+        rests: Mutex::default(),
         path_monitor: Mutex::new(PathMonitor::new(PathConfig::default())),
         path_suspected: Notify::new(),
         isolated: watch::Sender::new(false),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -358,8 +358,8 @@
     let (Some((endpoint, domain)), Some(request)) =
         (location, build_target_request(routed, &target, timeout))
     else {
-        // The target was removed, or has said that it is leaving, or its failure domain was evacuated
-        // after its selection.
+        // The target was removed, has said that it is leaving or wants rest, or its failure domain was
+        // evacuated after its selection.
         return AttemptOutcome::NotSent;
     };
     let owner = |status: StatusCode, headers: &HeaderMap| {
@@ -427,15 +427,17 @@
     crashed: bool,
 }
 
-/// Returns the endpoint and failure domain of a target; `None` if the target was removed, is leaving,
-/// or its failure domain is evacuated.
+/// Returns the endpoint and failure domain of a target; `None` if the target was removed, is leaving
+/// or rests, or its failure domain is evacuated.
 fn location_of(context: &Context, target: &TargetId) -> Option<(Endpoint, FailureDomain)> {
     let published = context.published.load();
     let record = published.targets.get(target)?;
     let is_evacuated = published.evacuated.contains_key(&record.failure_domain);
     let run = TargetRun::new(target.clone(), record.started_at_ms);
     let is_leaving = lock(&context.leaving_targets).is_leaving(&run);
-    (!is_evacuated && !is_leaving).then(|| (record.endpoint, record.failure_domain.clone()))
+    let is_resting = lock(&context.rests).resting_until(&run, context.clock.now()).is_some();
+    (!is_evacuated && !is_leaving && !is_resting)
+        .then(|| (record.endpoint, record.failure_domain.clone()))
 }
 
 /// Logs an attempt that was not answered successfully.
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -28,4 +28,4 @@
 pub use scheduling_delay::monitor_scheduling_delay;
 pub use service_load::report_service_load;
 pub use service_slots::ServiceSlots;
-pub use target_statements::stop_sending;
+pub use target_statements::{stop_sending, target_run};
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -65,18 +65,21 @@
 }
 
 /// Returns the targets to which a check does no harm: those that take work and neither limit their
-/// requests nor are cold or leaving.
+/// requests nor are cold, leaving or at rest.
 fn checkable_targets(context: &Context) -> Vec<TargetId> {
     let published = context.published.load();
     let rate_limits = lock(&context.rate_limits);
-    let leaving_targets = lock(&context.leaving_targets);
+    let (leaving_targets, rests) = (lock(&context.leaving_targets), lock(&context.rests));
+    let now = context.clock.now();
     let is_checkable = |id: &TargetId| {
         published.targets.get(id).is_some_and(|record| {
+            let run = TargetRun::new(id.clone(), record.started_at_ms);
             record.availability == Availability::Serving
                 && record.cold_for.is_zero()
                 && !published.evacuated.contains_key(&record.failure_domain)
                 && rate_limits.limit(id).is_none()
-                && !leaving_targets.is_leaving(&TargetRun::new(id.clone(), record.started_at_ms))
+                && !leaving_targets.is_leaving(&run)
+                && rests.resting_until(&run, now).is_none()
         })
     };
     let mut targets: Vec<TargetId> =
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -209,6 +209,13 @@
         self.lock().pool.reset_target(target, now);
     }
 
+    /// Sets the time until which a target wants no requests from this process.
+    pub fn set_rest(self: &Arc<Self>, target: &TargetId, until: Mono) {
+        let now = self.clock.now();
+        let resolved = self.lock().pool.set_rest(target, until, now);
+        self.deliver(resolved);
+    }
+
     /// Stops the use of a target until targets are published that take new work again.
     pub fn stop_serving(self: &Arc<Self>, target: &TargetId) {
         let now = self.clock.now();
--- a/crates/gateway/src/traffic/target_statements.rs
+++ b/crates/gateway/src/traffic/target_statements.rs
@@ -57,15 +57,22 @@
     } else if status.is_success() && headers.contains_key(&context.dialect.headers.signature) {
         lock(&context.leaving_targets).record_staying(run, sent_at);
     }
-    if let Some(rest) = requested_rest(context, target, status, headers)
-        && let LogDecision::Write { .. } =
-            context.invalid_log_budget.try_acquire(context.clock.now())
-    {
-        event!(context.log, TARGET_RESTING, "target" => target.as_str(),
-            "rest_ms" => u64::try_from(rest.as_millis()).unwrap_or(u64::MAX));
+    if let Some(rest) = requested_rest(context, target, status, headers) {
+        let until = context.clock.now().plus(rest);
+        let changed = lock(&context.rests).record(run, until);
+        changed.into_iter().for_each(|until| begin_rest(context, target, rest, until));
     }
 }
 
+/// Sends no requests to a target until the rest that it has asked for is over.
+fn begin_rest(context: &Context, target: &TargetId, rest: Duration, until: Mono) {
+    for (_, slots) in context.services.all() {
+        slots.set_rest(target, until);
+    }
+    event!(context.log, TARGET_RESTING, "target" => target.as_str(),
+        "rest_ms" => u64::try_from(rest.as_millis()).unwrap_or(u64::MAX));
+}
+
 /// Stops sending requests to a target that is leaving, unless it has started again since. `source` is `own` for an answer to this process
 /// and `peer` for a report from a peer.
 pub fn stop_sending(context: &Context, run: &TargetRun, source: &str) {
