fix(gateway): a forwarded request that may have run is not rejected as not run

What was seen: a read that had run at a target, and was given up there when its entry lost its path, got 503 from the entry to which it was forwarded, which had not sent it anywhere. That status promises that a request has not run.

Cause: the other entry's answer was passed on unchanged, whatever had become of the first attempt.

Change: after an attempt that may have run, a status that promises the opposite becomes 502. Idempotent attempts in flight are given up only if no target answers on open connections either. Targets of services that are not known yet are not checked: before the first routes, all checks would fail.

--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -45,6 +45,13 @@
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(200);
 /// Timeout of the check whether a target's port refuses connections after a failed attempt.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Statuses that tell a caller that its request has not run and will not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 /// Share of the fleet's fixed retry allowance for the advertised entries. After a change of the
 /// advertised entry, some callers use the previous one until their cached answer expires, so twice
 /// this share must be less than the whole.
@@ -246,8 +253,17 @@
         CompletedRequest { outcome, tried, queued, is_forwarded: false }
     }
 
-    /// Completes a request that was forwarded to another entry.
+    /// Completes a request that was forwarded to another entry. The other entry's rejection does not
+    /// cover an earlier attempt of this one.
     fn complete_forwarded(self, outcome: RequestOutcome) -> CompletedRequest {
+        let outcome = match outcome {
+            RequestOutcome::Answered(answer)
+                if self.may_have_run && NOT_RUN_STATUSES.contains(&answer.status) =>
+            {
+                RequestOutcome::MayHaveRun { timed_out: false }
+            }
+            outcome => outcome,
+        };
         CompletedRequest { is_forwarded: true, ..self.complete(outcome) }
     }
 
@@ -276,21 +292,25 @@
     }
 }
 
-/// Sends the request as [`send_with_hedge`] does, and gives up an idempotent request that is to be
-/// forwarded because this process has lost its path to the targets.
+/// Sends the request as [`send_with_hedge`] does. Gives up an idempotent request that can be forwarded
+/// once this process has lost its path and no target answers on open connections either.
 async fn send_until_forwarded(
     routed: &RoutedRequest,
     slot: SlotGuard,
     history: &mut AttemptHistory,
 ) -> AttemptOutcome {
-    let sending = send_with_hedge(routed, slot, history);
+    let mut sending = pin!(send_with_hedge(routed, slot, history));
     if !routed.is_idempotent() {
         return sending.await;
     }
     tokio::select! {
-        outcome = sending => outcome,
-        () = wait_until_forwarded(routed) => AttemptOutcome::Lost,
+        outcome = &mut sending => return outcome,
+        () = wait_until_forwarded(routed) => {}
+    }
+    if reject_without_path(&routed.context).is_some() {
+        return AttemptOutcome::Lost;
     }
+    sending.await
 }
 
 /// Sends the request to a target and, if it takes far longer than usual, a hedge to a second one.
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -64,8 +64,8 @@
     outcomes.is_empty() || outcomes.contains(&CheckOutcome::Answered)
 }
 
-/// Returns the targets to which a check does no harm: those that take work and neither limit their
-/// requests nor are cold, leaving or at rest.
+/// Returns the targets to which a check can be sent and does no harm: those that take work for a known
+/// service and neither limit their requests nor are cold, leaving or at rest.
 fn checkable_targets(context: &Context) -> Vec<TargetId> {
     let published = context.published.load();
     let rate_limits = lock(&context.rate_limits);
@@ -74,7 +74,9 @@
     let is_checkable = |id: &TargetId| {
         published.targets.get(id).is_some_and(|record| {
             let run = TargetRun::new(id.clone(), record.started_at_ms);
-            record.availability == Availability::Serving
+            let table = published.table.as_ref();
+            table.is_some_and(|table| table.services().contains_key(&record.service))
+                && record.availability == Availability::Serving
                 && record.cold_for.is_zero()
                 && !published.evacuated.contains_key(&record.failure_domain)
                 && rate_limits.limit(id).is_none()
--- a/crates/reachability/src/evidence.rs
+++ b/crates/reachability/src/evidence.rs
@@ -46,12 +46,19 @@
     /// Records that a target answered.
     pub(crate) fn record_answer(&mut self, target: &TargetId, now: Mono) {
         self.last_answer_at = Some(now);
-        self.by_target.insert(target.clone(), Evidence { is_reached: true, at: now });
+        self.record(target, Evidence { is_reached: true, at: now });
     }
 
     /// Records that no connection to a target could be opened, or that it ended without an answer.
     pub(crate) fn record_failure(&mut self, target: &TargetId, now: Mono) {
-        self.by_target.insert(target.clone(), Evidence { is_reached: false, at: now });
+        self.record(target, Evidence { is_reached: false, at: now });
+    }
+
+    fn record(&mut self, target: &TargetId, evidence: Evidence) {
+        match self.by_target.get_mut(target) {
+            Some(latest) => *latest = evidence,
+            None => drop(self.by_target.insert(target.clone(), evidence)),
+        }
     }
 
     /// Returns when a target answered, if that is the latest evidence of it.
