docs(gateway,reachability): plainer words in two comments

Cause: read again as a newcomer, two comments had no term of the field ("a wish", "whoever selects targets").

--- a/crates/gateway/src/traffic/target_statements.rs
+++ b/crates/gateway/src/traffic/target_statements.rs
@@ -12,8 +12,8 @@
 use crate::context::{Context, lock};
 use crate::log_budget::LogDecision;
 
-/// Longest rest that a target can ask for. A longer one is more likely an error than a wish, and would
-/// leave the target unused for long after it.
+/// Maximum rest that a target can request. Longer values are truncated to it: an erroneous one would
+/// leave a healthy target unused for hours.
 const REST_MAX: Duration = Duration::from_secs(60);
 /// Value of the header of a target that is leaving.
 const IS_LEAVING: &str = "1";
--- a/crates/reachability/src/lib.rs
+++ b/crates/reachability/src/lib.rs
@@ -1,7 +1,7 @@
 //! Which targets a process reaches, and whether its own path to all of them is lost.
 //!
-//! A target that fails is left out by whoever selects targets. A process that reaches no target has
-//! lost its own path; only a comparison of several targets tells the two apart.
+//! A failed target is ejected by the slot pool of its service. A process that reaches no target has
+//! lost its own path instead; only a comparison of several targets distinguishes the two.
 
 mod evidence;
 mod path_monitor;
