feat(gateway,events,types): log the platform's epoch, lost history, dropped full reads and where routes came from

Needed to tell apart why a change is not in force: no line named a rejected watch, a full read that was dropped, the history that an answer belongs to, or the source of the routes in force. New lines 6004, 6005 and 6006, the field source of line 2005, metrics shallotfork_platform_calls (by call and outcome), shallotfork_platform_epoch and shallotfork_platform_answer_age_seconds. No decision reads any of them.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -63,6 +63,9 @@
     PLATFORM_DISCONNECTED = 6001 Warning "platform unreachable";
     PLATFORM_RECONNECTED = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
+    PLATFORM_HISTORY_LOST = 6004 Warning "platform no longer has the changes after the known revision";
+    PLATFORM_READ_DROPPED = 6005 Warning "full read of the platform dropped: later changes are known";
+    PLATFORM_RESTORED = 6006 Warning "platform restored from a copy";
     REQUEST_REJECTED = 7001 Info "request refused";
     REQUEST_ANSWERED = 7002 Info "request answered";
     REQUEST_NOT_ANSWERED = 7003 Warning "request not answered: it may have run";
--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 
 use crate::feed::{FeedChanges, RawItem};
 
@@ -86,7 +86,10 @@
             .cloned()
             .collect();
         items.sort_by_key(|item| item.revision);
-        PullResponse { changes: FeedChanges { items, revision: self.position }, is_snapshot }
+        PullResponse {
+            changes: FeedChanges { items, epoch: Epoch::NONE, revision: self.position },
+            is_snapshot,
+        }
     }
 
     fn drop_tombstones(&mut self) {
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -7,7 +7,7 @@
 use shallotfork_evacuation::EvacuationChange;
 use shallotfork_roster::TargetChange;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 use thiserror::Error;
 
 /// How old a response of the platform may be.
@@ -35,6 +35,8 @@
 pub struct FeedPage {
     /// Items of this page.
     pub items: Vec<RawItem>,
+    /// History of the platform that answered.
+    pub epoch: Epoch,
     /// Revision of the platform at the time of the response; items on later pages may be newer.
     pub revision: Revision,
     /// Key after which the next page begins; `None` on the last page.
@@ -46,6 +48,8 @@
 pub struct FeedChanges {
     /// Changed and removed items, ordered by revision.
     pub items: Vec<RawItem>,
+    /// History of the platform that the changes belong to.
+    pub epoch: Epoch,
     /// Revision after which the next incremental read continues.
     pub revision: Revision,
 }
@@ -61,7 +65,10 @@
     Rejected(u16),
     /// The platform no longer keeps the changes after the requested revision.
     #[error("platform no longer keeps the changes after the requested revision")]
-    HistoryLost,
+    HistoryLost {
+        /// History of the platform that answered.
+        epoch: Epoch,
+    },
     /// The response does not follow the platform's protocol.
     #[error("platform response is not readable: {0}")]
     Unreadable(String),
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::QuickCheck;
 use shallotfork_feed::{Archive, FeedChanges, PullError, PullResponse, RawItem};
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 
 fn item(key: u8, revision: u64, content: Option<&str>) -> RawItem {
     let content = content.map(|text| text.as_bytes().to_vec());
@@ -10,7 +10,7 @@
 }
 
 fn changes(items: Vec<RawItem>, revision: u64) -> FeedChanges {
-    FeedChanges { items, revision: Revision::new(revision) }
+    FeedChanges { items, epoch: Epoch::NONE, revision: Revision::new(revision) }
 }
 
 fn archive() -> Archive {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -75,6 +75,8 @@
     pub answer_deadline: watch::Sender<Option<Mono>>,
     /// Budget for log lines about successful requests.
     pub request_log_budget: LogBudget,
+    /// Budget for log lines about answers of the platform that do not follow what is known.
+    pub feed_log_budget: LogBudget,
     /// Budget for log lines about invalid data from targets.
     pub invalid_log_budget: LogBudget,
     /// Signalled when a request starts.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -33,10 +33,11 @@
     evacuations: Vec<EvacuationChange>,
 }
 
-/// Applies the result of a full read that began at `revision`.
-pub fn apply_snapshot(state: &ControlState, items: &[RawItem], revision: Revision) {
+/// Applies the result of a full read that began at `revision`. `source` is where it comes from, for
+/// the log.
+pub fn apply_snapshot(state: &ControlState, items: &[RawItem], revision: Revision, source: &str) {
     state.archive.borrow_mut().replace(items, revision);
-    let DecodedChanges { targets, evacuations } = apply_routes(state, items);
+    let DecodedChanges { targets, evacuations } = apply_routes(state, items, source);
     let now = state.context.clock.now();
     let evacuated = state.evacuations.borrow_mut().replace(evacuations, revision, now);
     let changed = state.roster.borrow_mut().replace(targets, revision, now);
@@ -44,12 +45,12 @@
 }
 
 /// Applies the changes that follow the position of the archive.
-pub fn apply_changes(state: &ControlState, changes: &FeedChanges) {
+pub fn apply_changes(state: &ControlState, changes: &FeedChanges, source: &str) {
     state.archive.borrow_mut().apply(changes);
     if changes.items.is_empty() {
         return;
     }
-    let DecodedChanges { targets, evacuations } = apply_routes(state, &changes.items);
+    let DecodedChanges { targets, evacuations } = apply_routes(state, &changes.items, source);
     let now = state.context.clock.now();
     let evacuated = state.evacuations.borrow_mut().apply(evacuations, now);
     let changed = state.roster.borrow_mut().apply(targets, now);
@@ -72,13 +73,13 @@
 }
 
 /// Applies the routes among the items and returns the other changes.
-fn apply_routes(state: &ControlState, items: &[RawItem]) -> DecodedChanges {
+fn apply_routes(state: &ControlState, items: &[RawItem], source: &str) -> DecodedChanges {
     let mut decoded = DecodedChanges::default();
     for item in items {
         match state.feed.decode(item) {
             Decoded::Routes { table, ignored } => {
                 ignored.iter().for_each(|reason| log_ignored(state, item, reason));
-                offer(state, table, item.revision);
+                offer(state, table, item.revision, source);
             }
             Decoded::BadRoutes(reason) => {
                 event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
@@ -111,11 +112,11 @@
         "revision" => item.revision.value(), "left_out" => left_out);
 }
 
-fn offer(state: &ControlState, table: RouteTable, revision: Revision) {
+fn offer(state: &ControlState, table: RouteTable, revision: Revision, source: &str) {
     let (version, routes) = (table.version(), table.routes().count());
     if state.in_force.borrow_mut().offer(table) == OfferOutcome::Accepted {
         event!(state.context.log, ROUTES_ACCEPTED, "version" => version.number(),
-            "routes" => routes, "revision" => revision.value());
+            "routes" => routes, "revision" => revision.value(), "source" => source);
     }
 }
 
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -72,7 +72,7 @@
         }
     })?;
     let Changes { revision, is_snapshot, .. } = changes;
-    match apply_response(state, changes) {
+    match apply_response(state, changes, source.client.peer().vm.as_str()) {
         Ok(items) => log_pull(
             state,
             source,
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -1,7 +1,7 @@
 //! Applies published items that were pulled from other entries.
 
 use shallotfork_peer::{Bundle, Changes, Heartbeat, ValueChange, decode_values};
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 
 use crate::control::publish::{apply_changes, apply_snapshot};
 use crate::control::reader::mark_synced;
@@ -37,7 +37,11 @@
 ///
 /// # Errors
 /// Returns an error if the answer can't be decoded or does not fit the archive.
-pub fn apply_response(state: &ControlState, changes: Changes) -> Result<usize, PullError> {
+pub fn apply_response(
+    state: &ControlState,
+    changes: Changes,
+    source: &str,
+) -> Result<usize, PullError> {
     let Changes { revision, mut values, is_snapshot, bundle } = changes;
     if let Some(Bundle { content, unpacked_size }) = bundle {
         let content = unpack(&content, unpacked_size)?;
@@ -46,12 +50,13 @@
     }
     let items = values.into_iter().map(decode_item).collect::<Result<Vec<_>, _>>()?;
     let count = items.len();
-    let response = PullResponse { changes: FeedChanges { items, revision }, is_snapshot };
+    let response =
+        PullResponse { changes: FeedChanges { items, epoch: Epoch::NONE, revision }, is_snapshot };
     state.archive.borrow().check(&response)?;
     if is_snapshot {
-        apply_snapshot(state, &response.changes.items, revision);
+        apply_snapshot(state, &response.changes.items, revision, source);
     } else {
-        apply_changes(state, &response.changes);
+        apply_changes(state, &response.changes, source);
     }
     mark_synced(state);
     Ok(count)
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -3,14 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::{counter, gauge};
 use rand::RngExt;
-use shallotfork_events::{PLATFORM_DISCONNECTED, PLATFORM_RECONNECTED, event};
-use shallotfork_types::Revision;
+use shallotfork_events::{
+    PLATFORM_DISCONNECTED, PLATFORM_HISTORY_LOST, PLATFORM_READ_DROPPED, PLATFORM_RECONNECTED,
+    PLATFORM_RESTORED, event,
+};
+use shallotfork_types::{Epoch, Revision};
 use tokio::time::timeout;
 
 use crate::control::advertise::update_advertised_entries;
 use crate::control::publish::{apply_changes, apply_snapshot, publish_platform_outage};
 use crate::control::state::ControlState;
+use crate::log_budget::LogDecision;
 use shallotfork_feed::{FeedError, Freshness, RawItem};
 use shallotfork_fleet::OwnState;
 
@@ -38,6 +43,8 @@
 /// Longest delay after a failed call. When the platform returns, all entries are reconnected within
 /// this time.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Source of the items that this entry reads itself, in log lines.
+const PLATFORM_SOURCE: &str = "platform";
 
 /// Reads for as long as the process runs, whenever this entry is one of the readers or receives
 /// nothing from any of them.
@@ -65,8 +72,9 @@
                 backoff = BACKOFF_INITIAL;
                 history_lost = false;
             }
-            Err(FeedError::HistoryLost) => {
+            Err(FeedError::HistoryLost { epoch }) => {
                 record_platform_answer(&state);
+                log_history_lost(&state, epoch, position);
                 history_lost = true;
             }
             Err(error) => {
@@ -100,7 +108,10 @@
     let mut oldest: Option<Revision> = None;
     loop {
         let page = state.feed.page(after.as_deref(), freshness, PAGE_SILENCE_MAX);
-        let page = with_timeout(CALL_TIMEOUT, page).await?;
+        let page = with_timeout(CALL_TIMEOUT, page).await;
+        count_call("page", page.as_ref().err());
+        let page = page?;
+        record_epoch(state, page.epoch);
         let revision = oldest.map_or(page.revision, |oldest| oldest.min(page.revision));
         oldest = Some(revision);
         items.extend(page.items);
@@ -108,9 +119,12 @@
             record_platform_answer(state);
             // Items pulled from other entries in the meantime are complete, and these items would
             // restore what has been removed since.
-            if revision >= state.archive.borrow().position() {
-                apply_snapshot(state, &items, revision);
+            let known = state.archive.borrow().position();
+            if revision >= known {
+                apply_snapshot(state, &items, revision, PLATFORM_SOURCE);
                 mark_synced(state);
+            } else {
+                log_dropped_read(state, page.epoch, revision, known);
             }
             return Ok(());
         };
@@ -120,10 +134,13 @@
 
 async fn watch(state: &ControlState, after: Revision) -> Result<(), FeedError> {
     let changes = state.feed.changes(after, WATCH_WAIT, WATCH_SILENCE_MAX);
-    let changes = with_timeout(CALL_TIMEOUT, changes).await?;
+    let changes = with_timeout(CALL_TIMEOUT, changes).await;
+    count_call("watch", changes.as_ref().err());
+    let changes = changes?;
+    record_epoch(state, changes.epoch);
     let has_changes = !changes.items.is_empty();
     record_platform_answer(state);
-    apply_changes(state, &changes);
+    apply_changes(state, &changes, PLATFORM_SOURCE);
     if has_changes {
         mark_synced(state);
         tokio::time::sleep(CHANGE_BATCH_DELAY).await;
@@ -131,6 +148,48 @@
     Ok(())
 }
 
+/// Counts a call to the platform by its outcome.
+fn count_call(call: &'static str, error: Option<&FeedError>) {
+    let outcome = match error {
+        None => "answered",
+        Some(FeedError::HistoryLost { .. }) => "history_lost",
+        Some(FeedError::Rejected(_)) => "rejected",
+        Some(FeedError::Unreachable(_)) => "unreachable",
+        Some(FeedError::Unreadable(_)) => "unreadable",
+    };
+    counter!("shallotfork_platform_calls", "call" => call, "outcome" => outcome).increment(1);
+}
+
+/// Logs that the platform states another epoch than before.
+fn record_epoch(state: &ControlState, epoch: Epoch) {
+    let known_epoch = state.platform_epoch.replace(Some(epoch));
+    gauge!("shallotfork_platform_epoch").set(epoch.value() as f64);
+    if let Some(known_epoch) = known_epoch.filter(|known_epoch| *known_epoch != epoch) {
+        event!(state.context.log, PLATFORM_RESTORED, "epoch" => epoch.value(),
+            "known_epoch" => known_epoch.value(),
+            "known" => state.archive.borrow().position().value());
+    }
+}
+
+fn log_history_lost(state: &ControlState, epoch: Epoch, after: Revision) {
+    record_epoch(state, epoch);
+    let LogDecision::Write { left_out } = state.context.feed_log_budget.try_acquire(state.now())
+    else {
+        return;
+    };
+    event!(state.context.log, PLATFORM_HISTORY_LOST, "after" => after.value(),
+        "epoch" => epoch.value(), "left_out" => left_out);
+}
+
+fn log_dropped_read(state: &ControlState, epoch: Epoch, revision: Revision, known: Revision) {
+    let LogDecision::Write { left_out } = state.context.feed_log_budget.try_acquire(state.now())
+    else {
+        return;
+    };
+    event!(state.context.log, PLATFORM_READ_DROPPED, "revision" => revision.value(),
+        "epoch" => epoch.value(), "known" => known.value(), "left_out" => left_out);
+}
+
 /// Marks this process as synced, and so able to serve, once routes are in force.
 pub fn mark_synced(state: &ControlState) {
     let is_synced = state.fleet.borrow().own_state().is_synced;
@@ -159,6 +218,7 @@
 }
 
 fn record_platform_answer(state: &ControlState) {
+    state.platform_answered_at.set(Some(state.now()));
     let outage_started_at = state.fleet.borrow_mut().platform.record_answer();
     update_platform_state(state);
     if let Some(outage_started_at) = outage_started_at {
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -30,10 +30,15 @@
 }
 
 /// Logs the pulls served since the last call if they were large or some were deferred, and sets the
-/// metric of the revision up to which this entry has published items.
+/// metrics of what this entry knows of the platform: the revision up to which it has published items,
+/// and how old the platform's last answer to it is.
 pub fn report_served_pulls(state: &ControlState) {
     let revision = state.archive.borrow().position();
     gauge!("shallotfork_revision").set(revision.value() as f64);
+    if let Some(answered_at) = state.platform_answered_at.get() {
+        let age = state.now().since(answered_at);
+        gauge!("shallotfork_platform_answer_age_seconds").set(age.as_secs_f64());
+    }
     let PullCounts { pulls, bytes, deferred } = &state.served_pulls;
     let (pulls, bytes, deferred) = (pulls.take(), bytes.take(), deferred.take());
     if bytes >= LOG_MIN_SIZE.value() || deferred > 0 {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate does no I/O and reads no clock.
 
 mod address;
+mod epoch;
 mod id;
 mod key;
 mod list_name;
@@ -19,6 +20,7 @@
 mod warmup;
 
 pub use address::Endpoint;
+pub use epoch::Epoch;
 pub use id::{CallerName, FailureDomain, Region, ServiceName, TargetId, VmId};
 pub use key::{IdempotencyKey, Incarnation};
 pub use list_name::ListName;
--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -2,7 +2,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use shallotfork_types::{
-    Bytes, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Revision, ServiceName, Verdict,
+    Bytes, Epoch, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Revision, ServiceName,
+    Verdict,
 };
 
 const SEED: u64 = 0x5e1f;
@@ -20,6 +21,7 @@
         bytes.to_string().parse() == Ok(bytes)
             && incarnation.to_string().parse() == Ok(incarnation)
             && Revision::new(value).to_string().parse() == Ok(Revision::new(value))
+            && Epoch::new(value).to_string().parse() == Ok(Epoch::new(value))
             && Permille::new(small).to_string().parse() == Ok(Permille::new(small))
             && PerSecond::new(small).to_string().parse() == Ok(PerSecond::new(small))
     }
