--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -51,6 +51,8 @@
 pub async fn run_reader(state: Rc<ControlState>) {
     let mut backoff = BACKOFF_INITIAL;
     let mut history_lost = false;
+    // Whether a watch has been answered since the history was lost.
+    let mut is_watching = true;
     initial_read(&state).await;
     tokio::time::sleep(DISCOVERY_WAIT).await;
     loop {
@@ -61,7 +63,8 @@
             continue;
         }
         let position = state.archive.borrow().position();
-        let result = if history_lost || position == Revision::NONE {
+        let reads_all = history_lost || position == Revision::NONE;
+        let result = if reads_all {
             full_read(&state, Freshness::Latest).await
         } else {
             watch(&state, position).await
@@ -69,25 +72,38 @@
         match result {
             Ok(()) => {
                 record_platform_answer(&state);
-                backoff = BACKOFF_INITIAL;
                 history_lost = false;
+                if !reads_all {
+                    is_watching = true;
+                    backoff = BACKOFF_INITIAL;
+                }
             }
             Err(FeedError::HistoryLost { epoch }) => {
                 record_platform_answer(&state);
                 log_history_lost(&state, epoch, position);
                 history_lost = true;
+                // A full read has not helped; the next one may not either.
+                if !is_watching {
+                    pause(&mut backoff).await;
+                }
+                is_watching = false;
             }
             Err(error) => {
                 record_platform_failure(&state, &error);
-                let jitter = rand::rng().random_range(0.5..1.0);
-                let pause = if is_reader { backoff } else { DISCONNECTED_RETRY_DELAY };
-                tokio::time::sleep(pause.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(BACKOFF_MAX);
+                let mut retry_delay = DISCONNECTED_RETRY_DELAY;
+                pause(if is_reader { &mut backoff } else { &mut retry_delay }).await;
             }
         }
     }
 }
 
+/// Waits for a random part of the delay, and doubles it for the next time.
+async fn pause(delay: &mut Duration) {
+    let jitter = rand::rng().random_range(0.5..1.0);
+    tokio::time::sleep(delay.mul_f64(jitter)).await;
+    *delay = (*delay * 2).min(BACKOFF_MAX);
+}
+
 /// Reads everything once, before this entry knows whether it is a reader. A read that may be stale
 /// costs the platform a tenth of a current one.
 ///
