--- a/crates/evacuation/src/evacuations.rs
+++ b/crates/evacuation/src/evacuations.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use shallotfork_types::{FailureDomain, Mono, Revision};
+use shallotfork_types::{FailureDomain, Mono, Position};
 
-/// Maximum number of ended evacuations whose revisions are retained, so that outdated changes do
+/// Maximum number of ended evacuations whose positions are retained, so that outdated changes do
 /// not restore them.
 const ENDED_RECORDS_MAX: usize = 1024;
 
@@ -24,9 +24,9 @@
 pub struct EvacuationChange {
     /// The failure domain.
     pub failure_domain: FailureDomain,
-    /// Revision of the change.
-    pub revision: Revision,
-    /// Published state as of this revision.
+    /// Position of the change.
+    pub position: Position,
+    /// Published state as of this position.
     pub published: PublishedState,
 }
 
@@ -35,8 +35,8 @@
 pub struct Evacuation {
     /// The failure domain.
     pub failure_domain: FailureDomain,
-    /// Revision at which the operator requested the evacuation.
-    pub revision: Revision,
+    /// Position at which the operator requested the evacuation.
+    pub position: Position,
     /// When this process learned of the evacuation.
     pub learned_at: Mono,
 }
@@ -52,21 +52,21 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Record {
-    revision: Revision,
+    position: Position,
     /// When this process learned of the evacuation; `None` if the failure domain is not evacuated.
     evacuated_at: Option<Mono>,
 }
 
 /// The evacuations in force.
 ///
-/// Ignores a change if its revision is below the latest known one of its failure domain or below
+/// Ignores a change if its position is below the latest known one of its failure domain or below
 /// that of the latest full read. Full reads may be stale and may overlap with the watch, and must
 /// not revert an evacuation to an earlier state.
 #[derive(Debug, Default)]
 pub struct Evacuations {
     records: BTreeMap<FailureDomain, Record>,
-    /// Revision of the latest full read. Older changes are part of it or superseded by it.
-    full_read_revision: Revision,
+    /// Position of the latest full read. Older changes are part of it or superseded by it.
+    full_read_position: Position,
 }
 
 impl Evacuations {
@@ -82,28 +82,28 @@
         events
     }
 
-    /// Applies a full read as of `revision`. Ends each evacuation that the read does not contain,
-    /// unless it was published after `revision`.
+    /// Applies a full read as of `position`. Ends each evacuation that the read does not contain,
+    /// unless it was published after `position`.
     pub fn replace(
         &mut self,
         published: Vec<EvacuationChange>,
-        revision: Revision,
+        position: Position,
         now: Mono,
     ) -> Vec<EvacuationEvent> {
         let seen: BTreeSet<FailureDomain> =
             published.iter().map(|change| change.failure_domain.clone()).collect();
         let is_missing = |(domain, record): &(&FailureDomain, &Record)| {
-            record.evacuated_at.is_some() && record.revision <= revision && !seen.contains(*domain)
+            record.evacuated_at.is_some() && record.position <= position && !seen.contains(*domain)
         };
         let missing: Vec<FailureDomain> =
             self.records.iter().filter(is_missing).map(|(domain, _)| domain.clone()).collect();
         let mut events = self.apply(published, now);
         for failure_domain in missing {
             let ended =
-                EvacuationChange { failure_domain, revision, published: PublishedState::Removed };
+                EvacuationChange { failure_domain, position, published: PublishedState::Removed };
             events.extend(self.apply_one(ended, now));
         }
-        self.full_read_revision = self.full_read_revision.max(revision);
+        self.full_read_position = self.full_read_position.max(position);
         self.evict_oldest_ended();
         events
     }
@@ -122,10 +122,10 @@
     }
 
     fn apply_one(&mut self, change: EvacuationChange, now: Mono) -> Option<EvacuationEvent> {
-        let EvacuationChange { failure_domain, revision, published } = change;
+        let EvacuationChange { failure_domain, position, published } = change;
         let before = self.records.get(&failure_domain).copied();
-        let known_revision = before.map_or(Revision::NONE, |before| before.revision);
-        if revision < known_revision.max(self.full_read_revision) {
+        let known_position = before.map_or(Position::NONE, |before| before.position);
+        if position < known_position.max(self.full_read_position) {
             return None;
         }
         let evacuated_before = before.and_then(|before| before.evacuated_at);
@@ -134,7 +134,7 @@
             PublishedState::Unreadable => evacuated_before,
             PublishedState::Removed => None,
         };
-        let record = Record { revision, evacuated_at };
+        let record = Record { position, evacuated_at };
         self.records.insert(failure_domain.clone(), record);
         match (evacuated_before, evacuated_at) {
             (None, Some(_)) => evacuation(&failure_domain, record).map(EvacuationEvent::Began),
@@ -146,8 +146,8 @@
     /// Removes the oldest records of ended evacuations, to bound memory.
     fn evict_oldest_ended(&mut self) {
         let ended = self.records.iter().filter(|(_, record)| record.evacuated_at.is_none());
-        let mut ended: Vec<(Revision, FailureDomain)> =
-            ended.map(|(domain, record)| (record.revision, domain.clone())).collect();
+        let mut ended: Vec<(Position, FailureDomain)> =
+            ended.map(|(domain, record)| (record.position, domain.clone())).collect();
         let excess = ended.len().saturating_sub(ENDED_RECORDS_MAX);
         ended.sort();
         for (_, domain) in ended.into_iter().take(excess) {
@@ -159,5 +159,5 @@
 fn evacuation(failure_domain: &FailureDomain, record: Record) -> Option<Evacuation> {
     let learned_at = record.evacuated_at?;
     let failure_domain = failure_domain.clone();
-    Some(Evacuation { failure_domain, revision: record.revision, learned_at })
+    Some(Evacuation { failure_domain, position: record.position, learned_at })
 }
--- a/crates/evacuation/tests/evacuations.rs
+++ b/crates/evacuation/tests/evacuations.rs
@@ -4,7 +4,11 @@
 
 use quickcheck::QuickCheck;
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations, PublishedState};
-use shallotfork_types::{FailureDomain, Mono, Revision};
+use shallotfork_types::{Epoch, FailureDomain, Mono, Position, Revision};
+
+fn at_revision(revision: u64) -> Position {
+    Position::new(Epoch::NONE, Revision::new(revision))
+}
 
 fn domain(name: &str) -> FailureDomain {
     FailureDomain::new(name).expect("a valid name")
@@ -12,7 +16,7 @@
 
 fn change(name: &str, revision: u64, evacuated: bool) -> EvacuationChange {
     let published = if evacuated { PublishedState::Evacuated } else { PublishedState::Removed };
-    EvacuationChange { failure_domain: domain(name), revision: Revision::new(revision), published }
+    EvacuationChange { failure_domain: domain(name), position: at_revision(revision), published }
 }
 
 fn at(ms: u64) -> Mono {
@@ -32,7 +36,7 @@
 fn stale_full_read_does_not_end_an_evacuation() {
     let mut evacuations = Evacuations::new();
     evacuations.apply(vec![change("hall", 9, true)], at(0));
-    assert_eq!(evacuations.replace(Vec::new(), Revision::new(8), at(1)), []);
+    assert_eq!(evacuations.replace(Vec::new(), at_revision(8), at(1)), []);
     assert!(evacuations.contains(&domain("hall")));
 }
 
@@ -41,7 +45,7 @@
 fn stale_full_read_does_not_restore_an_ended_evacuation() {
     let mut evacuations = Evacuations::new();
     evacuations.apply(vec![change("hall", 5, true), change("hall", 9, false)], at(0));
-    assert_eq!(evacuations.replace(vec![change("hall", 5, true)], Revision::new(8), at(1)), []);
+    assert_eq!(evacuations.replace(vec![change("hall", 5, true)], at_revision(8), at(1)), []);
     assert!(!evacuations.contains(&domain("hall")));
 }
 
@@ -51,7 +55,7 @@
 fn full_read_without_the_item_ends_an_evacuation() {
     let mut evacuations = Evacuations::new();
     evacuations.apply(vec![change("hall", 5, true)], at(0));
-    let events = evacuations.replace(Vec::new(), Revision::new(8), at(1));
+    let events = evacuations.replace(Vec::new(), at_revision(8), at(1));
     assert!(matches!(events.as_slice(), [EvacuationEvent::Ended(_)]), "{events:?}");
     assert_eq!(names(&evacuations), BTreeSet::new());
 }
@@ -85,7 +89,7 @@
     assert_eq!(evacuations.apply(vec![unreadable(3)], at(0)), []);
     evacuations.apply(vec![change("hall", 5, true)], at(0));
     assert_eq!(evacuations.apply(vec![unreadable(6)], at(0)), []);
-    assert_eq!(evacuations.replace(vec![unreadable(6)], Revision::new(8), at(1)), []);
+    assert_eq!(evacuations.replace(vec![unreadable(6)], at_revision(8), at(1)), []);
     assert!(evacuations.contains(&domain("hall")));
 }
 
@@ -101,7 +105,7 @@
             // evacuation.
             let revision = u64::from(number) + 1;
             let change_read = change("hall", revision, revision % 2 == 1);
-            let read_revision = Revision::new(revision);
+            let read_revision = at_revision(revision);
             let times = if is_repeated { 2 } else { 1 };
             for _ in 0..times {
                 if !is_full {
--- a/crates/feed/src/check.rs
+++ b/crates/feed/src/check.rs
@@ -1,9 +1,10 @@
 //! Validation of published items pulled from another entry.
 
-use shallotfork_types::{Bytes, Revision};
+use shallotfork_types::{Bytes, Position, Revision};
 use thiserror::Error;
 
 use crate::archive::{Archive, PullResponse};
+use crate::feed::RawItem;
 
 /// Maximum number of items accepted in one response; several times that of the largest platform.
 const ITEMS_MAX: usize = 100_000;
@@ -11,14 +12,14 @@
 /// Reason for rejecting a response to a pull.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum PullError {
-    /// The response ends before the revision known here: the sender has fallen back to an earlier
-    /// revision, or the response was delayed.
-    #[error("response ends at revision {received}, but revision {known} is already known")]
+    /// The response ends before the position known here: the sender is behind, or the response was
+    /// delayed.
+    #[error("response ends at position {received}, but position {known} is already known")]
     Older {
-        /// Revision at which the response ends.
-        received: Revision,
-        /// Revision known here.
-        known: Revision,
+        /// Position at which the response ends.
+        received: Position,
+        /// Position known here.
+        known: Position,
     },
     /// The response is a snapshot without items, although items are published.
     #[error("snapshot contains no items")]
@@ -45,8 +46,8 @@
     pub fn check(&self, response: &PullResponse) -> Result<(), PullError> {
         let PullResponse { changes, is_snapshot } = response;
         let known = self.position();
-        if changes.revision < known {
-            return Err(PullError::Older { received: changes.revision, known });
+        if changes.position < known {
+            return Err(PullError::Older { received: changes.position, known });
         }
         if *is_snapshot && changes.items.is_empty() {
             return Err(PullError::Empty);
@@ -54,8 +55,9 @@
         if changes.items.len() > ITEMS_MAX {
             return Err(PullError::TooMany(changes.items.len()));
         }
-        let bad = |revision: Revision, key: &str| key.is_empty() || revision == Revision::NONE;
-        if changes.items.iter().any(|item| bad(item.revision, &item.key)) {
+        let is_bad =
+            |item: &RawItem| item.key.is_empty() || item.position.revision() == Revision::NONE;
+        if changes.items.iter().any(is_bad) {
             return Err(PullError::BadItem);
         }
         Ok(())
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -7,7 +7,7 @@
 use shallotfork_evacuation::EvacuationChange;
 use shallotfork_roster::TargetChange;
 use shallotfork_routes::RouteTable;
-use shallotfork_types::{Epoch, Revision};
+use shallotfork_types::{Epoch, Position};
 use thiserror::Error;
 
 /// How old a response of the platform may be.
@@ -24,8 +24,8 @@
 pub struct RawItem {
     /// Key of the item.
     pub key: String,
-    /// Revision of the item's last change.
-    pub revision: Revision,
+    /// Position of the item's last change.
+    pub position: Position,
     /// Content of the item; `None` if it was removed.
     pub content: Option<Vec<u8>>,
 }
@@ -35,23 +35,20 @@
 pub struct FeedPage {
     /// Items of this page.
     pub items: Vec<RawItem>,
-    /// History of the platform that answered.
-    pub epoch: Epoch,
-    /// Revision of the platform at the time of the response; items on later pages may be newer.
-    pub revision: Revision,
+    /// Position of the platform at the time of the response; items on later pages may be newer.
+    pub position: Position,
     /// Key after which the next page begins; `None` on the last page.
     pub next_after: Option<String>,
 }
 
-/// Changes after a revision.
+/// Changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FeedChanges {
-    /// Changed and removed items, ordered by revision.
+    /// Changed and removed items, ordered by position.
     pub items: Vec<RawItem>,
-    /// History of the platform that the changes belong to.
-    pub epoch: Epoch,
-    /// Revision after which the next incremental read continues.
-    pub revision: Revision,
+    /// Position after which the next incremental read continues. If its epoch is later than the
+    /// requested one, changes are missing.
+    pub position: Position,
 }
 
 /// Why a call to the platform failed.
@@ -63,12 +60,21 @@
     /// The platform rejected the call with this HTTP status.
     #[error("platform rejected the call with status {0}")]
     Rejected(u16),
-    /// The platform no longer keeps the changes after the requested revision.
-    #[error("platform no longer keeps the changes after the requested revision")]
+    /// The platform no longer has the changes after the requested revision: it has discarded them, or
+    /// was restored from a copy.
+    #[error("platform no longer has the changes after the requested revision")]
     HistoryLost {
-        /// History of the platform that answered.
+        /// Epoch of the platform that answered.
         epoch: Epoch,
     },
+    /// The answer belongs to an earlier epoch than the known one.
+    #[error("answer belongs to epoch {epoch}, but epoch {known} is known")]
+    OutdatedEpoch {
+        /// Epoch of the answer.
+        epoch: Epoch,
+        /// Epoch that is known here.
+        known: Epoch,
+    },
     /// The response does not follow the platform's protocol.
     #[error("platform response is not readable: {0}")]
     Unreadable(String),
@@ -121,11 +127,11 @@
         silence_max: Duration,
     ) -> Result<FeedPage, FeedError>;
 
-    /// Waits up to `wait` for items that changed after a revision, and returns an empty response if
+    /// Waits up to `wait` for items that changed after a position, and returns an empty response if
     /// there are none. The wait does not count as silence.
     async fn changes(
         &self,
-        after: Revision,
+        after: Position,
         wait: Duration,
         silence_max: Duration,
     ) -> Result<FeedChanges, FeedError>;
--- a/crates/feed/src/pack.rs
+++ b/crates/feed/src/pack.rs
@@ -6,7 +6,7 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use shallotfork_types::{Bytes, Revision};
+use shallotfork_types::{Bytes, Position};
 
 use crate::check::PullError;
 use crate::feed::RawItem;
@@ -17,7 +17,7 @@
 /// one key.
 const UNPACKED_SIZE_MAX: Bytes = Bytes::from_mib(8);
 
-/// Packs the contents of items and caches the result, so that each revision is packed only once for all
+/// Packs the contents of items and caches the result, so that each version is packed only once for all
 /// entries that pull it.
 #[derive(Debug, Default)]
 pub struct Packer {
@@ -26,7 +26,7 @@
 
 #[derive(Debug)]
 struct Packed {
-    revision: Revision,
+    position: Position,
     content: Vec<u8>,
 }
 
@@ -44,9 +44,9 @@
             self.by_key.remove(&item.key);
             return None;
         };
-        let is_packed = self.by_key.get(&item.key).is_some_and(|it| it.revision == item.revision);
+        let is_packed = self.by_key.get(&item.key).is_some_and(|it| it.position == item.position);
         if !is_packed {
-            let packed = Packed { revision: item.revision, content: deflate(content) };
+            let packed = Packed { position: item.position, content: deflate(content) };
             self.by_key.insert(item.key.clone(), packed);
         }
         let packed = &self.by_key[&item.key].content;
--- a/crates/feed/src/pull_scheduler.rs
+++ b/crates/feed/src/pull_scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Mono, Revision};
+use shallotfork_types::{Mono, Position};
 
 /// Time without received data after which a pull no longer prevents another one from beginning.
 const PULL_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -17,8 +17,8 @@
 pub struct PullScheduler {
     /// Time of the start of the current pull, or of the last data received from it.
     last_progress_at: Option<Mono>,
-    /// Newer revision advertised by an entry in another failure domain, and when it was received.
-    newer_elsewhere: Option<(Revision, Mono)>,
+    /// Newer position advertised by an entry in another failure domain, and when it was received.
+    newer_elsewhere: Option<(Position, Mono)>,
 }
 
 impl PullScheduler {
@@ -53,17 +53,17 @@
         self.last_progress_at = None;
     }
 
-    /// Returns whether an entry in another failure domain has advertised a revision after `own`.
-    pub fn is_behind_other_domain(&self, own: Revision) -> bool {
+    /// Returns whether an entry in another failure domain has advertised a position after `own`.
+    pub fn is_behind_other_domain(&self, own: Position) -> bool {
         self.newer_elsewhere.is_some_and(|(known, _)| known > own)
     }
 
-    /// Records that an entry in another failure domain has revision `known`, and returns whether to pull
+    /// Records that an entry in another failure domain has position `known`, and returns whether to pull
     /// from it because the change has not reached the own domain within `propagation_time`.
     pub fn should_pull_from_other_domain(
         &mut self,
-        known: Revision,
-        own: Revision,
+        known: Position,
+        own: Position,
         propagation_time: Duration,
         now: Mono,
     ) -> bool {
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -2,26 +2,30 @@
 
 use quickcheck::QuickCheck;
 use shallotfork_feed::{Archive, FeedChanges, PullError, PullResponse, RawItem};
-use shallotfork_types::{Epoch, Revision};
+use shallotfork_types::{Epoch, Position, Revision};
+
+fn at(revision: u64) -> Position {
+    Position::new(Epoch::NONE, Revision::new(revision))
+}
 
 fn item(key: u8, revision: u64, content: Option<&str>) -> RawItem {
     let content = content.map(|text| text.as_bytes().to_vec());
-    RawItem { key: format!("key-{key}"), revision: Revision::new(revision), content }
+    RawItem { key: format!("key-{key}"), position: at(revision), content }
 }
 
 fn changes(items: Vec<RawItem>, revision: u64) -> FeedChanges {
-    FeedChanges { items, epoch: Epoch::NONE, revision: Revision::new(revision) }
+    FeedChanges { items, position: at(revision) }
 }
 
 fn archive() -> Archive {
     let mut archive = Archive::new();
-    archive.replace(&[item(1, 3, Some("a")), item(2, 5, Some("b"))], Revision::new(6));
+    archive.replace(&[item(1, 3, Some("a")), item(2, 5, Some("b"))], at(6));
     archive
 }
 
 #[test]
 fn pull_without_a_revision_returns_a_snapshot() {
-    let response = archive().changes_after(Revision::NONE);
+    let response = archive().changes_after(Position::NONE);
     assert!(response.is_snapshot);
     assert_eq!(response.changes, changes(vec![item(1, 3, Some("a")), item(2, 5, Some("b"))], 6));
 }
@@ -32,14 +36,14 @@
 fn incremental_pull_includes_removals() {
     let mut archive = archive();
     archive.apply(&changes(vec![item(1, 8, None)], 9));
-    let response = archive.changes_after(Revision::new(6));
+    let response = archive.changes_after(at(6));
     assert!(!response.is_snapshot);
     assert_eq!(response.changes, changes(vec![item(1, 8, None)], 9));
 }
 
 #[test]
 fn pull_before_the_retained_history_returns_a_snapshot() {
-    let response = archive().changes_after(Revision::new(2));
+    let response = archive().changes_after(at(2));
     assert!(response.is_snapshot);
 }
 
@@ -47,16 +51,16 @@
 fn full_read_keeps_newer_changes() {
     let mut archive = archive();
     archive.apply(&changes(vec![item(3, 9, Some("c"))], 9));
-    archive.replace(&[item(1, 3, Some("a"))], Revision::new(7));
+    archive.replace(&[item(1, 3, Some("a"))], at(7));
     let keys: Vec<String> = archive
-        .changes_after(Revision::NONE)
+        .changes_after(Position::NONE)
         .changes
         .items
         .into_iter()
         .map(|item| item.key)
         .collect();
     assert_eq!(keys, ["key-1", "key-3"]);
-    assert_eq!(archive.position(), Revision::new(9));
+    assert_eq!(archive.position(), at(9));
 }
 
 /// Pulls at arbitrary times leave an entry with the same items as the one it pulls from.
@@ -72,7 +76,7 @@
             }
         }
         follow(&source, &mut follower);
-        source.changes_after(Revision::NONE) == follower.changes_after(Revision::NONE)
+        source.changes_after(Position::NONE) == follower.changes_after(Position::NONE)
     }
     QuickCheck::new().tests(400).quickcheck(property as fn(Vec<(u8, bool, bool)>) -> bool);
 }
@@ -80,7 +84,7 @@
 fn follow(source: &Archive, follower: &mut Archive) {
     let response = source.changes_after(follower.position());
     if response.is_snapshot {
-        follower.replace(&response.changes.items, response.changes.revision);
+        follower.replace(&response.changes.items, response.changes.position);
     } else {
         follower.apply(&response.changes);
     }
@@ -94,9 +98,9 @@
     let check = |items: Vec<RawItem>, revision: u64, is_snapshot: bool| {
         archive.check(&PullResponse { changes: changes(items, revision), is_snapshot })
     };
-    let known = Revision::new(6);
+    let known = at(6);
     assert_eq!(check(Vec::new(), 9, true), Err(PullError::Empty));
-    let older = PullError::Older { received: Revision::new(5), known };
+    let older = PullError::Older { received: at(5), known };
     assert_eq!(check(vec![item(1, 3, Some("a"))], 5, true), Err(older.clone()));
     assert_eq!(check(Vec::new(), 5, false), Err(older));
     assert_eq!(check(vec![item(1, 0, Some("a"))], 9, false), Err(PullError::BadItem));
@@ -107,3 +111,41 @@
     assert_eq!(check(Vec::new(), 6, false), Ok(()));
     assert_eq!(check(vec![item(1, 8, None)], 9, false), Ok(()));
 }
+
+fn at_epoch(epoch: u64, revision: u64) -> Position {
+    Position::new(Epoch::new(epoch), Revision::new(revision))
+}
+
+/// A platform is restored and publishes at lower revisions than before. Guards against taking that for
+/// old, and against transferring everything to every entry although most items are as before.
+#[test]
+fn restore_is_adopted_and_served_as_a_difference() {
+    let mut archive = archive();
+    archive.apply(&changes(vec![item(3, 9, Some("lost")), item(4, 10, Some("lost"))], 10));
+    let written =
+        RawItem { position: at_epoch(1, 7), ..item(3, 7, Some("written after the restore")) };
+    let unchanged = [item(1, 3, Some("a")), item(2, 5, Some("b"))]
+        .map(|item| RawItem { position: at_epoch(1, item.position.revision().value()), ..item });
+    let read: Vec<RawItem> = unchanged.into_iter().chain([written.clone()]).collect();
+    archive.replace(&read, at_epoch(1, 7));
+    assert_eq!(archive.position(), at_epoch(1, 7));
+
+    let response = archive.changes_after(at(10));
+    assert!(!response.is_snapshot);
+    let removed = RawItem { position: at_epoch(1, 7), ..item(4, 7, None) };
+    assert_eq!(response.changes.items, [written, removed]);
+    let is_snapshot = |position| archive.changes_after(position).is_snapshot;
+    assert!(is_snapshot(at(11)), "the other entry has known more than this one");
+    assert!(is_snapshot(at_epoch(3, 7)), "the other entry is in an epoch that is unknown here");
+}
+
+/// Guards against an entry that goes back to an earlier epoch because the other entry's revision is
+/// higher.
+#[test]
+fn response_of_an_earlier_epoch_is_rejected() {
+    let mut archive = archive();
+    archive.replace(&[item(1, 3, Some("a"))], at_epoch(1, 4));
+    let response = PullResponse { changes: changes(Vec::new(), 90), is_snapshot: false };
+    let older = PullError::Older { received: at(90), known: at_epoch(1, 4) };
+    assert_eq!(archive.check(&response), Err(older));
+}
--- a/crates/feed/tests/pack.rs
+++ b/crates/feed/tests/pack.rs
@@ -2,10 +2,11 @@
 
 use quickcheck::{QuickCheck, TestResult};
 use shallotfork_feed::{Packer, PullError, RawItem, unpack};
-use shallotfork_types::{Bytes, Revision};
+use shallotfork_types::{Bytes, Epoch, Position, Revision};
 
 fn item(revision: u64, content: Vec<u8>) -> RawItem {
-    RawItem { key: "routes".to_owned(), revision: Revision::new(revision), content: Some(content) }
+    let position = Position::new(Epoch::NONE, Revision::new(revision));
+    RawItem { key: "routes".to_owned(), position, content: Some(content) }
 }
 
 fn routes(count: usize) -> Vec<u8> {
--- a/crates/feed/tests/pull_scheduler.rs
+++ b/crates/feed/tests/pull_scheduler.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use shallotfork_feed::PullScheduler;
-use shallotfork_types::{Mono, Revision};
+use shallotfork_types::{Epoch, Mono, Position, Revision};
 
 fn at(ms: u64) -> Mono {
     Mono::from_millis(ms)
@@ -38,7 +38,7 @@
 #[test]
 fn other_domains_are_used_only_if_the_own_one_lacks_the_change() {
     let mut pulls = PullScheduler::new();
-    let revision = Revision::new;
+    let revision = |revision| Position::new(Epoch::NONE, Revision::new(revision));
     assert!(!pulls.should_pull_from_other_domain(revision(7), revision(6), PROPAGATION, at(0)));
     assert!(
         !pulls.should_pull_from_other_domain(revision(7), revision(7), PROPAGATION, at(900)),
@@ -57,7 +57,7 @@
 #[test]
 fn outdated_entry_elsewhere_does_not_restart_the_wait() {
     let mut pulls = PullScheduler::new();
-    let revision = Revision::new;
+    let revision = |revision| Position::new(Epoch::NONE, Revision::new(revision));
     assert!(!pulls.should_pull_from_other_domain(revision(9), revision(7), PROPAGATION, at(0)));
     assert!(!pulls.should_pull_from_other_domain(revision(7), revision(7), PROPAGATION, at(150)));
     assert!(!pulls.should_pull_from_other_domain(revision(9), revision(7), PROPAGATION, at(300)));
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -29,9 +29,9 @@
         tick_delay.record(tick.delay, tick.now);
         if tick.delay > RESUME_THRESHOLD {
             let delay_ms = u64::try_from(tick.delay.as_millis()).unwrap_or(u64::MAX);
-            let revision = state.archive.borrow().position();
+            let position = state.archive.borrow().position();
             event!(state.context.log, RESUMED, "late_ms" => delay_ms,
-                "revision" => revision.value());
+                "revision" => position.revision().value(), "epoch" => position.epoch().value());
             state.fleet.borrow_mut().handle_resume(tick.now);
         }
         let is_overloaded = state.context.is_overloaded();
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -6,13 +6,13 @@
 use shallotfork_balance::SlotTarget;
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
 use shallotfork_events::{
-    EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, PUBLISHED_IGNORED, ROUTES_ACCEPTED,
-    ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event,
+    EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, PLATFORM_RESTORED, PUBLISHED_IGNORED,
+    ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event,
 };
 use shallotfork_roster::{Availability, RosterChange, TargetChange, TargetRecord};
 use shallotfork_routes::{OfferOutcome, RouteTable};
 use shallotfork_statements::{LeavingTargets, TargetRun};
-use shallotfork_types::{Revision, ServiceName, TargetId, Warmup};
+use shallotfork_types::{Position, ServiceName, TargetId, Warmup};
 
 use crate::context::lock;
 use crate::control::reader::update_platform_state;
@@ -33,19 +33,21 @@
     evacuations: Vec<EvacuationChange>,
 }
 
-/// Applies the result of a full read that began at `revision`. `source` is where it comes from, for
+/// Applies the result of a full read that began at `position`. `source` is where it comes from, for
 /// the log.
-pub fn apply_snapshot(state: &ControlState, items: &[RawItem], revision: Revision, source: &str) {
-    state.archive.borrow_mut().replace(items, revision);
+pub fn apply_snapshot(state: &ControlState, items: &[RawItem], position: Position, source: &str) {
+    log_restored(state, position, source);
+    state.archive.borrow_mut().replace(items, position);
     let DecodedChanges { targets, evacuations } = apply_routes(state, items, source);
     let now = state.context.clock.now();
-    let evacuated = state.evacuations.borrow_mut().replace(evacuations, revision, now);
-    let changed = state.roster.borrow_mut().replace(targets, revision, now);
+    let evacuated = state.evacuations.borrow_mut().replace(evacuations, position, now);
+    let changed = state.roster.borrow_mut().replace(targets, position, now);
     publish(state, &changed, &evacuated);
 }
 
 /// Applies the changes that follow the position of the archive.
 pub fn apply_changes(state: &ControlState, changes: &FeedChanges, source: &str) {
+    log_restored(state, changes.position, source);
     state.archive.borrow_mut().apply(changes);
     if changes.items.is_empty() {
         return;
@@ -57,6 +59,16 @@
     publish(state, &changed, &evacuated);
 }
 
+/// Logs that the platform was restored since what is known here.
+fn log_restored(state: &ControlState, position: Position, source: &str) {
+    let known = state.archive.borrow().position();
+    if known != Position::NONE && position.epoch() > known.epoch() {
+        event!(state.context.log, PLATFORM_RESTORED, "epoch" => position.epoch().value(),
+            "revision" => position.revision().value(), "known_epoch" => known.epoch().value(),
+            "known" => known.revision().value(), "source" => source);
+    }
+}
+
 /// Expires targets that have been missing for too long.
 pub fn expire_targets(state: &ControlState) {
     update_platform_state(state);
@@ -79,11 +91,11 @@
         match state.feed.decode(item) {
             Decoded::Routes { table, ignored } => {
                 ignored.iter().for_each(|reason| log_ignored(state, item, reason));
-                offer(state, table, item.revision, source);
+                offer(state, table, item.position, source);
             }
             Decoded::BadRoutes(reason) => {
                 event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
-                    "revision" => item.revision.value());
+                    "revision" => item.position.revision().value());
             }
             Decoded::Target { change, ignored } => {
                 ignored.iter().for_each(|reason| log_ignored(state, item, reason));
@@ -92,7 +104,7 @@
             Decoded::Evacuation(change) => decoded.evacuations.push(change),
             Decoded::BadEvacuation { reason, change } => {
                 event!(state.context.log, EVACUATION_INVALID, "reason" => reason,
-                    "revision" => item.revision.value());
+                    "revision" => item.position.revision().value());
                 decoded.evacuations.extend(change);
             }
             Decoded::Ignored => {}
@@ -109,14 +121,15 @@
         return;
     };
     event!(state.context.log, PUBLISHED_IGNORED, "key" => &item.key, "reason" => reason,
-        "revision" => item.revision.value(), "left_out" => left_out);
+        "revision" => item.position.revision().value(), "left_out" => left_out);
 }
 
-fn offer(state: &ControlState, table: RouteTable, revision: Revision, source: &str) {
+fn offer(state: &ControlState, table: RouteTable, position: Position, source: &str) {
     let (version, routes) = (table.version(), table.routes().count());
     if state.in_force.borrow_mut().offer(table) == OfferOutcome::Accepted {
         event!(state.context.log, ROUTES_ACCEPTED, "version" => version.number(),
-            "routes" => routes, "revision" => revision.value(), "source" => source);
+            "routes" => routes, "revision" => position.revision().value(),
+            "epoch" => position.epoch().value(), "source" => source);
     }
 }
 
@@ -156,13 +169,13 @@
             EvacuationEvent::Began(evacuation) => {
                 event!(log, EVACUATION_STARTED,
                     "failure_domain" => evacuation.failure_domain.as_str(),
-                    "revision" => evacuation.revision.value());
+                    "revision" => evacuation.position.revision().value());
             }
             EvacuationEvent::Ended(evacuation) => {
                 let duration = state.now().since(evacuation.learned_at);
                 event!(log, EVACUATION_ENDED,
                     "failure_domain" => evacuation.failure_domain.as_str(),
-                    "revision" => evacuation.revision.value(),
+                    "revision" => evacuation.position.revision().value(),
                     "lasted_ms" => u64::try_from(duration.as_millis()).unwrap_or(u64::MAX));
             }
         }
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -5,7 +5,7 @@
 
 use shallotfork_events::{ITEMS_PULLED, PULL_FAILED, event};
 use shallotfork_peer::{Changes, PeerClient, PeerError};
-use shallotfork_types::{FailureDomain, Mono, Revision};
+use shallotfork_types::{FailureDomain, Mono, Position};
 
 use crate::control::pulled_items::apply_response;
 use crate::control::serve_pulls::LOG_MIN_SIZE;
@@ -20,7 +20,7 @@
 /// Alternative sources that are remembered during a pull.
 const SOURCES_MAX: usize = 8;
 
-/// An entry that knows a higher revision than this one.
+/// An entry that is at a later position than this one.
 pub struct PullSource {
     /// Connection to the entry.
     pub client: Rc<PeerClient>,
@@ -49,9 +49,9 @@
 
 /// Result of one pull, for the log.
 struct PullStats {
-    after: Revision,
+    after: Position,
     started_at: Mono,
-    revision: Revision,
+    position: Position,
     items: usize,
     bytes: u64,
     is_snapshot: bool,
@@ -71,24 +71,25 @@
             log_failed_pull(state, source, after, started_at, &error.to_string());
         }
     })?;
-    let Changes { revision, is_snapshot, .. } = changes;
+    let Changes { revision, epoch, is_snapshot, .. } = changes;
+    let position = Position::new(epoch.unwrap_or_default(), revision);
     match apply_response(state, changes, source.client.peer().vm.as_str()) {
         Ok(items) => log_pull(
             state,
             source,
-            &PullStats { after, started_at, revision, items, bytes, is_snapshot },
+            &PullStats { after, started_at, position, items, bytes, is_snapshot },
         ),
         Err(error) => log_failed_pull(state, source, after, started_at, &error.to_string()),
     }
     Ok(())
 }
 
-/// Requests the changes after a revision, and records progress for as long as the answer keeps
+/// Requests the changes after a position, and records progress for as long as the answer keeps
 /// arriving.
 async fn request_changes(
     state: &ControlState,
     client: &PeerClient,
-    after: Revision,
+    after: Position,
 ) -> Result<Changes, PeerError> {
     let mut answer = std::pin::pin!(client.changes(after));
     let mut previous_bytes = client.received_bytes();
@@ -107,12 +108,12 @@
 fn log_failed_pull(
     state: &ControlState,
     source: &PullSource,
-    after: Revision,
+    after: Position,
     started_at: Mono,
     reason: &str,
 ) {
     event!(state.context.log, PULL_FAILED, "peer" => source.client.peer().vm.as_str(),
-        "reason" => reason, "after" => after.value(),
+        "reason" => reason, "after" => after.revision().value(), "epoch" => after.epoch().value(),
         "took_ms" => millis(state.now().since(started_at)));
 }
 
@@ -122,7 +123,8 @@
         return;
     }
     event!(state.context.log, ITEMS_PULLED, "peer" => source.client.peer().vm.as_str(),
-        "after" => pull.after.value(), "revision" => pull.revision.value(),
+        "after" => pull.after.revision().value(), "revision" => pull.position.revision().value(),
+        "epoch" => pull.position.epoch().value(),
         "items" => pull.items, "bytes" => pull.bytes, "took_ms" => millis(duration),
         "whole" => pull.is_snapshot);
 }
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -1,33 +1,35 @@
 //! Applies published items that were pulled from other entries.
 
 use shallotfork_peer::{Bundle, Changes, Heartbeat, ValueChange, decode_values};
-use shallotfork_types::{Epoch, Revision};
+use shallotfork_types::Position;
 
 use crate::control::publish::{apply_changes, apply_snapshot};
 use crate::control::reader::mark_synced;
 use crate::control::state::ControlState;
 use shallotfork_feed::{FeedChanges, PullError, PullResponse, RawItem, unpack};
 
-/// Whether to pull published items from the sender of a heartbeat because it has a higher revision.
+/// Whether to pull published items from the sender of a heartbeat because it is at a later position.
 ///
-/// An entry that can't read the platform itself may still have a higher revision, received from
-/// entries that can. A reader receives most changes from the platform first; if its revision stays
-/// lower than that of others for longer than the propagation delay, its read of the platform hangs.
+/// An entry that can't read the platform itself may still be at a later position, by what it has received from
+/// entries that can. A reader receives most changes from the platform first; if its position stays
+/// before that of others for longer than the propagation delay, its read of the platform hangs.
 pub fn should_pull_from(state: &ControlState, heartbeat: &Heartbeat) -> bool {
-    let (revision, own_revision) = (heartbeat.synced_revision, state.archive.borrow().position());
+    let own = state.archive.borrow().position();
+    let theirs =
+        Position::new(heartbeat.synced_epoch.unwrap_or_default(), heartbeat.synced_revision);
     let view = state.view();
     let settings = &state.context.settings;
-    if revision <= own_revision {
+    if theirs <= own {
         return false;
     }
     let is_reader = view.readers.contains(&settings.vm);
     let is_local = heartbeat.failure_domain == settings.failure_domain && !is_reader;
-    if is_local || own_revision == Revision::NONE || view.contacts.monitors_readers && !is_reader {
+    if is_local || own == Position::NONE || view.contacts.monitors_readers && !is_reader {
         return true;
     }
     state.pull_scheduler.borrow_mut().should_pull_from_other_domain(
-        revision,
-        own_revision,
+        theirs,
+        own,
         view.propagation_delay(),
         state.now(),
     )
@@ -42,7 +44,8 @@
     changes: Changes,
     source: &str,
 ) -> Result<usize, PullError> {
-    let Changes { revision, mut values, is_snapshot, bundle } = changes;
+    let Changes { revision, epoch, mut values, is_snapshot, bundle } = changes;
+    let position = Position::new(epoch.unwrap_or_default(), revision);
     if let Some(Bundle { content, unpacked_size }) = bundle {
         let content = unpack(&content, unpacked_size)?;
         let bundled = decode_values(&content).map_err(|_| PullError::BadPacked(unpacked_size))?;
@@ -50,11 +53,10 @@
     }
     let items = values.into_iter().map(decode_item).collect::<Result<Vec<_>, _>>()?;
     let count = items.len();
-    let response =
-        PullResponse { changes: FeedChanges { items, epoch: Epoch::NONE, revision }, is_snapshot };
+    let response = PullResponse { changes: FeedChanges { items, position }, is_snapshot };
     state.archive.borrow().check(&response)?;
     if is_snapshot {
-        apply_snapshot(state, &response.changes.items, revision, source);
+        apply_snapshot(state, &response.changes.items, position, source);
     } else {
         apply_changes(state, &response.changes, source);
     }
@@ -63,10 +65,10 @@
 }
 
 fn decode_item(value: ValueChange) -> Result<RawItem, PullError> {
-    let ValueChange { name, revision, content, unpacked_size, removed } = value;
+    let ValueChange { name, position, content, unpacked_size, removed } = value;
     let content = match unpacked_size {
         Some(size) => unpack(&content, size)?,
         None => content,
     };
-    Ok(RawItem { key: name, revision, content: (!removed).then_some(content) })
+    Ok(RawItem { key: name, position, content: (!removed).then_some(content) })
 }
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use metrics::{counter, gauge};
+use metrics::counter;
 use rand::RngExt;
 use shallotfork_events::{
     PLATFORM_DISCONNECTED, PLATFORM_HISTORY_LOST, PLATFORM_READ_DROPPED, PLATFORM_RECONNECTED,
-    PLATFORM_RESTORED, event,
+    event,
 };
-use shallotfork_types::{Epoch, Revision};
+use shallotfork_types::{Epoch, Position};
 use tokio::time::timeout;
 
 use crate::control::advertise::update_advertised_entries;
@@ -63,7 +63,7 @@
             continue;
         }
         let position = state.archive.borrow().position();
-        let reads_all = history_lost || position == Revision::NONE;
+        let reads_all = history_lost || position == Position::NONE;
         let result = if reads_all {
             full_read(&state, Freshness::Latest).await
         } else {
@@ -115,45 +115,64 @@
     }
 }
 
-/// Reads everything. The pages are not a consistent snapshot, so watching continues from the oldest
-/// page's revision, which reports changes made during the read again. Of stale pages any may be the
-/// oldest.
+/// Reads everything and applies it.
 async fn full_read(state: &ControlState, freshness: Freshness) -> Result<(), FeedError> {
+    let (items, position) = read_pages(state, freshness).await?;
+    record_platform_answer(state);
+    let known = state.archive.borrow().position();
+    if freshness == Freshness::Latest {
+        check_epoch(position, known)?;
+    }
+    // Items pulled from other entries in the meantime are complete, and these items would restore what
+    // has been removed since.
+    if position >= known {
+        apply_snapshot(state, &items, position, PLATFORM_SOURCE);
+        mark_synced(state);
+    } else {
+        log_dropped_read(state, position, known);
+    }
+    Ok(())
+}
+
+/// Reads all pages. They are not a consistent snapshot, so watching continues from the oldest page's
+/// revision, which reports changes made during the read again. Of stale pages any may be the oldest.
+async fn read_pages(
+    state: &ControlState,
+    freshness: Freshness,
+) -> Result<(Vec<RawItem>, Position), FeedError> {
     let mut items: Vec<RawItem> = Vec::new();
     let mut after: Option<String> = None;
-    let mut oldest: Option<Revision> = None;
+    let mut oldest: Option<Position> = None;
     loop {
         let page = state.feed.page(after.as_deref(), freshness, PAGE_SILENCE_MAX);
         let page = with_timeout(CALL_TIMEOUT, page).await;
         count_call("page", page.as_ref().err());
         let page = page?;
-        record_epoch(state, page.epoch);
-        let revision = oldest.map_or(page.revision, |oldest| oldest.min(page.revision));
-        oldest = Some(revision);
+        let epoch = page.position.epoch();
+        if oldest.is_some_and(|oldest| oldest.epoch() != epoch) {
+            return Err(FeedError::HistoryLost { epoch });
+        }
+        let position = oldest.map_or(page.position, |oldest| oldest.min(page.position));
+        oldest = Some(position);
         items.extend(page.items);
-        let Some(next) = page.next_after else {
-            record_platform_answer(state);
-            // Items pulled from other entries in the meantime are complete, and these items would
-            // restore what has been removed since.
-            let known = state.archive.borrow().position();
-            if revision >= known {
-                apply_snapshot(state, &items, revision, PLATFORM_SOURCE);
-                mark_synced(state);
-            } else {
-                log_dropped_read(state, page.epoch, revision, known);
-            }
-            return Ok(());
-        };
+        let Some(next) = page.next_after else { return Ok((items, position)) };
         after = Some(next);
     }
 }
 
-async fn watch(state: &ControlState, after: Revision) -> Result<(), FeedError> {
+/// Waits for changes after a position and applies them.
+///
+/// The platform may have been restored since and have passed that revision again. Then it answers as
+/// usual, but the changes up to that revision are missing.
+async fn watch(state: &ControlState, after: Position) -> Result<(), FeedError> {
     let changes = state.feed.changes(after, WATCH_WAIT, WATCH_SILENCE_MAX);
     let changes = with_timeout(CALL_TIMEOUT, changes).await;
     count_call("watch", changes.as_ref().err());
     let changes = changes?;
-    record_epoch(state, changes.epoch);
+    check_epoch(changes.position, after)?;
+    if changes.position.epoch() > after.epoch() {
+        return Err(FeedError::HistoryLost { epoch: changes.position.epoch() });
+    }
     let has_changes = !changes.items.is_empty();
     record_platform_answer(state);
     apply_changes(state, &changes, PLATFORM_SOURCE);
@@ -164,46 +183,44 @@
     Ok(())
 }
 
+/// Rejects an answer of an earlier epoch, as a replica that has not followed a restore would give.
+fn check_epoch(answer: Position, known: Position) -> Result<(), FeedError> {
+    if answer.epoch() < known.epoch() {
+        return Err(FeedError::OutdatedEpoch { epoch: answer.epoch(), known: known.epoch() });
+    }
+    Ok(())
+}
+
 /// Counts a call to the platform by its outcome.
 fn count_call(call: &'static str, error: Option<&FeedError>) {
     let outcome = match error {
         None => "answered",
         Some(FeedError::HistoryLost { .. }) => "history_lost",
         Some(FeedError::Rejected(_)) => "rejected",
+        Some(FeedError::OutdatedEpoch { .. }) => "outdated",
         Some(FeedError::Unreachable(_)) => "unreachable",
         Some(FeedError::Unreadable(_)) => "unreadable",
     };
     counter!("shallotfork_platform_calls", "call" => call, "outcome" => outcome).increment(1);
 }
 
-/// Logs that the platform states another epoch than before.
-fn record_epoch(state: &ControlState, epoch: Epoch) {
-    let known_epoch = state.platform_epoch.replace(Some(epoch));
-    gauge!("shallotfork_platform_epoch").set(epoch.value() as f64);
-    if let Some(known_epoch) = known_epoch.filter(|known_epoch| *known_epoch != epoch) {
-        event!(state.context.log, PLATFORM_RESTORED, "epoch" => epoch.value(),
-            "known_epoch" => known_epoch.value(),
-            "known" => state.archive.borrow().position().value());
-    }
-}
-
-fn log_history_lost(state: &ControlState, epoch: Epoch, after: Revision) {
-    record_epoch(state, epoch);
+fn log_history_lost(state: &ControlState, epoch: Epoch, after: Position) {
     let LogDecision::Write { left_out } = state.context.feed_log_budget.try_acquire(state.now())
     else {
         return;
     };
-    event!(state.context.log, PLATFORM_HISTORY_LOST, "after" => after.value(),
-        "epoch" => epoch.value(), "left_out" => left_out);
+    event!(state.context.log, PLATFORM_HISTORY_LOST, "after" => after.revision().value(),
+        "known_epoch" => after.epoch().value(), "epoch" => epoch.value(), "left_out" => left_out);
 }
 
-fn log_dropped_read(state: &ControlState, epoch: Epoch, revision: Revision, known: Revision) {
+fn log_dropped_read(state: &ControlState, read: Position, known: Position) {
     let LogDecision::Write { left_out } = state.context.feed_log_budget.try_acquire(state.now())
     else {
         return;
     };
-    event!(state.context.log, PLATFORM_READ_DROPPED, "revision" => revision.value(),
-        "epoch" => epoch.value(), "known" => known.value(), "left_out" => left_out);
+    event!(state.context.log, PLATFORM_READ_DROPPED, "revision" => read.revision().value(),
+        "epoch" => read.epoch().value(), "known" => known.revision().value(),
+        "left_out" => left_out);
 }
 
 /// Marks this process as synced, and so able to serve, once routes are in force.
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -6,7 +6,7 @@
 use shallotfork_events::{ITEMS_SERVED, event};
 use shallotfork_feed::{PACK_MIN_BYTES, PullResponse, RawItem, pack};
 use shallotfork_peer::{Bundle, Changes, ChangesRequest, ValueChange, encode_values};
-use shallotfork_types::{Bytes, Revision};
+use shallotfork_types::{Bytes, Position};
 
 use crate::control::state::ControlState;
 
@@ -33,8 +33,9 @@
 /// metrics of what this entry knows of the platform: the revision up to which it has published items,
 /// and how old the platform's last answer to it is.
 pub fn report_served_pulls(state: &ControlState) {
-    let revision = state.archive.borrow().position();
-    gauge!("shallotfork_revision").set(revision.value() as f64);
+    let position = state.archive.borrow().position();
+    gauge!("shallotfork_revision").set(position.revision().value() as f64);
+    gauge!("shallotfork_platform_epoch").set(position.epoch().value() as f64);
     if let Some(answered_at) = state.platform_answered_at.get() {
         let age = state.now().since(answered_at);
         gauge!("shallotfork_platform_answer_age_seconds").set(age.as_secs_f64());
@@ -47,14 +48,16 @@
     }
 }
 
-/// Returns the changes after the requested revision; `None` while the uplink is full.
+/// Returns the changes after the requested position; `None` while the uplink is full.
 pub fn answer_pull(state: &ControlState, request: ChangesRequest) -> Option<Changes> {
     let now = state.now();
     if state.uplink.borrow().is_full(now) {
         state.served_pulls.deferred.set(state.served_pulls.deferred.get() + 1);
         return None;
     }
-    let response = state.archive.borrow().changes_after(request.after);
+    // A process that does not know of epochs is in the first one, or gets everything.
+    let after = Position::new(request.epoch.unwrap_or_default(), request.after);
+    let response = state.archive.borrow().changes_after(after);
     let changes = if request.accepts_packed {
         packed_changes(state, &response)
     } else {
@@ -74,8 +77,10 @@
 
 fn unpacked_changes(response: &PullResponse) -> Changes {
     let values = response.changes.items.iter().map(|item| value_change(item, None)).collect();
+    let position = response.changes.position;
     Changes {
-        revision: response.changes.revision,
+        revision: position.revision(),
+        epoch: Some(position.epoch()),
         values,
         is_snapshot: response.is_snapshot,
         bundle: None,
@@ -92,11 +97,17 @@
     let mut values: Vec<ValueChange> =
         large.into_iter().map(|item| value_change(item, packer.pack(item))).collect();
     let small: Vec<ValueChange> = small.into_iter().map(|item| value_change(item, None)).collect();
-    let bundle = bundle_values(state, changes.revision, *is_snapshot, &small);
+    let bundle = bundle_values(state, changes.position, *is_snapshot, &small);
     if bundle.is_none() {
         values.extend(small);
     }
-    Changes { revision: changes.revision, values, is_snapshot: *is_snapshot, bundle }
+    Changes {
+        revision: changes.position.revision(),
+        epoch: Some(changes.position.epoch()),
+        values,
+        is_snapshot: *is_snapshot,
+        bundle,
+    }
 }
 
 fn is_large(item: &RawItem) -> bool {
@@ -104,16 +115,16 @@
 }
 
 /// Packs small values together, unless they are few. Entries that start at the same time all pull a
-/// snapshot at the same revision, and share one bundle.
+/// snapshot at the same position, and share one bundle.
 fn bundle_values(
     state: &ControlState,
-    revision: Revision,
+    position: Position,
     is_snapshot: bool,
     values: &[ValueChange],
 ) -> Option<Bundle> {
     let mut cached = state.snapshot_bundle.borrow_mut();
-    if let Some((cached_revision, bundle)) = cached.as_ref().filter(|_| is_snapshot)
-        && *cached_revision == revision
+    if let Some((cached_position, bundle)) = cached.as_ref().filter(|_| is_snapshot)
+        && *cached_position == position
     {
         return Some(bundle.clone());
     }
@@ -121,18 +132,18 @@
     let unpacked_size = Bytes::new(content.len() as u64);
     let bundle = Bundle { content: pack(&content)?, unpacked_size };
     if is_snapshot {
-        *cached = Some((revision, bundle.clone()));
+        *cached = Some((position, bundle.clone()));
     }
     Some(bundle)
 }
 
 /// Converts an item for another entry, with its packed content if there is any.
 fn value_change(item: &RawItem, packed: Option<&[u8]>) -> ValueChange {
-    let RawItem { key, revision, content } = item;
+    let RawItem { key, position, content } = item;
     let unpacked = content.as_deref().unwrap_or_default();
     ValueChange {
         name: key.clone(),
-        revision: *revision,
+        position: *position,
         content: packed.unwrap_or(unpacked).to_vec(),
         unpacked_size: packed.map(|_| Bytes::new(unpacked.len() as u64)),
         removed: content.is_none(),
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -13,7 +13,7 @@
 use shallotfork_peer::Bundle;
 use shallotfork_roster::Roster;
 use shallotfork_routes::TableInForce;
-use shallotfork_types::{Endpoint, Epoch, Mono, Revision, ServiceName};
+use shallotfork_types::{Endpoint, Mono, Position, ServiceName};
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
@@ -39,16 +39,14 @@
     pub evacuations: RefCell<Evacuations>,
     /// Interface to the platform.
     pub feed: Arc<dyn Feed>,
-    /// Epoch that the platform stated in its last answer to this entry.
-    pub platform_epoch: Cell<Option<Epoch>>,
     /// Time of the platform's last answer to this entry.
     pub platform_answered_at: Cell<Option<Mono>>,
     /// Published items as last received.
     pub archive: RefCell<Archive>,
     /// Packed items for other entries.
     pub packer: RefCell<Packer>,
-    /// All small items packed together, with their revision.
-    pub snapshot_bundle: RefCell<Option<(Revision, Bundle)>>,
+    /// All small items packed together, with their position.
+    pub snapshot_bundle: RefCell<Option<(Position, Bundle)>>,
     /// Decides when to pull from other entries.
     pub pull_scheduler: RefCell<PullScheduler>,
     /// Alternative entries to pull from while the chosen one is busy.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -181,7 +181,6 @@
         roster: RefCell::new(Roster::new(RosterConfig::default())),
         evacuations: RefCell::new(Evacuations::new()),
         feed,
-        platform_epoch: Cell::new(None),
         platform_answered_at: Cell::new(None),
         archive: RefCell::new(Archive::new()),
         packer: RefCell::new(Packer::new()),
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -93,7 +93,7 @@
         let elapsed = context.clock.now().since(evacuation.learned_at);
         event!(context.log, EVACUATION_RUNNING,
             "failure_domain" => domain.as_str(),
-            "revision" => evacuation.revision.value(),
+            "revision" => evacuation.position.revision().value(),
             "since_ms" => u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
             "running" => running,
         );
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -72,6 +72,7 @@
     async fn changes(&self, request: ChangesRequest) -> Option<Changes> {
         Some(Changes {
             revision: request.after,
+            epoch: request.epoch,
             values: Vec::new(),
             is_snapshot: false,
             bundle: None,
@@ -150,6 +151,7 @@
         peers: "10.0.0.1:8081".parse()?,
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(9),
+        synced_epoch: None,
         round: 0,
         isolated: false,
         updates: Vec::new(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -20,8 +20,10 @@
   close @3 (operation :Operation, number :UInt64) -> (answer :ClaimAnswer);
   lookup @4 (operation :Operation) -> (held :Bool, answer :ClaimAnswer);
   issue @5 () -> (session :Text);
-  changes @6 (after :UInt64, takesPacked :Bool) -> (changes :Changes);
-  # With `takesPacked` large contents may come compressed.
+  changes @6 (after :UInt64, takesPacked :Bool, epoch :UInt64 = 0xffffffffffffffff)
+      -> (changes :Changes);
+  # With `takesPacked` large contents may come compressed. `epoch` is that of the revision `after`; the
+  # default means that the caller does not know of epochs.
   push @7 (changes :Changes) -> ();
   handoff @8 (ledger :SealedLedger, index :UInt32, count :UInt32) -> (accepted :Bool);
 }
@@ -56,6 +58,8 @@
   # The sender reaches no target.
 
   leavingTargets @22 :List(LeavingTarget);
+  syncedEpoch @23 :UInt64 = 0xffffffffffffffff;
+  # Epoch of `syncedRevision`; the default means that the sender does not know of epochs.
 
   enum State {
     live @0;
@@ -163,6 +167,8 @@
   # Further values: a message with a struct `Values`, compressed (deflate). Only for those who take it.
   unpackedBundleBytes @4 :UInt32;
   # Size of the bundle before it was compressed; 0 if there is none.
+  epoch @5 :UInt64 = 0xffffffffffffffff;
+  # Epoch of `revision`; the default means that the sender does not know of epochs.
 }
 
 struct Values {
@@ -176,6 +182,8 @@
   removed @3 :Bool;
   unpackedBytes @4 :UInt32;
   # Size of the content before it was compressed (deflate); 0 if it is not compressed.
+  epoch @5 :UInt64;
+  # Epoch of `revision`.
 }
 
 struct SealedLedger {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -12,7 +12,7 @@
 use shallotfork_once::{
     ClaimAnswer, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_types::{Endpoint, Revision};
+use shallotfork_types::{Endpoint, Position};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
@@ -191,15 +191,16 @@
         .await
     }
 
-    /// Fetches the published values that changed after a revision; the response may contain packed
+    /// Fetches the published values that changed after a position; the response may contain packed
     /// values.
     ///
     /// # Errors
     /// Returns [`PeerError::Busy`] if the peer has reached its limit for forwarding published
     /// values, or another error if no valid response arrives before the timeout.
-    pub async fn changes(&self, after: Revision) -> Result<Changes, PeerError> {
+    pub async fn changes(&self, after: Position) -> Result<Changes, PeerError> {
         let mut request = self.remote.changes_request();
-        request.get().set_after(after.value());
+        request.get().set_after(after.revision().value());
+        request.get().set_epoch(wire::write_epoch(Some(after.epoch())));
         request.get().set_takes_packed(true);
         with_timeout(self.config.bulk_timeout, async {
             let response = request.send().promise.await?;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,8 +6,8 @@
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_statements::LeavingReport;
 use shallotfork_types::{
-    Bytes, Endpoint, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Revision,
-    TargetId, VmId,
+    Bytes, Endpoint, Epoch, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Position,
+    Revision, TargetId, VmId,
 };
 
 /// Identity of a peer: one run of the process on one VM, authenticated by the handshake.
@@ -60,6 +60,8 @@
     pub seen_revision: Revision,
     /// Revision up to which the sender holds every published value.
     pub synced_revision: Revision,
+    /// Epoch of that revision; `None` if the sender does not know of epochs.
+    pub synced_epoch: Option<Epoch>,
     /// Fingerprint of the lists in force at the sender; changes with any list or its content.
     pub lists_digest: ListsDigest,
     /// Whether the sender cannot read the platform, or reads a replica that lags, and so depends
@@ -140,6 +142,8 @@
 pub struct Changes {
     /// Revision up to which the changes are complete.
     pub revision: Revision,
+    /// Epoch of that revision; `None` if the sender does not know of epochs.
+    pub epoch: Option<Epoch>,
     /// Changed values.
     pub values: Vec<ValueChange>,
     /// Whether these are all published values, so that any other value no longer exists.
@@ -163,6 +167,8 @@
 pub struct ChangesRequest {
     /// Revision up to which the requester holds every published value.
     pub after: Revision,
+    /// Epoch of that revision; `None` if the requester does not know of epochs.
+    pub epoch: Option<Epoch>,
     /// Whether the response may contain packed values.
     pub accepts_packed: bool,
 }
@@ -172,8 +178,8 @@
 pub struct ValueChange {
     /// Name of the value on the platform.
     pub name: String,
-    /// Revision of the last change of the value.
-    pub revision: Revision,
+    /// Position of the last change of the value.
+    pub position: Position,
     /// Entire content, packed if `unpacked_size` is set; empty if the value was removed.
     pub content: Vec<u8>,
     /// Size of the unpacked content; `None` if the content is not packed.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -271,6 +271,7 @@
         let params = params.get()?;
         let request = ChangesRequest {
             after: Revision::new(params.get_after()),
+            epoch: wire::read_epoch(params.get_epoch()),
             accepts_packed: params.get_takes_packed(),
         };
         let Some(changes) = self.handler.changes(request).await else {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -12,8 +12,8 @@
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_statements::{LeavingReport, TargetRun};
 use shallotfork_types::{
-    Bytes, IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille,
-    RequestRate, Revision, TargetId,
+    Bytes, Epoch, IdempotencyKey, Incarnation, ListsDigest, Mono, ParseError, PerSecond, Permille,
+    Position, RequestRate, Revision, TargetId,
 };
 
 use crate::key::NONCE_BYTES;
@@ -133,6 +133,7 @@
     to.set_state(write_state(heartbeat.state));
     to.set_seen_revision(heartbeat.seen_revision.value());
     to.set_synced_revision(heartbeat.synced_revision.value());
+    to.set_synced_epoch(write_epoch(heartbeat.synced_epoch));
     to.set_lists_digest(heartbeat.lists_digest.value());
     to.set_platform_lost(heartbeat.is_disconnected);
     to.set_restart_safe(heartbeat.restart_safe);
@@ -253,6 +254,17 @@
     })
 }
 
+/// Wire value for the epoch of a process that does not know of epochs.
+const UNKNOWN_EPOCH: u64 = u64::MAX;
+
+pub(crate) fn write_epoch(epoch: Option<Epoch>) -> u64 {
+    epoch.map_or(UNKNOWN_EPOCH, Epoch::value)
+}
+
+pub(crate) fn read_epoch(epoch: u64) -> Option<Epoch> {
+    (epoch != UNKNOWN_EPOCH).then(|| Epoch::new(epoch))
+}
+
 /// Wire value for an unknown age.
 const UNKNOWN_AGE_MS: u32 = u32::MAX;
 
@@ -291,6 +303,7 @@
         updates: from.get_news()?.iter().map(read_update).collect::<Result<_>>()?,
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
+        synced_epoch: read_epoch(from.get_synced_epoch()),
         lists_digest: ListsDigest::new(from.get_lists_digest()),
         is_disconnected: from.get_platform_lost(),
         platform: PlatformReport {
@@ -336,6 +349,7 @@
 
 pub(crate) fn write_changes(changes: &Changes, mut to: schema::changes::Builder<'_>) {
     to.set_revision(changes.revision.value());
+    to.set_epoch(write_epoch(changes.epoch));
     to.set_whole(changes.is_snapshot);
     if let Some(bundle) = &changes.bundle {
         to.set_bundle(&bundle.content);
@@ -351,7 +365,8 @@
     for (index, change) in (0..).zip(values) {
         let mut value = to.reborrow().get(index);
         value.set_name(&change.name[..]);
-        value.set_revision(change.revision.value());
+        value.set_revision(change.position.revision().value());
+        value.set_epoch(change.position.epoch().value());
         value.set_content(&change.content);
         value.set_removed(change.removed);
         value.set_unpacked_bytes(change.unpacked_size.map_or(0, unpacked_bytes));
@@ -387,7 +402,8 @@
             unpacked_size: Bytes::new(u64::from(bytes)),
         }),
     };
-    Ok(Changes { revision, values, is_snapshot: from.get_whole(), bundle })
+    let epoch = read_epoch(from.get_epoch());
+    Ok(Changes { revision, epoch, values, is_snapshot: from.get_whole(), bundle })
 }
 
 fn unpacked_bytes(size: Bytes) -> u32 {
@@ -397,7 +413,7 @@
 fn read_value(from: schema::value::Reader<'_>) -> Result<ValueChange> {
     Ok(ValueChange {
         name: from.get_name()?.to_string()?,
-        revision: Revision::new(from.get_revision()),
+        position: Position::new(Epoch::new(from.get_epoch()), Revision::new(from.get_revision())),
         content: from.get_content()?.to_vec(),
         unpacked_size: match from.get_unpacked_bytes() {
             0 => None,
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -21,8 +21,8 @@
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
 use shallotfork_statements::{LeavingReport, TargetRun};
 use shallotfork_types::{
-    Bytes, Endpoint, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille,
-    RequestRate, Revision, TargetId, VmId,
+    Bytes, Endpoint, Epoch, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille,
+    Position, RequestRate, Revision, TargetId, VmId,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -101,7 +101,7 @@
     }
 
     async fn changes(&self, request: ChangesRequest) -> Option<Changes> {
-        self.record(format!("changes after {}", request.after));
+        self.record(format!("changes after {} of epoch {:?}", request.after, request.epoch));
         self.changes.clone()
     }
 
@@ -174,7 +174,7 @@
 fn changes() -> Changes {
     let value = ValueChange {
         name: "rules".to_owned(),
-        revision: Revision::new(7),
+        position: Position::new(Epoch::new(2), Revision::new(7)),
         content: b"[default]".to_vec(),
         unpacked_size: Some(Bytes::new(400)),
         removed: false,
@@ -185,6 +185,7 @@
     };
     Changes {
         revision: Revision::new(8),
+        epoch: Some(Epoch::new(2)),
         values: vec![value],
         is_snapshot: true,
         bundle: Some(bundle),
@@ -241,6 +242,7 @@
         updates: vec![peer_update()],
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(8),
+        synced_epoch: Some(Epoch::new(2)),
         lists_digest: ListsDigest::new(7),
         is_disconnected: true,
         platform: PlatformReport {
@@ -271,7 +273,10 @@
         let client = setup.connect(&key(b'k')).await.unwrap();
         assert_eq!("server", client.peer().vm.as_str());
         assert_eq!(heartbeat(), client.heartbeat(&heartbeat()).await.unwrap());
-        assert_eq!(changes(), client.changes(Revision::new(6)).await.unwrap());
+        assert_eq!(
+            changes(),
+            client.changes(Position::new(Epoch::new(2), Revision::new(6))).await.unwrap()
+        );
         client.push(&changes()).await.unwrap();
         assert_eq!(Some(setup.handler.session.clone()), client.issue().await.unwrap());
         let completions = [
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use shallotfork_types::{Endpoint, Mono, Revision, TargetId};
+use shallotfork_types::{Endpoint, Mono, Position, TargetId};
 
 use crate::roster_config::RosterConfig;
 use crate::target_record::{Availability, PublishedState, TargetChange, TargetRecord};
@@ -27,8 +27,8 @@
 
 #[derive(Debug, Clone)]
 struct Member {
-    revision: Revision,
-    /// `None` if the record was removed or is unreadable; the revision is retained, so that
+    position: Position,
+    /// `None` if the record was removed or is unreadable; the position is retained, so that
     /// outdated changes are ignored.
     record: Option<TargetRecord>,
     /// Whether the record is missing and the target is kept for the grace period.
@@ -40,7 +40,7 @@
 
 /// Set of the targets that may be used, derived from published records.
 ///
-/// Ignores a record if its revision is below the latest known one of its target, because stale full
+/// Ignores a record if its position is below the latest known one of its target, because stale full
 /// reads may overlap with the watch. Normally a target is removed as soon as its record is missing.
 /// During an outage of the platform and shortly after, records expire although their targets are
 /// alive; removing these would leave a service without targets for seconds.
@@ -87,26 +87,26 @@
         changes.into_iter().filter_map(|change| self.apply_one(change, now)).collect()
     }
 
-    /// Applies a full read. Records that it does not contain are missing as of `revision`.
+    /// Applies a full read. Records that it does not contain are missing as of `position`.
     ///
-    /// The pages of a read are not a consistent snapshot. `revision` must be that of the first
+    /// The pages of a read are not a consistent snapshot. `position` must be that of the first
     /// page, so that a record that was written later does not count as missing.
     pub fn replace(
         &mut self,
         records: Vec<TargetChange>,
-        revision: Revision,
+        position: Position,
         now: Mono,
     ) -> Vec<RosterChange> {
         let read: BTreeSet<TargetId> = records.iter().map(|change| change.id.clone()).collect();
         let mut changes = self.apply(records, now);
         let missing = self.members.iter().filter(|(id, member)| {
-            member.record.is_some() && member.revision <= revision && !read.contains(*id)
+            member.record.is_some() && member.position <= position && !read.contains(*id)
         });
         let missing: Vec<TargetId> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
             changes.extend(
                 self.apply_one(
-                    TargetChange { id, revision, published: PublishedState::Removed },
+                    TargetChange { id, position, published: PublishedState::Removed },
                     now,
                 ),
             );
@@ -139,12 +139,12 @@
     /// The address of a target that has ended may be reused before the target's record is removed.
     /// If several records have the same address, only the one published last is included.
     pub fn targets(&self) -> Vec<(&TargetId, &TargetRecord)> {
-        let mut holders: BTreeMap<Endpoint, (Revision, &TargetId)> = BTreeMap::new();
+        let mut holders: BTreeMap<Endpoint, (Position, &TargetId)> = BTreeMap::new();
         for (id, member) in &self.members {
             let Some(record) = &member.record else { continue };
-            let holder = holders.entry(record.endpoint).or_insert((member.revision, id));
-            if member.revision > holder.0 {
-                *holder = (member.revision, id);
+            let holder = holders.entry(record.endpoint).or_insert((member.position, id));
+            if member.position > holder.0 {
+                *holder = (member.position, id);
             }
         }
         let present =
@@ -161,26 +161,26 @@
     }
 
     fn apply_one(&mut self, change: TargetChange, now: Mono) -> Option<RosterChange> {
-        let TargetChange { id, revision, published } = change;
-        if self.members.get(&id).is_some_and(|member| revision < member.revision) {
+        let TargetChange { id, position, published } = change;
+        if self.members.get(&id).is_some_and(|member| position < member.position) {
             return None;
         }
         match published {
-            PublishedState::Target(record) => self.upsert(id, revision, record, now),
-            PublishedState::Unreadable => self.remove(id, revision, now),
-            PublishedState::Removed => self.mark_missing(id, revision, now),
+            PublishedState::Target(record) => self.upsert(id, position, record, now),
+            PublishedState::Unreadable => self.remove(id, position, now),
+            PublishedState::Removed => self.mark_missing(id, position, now),
         }
     }
 
     fn upsert(
         &mut self,
         id: TargetId,
-        revision: Revision,
+        position: Position,
         record: TargetRecord,
         now: Mono,
     ) -> Option<RosterChange> {
         let new_member =
-            Member { revision, record: Some(record), is_lapsed: false, last_seen_at: now };
+            Member { position, record: Some(record), is_lapsed: false, last_seen_at: now };
         let old = self.members.insert(id.clone(), new_member);
         self.update_version(&id, old.as_ref());
         let new = self.members.get(&id)?.record.as_ref()?;
@@ -200,7 +200,7 @@
     fn mark_missing(
         &mut self,
         id: TargetId,
-        revision: Revision,
+        position: Position,
         now: Mono,
     ) -> Option<RosterChange> {
         let in_grace_period = self.is_in_grace_period(now);
@@ -211,15 +211,15 @@
         // A target that was draining has ended; its record will not be published again.
         let retained =
             self.members.get_mut(&id).filter(|member| in_grace_period && is_serving(member));
-        let Some(member) = retained else { return self.remove(id, revision, now) };
-        member.revision = revision;
+        let Some(member) = retained else { return self.remove(id, position, now) };
+        member.position = position;
         let is_first = !member.is_lapsed;
         member.is_lapsed = true;
         is_first.then_some(RosterChange::Lapsed(id))
     }
 
     /// Increments the version if the targets may have changed. A change that only renews a record
-    /// has an effect only if its address is shared, because the latest revision holds the address.
+    /// has an effect only if its address is shared, because the latest position holds the address.
     fn update_version(&mut self, id: &TargetId, old: Option<&Member>) {
         let record = self.members.get(id).and_then(|member| member.record.as_ref());
         let old = old.and_then(|old| old.record.as_ref());
@@ -234,8 +234,8 @@
         records.filter(|record| record.endpoint == endpoint).count() > 1
     }
 
-    fn remove(&mut self, id: TargetId, revision: Revision, now: Mono) -> Option<RosterChange> {
-        let removed = Member { revision, record: None, is_lapsed: false, last_seen_at: now };
+    fn remove(&mut self, id: TargetId, position: Position, now: Mono) -> Option<RosterChange> {
+        let removed = Member { position, record: None, is_lapsed: false, last_seen_at: now };
         let old = self.members.insert(id.clone(), removed);
         self.update_version(&id, old.as_ref());
         old.and_then(|old| old.record).map(|_| RosterChange::Left(id))
--- a/crates/roster/src/target_record.rs
+++ b/crates/roster/src/target_record.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use shallotfork_types::{Endpoint, FailureDomain, Revision, ServiceName, TargetId};
+use shallotfork_types::{Endpoint, FailureDomain, Position, ServiceName, TargetId};
 
 /// Availability that a target reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,8 +59,8 @@
 pub struct TargetChange {
     /// ID of the target.
     pub id: TargetId,
-    /// Revision of the change.
-    pub revision: Revision,
-    /// Published state as of this revision.
+    /// Position of the change.
+    pub position: Position,
+    /// Published state as of this position.
     pub published: PublishedState,
 }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -8,7 +8,11 @@
 use shallotfork_roster::{
     Availability, PublishedState, Roster, RosterChange, RosterConfig, TargetChange, TargetRecord,
 };
-use shallotfork_types::{FailureDomain, Mono, Revision, ServiceName, TargetId};
+use shallotfork_types::{Epoch, FailureDomain, Mono, Position, Revision, ServiceName, TargetId};
+
+fn at_revision(revision: u64) -> Position {
+    Position::new(Epoch::NONE, Revision::new(revision))
+}
 
 fn id(name: &str) -> TargetId {
     TargetId::new(name).unwrap()
@@ -27,7 +31,7 @@
 }
 
 fn change(name: &str, revision: u64, published: PublishedState) -> TargetChange {
-    TargetChange { id: id(name), revision: Revision::new(revision), published }
+    TargetChange { id: id(name), position: at_revision(revision), published }
 }
 
 fn present(name: &str, revision: u64, port: u16) -> TargetChange {
@@ -99,7 +103,7 @@
     let mut roster = roster_with_two_targets();
     roster.apply(vec![change("a", 9, PublishedState::Removed)], at(10));
     let changes =
-        roster.replace(vec![present("a", 1, 1), present("b", 2, 2)], Revision::new(5), at(20));
+        roster.replace(vec![present("a", 1, 1), present("b", 2, 2)], at_revision(5), at(20));
     assert_eq!(changes, []);
     assert_eq!(names(&roster), ["b"]);
 }
@@ -108,7 +112,7 @@
 fn full_read_removes_missing_targets_except_later_ones() {
     let mut roster = roster_with_two_targets();
     roster.apply(vec![present("c", 8, 3)], at(10));
-    let changes = roster.replace(vec![present("b", 2, 2)], Revision::new(6), at(20));
+    let changes = roster.replace(vec![present("b", 2, 2)], at_revision(6), at(20));
     assert_eq!(changes, [RosterChange::Left(id("a"))]);
     assert_eq!(names(&roster), ["b", "c"]);
 }
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -7,7 +7,7 @@
 use shallotfork_peer::{Changes, Heartbeat, PeerClient, PeerError, PeerId, ValueChange};
 use shallotfork_platform::PublishedList;
 use shallotfork_revisions::DigestPair;
-use shallotfork_types::{ListName, Revision};
+use shallotfork_types::{Epoch, ListName, Position, Revision};
 
 use crate::control::lists_apply::apply_lists;
 use crate::control::lists_source::ListSource;
@@ -83,7 +83,7 @@
     client: &PeerClient,
     after: Revision,
 ) -> Result<(), PeerError> {
-    let changes = client.changes(after).await?;
+    let changes = client.changes(position_of(after)).await?;
     let synced = state.lists.borrow().cursor.synced_revision();
     let lists = changes.values.into_iter().filter_map(to_published_list).collect();
     let applied = apply_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
@@ -106,14 +106,19 @@
         return Ok(());
     }
     let values = outranked.into_iter().map(to_value_change).collect();
-    client.push(&Changes { revision, values, is_snapshot: false, bundle: None }).await
+    client.push(&Changes { revision, epoch: None, values, is_snapshot: false, bundle: None }).await
+}
+
+/// Returns the position of a list's revision; lists have no epochs.
+fn position_of(revision: Revision) -> Position {
+    Position::new(Epoch::NONE, revision)
 }
 
 /// Converts a published list to a peer message.
 pub fn to_value_change(list: PublishedList) -> ValueChange {
     ValueChange {
         name: list.name.to_string(),
-        revision: list.revision,
+        position: position_of(list.revision),
         content: list.content.into_bytes(),
         unpacked_size: None,
         removed: false,
@@ -128,5 +133,5 @@
         return None;
     }
     let content = String::from_utf8(change.content).ok()?;
-    Some(PublishedList { name, revision: change.revision, content })
+    Some(PublishedList { name, revision: change.position.revision(), content })
 }
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -123,6 +123,7 @@
         updates: view.take_due_updates().into_iter().map(to_peer_update).collect(),
         seen_revision: lists.cursor.highest_revision(),
         synced_revision: lists.cursor.synced_revision(),
+        synced_epoch: None,
         lists_digest: lists.digest(),
         is_disconnected: state.is_disconnected.get(),
         platform: PlatformReport::default(),
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -88,6 +88,7 @@
         let values = lists.changed_after(request.after).into_iter().map(to_value_change).collect();
         Some(Changes {
             revision: lists.cursor.synced_revision(),
+            epoch: None,
             values,
             is_snapshot: false,
             bundle: None,
--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -2,8 +2,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use shallotfork_types::{
-    Bytes, Epoch, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Revision, ServiceName,
-    Verdict,
+    Bytes, Epoch, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Position, Revision,
+    ServiceName, Verdict,
 };
 
 const SEED: u64 = 0x5e1f;
@@ -18,10 +18,12 @@
         let small = value as u32;
         let bytes = Bytes::new(value);
         let incarnation = Incarnation::new(value);
+        let position = Position::new(Epoch::new(u64::from(small)), Revision::new(value));
         bytes.to_string().parse() == Ok(bytes)
             && incarnation.to_string().parse() == Ok(incarnation)
             && Revision::new(value).to_string().parse() == Ok(Revision::new(value))
             && Epoch::new(value).to_string().parse() == Ok(Epoch::new(value))
+            && position.to_string().parse() == Ok(position)
             && Permille::new(small).to_string().parse() == Ok(Permille::new(small))
             && PerSecond::new(small).to_string().parse() == Ok(PerSecond::new(small))
     }
