--- a/crates/evacuation/src/evacuations.rs
+++ b/crates/evacuation/src/evacuations.rs
@@ -77,7 +77,7 @@
 
     /// Applies changes, which must be in the order in which they were published.
     pub fn apply(&mut self, changes: Vec<EvacuationChange>, now: Mono) -> Vec<EvacuationEvent> {
-        let events = changes.into_iter().filter_map(|change| self.apply_one(change, now)).collect();
+        let events = self.apply_after(self.full_read_position, changes, now);
         self.evict_oldest_ended();
         events
     }
@@ -97,7 +97,10 @@
         };
         let missing: Vec<FailureDomain> =
             self.records.iter().filter(is_missing).map(|(domain, _)| domain.clone()).collect();
-        let mut events = self.apply(published, now);
+        // A later full read than the one before states what holds, also by changes that are older.
+        let is_later = position >= self.full_read_position;
+        let superseded_before = if is_later { Position::NONE } else { self.full_read_position };
+        let mut events = self.apply_after(superseded_before, published, now);
         for failure_domain in missing {
             let ended =
                 EvacuationChange { failure_domain, position, published: PublishedState::Removed };
@@ -121,11 +124,22 @@
             .collect()
     }
 
+    /// Applies changes, except those before a position.
+    fn apply_after(
+        &mut self,
+        superseded_before: Position,
+        changes: Vec<EvacuationChange>,
+        now: Mono,
+    ) -> Vec<EvacuationEvent> {
+        let changes = changes.into_iter().filter(|change| change.position >= superseded_before);
+        changes.filter_map(|change| self.apply_one(change, now)).collect()
+    }
+
     fn apply_one(&mut self, change: EvacuationChange, now: Mono) -> Option<EvacuationEvent> {
         let EvacuationChange { failure_domain, position, published } = change;
         let before = self.records.get(&failure_domain).copied();
         let known_position = before.map_or(Position::NONE, |before| before.position);
-        if position < known_position.max(self.full_read_position) {
+        if position < known_position {
             return None;
         }
         let evacuated_before = before.and_then(|before| before.evacuated_at);
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -38,6 +38,7 @@
     PUBLISHED_IGNORED = 2012 Warning "part of a published item ignored: it is not valid";
     ITEMS_PULLED = 2013 Info "published items pulled from another entry";
     ITEMS_SERVED = 2014 Info "published items sent to other entries";
+    ITEMS_RETAINED = 2015 Info "published items retained in place of those of an older copy";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
@@ -66,6 +67,7 @@
     PLATFORM_HISTORY_LOST = 6004 Warning "platform no longer has the changes after the known revision";
     PLATFORM_READ_DROPPED = 6005 Warning "full read of the platform dropped: later changes are known";
     PLATFORM_RESTORED = 6006 Warning "platform restored from a copy";
+    PLATFORM_SETTLED = 6007 Info "restored platform has settled: what it publishes holds";
     REQUEST_REJECTED = 7001 Info "request refused";
     REQUEST_ANSWERED = 7002 Info "request answered";
     REQUEST_NOT_ANSWERED = 7003 Warning "request not answered: it may have run";
--- a/crates/feed/src/check.rs
+++ b/crates/feed/src/check.rs
@@ -30,8 +30,8 @@
     /// Packed content is invalid, differs from its stated size, or is too large.
     #[error("packed content cannot be unpacked to its stated size of {0}")]
     BadPacked(Bytes),
-    /// An item has no key, or revision zero.
-    #[error("item has an empty key or revision 0")]
+    /// An item has no key, or it exists at revision zero.
+    #[error("item has an empty key, or exists at revision 0")]
     BadItem,
 }
 
@@ -44,7 +44,7 @@
     /// # Errors
     /// Returns the reason for the rejection; the items then have to be pulled from another entry.
     pub fn check(&self, response: &PullResponse) -> Result<(), PullError> {
-        let PullResponse { changes, is_snapshot } = response;
+        let PullResponse { changes, is_snapshot, retained, .. } = response;
         let known = self.position();
         if changes.position < known {
             return Err(PullError::Older { received: changes.position, known });
@@ -52,12 +52,15 @@
         if *is_snapshot && changes.items.is_empty() {
             return Err(PullError::Empty);
         }
-        if changes.items.len() > ITEMS_MAX {
-            return Err(PullError::TooMany(changes.items.len()));
+        let count = changes.items.len() + retained.items.len();
+        if count > ITEMS_MAX {
+            return Err(PullError::TooMany(count));
         }
-        let is_bad =
-            |item: &RawItem| item.key.is_empty() || item.position.revision() == Revision::NONE;
-        if changes.items.iter().any(is_bad) {
+        let is_bad = |item: &RawItem| {
+            let has_revision = item.position.revision() != Revision::NONE;
+            item.key.is_empty() || item.content.is_some() && !has_revision
+        };
+        if changes.items.iter().chain(&retained.items).any(is_bad) {
             return Err(PullError::BadItem);
         }
         Ok(())
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,12 +4,14 @@
 mod check;
 mod feed;
 mod pack;
+mod precedence;
 mod pull_scheduler;
 mod uplink;
 
-pub use archive::{Archive, PullResponse};
+pub use archive::{Archive, Judge, PullResponse, Retained};
 pub use check::PullError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
 pub use pack::{PACK_MIN_BYTES, Packer, pack, unpack};
+pub use precedence::precedence;
 pub use pull_scheduler::PullScheduler;
 pub use uplink::Uplink;
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -32,7 +32,10 @@
         domain_entries,
         is_overloaded,
     } = heartbeat;
-    let position = state.archive.borrow().position();
+    let (position, retained_digest) = {
+        let archive = state.archive.borrow();
+        (archive.position(), archive.retained_digest())
+    };
     Heartbeat {
         state: peer_state(from.listed.leaving, is_starting),
         failure_domain: from.listed.failure_domain,
@@ -44,6 +47,7 @@
         seen_revision: position.revision(),
         synced_revision: position.revision(),
         synced_epoch: Some(position.epoch()),
+        retained_digest,
         lists_digest: core_digest,
         is_disconnected,
         platform: platform_report(platform),
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -97,9 +97,8 @@
             TransferKind::Heartbeats
                 .record_bytes(&answer.failure_domain, client.take_transferred_bytes());
             receive_heartbeat(&state, client.peer(), &answer);
-            if should_pull_from(&state, &answer) {
-                let failure_domain = answer.failure_domain;
-                pull(&state, PullSource { client: Rc::clone(&client), failure_domain }).await;
+            if should_pull_from(&state, &client.peer().vm, &answer) {
+                pull(&state, PullSource::new(Rc::clone(&client), &answer)).await;
             }
         }
         // The next heartbeat opens a new connection.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -6,9 +6,11 @@
 use shallotfork_balance::SlotTarget;
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
 use shallotfork_events::{
-    EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, PLATFORM_RESTORED, PUBLISHED_IGNORED,
-    ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED, TARGETS_CHANGED, event,
+    EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, ITEMS_RETAINED, PLATFORM_RESTORED,
+    PLATFORM_SETTLED, PUBLISHED_IGNORED, ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED,
+    TARGETS_CHANGED, event,
 };
+use shallotfork_history::Precedence;
 use shallotfork_roster::{Availability, RosterChange, TargetChange, TargetRecord};
 use shallotfork_routes::{OfferOutcome, RouteTable};
 use shallotfork_statements::{LeavingTargets, TargetRun};
@@ -20,12 +22,15 @@
 use crate::log_budget::LogDecision;
 use crate::snapshot::Published;
 use crate::traffic::{ServiceSlots, target_run};
-use shallotfork_feed::{Decoded, FeedChanges, RawItem};
+use shallotfork_feed::{Decoded, FeedChanges, PullResponse, RawItem, precedence};
 use shallotfork_fleet::OwnState;
 
 /// Target changes in one read that are logged individually; more are summarized in one line.
 const LOGGED_CHANGES_MAX: usize = 20;
 
+/// Source of items that are published again after the settle time, in log lines.
+const SETTLED_SOURCE: &str = "settled";
+
 /// Changes of targets and evacuations decoded from published items.
 #[derive(Debug, Default)]
 struct DecodedChanges {
@@ -33,39 +38,109 @@
     evacuations: Vec<EvacuationChange>,
 }
 
-/// Applies the result of a full read that began at `position`. `source` is where it comes from, for
+/// Applies a full read of the platform that began at `position`. `source` is where it comes from, for
 /// the log.
 pub fn apply_snapshot(state: &ControlState, items: &[RawItem], position: Position, source: &str) {
-    log_restored(state, position, source);
-    state.archive.borrow_mut().replace(items, position);
-    let DecodedChanges { targets, evacuations } = apply_routes(state, items, source);
+    let is_restored = record_restored(state, position, source);
+    let mut archive = state.archive.borrow_mut();
+    archive.replace(items, position, state.now(), &judge(state));
+    drop(archive);
+    if is_restored {
+        log_retained(state);
+    }
+    apply_archive(state, source);
+}
+
+/// Applies the changes that follow the position of the archive.
+pub fn apply_changes(state: &ControlState, changes: &FeedChanges, source: &str) {
+    let changed = state.archive.borrow_mut().apply(changes, &judge(state));
+    apply_changed(state, &changed, source);
+}
+
+/// Applies a checked response of another entry.
+pub fn apply_pulled(state: &ControlState, response: &PullResponse, source: &str) {
+    let is_restored = record_restored(state, response.changes.position, source);
+    let mut archive = state.archive.borrow_mut();
+    let changed = archive.apply_response(response, state.now(), &judge(state));
+    drop(archive);
+    if is_restored {
+        log_retained(state);
+    }
+    match changed {
+        Some(changed) => apply_changed(state, &changed, source),
+        None => apply_archive(state, source),
+    }
+}
+
+/// Ends the time in which items of an earlier epoch of the platform are retained, once it is over.
+pub fn settle(state: &ControlState) {
+    let has_settled = state.archive.borrow_mut().settle(state.now());
+    if has_settled {
+        event!(state.context.log, PLATFORM_SETTLED,
+            "retained" => state.archive.borrow().retained_keys().len());
+        apply_archive(state, SETTLED_SOURCE);
+    }
+}
+
+/// Applies all items of the archive.
+fn apply_archive(state: &ControlState, source: &str) {
+    let (items, position) = {
+        let archive = state.archive.borrow();
+        (archive.items(), archive.position())
+    };
+    let DecodedChanges { targets, evacuations } = apply_routes(state, &items, source);
     let now = state.context.clock.now();
     let evacuated = state.evacuations.borrow_mut().replace(evacuations, position, now);
     let changed = state.roster.borrow_mut().replace(targets, position, now);
     publish(state, &changed, &evacuated);
 }
 
-/// Applies the changes that follow the position of the archive.
-pub fn apply_changes(state: &ControlState, changes: &FeedChanges, source: &str) {
-    log_restored(state, changes.position, source);
-    state.archive.borrow_mut().apply(changes);
-    if changes.items.is_empty() {
+fn apply_changed(state: &ControlState, items: &[RawItem], source: &str) {
+    if items.is_empty() {
         return;
     }
-    let DecodedChanges { targets, evacuations } = apply_routes(state, &changes.items, source);
+    let DecodedChanges { targets, evacuations } = apply_routes(state, items, source);
     let now = state.context.clock.now();
     let evacuated = state.evacuations.borrow_mut().apply(evacuations, now);
     let changed = state.roster.borrow_mut().apply(targets, now);
     publish(state, &changed, &evacuated);
 }
 
-/// Logs that the platform was restored since what is known here.
-fn log_restored(state: &ControlState, position: Position, source: &str) {
+/// Returns the rule by which a version known from an earlier epoch holds in place of the published one.
+/// The record of a target that has only lapsed is no word on its end.
+fn judge(state: &ControlState) -> impl Fn(&RawItem, &RawItem) -> Precedence {
+    |known, published| {
+        let known = state.feed.decode(known);
+        if let Decoded::Target { change, .. } = &known
+            && state.roster.borrow().is_lapsed(&change.id)
+        {
+            return Precedence::Published;
+        }
+        precedence(&known, &state.feed.decode(published))
+    }
+}
+
+/// Records that the platform was restored, if it was since what is known here, and returns whether it
+/// was. Records that have expired meanwhile are published again, as after an outage.
+fn record_restored(state: &ControlState, position: Position, source: &str) -> bool {
     let known = state.archive.borrow().position();
-    if known != Position::NONE && position.epoch() > known.epoch() {
-        event!(state.context.log, PLATFORM_RESTORED, "epoch" => position.epoch().value(),
-            "revision" => position.revision().value(), "known_epoch" => known.epoch().value(),
-            "known" => known.revision().value(), "source" => source);
+    if known == Position::NONE || position.epoch() <= known.epoch() {
+        return false;
+    }
+    event!(state.context.log, PLATFORM_RESTORED, "epoch" => position.epoch().value(),
+        "revision" => position.revision().value(), "known_epoch" => known.epoch().value(),
+        "known" => known.revision().value(), "source" => source);
+    state.roster.borrow_mut().platform_reconnected(state.now());
+    true
+}
+
+fn log_retained(state: &ControlState) {
+    let retained = state.archive.borrow().retained_keys();
+    if !retained.is_empty() {
+        let first: Vec<&str> =
+            retained.iter().take(LOGGED_CHANGES_MAX).map(String::as_str).collect();
+        event!(state.context.log, ITEMS_RETAINED, "items" => retained.len(),
+            "keys" => first.join(" "));
     }
 }
 
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use shallotfork_events::{ITEMS_PULLED, PULL_FAILED, event};
-use shallotfork_peer::{Changes, PeerClient, PeerError};
-use shallotfork_types::{FailureDomain, Mono, Position};
+use shallotfork_peer::{Changes, ChangesRequest, Heartbeat, PeerClient, PeerError};
+use shallotfork_types::{Epoch, FailureDomain, ListsDigest, Mono, Position};
 
 use crate::control::pulled_items::apply_response;
 use crate::control::serve_pulls::LOG_MIN_SIZE;
@@ -24,8 +24,23 @@
 pub struct PullSource {
     /// Connection to the entry.
     pub client: Rc<PeerClient>,
-    /// Failure domain of the entry.
-    pub failure_domain: FailureDomain,
+    failure_domain: FailureDomain,
+    /// Epoch that the entry is in.
+    epoch: Option<Epoch>,
+    /// Digest of the items of earlier epochs that the entry retains.
+    retained_digest: ListsDigest,
+}
+
+impl PullSource {
+    /// Creates the source from an entry's heartbeat.
+    pub fn new(client: Rc<PeerClient>, heartbeat: &Heartbeat) -> Self {
+        Self {
+            client,
+            failure_domain: heartbeat.failure_domain.clone(),
+            epoch: heartbeat.synced_epoch,
+            retained_digest: heartbeat.retained_digest,
+        }
+    }
 }
 
 /// Pulls from another entry, and from the alternative sources in turn while the chosen one is busy.
@@ -63,7 +78,11 @@
     let started_at = state.now();
     let after = state.archive.borrow().position();
     source.client.take_transferred_bytes();
-    let answer = request_changes(state, &source.client, after).await;
+    let is_next_epoch = source.epoch > Some(after.epoch());
+    let has_other_retained = source.retained_digest != ListsDigest::default()
+        && source.retained_digest != state.archive.borrow().retained_digest();
+    let request = ChangesRequest::new(after).with_retained(is_next_epoch || has_other_retained);
+    let answer = request_changes(state, &source.client, &request).await;
     let bytes = source.client.take_transferred_bytes();
     TransferKind::Pulls.record_bytes(&source.failure_domain, bytes);
     let changes = answer.inspect_err(|error| {
@@ -84,14 +103,14 @@
     Ok(())
 }
 
-/// Requests the changes after a position, and records progress for as long as the answer keeps
+/// Requests changes, and records progress for as long as the answer keeps
 /// arriving.
 async fn request_changes(
     state: &ControlState,
     client: &PeerClient,
-    after: Position,
+    request: &ChangesRequest,
 ) -> Result<Changes, PeerError> {
-    let mut answer = std::pin::pin!(client.changes(after));
+    let mut answer = std::pin::pin!(client.changes(request));
     let mut previous_bytes = client.received_bytes();
     loop {
         if let Ok(answer) = tokio::time::timeout(PROGRESS_INTERVAL, answer.as_mut()).await {
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -1,26 +1,27 @@
 //! Applies published items that were pulled from other entries.
 
 use shallotfork_peer::{Bundle, Changes, Heartbeat, ValueChange, decode_values};
-use shallotfork_types::Position;
+use shallotfork_revisions::DigestPair;
+use shallotfork_types::{ListsDigest, Position, VmId};
 
-use crate::control::publish::{apply_changes, apply_snapshot};
+use crate::control::publish::apply_pulled;
 use crate::control::reader::mark_synced;
 use crate::control::state::ControlState;
-use shallotfork_feed::{FeedChanges, PullError, PullResponse, RawItem, unpack};
+use shallotfork_feed::{FeedChanges, PullError, PullResponse, RawItem, Retained, unpack};
 
 /// Whether to pull published items from the sender of a heartbeat because it is at a later position.
 ///
 /// An entry that can't read the platform itself may still be at a later position, by what it has received from
 /// entries that can. A reader receives most changes from the platform first; if its position stays
 /// before that of others for longer than the propagation delay, its read of the platform hangs.
-pub fn should_pull_from(state: &ControlState, heartbeat: &Heartbeat) -> bool {
+pub fn should_pull_from(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
     let own = state.archive.borrow().position();
     let theirs =
         Position::new(heartbeat.synced_epoch.unwrap_or_default(), heartbeat.synced_revision);
     let view = state.view();
     let settings = &state.context.settings;
     if theirs <= own {
-        return false;
+        return theirs == own && should_pull_retained(state, peer, heartbeat);
     }
     let is_reader = view.readers.contains(&settings.vm);
     let is_local = heartbeat.failure_domain == settings.failure_domain && !is_reader;
@@ -35,6 +36,17 @@
     )
 }
 
+/// Whether to pull the items of earlier epochs that the sender of a heartbeat retains. An entry that has
+/// read the restored platform itself when it started knows none.
+fn should_pull_retained(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
+    let pair = DigestPair {
+        own: state.archive.borrow().retained_digest(),
+        peer: heartbeat.retained_digest,
+    };
+    heartbeat.retained_digest != ListsDigest::default()
+        && state.retained_pulls.borrow_mut().try_admit(peer, pair, state.now())
+}
+
 /// Applies the answer to a pull and returns the number of its items.
 ///
 /// # Errors
@@ -44,7 +56,16 @@
     changes: Changes,
     source: &str,
 ) -> Result<usize, PullError> {
-    let Changes { revision, epoch, mut values, is_snapshot, bundle } = changes;
+    let Changes {
+        revision,
+        epoch,
+        mut values,
+        is_snapshot,
+        bundle,
+        retained,
+        settles_in,
+        seen_from,
+    } = changes;
     let position = Position::new(epoch.unwrap_or_default(), revision);
     if let Some(Bundle { content, unpacked_size }) = bundle {
         let content = unpack(&content, unpacked_size)?;
@@ -53,13 +74,15 @@
     }
     let items = values.into_iter().map(decode_item).collect::<Result<Vec<_>, _>>()?;
     let count = items.len();
-    let response = PullResponse { changes: FeedChanges { items, position }, is_snapshot };
+    let retained = retained.into_iter().map(decode_item).collect::<Result<_, _>>()?;
+    let response = PullResponse {
+        changes: FeedChanges { items, position },
+        is_snapshot,
+        seen_from,
+        retained: Retained { items: retained, settles_in },
+    };
     state.archive.borrow().check(&response)?;
-    if is_snapshot {
-        apply_snapshot(state, &response.changes.items, position, source);
-    } else {
-        apply_changes(state, &response.changes, source);
-    }
+    apply_pulled(state, &response, source);
     mark_synced(state);
     Ok(count)
 }
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -4,7 +4,7 @@
 
 use metrics::{counter, gauge};
 use shallotfork_events::{ITEMS_SERVED, event};
-use shallotfork_feed::{PACK_MIN_BYTES, PullResponse, RawItem, pack};
+use shallotfork_feed::{PACK_MIN_BYTES, PullResponse, RawItem, Retained, pack};
 use shallotfork_peer::{Bundle, Changes, ChangesRequest, ValueChange, encode_values};
 use shallotfork_types::{Bytes, Position};
 
@@ -57,12 +57,21 @@
     }
     // A process that does not know of epochs is in the first one, or gets everything.
     let after = Position::new(request.epoch.unwrap_or_default(), request.after);
-    let response = state.archive.borrow().changes_after(after);
+    let mut response = state.archive.borrow().changes_after(after);
+    if request.wants_retained {
+        response.retained = state.archive.borrow().retained_for(after, now);
+    }
     let changes = if request.accepts_packed {
         packed_changes(state, &response)
     } else {
         unpacked_changes(&response)
     };
+    let changes = Changes {
+        retained: retained_values(state, &response.retained, request.accepts_packed),
+        settles_in: response.retained.settles_in,
+        seen_from: response.seen_from,
+        ..changes
+    };
     let size = size(&changes);
     state.served_pulls.record(size.value());
     state.uplink.borrow_mut().record_sent(size, now);
@@ -70,7 +79,8 @@
 }
 
 fn size(changes: &Changes) -> Bytes {
-    let values = changes.values.iter().map(|value| value.name.len() + value.content.len());
+    let values = changes.values.iter().chain(&changes.retained);
+    let values = values.map(|value| value.name.len() + value.content.len());
     let bundle = changes.bundle.as_ref().map_or(0, |bundle| bundle.content.len());
     Bytes::new((values.sum::<usize>() + bundle) as u64)
 }
@@ -84,13 +94,16 @@
         values,
         is_snapshot: response.is_snapshot,
         bundle: None,
+        retained: Vec::new(),
+        settles_in: None,
+        seen_from: None,
     }
 }
 
 /// Packs large items one by one, so that each packed item serves all pulls until it changes, and
 /// small items together.
 fn packed_changes(state: &ControlState, response: &PullResponse) -> Changes {
-    let PullResponse { changes, is_snapshot } = response;
+    let PullResponse { changes, is_snapshot, .. } = response;
     let (large, small): (Vec<&RawItem>, Vec<&RawItem>) =
         changes.items.iter().partition(|item| is_large(item));
     let mut packer = state.packer.borrow_mut();
@@ -107,9 +120,25 @@
         values,
         is_snapshot: *is_snapshot,
         bundle,
+        retained: Vec::new(),
+        settles_in: None,
+        seen_from: None,
     }
 }
 
+fn retained_values(
+    state: &ControlState,
+    retained: &Retained,
+    accepts_packed: bool,
+) -> Vec<ValueChange> {
+    let mut packer = state.retained_packer.borrow_mut();
+    let values = retained.items.iter().map(|item| {
+        let packed = if accepts_packed { packer.pack(item) } else { None };
+        value_change(item, packed)
+    });
+    values.collect()
+}
+
 fn is_large(item: &RawItem) -> bool {
     item.content.as_ref().is_some_and(|content| content.len() >= PACK_MIN_BYTES)
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -11,6 +11,7 @@
 use shallotfork_fleet::{FleetMember, FleetView, OwnState};
 use shallotfork_membership::{Announcement, ListedVm};
 use shallotfork_peer::Bundle;
+use shallotfork_revisions::PullGate;
 use shallotfork_roster::Roster;
 use shallotfork_routes::TableInForce;
 use shallotfork_types::{Endpoint, Mono, Position, ServiceName};
@@ -45,6 +46,10 @@
     pub archive: RefCell<Archive>,
     /// Packed items for other entries.
     pub packer: RefCell<Packer>,
+    /// Packed items of earlier epochs for other entries.
+    pub retained_packer: RefCell<Packer>,
+    /// Limits pulls for the items of earlier epochs that other entries retain.
+    pub retained_pulls: RefCell<PullGate>,
     /// All small items packed together, with their position.
     pub snapshot_bundle: RefCell<Option<(Position, Bundle)>>,
     /// Decides when to pull from other entries.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -10,6 +10,7 @@
 
 use anyhow::{Context as _, Result};
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
+use shallotfork_revisions::PullGate;
 use shallotfork_roster::{Roster, RosterConfig};
 use shallotfork_routes::TableInForce;
 use shallotfork_timer::{Schedule, TimerService};
@@ -23,7 +24,7 @@
 use crate::control::handler::Handler;
 use crate::control::heartbeats::{announce_isolation, announce_leaving, run_heartbeats};
 use crate::control::peers::Peers;
-use crate::control::publish::expire_targets;
+use crate::control::publish::{expire_targets, settle};
 use crate::control::reader::run_reader;
 use crate::control::serve_pulls::{PullCounts, report_served_pulls};
 use crate::control::state::{ControlState, own_announcement};
@@ -40,6 +41,9 @@
 const PEER_CONNECTIONS_MAX: usize = 1024;
 /// Interval at which expired targets and idle connections are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which an entry whose retained items differ is asked for them again. Entries of different
+/// releases may never agree on them.
+const RETAINED_PULL_REPEAT: Duration = Duration::from_secs(5);
 /// Interval at which the pulls served to other entries are reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -148,6 +152,7 @@
             },
             _ = report.tick() => report_served_pulls(&state),
             _ = cleanup.tick() => {
+                settle(&state);
                 expire_targets(&state);
                 mark_settled(&state);
                 state.context.target_connections.prune_idle();
@@ -184,6 +189,8 @@
         platform_answered_at: Cell::new(None),
         archive: RefCell::new(Archive::new()),
         packer: RefCell::new(Packer::new()),
+        retained_packer: RefCell::new(Packer::new()),
+        retained_pulls: RefCell::new(PullGate::new(RETAINED_PULL_REPEAT)),
         snapshot_bundle: RefCell::default(),
         pull_scheduler: RefCell::new(PullScheduler::new()),
         pull_sources: RefCell::default(),
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -76,6 +76,9 @@
             values: Vec::new(),
             is_snapshot: false,
             bundle: None,
+            retained: Vec::new(),
+            settles_in: None,
+            seen_from: None,
         })
     }
 
@@ -152,6 +155,7 @@
         seen_revision: Revision::new(9),
         synced_revision: Revision::new(9),
         synced_epoch: None,
+        retained_digest: ListsDigest::default(),
         round: 0,
         isolated: false,
         updates: Vec::new(),
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -20,10 +20,11 @@
   close @3 (operation :Operation, number :UInt64) -> (answer :ClaimAnswer);
   lookup @4 (operation :Operation) -> (held :Bool, answer :ClaimAnswer);
   issue @5 () -> (session :Text);
-  changes @6 (after :UInt64, takesPacked :Bool, epoch :UInt64 = 0xffffffffffffffff)
-      -> (changes :Changes);
+  changes @6 (after :UInt64, takesPacked :Bool, epoch :UInt64 = 0xffffffffffffffff,
+              wantsRetained :Bool) -> (changes :Changes);
   # With `takesPacked` large contents may come compressed. `epoch` is that of the revision `after`; the
-  # default means that the caller does not know of epochs.
+  # default means that the caller does not know of epochs. With `wantsRetained` the changes have the
+  # retained values.
   push @7 (changes :Changes) -> ();
   handoff @8 (ledger :SealedLedger, index :UInt32, count :UInt32) -> (accepted :Bool);
 }
@@ -61,6 +62,9 @@
   syncedEpoch @23 :UInt64 = 0xffffffffffffffff;
   # Epoch of `syncedRevision`; the default means that the sender does not know of epochs.
 
+  retainedDigest @24 :UInt64;
+  # Digest of the values of earlier epochs that the sender retains; 0 if there are none.
+
   enum State {
     live @0;
     leaving @1;
@@ -169,6 +173,13 @@
   # Size of the bundle before it was compressed; 0 if there is none.
   epoch @5 :UInt64 = 0xffffffffffffffff;
   # Epoch of `revision`; the default means that the sender does not know of epochs.
+  retained @6 :List(Value);
+  # Values of earlier epochs that hold in place of those published since.
+  settlesMs @7 :UInt32 = 0xffffffff;
+  # Remaining time for which they hold, as far as they do not state themselves that they are later; the
+  # default means that it is not known.
+  seenFrom @8 :UInt64 = 0xffffffffffffffff;
+  # Lowest revision that the sender knows of the platform in this epoch; the default means none.
 }
 
 struct Values {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -12,7 +12,7 @@
 use shallotfork_once::{
     ClaimAnswer, Completion, CompletionAnswer, LedgerPart, OperationId, Session,
 };
-use shallotfork_types::{Endpoint, Position};
+use shallotfork_types::Endpoint;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
@@ -22,7 +22,7 @@
 use crate::peer_capnp as schema;
 use crate::server::reader_options;
 use crate::wire;
-use crate::{Changes, Heartbeat, PeerConfig, PeerError, PeerId, PeerKey};
+use crate::{Changes, ChangesRequest, Heartbeat, PeerConfig, PeerError, PeerId, PeerKey};
 
 /// Connection to a peer on which both sides have proved the shared key.
 ///
@@ -191,19 +191,19 @@
         .await
     }
 
-    /// Fetches the published values that changed after a position; the response may contain packed
-    /// values.
+    /// Fetches the published values that changed after a position.
     ///
     /// # Errors
     /// Returns [`PeerError::Busy`] if the peer has reached its limit for forwarding published
     /// values, or another error if no valid response arrives before the timeout.
-    pub async fn changes(&self, after: Position) -> Result<Changes, PeerError> {
-        let mut request = self.remote.changes_request();
-        request.get().set_after(after.revision().value());
-        request.get().set_epoch(wire::write_epoch(Some(after.epoch())));
-        request.get().set_takes_packed(true);
+    pub async fn changes(&self, request: &ChangesRequest) -> Result<Changes, PeerError> {
+        let mut call = self.remote.changes_request();
+        call.get().set_after(request.after.value());
+        call.get().set_epoch(wire::write_epoch(request.epoch));
+        call.get().set_takes_packed(request.accepts_packed);
+        call.get().set_wants_retained(request.wants_retained);
         with_timeout(self.config.bulk_timeout, async {
-            let response = request.send().promise.await?;
+            let response = call.send().promise.await?;
             Ok(wire::read_changes(response.get()?.get_changes()?)?)
         })
         .await
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -62,6 +62,8 @@
     pub synced_revision: Revision,
     /// Epoch of that revision; `None` if the sender does not know of epochs.
     pub synced_epoch: Option<Epoch>,
+    /// Digest of the values of earlier epochs that the sender retains; zero if there are none.
+    pub retained_digest: ListsDigest,
     /// Fingerprint of the lists in force at the sender; changes with any list or its content.
     pub lists_digest: ListsDigest,
     /// Whether the sender cannot read the platform, or reads a replica that lags, and so depends
@@ -150,6 +152,13 @@
     pub is_snapshot: bool,
     /// Further values, packed together.
     pub bundle: Option<Bundle>,
+    /// Values of earlier epochs that hold in place of those published since, if they were requested.
+    pub retained: Vec<ValueChange>,
+    /// Remaining time for which they hold, unless their contents state that they are later; `None` if it
+    /// is not known.
+    pub settles_in: Option<Duration>,
+    /// Lowest revision that the sender knows of the platform in this epoch; `None` if it states none.
+    pub seen_from: Option<Revision>,
 }
 
 /// Values that are packed together: hundreds of small values are similar, so they compress better
@@ -171,6 +180,26 @@
     pub epoch: Option<Epoch>,
     /// Whether the response may contain packed values.
     pub accepts_packed: bool,
+    /// Whether the response is to contain the values of earlier epochs that the peer retains.
+    pub wants_retained: bool,
+}
+
+impl ChangesRequest {
+    /// Creates a request for the values that changed after a position.
+    pub fn new(after: Position) -> Self {
+        Self {
+            after: after.revision(),
+            epoch: Some(after.epoch()),
+            accepts_packed: true,
+            wants_retained: false,
+        }
+    }
+
+    /// Returns the request with the given wish for retained values.
+    #[must_use]
+    pub fn with_retained(self, wants_retained: bool) -> Self {
+        Self { wants_retained, ..self }
+    }
 }
 
 /// One published value, or its removal.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -4101,6 +4101,10 @@
             pub fn get_epoch(self) -> u64 {
                 self.reader.get_data_field_mask::<u64>(2, 18446744073709551615)
             }
+            #[inline]
+            pub fn get_wants_retained(self) -> bool {
+                self.reader.get_bool_field(65)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4179,6 +4183,14 @@
             pub fn set_epoch(&mut self, value: u64)  {
                 self.builder.set_data_field_mask::<u64>(2, value, 18446744073709551615);
             }
+            #[inline]
+            pub fn get_wants_retained(self) -> bool {
+                self.builder.get_bool_field(65)
+            }
+            #[inline]
+            pub fn set_wants_retained(&mut self, value: bool)  {
+                self.builder.set_bool_field(65, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4190,7 +4202,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(99, 195, 103, 22, 38, 171, 71, 230),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
@@ -4200,35 +4212,42 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(99, 104, 97, 110, 103, 101, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4254,12 +4273,22 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 115, 82, 101, 116),
+                ::capnp::word(97, 105, 110, 101, 100, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4273,9 +4302,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
             pub(crate) const TYPE_ID: u64 = 0xe647_ab26_1667_c363;
         }
     }
@@ -5516,11 +5545,15 @@
         pub fn get_synced_epoch(self) -> u64 {
             self.reader.get_data_field_mask::<u64>(8, 18446744073709551615)
         }
+        #[inline]
+        pub fn get_retained_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 10, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5826,6 +5859,14 @@
         pub fn set_synced_epoch(&mut self, value: u64)  {
             self.builder.set_data_field_mask::<u64>(8, value, 18446744073709551615);
         }
+        #[inline]
+        pub fn get_retained_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(9)
+        }
+        #[inline]
+        pub fn set_retained_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5837,17 +5878,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 419] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 435] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 10, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 71, 5, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 127, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5857,175 +5898,182 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(41, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(93, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(137, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(161, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -6257,6 +6305,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 97, 105, 110, 101, 100),
+            ::capnp::word(68, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6284,6 +6341,7 @@
                 21 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 22 => <::capnp::struct_list::Owned<crate::peer_capnp::leaving_target::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 23 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                24 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6297,9 +6355,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,16,5,21,22,10,4,9,7,13,15,11,19,20,14,3,8,1,0,12,23,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,16,5,21,22,10,4,9,7,13,15,11,19,20,14,3,24,8,1,0,12,23,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -9600,11 +9658,27 @@
         pub fn get_epoch(self) -> u64 {
             self.reader.get_data_field_mask::<u64>(2, 18446744073709551615)
         }
+        #[inline]
+        pub fn get_retained(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::value::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_retained(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_settles_ms(self) -> u32 {
+            self.reader.get_data_field_mask::<u32>(6, 4294967295)
+        }
+        #[inline]
+        pub fn get_seen_from(self) -> u64 {
+            self.reader.get_data_field_mask::<u64>(4, 18446744073709551615)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9718,6 +9792,38 @@
         pub fn set_epoch(&mut self, value: u64)  {
             self.builder.set_data_field_mask::<u64>(2, value, 18446744073709551615);
         }
+        #[inline]
+        pub fn get_retained(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::value::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_retained(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::value::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_retained(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::value::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_retained(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_settles_ms(self) -> u32 {
+            self.builder.get_data_field_mask::<u32>(6, 4294967295)
+        }
+        #[inline]
+        pub fn set_settles_ms(&mut self, value: u32)  {
+            self.builder.set_data_field_mask::<u32>(6, value, 4294967295);
+        }
+        #[inline]
+        pub fn get_seen_from(self) -> u64 {
+            self.builder.get_data_field_mask::<u64>(4, 18446744073709551615)
+        }
+        #[inline]
+        pub fn set_seen_from(&mut self, value: u64)  {
+            self.builder.set_data_field_mask::<u64>(4, value, 18446744073709551615);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9729,66 +9835,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 166] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 49, 144, 145, 226, 178, 165, 223),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 97, 110, 103),
             ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -9844,6 +9971,37 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 97, 105, 110, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 255, 120, 104, 3, 192, 255, 203),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 116, 116, 108, 101, 115, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 70, 114, 111, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9853,6 +10011,9 @@
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9866,9 +10027,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,0,4,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,6,0,8,7,4,1,2];
         pub(crate) const TYPE_ID: u64 = 0xdfa5_b2e2_9190_3139;
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -134,6 +134,7 @@
     to.set_seen_revision(heartbeat.seen_revision.value());
     to.set_synced_revision(heartbeat.synced_revision.value());
     to.set_synced_epoch(write_epoch(heartbeat.synced_epoch));
+    to.set_retained_digest(heartbeat.retained_digest.value());
     to.set_lists_digest(heartbeat.lists_digest.value());
     to.set_platform_lost(heartbeat.is_disconnected);
     to.set_restart_safe(heartbeat.restart_safe);
@@ -254,6 +255,9 @@
     })
 }
 
+/// Wire value for a revision that is not stated.
+const UNKNOWN_REVISION: u64 = u64::MAX;
+
 /// Wire value for the epoch of a process that does not know of epochs.
 const UNKNOWN_EPOCH: u64 = u64::MAX;
 
@@ -304,6 +308,7 @@
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
         synced_epoch: read_epoch(from.get_synced_epoch()),
+        retained_digest: ListsDigest::new(from.get_retained_digest()),
         lists_digest: ListsDigest::new(from.get_lists_digest()),
         is_disconnected: from.get_platform_lost(),
         platform: PlatformReport {
@@ -355,6 +360,12 @@
         to.set_bundle(&bundle.content);
         to.set_unpacked_bundle_bytes(unpacked_bytes(bundle.unpacked_size));
     }
+    to.set_settles_ms(write_age(changes.settles_in));
+    to.set_seen_from(changes.seen_from.map_or(UNKNOWN_REVISION, Revision::value));
+    if !changes.retained.is_empty() {
+        let count = list_length(changes.retained.len());
+        write_values(&changes.retained, to.reborrow().init_retained(count));
+    }
     write_values(&changes.values, to.init_values(list_length(changes.values.len())));
 }
 
@@ -402,8 +413,18 @@
             unpacked_size: Bytes::new(u64::from(bytes)),
         }),
     };
-    let epoch = read_epoch(from.get_epoch());
-    Ok(Changes { revision, epoch, values, is_snapshot: from.get_whole(), bundle })
+    Ok(Changes {
+        revision,
+        epoch: read_epoch(from.get_epoch()),
+        values,
+        is_snapshot: from.get_whole(),
+        bundle,
+        retained: from.get_retained()?.iter().map(read_value).collect::<Result<_>>()?,
+        settles_in: read_age(from.get_settles_ms()),
+        seen_from: Some(from.get_seen_from())
+            .filter(|revision| *revision != UNKNOWN_REVISION)
+            .map(Revision::new),
+    })
 }
 
 fn unpacked_bytes(size: Bytes) -> u32 {
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -76,6 +76,11 @@
         self.reconnected_at = Some(now);
     }
 
+    /// Returns whether the target's record is missing and the target is kept for the grace period.
+    pub fn is_lapsed(&self, id: &TargetId) -> bool {
+        self.members.get(id).is_some_and(|member| member.is_lapsed)
+    }
+
     /// Returns a number that changes whenever the result of [`targets`](Self::targets) may have
     /// changed.
     pub fn version(&self) -> u64 {
--- a/crates/roster/src/target_record.rs
+++ b/crates/roster/src/target_record.rs
@@ -41,6 +41,8 @@
     /// Start of the target in Unix milliseconds of its own wall clock, which distinguishes two runs
     /// with the same ID. `None` if the record does not contain it.
     pub started_at_ms: Option<u64>,
+    /// Number of the record within the run of the target, which counts up.
+    pub sequence: u64,
 }
 
 /// Published state of a target.
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -27,6 +27,7 @@
         availability: Availability::Serving,
         cold_for: Duration::ZERO,
         started_at_ms: Some(1000),
+        sequence: 1,
     }
 }
 
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use metrics::counter;
-use shallotfork_peer::{Changes, Heartbeat, PeerClient, PeerError, PeerId, ValueChange};
+use shallotfork_peer::{
+    Changes, ChangesRequest, Heartbeat, PeerClient, PeerError, PeerId, ValueChange,
+};
 use shallotfork_platform::PublishedList;
 use shallotfork_revisions::DigestPair;
 use shallotfork_types::{Epoch, ListName, Position, Revision};
@@ -83,7 +85,7 @@
     client: &PeerClient,
     after: Revision,
 ) -> Result<(), PeerError> {
-    let changes = client.changes(position_of(after)).await?;
+    let changes = client.changes(&ChangesRequest::new(position_of(after))).await?;
     let synced = state.lists.borrow().cursor.synced_revision();
     let lists = changes.values.into_iter().filter_map(to_published_list).collect();
     let applied = apply_lists(state, lists, &ListSource::Peer(client.peer().vm.clone()));
@@ -106,7 +108,21 @@
         return Ok(());
     }
     let values = outranked.into_iter().map(to_value_change).collect();
-    client.push(&Changes { revision, epoch: None, values, is_snapshot: false, bundle: None }).await
+    client.push(&list_changes(revision, values)).await
+}
+
+/// Returns the message with changed lists up to a revision.
+pub fn list_changes(revision: Revision, values: Vec<ValueChange>) -> Changes {
+    Changes {
+        revision,
+        epoch: None,
+        values,
+        is_snapshot: false,
+        bundle: None,
+        retained: Vec::new(),
+        settles_in: None,
+        seen_from: None,
+    }
 }
 
 /// Returns the position of a list's revision; lists have no epochs.
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -124,6 +124,7 @@
         seen_revision: lists.cursor.highest_revision(),
         synced_revision: lists.cursor.synced_revision(),
         synced_epoch: None,
+        retained_digest: Default::default(),
         lists_digest: lists.digest(),
         is_disconnected: state.is_disconnected.get(),
         platform: PlatformReport::default(),
--- a/crates/shallotd/src/control/peer_calls.rs
+++ b/crates/shallotd/src/control/peer_calls.rs
@@ -10,7 +10,9 @@
 use shallotfork_peer::{Changes, ChangesRequest, Heartbeat, PeerHandler, PeerId};
 
 use crate::control::lists_apply::apply_lists;
-use crate::control::lists_pull::{connect_and_pull_lists, to_published_list, to_value_change};
+use crate::control::lists_pull::{
+    connect_and_pull_lists, list_changes, to_published_list, to_value_change,
+};
 use crate::control::lists_source::ListSource;
 use crate::control::members::{handle_heartbeat, own_heartbeat, to_peer_update};
 use crate::control::operations::claim_locally;
@@ -86,13 +88,7 @@
     async fn changes(&self, request: ChangesRequest) -> Option<Changes> {
         let lists = self.state.lists.borrow();
         let values = lists.changed_after(request.after).into_iter().map(to_value_change).collect();
-        Some(Changes {
-            revision: lists.cursor.synced_revision(),
-            epoch: None,
-            values,
-            is_snapshot: false,
-            bundle: None,
-        })
+        Some(list_changes(lists.cursor.synced_revision(), values))
     }
 
     async fn push(&self, from: &PeerId, changes: Changes) {
