fix(gateway,fleet,feed,node): what an entry of an older release has read is not taken for the platform's current epoch

During a rolling upgrade, entries of the release before state a revision alone. After a restore they stay in the lost history, whose revisions are higher; entries that pulled from them, or relied on them as readers, would go back with them. Where the platform has epochs, an entry no longer pulls from one that states none and does not count it as a reader: it reads the platform itself while there is no reader that does. The store's epoch zero and a store without epochs are told apart.

--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -207,6 +207,15 @@
         }
     }
 
+    /// Replaces the contents of items by those that hold.
+    pub fn fill_in_retained(&self, items: &mut [RawItem]) {
+        for item in items {
+            if let Some(retained) = self.items.get(&item.key).and_then(Register::retained) {
+                item.content = retained.content.clone();
+            }
+        }
+    }
+
     /// Returns the retained versions that an entry at `position` does not know.
     pub fn retained_for(&self, position: Position, now: Mono) -> Retained {
         let is_known = |version: &Version<Vec<u8>>| {
--- a/crates/feed/src/check.rs
+++ b/crates/feed/src/check.rs
@@ -21,6 +21,9 @@
         /// Position known here.
         known: Position,
     },
+    /// The responding entry does not tell the epochs of the platform apart.
+    #[error("response states no epoch")]
+    NoEpoch,
     /// The response is a snapshot without items, although items are published.
     #[error("snapshot contains no items")]
     Empty,
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -22,6 +22,9 @@
     pub platform: PlatformAges,
     /// Number of live entries in the sender's failure domain, as far as it knows.
     pub domain_entries: u32,
+    /// Whether the sender tells the epochs of the platform apart. What a process of an older release says
+    /// of the platform may belong to an epoch that is over.
+    pub knows_epochs: bool,
     /// Whether the sender is overloaded, or was a short time ago.
     pub is_overloaded: bool,
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -250,6 +250,7 @@
             is_disconnected: self.platform.is_disconnected(),
             platform: self.platform.ages(self.own_state.is_reader, now),
             domain_entries: view.domain_entries,
+            knows_epochs: true,
             is_overloaded: self.reports.is_own_overloaded(),
         }
     }
@@ -392,7 +393,13 @@
 
     /// Records what the sender reports about the platform: its own result if it is a reader,
     /// otherwise the ages that it forwards.
+    ///
+    /// Reports of a sender that doesn't tell epochs apart are ignored: this entry can't use what it has
+    /// read, and has to read for itself while there are no other readers.
     fn record_platform_report(&mut self, view: &FleetView, heartbeat: &FleetHeartbeat, now: Mono) {
+        if !heartbeat.knows_epochs {
+            return;
+        }
         if view.readers.contains(&heartbeat.from.listed.vm) {
             self.platform.record_reader_report(!heartbeat.is_disconnected, now);
         } else if !view.contacts.monitors_readers {
--- a/crates/fleet/src/reported_states.rs
+++ b/crates/fleet/src/reported_states.rs
@@ -28,7 +28,7 @@
 pub(crate) struct ReportedStates {
     /// Entries that reported that they have no routes yet, with the time of the last report.
     starting: BTreeMap<VmId, Mono>,
-    /// Entries that report that they are disconnected from the platform.
+    /// Entries that report that they are disconnected from the platform, or don't tell its epochs apart.
     disconnected: BTreeSet<VmId>,
     /// Entries that report that they are overloaded, with the time of the last report.
     overloaded: BTreeMap<VmId, Mono>,
@@ -80,7 +80,7 @@
         let before = self.valid_states(vm, now);
         set_reported(&mut self.starting, vm, heartbeat.is_starting, now);
         set_reported(&mut self.overloaded, vm, heartbeat.is_overloaded, now);
-        if heartbeat.is_disconnected {
+        if heartbeat.is_disconnected || !heartbeat.knows_epochs {
             self.disconnected.insert(vm.clone());
         } else {
             self.disconnected.remove(vm);
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -6,7 +6,7 @@
 use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_statements::LeavingReport;
-use shallotfork_types::VmId;
+use shallotfork_types::{Epoch, VmId};
 
 use crate::context::lock;
 use crate::control::reader::update_platform_state;
@@ -30,6 +30,7 @@
         is_disconnected,
         platform,
         domain_entries,
+        knows_epochs: _,
         is_overloaded,
     } = heartbeat;
     let (position, retained_digest) = {
@@ -65,6 +66,8 @@
 
 /// Applies a heartbeat received from another entry.
 pub fn receive_heartbeat(state: &ControlState, peer: &PeerId, heartbeat: &Heartbeat) {
+    // On a platform without epochs there is nothing to tell apart.
+    let has_epochs = state.archive.borrow().position().epoch() != Epoch::NONE;
     let received = FleetHeartbeat {
         from: announcement(peer, heartbeat),
         is_starting: heartbeat.state == PeerState::Starting,
@@ -73,6 +76,7 @@
         is_disconnected: heartbeat.is_disconnected,
         platform: platform_ages(heartbeat.platform),
         domain_entries: heartbeat.domain_entries,
+        knows_epochs: heartbeat.synced_epoch.is_some() || !has_epochs,
         is_overloaded: heartbeat.is_overloaded,
     };
     state.fleet.borrow_mut().receive_heartbeat(&received, state.now());
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -2,7 +2,7 @@
 
 use shallotfork_peer::{Bundle, Changes, Heartbeat, ValueChange, decode_values};
 use shallotfork_revisions::DigestPair;
-use shallotfork_types::{ListsDigest, Position, VmId};
+use shallotfork_types::{Epoch, ListsDigest, Position, VmId};
 
 use crate::control::publish::apply_pulled;
 use crate::control::reader::mark_synced;
@@ -16,8 +16,8 @@
 /// before that of others for longer than the propagation delay, its read of the platform hangs.
 pub fn should_pull_from(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
     let own = state.archive.borrow().position();
-    let theirs =
-        Position::new(heartbeat.synced_epoch.unwrap_or_default(), heartbeat.synced_revision);
+    let Some(epoch) = epoch_of(heartbeat.synced_epoch, own) else { return false };
+    let theirs = Position::new(epoch, heartbeat.synced_revision);
     let view = state.view();
     let settings = &state.context.settings;
     if theirs <= own {
@@ -36,6 +36,12 @@
     )
 }
 
+/// Returns the epoch that another entry states. One of an older release states none: its items can be used
+/// only where the platform has no epochs.
+fn epoch_of(stated: Option<Epoch>, own: Position) -> Option<Epoch> {
+    stated.or_else(|| (own.epoch() == Epoch::NONE).then_some(Epoch::NONE))
+}
+
 /// Whether to pull the items of earlier epochs that the sender of a heartbeat retains. An entry that has
 /// read the restored platform itself when it started knows none.
 fn should_pull_retained(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
@@ -66,7 +72,9 @@
         settles_in,
         seen_from,
     } = changes;
-    let position = Position::new(epoch.unwrap_or_default(), revision);
+    let own = state.archive.borrow().position();
+    let epoch = epoch_of(epoch, own).ok_or(PullError::NoEpoch)?;
+    let position = Position::new(epoch, revision);
     if let Some(Bundle { content, unpacked_size }) = bundle {
         let content = unpack(&content, unpacked_size)?;
         let bundled = decode_values(&content).map_err(|_| PullError::BadPacked(unpacked_size))?;
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -55,12 +55,17 @@
         state.served_pulls.deferred.set(state.served_pulls.deferred.get() + 1);
         return None;
     }
-    // A process that does not know of epochs is in the first one, or gets everything.
-    let after = Position::new(request.epoch.unwrap_or_default(), request.after);
-    let mut response = state.archive.borrow().changes_after(after);
+    let archive = state.archive.borrow();
+    let after = Position::new(request.epoch.unwrap_or(archive.position().epoch()), request.after);
+    let mut response = archive.changes_after(after);
     if request.wants_retained {
-        response.retained = state.archive.borrow().retained_for(after, now);
+        response.retained = archive.retained_for(after, now);
     }
+    // An entry of an older release can't be told what holds in place of an item.
+    if request.epoch.is_none() {
+        archive.fill_in_retained(&mut response.changes.items);
+    }
+    drop(archive);
     let changes = if request.accepts_packed {
         packed_changes(state, &response)
     } else {
--- a/crates/history/src/register.rs
+++ b/crates/history/src/register.rs
@@ -157,8 +157,10 @@
         if is_unsettled {
             self.retained = None;
         }
-        // That the copy lacks the item is known up to here now.
-        if self.published.position.revision() == Revision::NONE {
+        // An item that the copy lacks is known to be missing up to here now.
+        let is_of_copy = self.published.position.revision() == Revision::NONE
+            || self.published.position.epoch() < position.epoch();
+        if self.published.content.is_none() && is_of_copy {
             self.published.position = position;
             self.is_written = true;
         }
