fix(feed): an entry that has read everything still tells others only what differs

It keeps now the ranges of positions after which it knows all changes, several epochs back, and removed items by their tombstones, and sends an entry of an earlier epoch what differs.

--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -14,6 +14,9 @@
 /// and peers that are behind get a full snapshot.
 const TOMBSTONES_MAX: usize = 1024;
 
+/// Maximum number of ranges of positions after which all changes are known.
+const KNOWN_RANGES_MAX: usize = 16;
+
 /// Decides which of two versions of an item is later: one known from an earlier epoch, or the one that
 /// is published now.
 pub type Judge<'a> = dyn Fn(&RawItem, &RawItem) -> Precedence + 'a;
@@ -31,12 +34,9 @@
 pub struct Archive {
     items: BTreeMap<String, Register<Vec<u8>>>,
     position: Position,
-    /// All changes after this position are known; removals up to it may be missing.
-    history_start: Position,
-    /// Positions of the preceding epoch between which all changes are known.
-    previous: Option<RangeInclusive<Position>>,
-    /// Position at which the current epoch was adopted. What has changed in it before is not known.
-    adopted_at: Position,
+    /// Positions after which all changes are known, as ranges within one epoch. The last one ends at the
+    /// current position.
+    known_after: Vec<RangeInclusive<Position>>,
     /// Lowest revision seen of the platform in the current epoch. The copy is not later than that.
     seen_from: Revision,
     settle_time: SettleTime,
@@ -117,7 +117,7 @@
     /// the items that it contains as they are now.
     pub fn apply(&mut self, changes: &FeedChanges, judge: &Judge<'_>) -> Vec<RawItem> {
         changes.items.iter().for_each(|item| self.write(item, judge));
-        self.position = self.position.max(changes.position);
+        self.advance(changes.position);
         let changed = changes.items.iter().filter_map(|item| {
             let register = self.items.get(&item.key)?;
             Some(effective_item(&item.key, register))
@@ -257,18 +257,35 @@
         self.position != Position::NONE && position.epoch() > self.position.epoch()
     }
 
-    /// Returns whether all changes after `position` are known. In the preceding epoch, an entry may
-    /// have known more than this one.
+    /// Returns whether what has changed since `position` is known.
+    ///
+    /// An entry in the current epoch takes over the changes as all that there were, so none may have been
+    /// missed here. One in an earlier epoch takes over what differs.
     fn has_changes_after(&self, position: Position) -> bool {
-        let is_known = if position.epoch() == self.position.epoch() {
-            position >= self.adopted_at
-        } else {
-            let is_previous = |previous: &RangeInclusive<Position>| {
-                position.epoch() == previous.end().epoch() && previous.contains(&position)
-            };
-            self.previous.as_ref().is_some_and(is_previous)
-        };
-        is_known && position >= self.history_start && position != Position::NONE
+        let is_current = position.epoch() == self.position.epoch();
+        let skipped = if is_current { self.known_after.len().saturating_sub(1) } else { 0 };
+        self.known_after.iter().skip(skipped).any(|known| known.contains(&position))
+    }
+
+    /// Moves on to a position up to which all changes have been applied.
+    fn advance(&mut self, position: Position) {
+        self.position = self.position.max(position);
+        match self.known_after.pop() {
+            Some(last) => self.known_after.push(*last.start()..=self.position),
+            None => self.known_after.push(self.position..=self.position),
+        }
+    }
+
+    /// Moves on to a position although some changes up to it may have been missed. Another entry may know
+    /// of an item that has come and gone meanwhile.
+    fn skip_to(&mut self, position: Position) {
+        if position <= self.position {
+            return;
+        }
+        self.position = position;
+        self.known_after.push(position..=position);
+        let excess = self.known_after.len().saturating_sub(KNOWN_RANGES_MAX);
+        self.known_after.drain(..excess);
     }
 
     fn write(&mut self, item: &RawItem, judge: &Judge<'_>) {
@@ -324,8 +341,7 @@
                 self.write(&item, judge);
             }
         }
-        self.history_start = position;
-        self.position = self.position.max(position);
+        self.skip_to(position);
         self.limit_tombstones();
         self.update_retained_digest();
     }
@@ -344,9 +360,7 @@
         for item in items {
             self.adopt(&in_epoch(item, position.epoch()), copied_at_least, seen_from, judge);
         }
-        self.previous = Some(self.adopted_at..=self.position);
-        self.adopted_at = position;
-        self.position = position;
+        self.skip_to(position);
         self.seen_from = seen_from;
         self.settle_time = SettleTime::Until(now.plus(SETTLE_TIME));
         self.limit_tombstones();
@@ -396,7 +410,7 @@
     fn limit_tombstones(&mut self) {
         if self.items.values().filter(|register| is_tombstone(register)).count() > TOMBSTONES_MAX {
             self.items.retain(|_, register| !is_tombstone(register));
-            self.history_start = self.position;
+            self.known_after = vec![self.position..=self.position];
         }
     }
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,12 +2,15 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+mod items;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use shallotfork_feed::PullResponse;
 use shallotfork_fleet::{
     Candidate, FleetHeartbeat, FleetMember, HEARTBEAT_PERIOD, OwnState, choose_initial_seed,
     rank_entries, select_advertised_entries,
@@ -31,6 +34,8 @@
 /// Time over which the starts of all processes are spread.
 const START_SPREAD_MS: u64 = 300;
 
+pub use items::Items;
+
 /// A scheduled event.
 #[derive(Debug, PartialEq, Eq)]
 enum Event {
@@ -44,6 +49,10 @@
     Unanswered(usize, u64, Endpoint),
     /// A heartbeat is received.
     Received { from: usize, to: usize, message: Box<Message>, expects_answer: bool },
+    /// The response to a pull of published items has been received.
+    Pulled(usize, Box<PullResponse>),
+    /// An entry reads the platform.
+    Reads(usize),
     /// A target crashes while running the crashing request, which an entry sent to it.
     TargetCrashes { index: usize, run: u64, sent_at: Mono },
 }
@@ -102,6 +111,8 @@
     pub sent_updates: usize,
     /// Number of crash reports in these heartbeats.
     pub crash_reports: usize,
+    /// Published items, if the model has any.
+    pub items: Option<Items>,
     /// Probability that a message is lost.
     pub loss_rate: f64,
     /// Sends of the crashing request.
@@ -137,6 +148,7 @@
             cross_domain_heartbeats: 0,
             sent_updates: 0,
             crash_reports: 0,
+            items: None,
             loss_rate: 0.0,
             crashing_sends: Vec::new(),
             crashes: Vec::new(),
@@ -314,6 +326,18 @@
             Event::Received { from, to, message, expects_answer } => {
                 self.receive(from, to, &message, expects_answer);
             }
+            Event::Pulled(to, response) => {
+                let now = self.now;
+                if let Some(items) = &mut self.items {
+                    items.end_pull(to, &response, now);
+                }
+            }
+            Event::Reads(index) => {
+                let now = self.now;
+                if let Some(items) = &mut self.items {
+                    items.read(index, now);
+                }
+            }
             Event::TargetCrashes { index, run, sent_at } => {
                 self.target_crashes(index, run, sent_at);
             }
@@ -379,6 +403,31 @@
         if expects_answer && self.vms[from].member.is_some() {
             self.send(to, from, false, Some(message.digest));
         }
+        if !expects_answer {
+            self.pull(to, from);
+        }
+    }
+
+    /// Pulls published items from an entry that has answered a heartbeat, if it is ahead.
+    fn pull(&mut self, to: usize, from: usize) {
+        let now = self.now;
+        let pull = self.items.as_mut().and_then(|items| items.begin_pull(to, from, now));
+        if let Some((response, transfer_ms)) = pull {
+            let delay_ms = transfer_ms + self.rng.random_range(NETWORK_DELAY_MS);
+            self.schedule(delay_ms, Event::Pulled(to, Box::new(response)));
+        }
+    }
+
+    /// Lets the readers read the platform, each within `within_ms`.
+    pub fn read_platform(&mut self, within_ms: u64) {
+        let now = self.now;
+        let member = self.vms.iter_mut().find_map(|vm| vm.member.as_mut()).unwrap();
+        let readers = member.view(now).readers.clone();
+        for vm in readers {
+            let index = self.index_of(&vm);
+            let delay_ms = self.rng.random_range(0..within_ms);
+            self.schedule(delay_ms, Event::Reads(index));
+        }
     }
 
     /// Submits the crashing request to an entry on behalf of a caller.
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -36,6 +36,8 @@
     let position = state.archive.borrow().position();
     gauge!("shallotfork_revision").set(position.revision().value() as f64);
     gauge!("shallotfork_platform_epoch").set(position.epoch().value() as f64);
+    let retained = state.archive.borrow().retained_keys().len();
+    gauge!("shallotfork_retained_items").set(retained as f64);
     if let Some(answered_at) = state.platform_answered_at.get() {
         let age = state.now().since(answered_at);
         gauge!("shallotfork_platform_answer_age_seconds").set(age.as_secs_f64());
