fix(revisions,platform,standin,shallotd): a platform that was restored and has passed the known revision is read in full at once

Answers of its platform may state an epoch now, and a replica whose epoch has changed is read in full with the next call. Which list is in force is decided as before: the greatest revision, and of two contents the one with the greater digest, with an alarm.

--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use shallotfork_types::{Endpoint, ListName, Revision};
+use shallotfork_types::{Endpoint, ListName, Position, Revision};
 
 use crate::PlatformError;
 
@@ -24,8 +24,8 @@
 pub struct Changes {
     /// Replica that answered.
     pub replica: Endpoint,
-    /// Current revision of the replica.
-    pub revision: Revision,
+    /// Current position of the replica.
+    pub position: Position,
     /// Changed lists, without lists of kinds unknown to this version.
     pub lists: Vec<PublishedList>,
 }
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -1,7 +1,7 @@
 //! JSON messages of the platform.
 
 use serde::Deserialize;
-use shallotfork_types::{Endpoint, Revision};
+use shallotfork_types::{Endpoint, Epoch, Position, Revision};
 
 use crate::{Changes, PublishedList};
 
@@ -9,6 +9,9 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct ChangesJson {
     revision: Revision,
+    /// Number of restores from a backup; older platforms state none.
+    #[serde(default)]
+    epoch: Epoch,
     values: Vec<ValueJson>,
 }
 
@@ -22,7 +25,7 @@
 impl ChangesJson {
     /// Checks the revisions and drops values of kinds unknown to this version.
     pub(crate) fn into_changes(self, replica: Endpoint) -> Result<Changes, String> {
-        let Self { revision, values } = self;
+        let Self { revision, epoch, values } = self;
         let mut lists = Vec::new();
         for value in values {
             let is_in_range = Revision::NONE < value.revision && value.revision <= revision;
@@ -35,6 +38,6 @@
             let Ok(name) = value.name.parse() else { continue };
             lists.push(PublishedList { name, revision: value.revision, content: value.content });
         }
-        Ok(Changes { replica, revision, lists })
+        Ok(Changes { replica, position: Position::new(epoch, revision), lists })
     }
 }
--- a/crates/platform/tests/http_platform.rs
+++ b/crates/platform/tests/http_platform.rs
@@ -46,7 +46,10 @@
         list("targets.recipes".parse().unwrap(), 9, "{}"),
     ];
     assert_eq!(expected, changes.lists);
-    assert_eq!((Revision::new(9), replica.endpoint), (changes.revision, changes.replica));
+    assert_eq!(
+        (Revision::new(9), replica.endpoint),
+        (changes.position.revision(), changes.replica)
+    );
 }
 
 #[tokio::test]
--- a/crates/revisions/src/cursor.rs
+++ b/crates/revisions/src/cursor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use shallotfork_types::{Endpoint, Revision};
+use shallotfork_types::{Endpoint, Epoch, Position, Revision};
 
 /// Follows each replica of the platform at its own revision.
 #[derive(Debug, Default)]
@@ -15,6 +15,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Replica {
     after: Revision,
+    epoch: Epoch,
     behind_answers: u32,
 }
 
@@ -65,18 +66,24 @@
     /// A platform restored from a backup answers with a lower revision and then counts up again
     /// with other contents. Continuing from the old revision would skip everything published until
     /// the count passes it, so the next request asks for every list, and the tracker decides which
-    /// versions are in force.
+    /// versions are in force. If the count has passed it already, only the epoch tells.
     pub fn record_answer(
         &mut self,
         replica: Endpoint,
         requested_after: Revision,
-        revision: Revision,
+        position: Position,
     ) -> ReplicaStatus {
-        let after = if revision < requested_after { Revision::NONE } else { revision };
+        let revision = position.revision();
+        let known_epoch = self.replicas.get(&replica).map(|replica| replica.epoch);
+        let is_restored = requested_after != Revision::NONE
+            && known_epoch.is_some_and(|epoch| epoch != position.epoch());
+        let is_full_read_due = is_restored || revision < requested_after;
+        let after = if is_full_read_due { Revision::NONE } else { revision };
         self.synced = self.synced.max(revision);
         self.highest = self.highest.max(revision);
         let replica = self.replicas.entry(replica).or_default();
         replica.after = after;
+        replica.epoch = position.epoch();
         if revision < self.highest {
             replica.behind_answers = replica.behind_answers.saturating_add(1);
             return ReplicaStatus::Behind {
--- a/crates/shallotd/src/control/watch.rs
+++ b/crates/shallotd/src/control/watch.rs
@@ -91,9 +91,9 @@
 ) -> Result<AppliedLists, PlatformError> {
     let replica = state.platform.replica();
     let after = state.lists.borrow().cursor.after(replica);
-    let Changes { replica, revision, lists } = state.platform.changes(after, timeout).await?;
-    let answer = state.lists.borrow_mut().cursor.record_answer(replica, after, revision);
-    record_replica_status(state, answer, revision, replica);
+    let Changes { replica, position, lists } = state.platform.changes(after, timeout).await?;
+    let answer = state.lists.borrow_mut().cursor.record_answer(replica, after, position);
+    record_replica_status(state, answer, position.revision(), replica);
     Ok(apply_lists(state, lists, &ListSource::Platform(replica)))
 }
 
--- a/crates/standin/src/platform/replica.rs
+++ b/crates/standin/src/platform/replica.rs
@@ -1,7 +1,7 @@
 //! Answers of one replica, subject to its faults.
 
 use serde::{Deserialize, Serialize};
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 
 use super::store::{PublishedValue, Store};
 
@@ -28,6 +28,8 @@
 pub struct Changes {
     /// Newest revision that the replica knows.
     pub revision: Revision,
+    /// Number of restores from a backup.
+    pub epoch: Epoch,
     /// Values that changed, sorted by revision.
     pub values: Vec<PublishedValue>,
 }
@@ -72,6 +74,7 @@
         let values = store.changes(after, revision, prefix);
         Changes {
             revision,
+            epoch: store.epoch(),
             values: values.into_iter().map(|value| self.apply_conflict(value)).collect(),
         }
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use shallotfork_types::Revision;
+use shallotfork_types::{Epoch, Revision};
 
 /// One version of one published value.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +27,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Store {
     history: Vec<PublishedValue>,
+    epoch: Epoch,
 }
 
 impl Store {
@@ -85,5 +86,11 @@
     /// are assigned again.
     pub fn roll_back(&mut self, to: Revision) {
         self.history.retain(|change| change.revision <= to);
+        self.epoch = Epoch::new(self.epoch.value() + 1);
+    }
+
+    /// Returns the number of restores.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
     }
 }
--- a/tests/tests/lists_under_faults.rs
+++ b/tests/tests/lists_under_faults.rs
@@ -133,6 +133,25 @@
     Ok(())
 }
 
+/// Guards against a conflict that shows only at the next full read, an hour later: the platform is restored
+/// from a backup and has passed the known revision again before any entry asks.
+#[tokio::test]
+async fn rollback_is_noticed_although_the_revision_has_been_passed() -> anyhow::Result<()> {
+    let case = Case::new().with_entries(3).with_setting("platform", "wait_ms", "500");
+    let running = case.start().await?;
+    let first = publish(&running, 1).await?;
+    let second = running.platform.publish_over("rules", &rule_list(2), first).await?;
+    let second = second.ok_or_else(|| anyhow::anyhow!("another operator published first"))?;
+    wait_in_force(&running, second).await?;
+    running.platform.roll_back(first).await?;
+    let conflicting = running.platform.publish_over("rules", &rule_list(3), first).await?;
+    assert_eq!(Some(second), conflicting);
+    for entry in &running.entries {
+        wait_until("the conflict is audited", async || has_conflict(entry).await).await?;
+    }
+    wait_until("all entries agree on one list", async || running.agrees_on_rules().await).await
+}
+
 async fn has_conflict(entry: &Entry) -> bool {
     let changes = entry.audit().await.unwrap_or_default();
     let is_conflict =
