--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -6,12 +6,14 @@
 mod pack;
 mod precedence;
 mod pull_scheduler;
+mod restore;
 mod uplink;
 
-pub use archive::{Archive, Judge, PullResponse, Retained};
+pub use archive::{Archive, Judge, PullResponse};
 pub use check::PullError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
 pub use pack::{PACK_MIN_BYTES, Packer, pack, unpack};
 pub use precedence::precedence;
 pub use pull_scheduler::PullScheduler;
+pub use restore::Retained;
 pub use uplink::Uplink;
--- a/tests/tests/lists_under_faults.rs
+++ b/tests/tests/lists_under_faults.rs
@@ -115,17 +115,7 @@
     let case = Case::new().with_entries(3).with_setting("platform", "wait_ms", "500");
     let running = case.with_setting("platform", "full_read_ms", "1000").start().await?;
     let watch = RevisionWatch::start(&running.entries);
-    let first = publish(&running, 1).await?;
-    let second = running.platform.publish_over("rules", &rule_list(2), first).await?;
-    let second = second.ok_or_else(|| anyhow::anyhow!("another operator published first"))?;
-    wait_in_force(&running, second).await?;
-    running.platform.roll_back(first).await?;
-    let conflicting = running.platform.publish_over("rules", &rule_list(3), first).await?;
-    assert_eq!(Some(second), conflicting);
-    for entry in &running.entries {
-        wait_until("the conflict is audited", async || has_conflict(entry).await).await?;
-    }
-    wait_until("all entries agree on one list", async || running.agrees_on_rules().await).await?;
+    let second = conflict_by_rollback(&running).await?;
     let third = running.platform.publish_over("rules", &rule_list(4), second).await?;
     let third = third.ok_or_else(|| anyhow::anyhow!("another operator published first"))?;
     wait_in_force(&running, third).await?;
@@ -139,17 +129,24 @@
 async fn rollback_is_noticed_although_the_revision_has_been_passed() -> anyhow::Result<()> {
     let case = Case::new().with_entries(3).with_setting("platform", "wait_ms", "500");
     let running = case.start().await?;
-    let first = publish(&running, 1).await?;
+    conflict_by_rollback(&running).await.map(drop)
+}
+
+/// Restores the platform from a backup after two changes, publishes another content under the revision of
+/// the second one, and waits until all entries have noticed and agree. Returns that revision.
+async fn conflict_by_rollback(running: &Running) -> anyhow::Result<Revision> {
+    let first = publish(running, 1).await?;
     let second = running.platform.publish_over("rules", &rule_list(2), first).await?;
     let second = second.ok_or_else(|| anyhow::anyhow!("another operator published first"))?;
-    wait_in_force(&running, second).await?;
+    wait_in_force(running, second).await?;
     running.platform.roll_back(first).await?;
     let conflicting = running.platform.publish_over("rules", &rule_list(3), first).await?;
     assert_eq!(Some(second), conflicting);
     for entry in &running.entries {
         wait_until("the conflict is audited", async || has_conflict(entry).await).await?;
     }
-    wait_until("all entries agree on one list", async || running.agrees_on_rules().await).await
+    wait_until("all entries agree on one list", async || running.agrees_on_rules().await).await?;
+    Ok(second)
 }
 
 async fn has_conflict(entry: &Entry) -> bool {
