fix(gateway): packed contents for entries of an older release are kept apart

An entry of an older release gets the content that holds in place of a copy's, at the position of the published one. Packed contents are kept by position, so the one was sent for the other: the table of the copy to the older release, or the retained one as published to others. entries_of_an_older_release_are_served_changes_that_hold now uses tables that are packed, asks for both in turn, and failed before (r4 in place of r5).

--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -11,8 +11,8 @@
 
 /// Whether to pull published items from the sender of a heartbeat because it is at a later position.
 ///
-/// An entry that can't read the platform itself may still be at a later position, by what it has received from
-/// entries that can. A reader receives most changes from the platform first; if its position stays
+/// An entry that can't read the platform itself may still be at a later position, by what it has
+/// received from entries that can. A reader receives most changes from the platform first; if its position stays
 /// before that of others for longer than the propagation delay, its read of the platform hangs.
 pub fn should_pull_from(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
     let own = state.archive.borrow().position();
@@ -36,8 +36,8 @@
     )
 }
 
-/// Returns the epoch that another entry states. One of an older release states none: its items can be used
-/// only where the platform has no epochs.
+/// Returns the epoch that another entry states. One of an older release states none: its items can be
+/// used only where the platform has no epochs.
 fn epoch_of(stated: Option<Epoch>, own: Position) -> Option<Epoch> {
     stated.or_else(|| (own.epoch() == Epoch::NONE).then_some(Epoch::NONE))
 }
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -69,7 +69,7 @@
     }
     drop(archive);
     let changes = if request.accepts_packed {
-        packed_changes(state, &response)
+        packed_changes(state, &response, request.epoch.is_some())
     } else {
         unpacked_changes(&response)
     };
@@ -109,15 +109,18 @@
 
 /// Packs large items one by one, so that each packed item serves all pulls until it changes, and
 /// small items together.
-fn packed_changes(state: &ControlState, response: &PullResponse) -> Changes {
+///
+/// `is_published` tells that the contents are the published ones, which other pulls can share.
+fn packed_changes(state: &ControlState, response: &PullResponse, is_published: bool) -> Changes {
     let PullResponse { changes, is_snapshot, .. } = response;
     let (large, small): (Vec<&RawItem>, Vec<&RawItem>) =
         changes.items.iter().partition(|item| is_large(item));
-    let mut packer = state.packer.borrow_mut();
+    let packer = if is_published { &state.packer } else { &state.retained_packer };
+    let mut packer = packer.borrow_mut();
     let mut values: Vec<ValueChange> =
         large.into_iter().map(|item| value_change(item, packer.pack(item))).collect();
     let small: Vec<ValueChange> = small.into_iter().map(|item| value_change(item, None)).collect();
-    let bundle = bundle_values(state, changes.position, *is_snapshot, &small);
+    let bundle = bundle_values(state, changes.position, *is_snapshot && is_published, &small);
     if bundle.is_none() {
         values.extend(small);
     }
@@ -155,11 +158,11 @@
 fn bundle_values(
     state: &ControlState,
     position: Position,
-    is_snapshot: bool,
+    is_shared: bool,
     values: &[ValueChange],
 ) -> Option<Bundle> {
     let mut cached = state.snapshot_bundle.borrow_mut();
-    if let Some((cached_position, bundle)) = cached.as_ref().filter(|_| is_snapshot)
+    if let Some((cached_position, bundle)) = cached.as_ref().filter(|_| is_shared)
         && *cached_position == position
     {
         return Some(bundle.clone());
@@ -167,7 +170,7 @@
     let content = encode_values(values);
     let unpacked_size = Bytes::new(content.len() as u64);
     let bundle = Bundle { content: pack(&content)?, unpacked_size };
-    if is_snapshot {
+    if is_shared {
         *cached = Some((position, bundle.clone()));
     }
     Some(bundle)
