refactor(gateway): probes and path checks send their health requests by one piece of code

The request, its bytes, what its outcome says of the path and what the target states stood twice. HealthRequest serves both. One thing differs: answers to path checks count in shallotfork_bytes (questions) too, as those to probes did. The process tests of lost paths, statements, slow probe answers and cold targets pass.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod caller_requests;
 mod directory;
 mod forward;
+mod health_request;
 mod path_checks;
 mod probe_counters;
 mod probes;
--- a/crates/gateway/src/traffic/path_checks.rs
+++ b/crates/gateway/src/traffic/path_checks.rs
@@ -1,26 +1,20 @@
 //! Checks whether this process reaches targets, and acts on a lost or restored path.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::future::join_all;
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::Full;
 use rand::seq::IndexedRandom;
 use shallotfork_events::{PATH_LOST, PATH_RESTORED, event};
-use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, FailureCause, TargetRequest};
+use shallotfork_exchange::{ConnectionPurpose, FailureCause};
 use shallotfork_reachability::{CheckOutcome, PathChange};
 use shallotfork_roster::Availability;
 use shallotfork_statements::TargetRun;
 use shallotfork_types::{Mono, TargetId};
 
 use crate::context::{Context, lock};
-use crate::traffic::probes::{HealthEndpoint, health_endpoint};
-use crate::traffic::reach::record_reach;
-use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
-use crate::transfer::{TransferKind, message_bytes};
+use crate::traffic::health_request::HealthRequest;
 
 /// Time in which a target must answer a check: the timeout for opening a connection and a few round
 /// trips.
@@ -115,32 +109,12 @@
 
 /// Sends a health request on a new connection.
 async fn check_target(context: &Context, target: &TargetId) -> CheckOutcome {
-    let Some(HealthEndpoint { endpoint, domain, uri }) = health_endpoint(context, target) else {
-        return CheckOutcome::Failed;
-    };
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = uri;
-    TransferKind::Probes.record_bytes(&domain, message_bytes(request.headers(), 0));
+    let Some(request) = HealthRequest::new(context, target) else { return CheckOutcome::Failed };
+    // An answer that has arrived may wait for the scheduling delay until it is read.
+    let timeout = CHECK_TIMEOUT + context.scheduling_delay();
     let is_opened = AtomicBool::new(false);
-    let run = target_run(context, target);
-    let sent_at = context.clock.now();
-    let target_request = TargetRequest {
-        target,
-        endpoint,
-        request,
-        // An answer that has arrived may wait for the scheduling delay until it is read.
-        timeout: CHECK_TIMEOUT + context.scheduling_delay(),
-        repeatable: true,
-        answer_match: &|status: StatusCode, headers: &HeaderMap| {
-            record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
-            AnswerMatch::Match
-        },
-        purpose: ConnectionPurpose::PathCheck,
-        on_opened: &|| is_opened.store(true, Ordering::Relaxed),
-    };
-    let result = context.target_connections.send(target_request).await;
+    let result = request.send(context, timeout, ConnectionPurpose::PathCheck, &is_opened).await;
     let is_opened = is_opened.into_inner();
-    record_reach(context, target, is_opened, &result);
     match result {
         Ok(_) => CheckOutcome::Answered,
         Err(failure) if is_opened && *failure.cause() == FailureCause::Timeout => {
--- a/crates/gateway/src/traffic/probes.rs
+++ b/crates/gateway/src/traffic/probes.rs
@@ -4,21 +4,18 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, Uri};
-use http_body_util::Full;
+use http::HeaderMap;
 use metrics::counter;
 use shallotfork_events::{WARMUP_INVALID, event};
-use shallotfork_exchange::{AnswerMatch, ConnectionPurpose, TargetRequest};
-use shallotfork_types::{Endpoint, FailureDomain, TargetId};
+use shallotfork_exchange::ConnectionPurpose;
+use shallotfork_types::TargetId;
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
 use crate::traffic::attempt_outcome::parse_reported_load;
-use crate::traffic::reach::{record_reach, record_silence};
+use crate::traffic::health_request::HealthRequest;
+use crate::traffic::reach::record_silence;
 use crate::traffic::service_slots::ServiceSlots;
-use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
-use crate::transfer::{TransferKind, message_bytes};
 
 /// Interval at which the pools are polled for targets to probe; half of the interval between two
 /// probes of a target.
@@ -119,37 +116,16 @@
     target: &TargetId,
     is_accepted: &AtomicBool,
 ) -> ProbeResult {
-    let Some(HealthEndpoint { endpoint, domain, uri }) = health_endpoint(context, target) else {
-        return ProbeResult::NoLoad;
-    };
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = uri;
-    TransferKind::Probes.record_bytes(&domain, message_bytes(request.headers(), 0));
-    let run = target_run(context, target);
-    let sent_at = context.clock.now();
-    let target_request = TargetRequest {
-        target,
-        endpoint,
-        request,
-        timeout: PROBE_TIMEOUT,
-        repeatable: true,
-        answer_match: &|status: StatusCode, headers: &HeaderMap| {
-            record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
-            AnswerMatch::Match
-        },
-        purpose: ConnectionPurpose::Probe,
-        on_opened: &|| is_accepted.store(true, Ordering::Relaxed),
-    };
+    let Some(request) = HealthRequest::new(context, target) else { return ProbeResult::NoLoad };
     counter!("shallotfork_probes").increment(1);
     context.probe_counts.record_sent();
-    let result = context.target_connections.send(target_request).await;
-    record_reach(context, target, is_accepted.load(Ordering::Relaxed), &result);
+    let sent_at = context.clock.now();
+    let result = request.send(context, PROBE_TIMEOUT, ConnectionPurpose::Probe, is_accepted).await;
     let Ok(answer) = result else {
         let delay = context.clock.now().since(sent_at).saturating_sub(PROBE_TIMEOUT);
         slots.record_failed_probe(target, delay);
         return ProbeResult::Unanswered;
     };
-    TransferKind::Probes.record_bytes(&domain, message_bytes(&answer.headers, answer.body.len()));
     record_warmup(context, slots, target, &answer.headers);
     match parse_reported_load(&context.dialect, &answer) {
         Some(reported_load) => {
@@ -176,23 +152,3 @@
         event!(context.log, WARMUP_INVALID, "target" => target.as_str(), "left_out" => left_out);
     }
 }
-
-/// Location of a target's health endpoint.
-pub struct HealthEndpoint {
-    /// Address of the target.
-    pub endpoint: Endpoint,
-    /// Failure domain of the target.
-    pub domain: FailureDomain,
-    /// Path of the endpoint.
-    pub uri: Uri,
-}
-
-/// Returns the location of a target's health endpoint; `None` if the target or its service is not
-/// published.
-pub fn health_endpoint(context: &Context, target: &TargetId) -> Option<HealthEndpoint> {
-    let published = context.published.load();
-    let record = published.targets.get(target)?;
-    let spec = published.table.as_ref()?.services().get(&record.service)?;
-    let uri = spec.health_path.parse().ok()?;
-    Some(HealthEndpoint { endpoint: record.endpoint, domain: record.failure_domain.clone(), uri })
-}
