refactor(feed,history,gateway): one name for the lowest revision seen in an epoch, a retained version of no earlier epoch is rejected with a line, pauses grow as before

- A pulled response whose retained versions are not of an earlier epoch was thinned out without a line.
- AdoptionContext had copied_until for what the archive calls seen_from.

--- a/crates/feed/src/check.rs
+++ b/crates/feed/src/check.rs
@@ -33,6 +33,9 @@
     /// Packed content is invalid, differs from its stated size, or is too large.
     #[error("packed content cannot be unpacked to its stated size of {0}")]
     BadPacked(Bytes),
+    /// A retained version is not of an earlier epoch than the response.
+    #[error("retained version at position {0} is not of an earlier epoch")]
+    NotRetained(Position),
     /// An item has no key, or it exists at revision zero.
     #[error("item has an empty key, or exists at revision 0")]
     BadItem,
@@ -66,6 +69,10 @@
         if changes.items.iter().chain(&retained.items).any(is_bad) {
             return Err(PullError::BadItem);
         }
+        let is_earlier = |item: &&RawItem| item.position.epoch() < changes.position.epoch();
+        if let Some(item) = retained.items.iter().find(|item| !is_earlier(item)) {
+            return Err(PullError::NotRetained(item.position));
+        }
         Ok(())
     }
 }
--- a/crates/feed/src/restore.rs
+++ b/crates/feed/src/restore.rs
@@ -128,10 +128,9 @@
     /// Retains versions that another entry at the current position retains, unless their writers have
     /// published since. Returns whether any content has changed.
     fn retain(&mut self, versions: &[RawItem], judge: &Judge<'_>) -> bool {
-        let position = self.position;
         let mut has_changed = false;
-        for item in versions.iter().filter(|item| item.position.epoch() < position.epoch()) {
-            let copy = Position::new(position.epoch(), Revision::NONE);
+        let copy = Position::new(self.position.epoch(), Revision::NONE);
+        for item in versions {
             let missing = || Register::new(Version { position: copy, content: None });
             let register = self.items.entry(item.key.clone()).or_insert_with(missing);
             has_changed |= register.retain(version_of(item), |known, published| {
@@ -213,7 +212,7 @@
         &mut self,
         item: &RawItem,
         copied_at_least: Revision,
-        copied_until: Revision,
+        seen_from: Revision,
         judge: &Judge<'_>,
     ) {
         let position = self.position;
@@ -227,7 +226,7 @@
                 return;
             }
         };
-        let context = AdoptionContext { known_until: position.revision(), copied_until };
+        let context = AdoptionContext { known_until: position.revision(), seen_from };
         register.adopt(version_of(item), context, |known, published| {
             judge_versions(judge, &item.key, known, published)
         });
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -158,3 +158,18 @@
     let older = PullError::Older { received: at(90), known: at_epoch(1, 4) };
     assert_eq!(archive.check(&response), Err(older));
 }
+
+/// Guards against versions of the current epoch that would hold in place of later ones.
+#[test]
+fn retained_versions_are_of_an_earlier_epoch() {
+    let archive = archive();
+    let retained = |position| {
+        let items = vec![RawItem { position, ..item(1, 8, Some("lost")) }];
+        let changes = FeedChanges { items: Vec::new(), position: at_epoch(1, 9) };
+        let response = response(changes, false);
+        PullResponse { retained: Retained { items, settles_in: None }, ..response }
+    };
+    assert_eq!(archive.check(&retained(at(8))), Ok(()));
+    let position = at_epoch(1, 8);
+    assert_eq!(archive.check(&retained(position)), Err(PullError::NotRetained(position)));
+}
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -24,6 +24,7 @@
 pub struct PullSource {
     /// Connection to the entry.
     pub client: Rc<PeerClient>,
+    /// Failure domain of the entry.
     failure_domain: FailureDomain,
     /// Epoch that the entry is in.
     epoch: Option<Epoch>,
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -12,8 +12,9 @@
 /// Whether to pull published items from the sender of a heartbeat because it is at a later position.
 ///
 /// An entry that can't read the platform itself may still be at a later position, by what it has
-/// received from entries that can. A reader receives most changes from the platform first; if its position stays
-/// before that of others for longer than the propagation delay, its read of the platform hangs.
+/// received from entries that can. A reader receives most changes from the platform first; if its
+/// position stays before that of others for longer than the propagation delay, its read of the platform
+/// hangs.
 pub fn should_pull_from(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
     let own = state.archive.borrow().position();
     let Some(epoch) = epoch_of(heartbeat.synced_epoch, own) else { return false };
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -84,24 +84,24 @@
                 history_lost = true;
                 // A full read has not helped; the next one may not either.
                 if !is_watching {
-                    pause(&mut backoff).await;
+                    pause(backoff).await;
+                    backoff = (backoff * 2).min(BACKOFF_MAX);
                 }
                 is_watching = false;
             }
             Err(error) => {
                 record_platform_failure(&state, &error);
-                let mut retry_delay = DISCONNECTED_RETRY_DELAY;
-                pause(if is_reader { &mut backoff } else { &mut retry_delay }).await;
+                pause(if is_reader { backoff } else { DISCONNECTED_RETRY_DELAY }).await;
+                backoff = (backoff * 2).min(BACKOFF_MAX);
             }
         }
     }
 }
 
-/// Waits for a random part of the delay, and doubles it for the next time.
-async fn pause(delay: &mut Duration) {
+/// Waits for a random part of the delay, so that entries that fail together do not retry together.
+async fn pause(delay: Duration) {
     let jitter = rand::rng().random_range(0.5..1.0);
     tokio::time::sleep(delay.mul_f64(jitter)).await;
-    *delay = (*delay * 2).min(BACKOFF_MAX);
 }
 
 /// Reads everything once, before this entry knows whether it is a reader. A read that may be stale
@@ -219,8 +219,8 @@
         return;
     };
     event!(state.context.log, PLATFORM_READ_DROPPED, "revision" => read.revision().value(),
-        "epoch" => read.epoch().value(), "known" => known.revision().value(),
-        "left_out" => left_out);
+        "epoch" => read.epoch().value(), "known_epoch" => known.epoch().value(),
+        "known" => known.revision().value(),        "left_out" => left_out);
 }
 
 /// Marks this process as synced, and so able to serve, once routes are in force.
--- a/crates/history/src/register.rs
+++ b/crates/history/src/register.rs
@@ -16,8 +16,8 @@
 pub struct AdoptionContext {
     /// Revision up to which the earlier epoch is known.
     pub known_until: Revision,
-    /// Revision that the copy does not exceed: the lowest one seen in the new epoch.
-    pub copied_until: Revision,
+    /// Lowest revision seen in the new epoch, which that of the copy does not exceed.
+    pub seen_from: Revision,
 }
 
 /// One item: the version that the platform publishes, and one of an earlier epoch that holds in its
@@ -109,7 +109,7 @@
             Some(_) => next.content.is_some() && revision >= self.published.position.revision(),
             None => revision > context.known_until,
         };
-        let is_later_write = is_above_known || revision > context.copied_until;
+        let is_later_write = is_above_known || revision > context.seen_from;
         self.retained = None;
         if known.content != next.content {
             let is_later = match judge(&known, &next) {
--- a/crates/history/tests/register.rs
+++ b/crates/history/tests/register.rs
@@ -6,7 +6,7 @@
 
 /// What is known of the copy, which is read at revision 41.
 const COPY: AdoptionContext =
-    AdoptionContext { known_until: Revision::new(48), copied_until: Revision::new(41) };
+    AdoptionContext { known_until: Revision::new(48), seen_from: Revision::new(41) };
 /// Position at the end of the settle time.
 const SETTLED_AT: Position = Position::new(Epoch::new(1), Revision::new(60));
 
