--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -115,8 +115,8 @@
 
     /// Returns whether what has changed since `position` is known.
     ///
-    /// An entry in the current epoch takes over the changes as all that there were, so none may have been
-    /// missed here. One in an earlier epoch takes over what differs.
+    /// An entry in the current epoch will claim in turn to know all changes since `position`, so none may
+    /// have been missed here. One in an earlier epoch claims that only from the current position on.
     fn has_changes_after(&self, position: Position) -> bool {
         let is_current = position.epoch() == self.position.epoch();
         let skipped = if is_current { self.known_after.len().saturating_sub(1) } else { 0 };
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -7,7 +7,7 @@
 
 const NOW: Mono = Mono::ZERO;
 
-/// Takes no version for the later one by its content.
+/// Leaves the order of any two versions undecided.
 fn undecided(_: &RawItem, _: &RawItem) -> Precedence {
     Precedence::Undecided
 }
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -28,7 +28,7 @@
 /// Target changes in one read that are logged individually; more are summarized in one line.
 const LOGGED_CHANGES_MAX: usize = 20;
 
-/// Source of items that are published again after the settle time, in log lines.
+/// Source of items that hold since the settle time is over, in log lines.
 const SETTLED_SOURCE: &str = "settled";
 
 /// Changes of targets and evacuations decoded from published items.
@@ -107,7 +107,7 @@
 }
 
 /// Returns the rule by which a version known from an earlier epoch holds in place of the published one.
-/// The record of a target that has only lapsed is no word on its end.
+/// A target whose record has merely lapsed in an outage may be alive, so the copy's record holds.
 fn judge(state: &ControlState) -> impl Fn(&RawItem, &RawItem) -> Precedence {
     |known, published| {
         let known = state.feed.decode(known);
--- a/crates/history/src/register.rs
+++ b/crates/history/src/register.rs
@@ -149,15 +149,15 @@
         true
     }
 
-    /// Ends the settle time: the published version holds, unless the retained one is later by its
-    /// writer's word. `position` is that up to which all changes are known. Returns whether the content
-    /// that holds has changed.
+    /// Ends the settle time: the published version holds, unless the content of the retained one states
+    /// that it is later. All changes up to `position` are known. Returns whether the content that holds
+    /// has changed.
     pub fn settle(&mut self, position: Position) -> bool {
         let is_unsettled = self.is_unsettled();
         if is_unsettled {
             self.retained = None;
         }
-        // An item that the copy lacks is known to be missing up to here now.
+        // The absence of an item that the copy lacks is confirmed up to this position.
         let is_of_copy = self.published.position.revision() == Revision::NONE
             || self.published.position.epoch() < position.epoch();
         if self.published.content.is_none() && is_of_copy {
