refactor(gateway): one file each for attempts, their history, hedges, single sends and the retry allowance

attempts.rs held six concerns in 543 lines and depended on forward.rs, which depended on it. The outcome of a request and the check of an answer's owner are modules of their own now, so that the circle is gone. No behaviour changes.

--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -17,8 +17,9 @@
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
-use crate::traffic::attempts::{CompletedRequest, RequestOutcome, run_attempts};
+use crate::traffic::attempts::run_attempts;
 use crate::traffic::problem_responses::{bad_request, may_have_run, no_route, not_run};
+use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
 use crate::traffic::routed_request::{RouteMatch, RoutedRequest};
 
 /// Retry-after time of an entry that has no routes yet; about the time that it takes to read them.
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -13,7 +13,8 @@
 use shallotfork_types::{TargetId, Verdict};
 
 use crate::context::{Context, lock};
-use crate::traffic::attempts::{RequestOutcome, answer_owner};
+use crate::traffic::answer_owner::answer_owner;
+use crate::traffic::request_outcome::RequestOutcome;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::transfer::{TransferKind, message_bytes};
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,11 +1,14 @@
 //! Serves the requests of callers: routing, attempts at targets, probes and slots.
 
+mod answer_owner;
+mod attempt_history;
 mod attempt_outcome;
 mod attempts;
 mod caller_requests;
 mod directory;
 mod forward;
 mod health_request;
+mod hedge;
 mod path_checks;
 mod probe_counters;
 mod probes;
@@ -13,8 +16,11 @@
 mod quarantine;
 mod rate_limit;
 mod reach;
+mod request_outcome;
+mod retry_allowance;
 mod routed_request;
 mod scheduling_delay;
+mod send_attempt;
 mod service_load;
 mod service_slots;
 mod target_statements;
