--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -10,6 +10,6 @@
 mod table;
 
 pub use in_force::{OfferOutcome, TableInForce};
-pub use route::{Priority, RepeatPolicy, Route, RouteName, WeightedService};
+pub use route::{AnswerSize, Priority, RepeatPolicy, Route, RouteName, WeightedService};
 pub use splitter::Splitter;
 pub use table::{CallerLimits, RouteTable, ServiceSpec, TableError, TableVersion};
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -51,6 +51,15 @@
     AtMostOnce,
 }
 
+/// Expected size of the answers of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerSize {
+    /// Answers that use little of a VM's memory and link.
+    Ordinary,
+    /// Answers of which a few at a time fill a VM's link.
+    Large,
+}
+
 /// Priority of the requests of a route; 0 is the highest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Priority(u32);
@@ -93,6 +102,8 @@
     pub prefix: String,
     /// Whether a request may run more than once.
     pub repeat_policy: RepeatPolicy,
+    /// Expected size of the answers.
+    pub answer_size: AnswerSize,
     /// Maximum time from the arrival of a request to its final answer.
     pub timeout: Duration,
     /// Time within which callers expect an answer.
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -8,8 +8,8 @@
 
 use quickcheck::{QuickCheck, TestResult};
 use shallotfork_routes::{
-    CallerLimits, OfferOutcome, Priority, RepeatPolicy, Route, RouteName, RouteTable, ServiceSpec,
-    Splitter, TableError, TableInForce, TableVersion, WeightedService,
+    AnswerSize, CallerLimits, OfferOutcome, Priority, RepeatPolicy, Route, RouteName, RouteTable,
+    ServiceSpec, Splitter, TableError, TableInForce, TableVersion, WeightedService,
 };
 use shallotfork_types::{Bytes, ServiceName};
 
@@ -28,6 +28,7 @@
         timeout: Duration::from_secs(2),
         latency_objective: Duration::from_millis(400),
         priority: Priority::new(1),
+        answer_size: AnswerSize::Ordinary,
         attempts_max: 2,
         services: weighted_services.iter().map(weighted_service).collect(),
     }
