fix(gateway): an entry that starts after the platform was restored does not serve by the copy

An entry on a platform with epochs now reports ready only once another entry retains the same items of earlier epochs, after 300 ms at most; without epochs nothing changes.

--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -81,6 +81,10 @@
     };
     state.fleet.borrow_mut().receive_heartbeat(&received, state.now());
     update_platform_state(state);
+    if let Some(epoch) = heartbeat.synced_epoch {
+        state.peer_retained.set(Some((epoch, heartbeat.retained_digest)));
+        state.peer_compared.notify_waiters();
+    }
     merge_crash_reports(state, &heartbeat.crash_reports);
     merge_rate_limits(state, &heartbeat.rate_limits);
     merge_leaving_targets(state, &heartbeat.leaving_targets);
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -93,6 +93,7 @@
     state.archive.borrow().check(&response)?;
     apply_pulled(state, &response, source);
     mark_synced(state);
+    state.peer_compared.notify_waiters();
     Ok(count)
 }
 
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -43,6 +43,10 @@
 /// Longest delay after a failed call. When the platform returns, all entries are reconnected within
 /// this time.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Time for which an entry that has read the platform for the first time waits to learn from another
+/// entry whether what it has read is an older copy. Other entries usually answer within milliseconds;
+/// after a loss of all of them nobody knows better.
+const COPY_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Source of the items that this entry reads itself, in log lines.
 const PLATFORM_SOURCE: &str = "platform";
 
@@ -110,13 +114,48 @@
 /// The result may be seconds old; the readers, or the platform's watch, report what has changed
 /// since. After a loss of all entries at once, each entry can serve as soon as it has started.
 async fn initial_read(state: &ControlState) {
-    if let Err(error) = full_read(state, Freshness::MayBeStale).await {
-        record_platform_failure(state, &error);
+    let result = read_and_apply(state, Freshness::MayBeStale).await;
+    let _timed_out = timeout(COPY_CHECK_TIMEOUT, agree_with_another_entry(state)).await;
+    match result {
+        Ok(true) => mark_synced(state),
+        Ok(false) => {}
+        Err(error) => record_platform_failure(state, &error),
+    }
+}
+
+/// Waits until another entry retains the same items of earlier epochs as this one.
+///
+/// A platform that was restored publishes its copy until everything is written again. An entry that
+/// starts meanwhile reads the copy, and would serve by routes that the others have replaced.
+async fn agree_with_another_entry(state: &ControlState) {
+    loop {
+        let compared = state.peer_compared.notified();
+        let (epoch, retained_digest) = {
+            let archive = state.archive.borrow();
+            (archive.position().epoch(), archive.retained_digest())
+        };
+        let is_alone = state.seeds.borrow().is_empty();
+        if is_alone || epoch == Epoch::NONE {
+            return;
+        }
+        if state.peer_retained.get() == Some((epoch, retained_digest)) {
+            return;
+        }
+        compared.await;
     }
 }
 
 /// Reads everything and applies it.
 async fn full_read(state: &ControlState, freshness: Freshness) -> Result<(), FeedError> {
+    if read_and_apply(state, freshness).await? {
+        mark_synced(state);
+    }
+    Ok(())
+}
+
+/// Reads everything and applies it, unless other entries have sent later items meanwhile. Returns
+/// whether it was applied.
+async fn read_and_apply(state: &ControlState, freshness: Freshness) -> Result<bool, FeedError> {
     let (items, position) = read_pages(state, freshness).await?;
     record_platform_answer(state);
     let known = state.archive.borrow().position();
@@ -127,11 +166,10 @@
     // has been removed since.
     if position >= known {
         apply_snapshot(state, &items, position, PLATFORM_SOURCE);
-        mark_synced(state);
-    } else {
-        log_dropped_read(state, position, known);
+        return Ok(true);
     }
-    Ok(())
+    log_dropped_read(state, position, known);
+    Ok(false)
 }
 
 /// Reads all pages. They are not a consistent snapshot, so watching continues from the oldest page's
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -14,7 +14,7 @@
 use shallotfork_revisions::PullGate;
 use shallotfork_roster::Roster;
 use shallotfork_routes::TableInForce;
-use shallotfork_types::{Endpoint, Mono, Position, ServiceName};
+use shallotfork_types::{Endpoint, Epoch, ListsDigest, Mono, Position, ServiceName};
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
@@ -48,6 +48,11 @@
     pub packer: RefCell<Packer>,
     /// Packed items of earlier epochs for other entries.
     pub retained_packer: RefCell<Packer>,
+    /// Signalled when a heartbeat of another entry, or what was pulled from it, may show whether the two
+    /// hold the same items of earlier epochs.
+    pub peer_compared: Notify,
+    /// Position and digest of the retained items that another entry has reported last.
+    pub peer_retained: Cell<Option<(Epoch, ListsDigest)>>,
     /// Limits pulls for the items of earlier epochs that other entries retain.
     pub retained_pulls: RefCell<PullGate>,
     /// All small items packed together, with their position.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -190,6 +190,8 @@
         archive: RefCell::new(Archive::new()),
         packer: RefCell::new(Packer::new()),
         retained_packer: RefCell::new(Packer::new()),
+        peer_compared: Notify::new(),
+        peer_retained: Cell::new(None),
         retained_pulls: RefCell::new(PullGate::new(RETAINED_PULL_REPEAT)),
         snapshot_bundle: RefCell::default(),
         pull_scheduler: RefCell::new(PullScheduler::new()),
