--- a/tests/tests/at_most_once_share.rs
+++ b/tests/tests/at_most_once_share.rs
@@ -54,6 +54,9 @@
         let report = self.traffic.stop().await;
         let counts = check(&self.running, &report).await?;
         println!("{fault}: {counts:?}");
+        for order in report.failed_orders() {
+            println!("{order:?}");
+        }
         Ok(counts)
     }
 }
