feat(balance): hedges of uneven work by the distribution of work times

A hedge was sent after three times the usual time. If one run in thirty takes seven times as long as the rest, that is after the objective. The pool keeps the distribution of work times by class and plans an early hedge where it has a long tail. No caller of the pool uses the plan yet.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -32,8 +32,8 @@
 pub use request::{PoolRequest, Priority};
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use slots::{
-    SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, Slowdown,
-    StateChange, TargetLoad, TargetStateChange, WorkClass,
+    EarlyHedge, HedgePlan, HedgeResult, SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest,
+    SlotSummary, SlotTarget, Slowdown, StateChange, TargetLoad, TargetStateChange, WorkClass,
 };
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- a/crates/balance/src/retry_window.rs
+++ b/crates/balance/src/retry_window.rs
@@ -5,6 +5,9 @@
 
 use shallotfork_types::{Mono, Permille};
 
+/// Share of an allowance that early hedges may use; the rest is reserved for retries. Hedges only
+/// save time, while a request whose attempt failed gets no answer without a retry.
+const EARLY_HEDGE_SHARE: Permille = Permille::new(600);
 /// Number of buckets in a window. One more bucket than a window holds is kept, so that every window
 /// lies entirely within the counted buckets, wherever it begins.
 const BUCKETS: u32 = 10;
@@ -18,6 +21,12 @@
     pub extra: u32,
 }
 
+impl RetryAllowance {
+    fn attempts_max(self, requests: u64) -> u64 {
+        self.share.of(requests) + u64::from(self.extra)
+    }
+}
+
 /// Counts requests and extra attempts of one service.
 ///
 /// Retries feed an overload: each one takes a slot from a first attempt. They are bounded over all
@@ -34,6 +43,7 @@
     index: u64,
     requests: u64,
     extra_attempts: u64,
+    early_hedges: u64,
 }
 
 impl RetryWindow {
@@ -53,13 +63,27 @@
         self.bucket(now);
         let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let extra_attempts: u64 = self.buckets.iter().map(|bucket| bucket.extra_attempts).sum();
-        let has_room = extra_attempts < allowance.share.of(requests) + u64::from(allowance.extra);
+        let has_room = extra_attempts < allowance.attempts_max(requests);
         if has_room {
             self.bucket(now).extra_attempts += 1;
         }
         has_room
     }
 
+    /// Records one early hedge if the part of the allowance for early hedges, and the whole, have
+    /// room; returns whether they do.
+    pub fn try_acquire_early_hedge(&mut self, allowance: RetryAllowance, now: Mono) -> bool {
+        self.bucket(now);
+        let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let early_hedges: u64 = self.buckets.iter().map(|bucket| bucket.early_hedges).sum();
+        let early_hedges_max = EARLY_HEDGE_SHARE.of(allowance.attempts_max(requests));
+        let has_room = early_hedges < early_hedges_max && self.try_acquire(allowance, now);
+        if has_room {
+            self.bucket(now).early_hedges += 1;
+        }
+        has_room
+    }
+
     fn bucket(&mut self, now: Mono) -> &mut Bucket {
         let index = now.as_micros() / self.bucket_us;
         let oldest = index.saturating_sub(u64::from(BUCKETS));
@@ -67,7 +91,12 @@
             self.buckets.pop_front();
         }
         if self.buckets.back().is_none_or(|bucket| bucket.index != index) {
-            self.buckets.push_back(Bucket { index, requests: 0, extra_attempts: 0 });
+            self.buckets.push_back(Bucket {
+                index,
+                requests: 0,
+                extra_attempts: 0,
+                early_hedges: 0,
+            });
         }
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
--- a/crates/balance/src/slots/estimate.rs
+++ b/crates/balance/src/slots/estimate.rs
@@ -8,6 +8,7 @@
 use shallotfork_types::{Mono, ParseError};
 
 use super::WorkClass;
+use super::work_times::WorkTimes;
 
 /// Weight of a new sample in the mean work time of a class.
 const WORK_WEIGHT: f64 = 0.05;
@@ -80,6 +81,8 @@
     initial_work_us: f64,
     /// Mean work time by class, for a target of average speed without slowdown or saturation.
     work_us: BTreeMap<WorkClass, f64>,
+    /// Distribution of work times by class.
+    pub(super) work_times: WorkTimes,
     /// Mean over all classes, used for a class without samples.
     mean_work_us: Option<f64>,
     /// Cost of running on a saturated target, as a multiple of the time on an unsaturated one.
@@ -103,6 +106,7 @@
         Self {
             initial_work_us: initial_work_time.as_micros() as f64,
             work_us: BTreeMap::new(),
+            work_times: WorkTimes::default(),
             mean_work_us: None,
             saturation_cost: SATURATION_COST_INITIAL,
             saturated_ratio: SATURATION_SLOWDOWN_INITIAL,
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod estimate;
+mod hedge;
 mod limits;
 mod pool;
 mod probe_budget;
@@ -14,13 +15,16 @@
 mod queue;
 mod rate_share;
 mod request;
+mod run_cost;
 mod summary;
 mod target;
 mod wait;
 mod wake;
+mod work_times;
 
 pub use config::SlotPoolConfig;
 pub use estimate::Slowdown;
+pub use hedge::{EarlyHedge, HedgePlan, HedgeResult};
 pub use pool::SlotPool;
 pub use published::{SlotOutcome, SlotTarget, StateChange, TargetLoad, TargetStateChange};
 pub use request::{SlotRequest, WorkClass};
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -7,6 +7,7 @@
 
 use super::config::SlotPoolConfig;
 use super::estimate::Estimates;
+use super::hedge::EarlyHedges;
 use super::probe_budget::ProbeBudget;
 use super::published::{SlotOutcome, SlotTarget, TargetLoad, TargetStateChange};
 use super::queue::SlotQueue;
@@ -31,6 +32,8 @@
 pub(super) enum TargetFilter {
     /// Targets that don't report a slow phase.
     NotSlow,
+    /// Targets that neither report a slow phase nor would be saturated by the request.
+    UnsaturatedNotSlow,
     /// All targets with a free slot.
     Any,
 }
@@ -59,6 +62,7 @@
     pub(super) attempts: BTreeMap<AttemptId, TargetId>,
     pub(super) queue: SlotQueue,
     pub(super) estimates: Estimates,
+    pub(super) early_hedges: EarlyHedges,
     /// State changes that the caller of the pool has not collected yet.
     state_changes: Vec<TargetStateChange>,
     /// Names of the processes that are advertised to callers and send requests to these targets.
@@ -87,6 +91,7 @@
             attempts: BTreeMap::new(),
             queue: SlotQueue::default(),
             estimates,
+            early_hedges: EarlyHedges::default(),
             state_changes: Vec::new(),
             sharers: Vec::new(),
             sharers_total_share: Permille::new(0),
@@ -460,6 +465,9 @@
         let open = open.filter(|(_, target)| {
             filter == TargetFilter::Any || !target.is_slow(request, now, config, estimates)
         });
+        let open = open.filter(|(_, target)| {
+            filter != TargetFilter::UnsaturatedNotSlow || !target.would_saturate(now)
+        });
         let (healthy, unhealthy): (Vec<_>, Vec<_>) =
             open.partition(|(_, target)| target.looks_healthy(now, config));
         let candidates =
--- /dev/null
+++ b/crates/balance/src/slots/run_cost.rs
@@ -0,0 +1,41 @@
+//! How much longer than at usual speed an attempt takes at its target.
+
+use shallotfork_types::Mono;
+
+use super::config::SlotPoolConfig;
+use super::estimate::Estimates;
+use super::target::{RunningAttempt, Target};
+use crate::AttemptId;
+
+impl Target {
+    /// Records how long a cancelled attempt has run; says nothing about the target.
+    pub(super) fn record_cancelled(
+        &self,
+        running: &RunningAttempt,
+        estimates: &mut Estimates,
+        now: Mono,
+    ) {
+        let Some(slowdown) = running.slowdown.filter(|_| running.is_sent) else { return };
+        if !self.is_cold(running.started_at) {
+            let cost = slowdown * estimates.saturation_cost(running.was_saturated_at_start);
+            let time_us = now.since(running.started_at).as_micros() as f64;
+            estimates.work_times.record_cancelled(&running.class, time_us / cost);
+        }
+    }
+
+    /// Returns the factor by which an attempt that is sent now is expected to take longer than at
+    /// usual speed.
+    pub(super) fn run_cost(
+        &self,
+        attempt: AttemptId,
+        now: Mono,
+        config: &SlotPoolConfig,
+        estimates: &Estimates,
+    ) -> f64 {
+        let running = self.running.iter().find(|running| running.attempt == attempt);
+        let is_saturated = running.is_some_and(|running| running.was_saturated_at_start);
+        let fresh = self.fresh_slowdown(now, config);
+        let slowdown = fresh.unwrap_or_else(|| self.expected_slowdown(now, config, estimates));
+        slowdown * estimates.saturation_cost(is_saturated)
+    }
+}
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -244,12 +244,17 @@
     }
 
     /// Returns the reported slowdown if the report is fresh enough to rely on.
-    fn fresh_slowdown(&self, now: Mono, config: &SlotPoolConfig) -> Option<f64> {
+    pub(super) fn fresh_slowdown(&self, now: Mono, config: &SlotPoolConfig) -> Option<f64> {
         let fresh = |report: &SlowdownReport| now.since(report.reported_at) < config.load_max_age;
         self.slowdown.filter(fresh).map(|report| report.slowdown.factor())
     }
 
-    fn expected_slowdown(&self, now: Mono, config: &SlotPoolConfig, estimates: &Estimates) -> f64 {
+    pub(super) fn expected_slowdown(
+        &self,
+        now: Mono,
+        config: &SlotPoolConfig,
+        estimates: &Estimates,
+    ) -> f64 {
         let mean = self.mean_slowdown.unwrap_or(estimates.mean_slowdown());
         let report = self.slowdown;
         report.map_or(mean, |report| report.expected(now, config.slowdown_decay, mean))
@@ -399,7 +404,10 @@
     ) -> Option<StateChange> {
         match outcome {
             SlotOutcome::Answered { latency } => self.record_answer(running, latency, estimates),
-            SlotOutcome::Cancelled => None,
+            SlotOutcome::Cancelled => {
+                self.record_cancelled(running, estimates, now);
+                None
+            }
             SlotOutcome::Failed => self.record_failure(config.failures_max, config, now),
             SlotOutcome::Unreachable | SlotOutcome::TimedOut | SlotOutcome::Misdirected => {
                 self.record_failure(1, config, now)
@@ -439,6 +447,8 @@
             return;
         }
         let time_us = latency.as_micros() as f64;
+        let cost = slowdown * estimates.saturation_cost(running.was_saturated_at_start);
+        estimates.work_times.record(&running.class, time_us / cost);
         let usual_us = estimates.work_us(&running.class)
             * slowdown
             * estimates.saturation_cost(running.was_saturated_at_start);
