feat(gateway): early hedges by the pool's plan

The entry hedged each idempotent request after three times the usual time. Otherwise the usual hedge follows as before.

--- /dev/null
+++ b/crates/gateway/src/traffic/acquire_hedge.rs
@@ -0,0 +1,101 @@
+//! Acquires the slot and the allowance for a hedge while the first attempt is in flight.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallotfork_balance::{EarlyHedge, HedgePlan, SlotRequest};
+
+use crate::traffic::probes::{ProbeResult, probe};
+use crate::traffic::quarantine::is_clear;
+use crate::traffic::retry_allowance::retry_allowance;
+use crate::traffic::routed_request::RoutedRequest;
+use crate::traffic::service_slots::{ServiceSlots, SlotGuard};
+
+/// Interval at which an early hedge is tried again that found no slot or no allowance; a fraction of
+/// the usual work time of requests that are hedged early.
+const EARLY_HEDGE_RETRY: Duration = Duration::from_millis(50);
+/// Maximum number of targets probed for one try of an early hedge.
+const PROBED_TARGETS_MAX: u32 = 4;
+
+/// Slot for a hedge that may be sent now.
+pub struct HedgeSlot {
+    /// Slot of the hedge.
+    pub slot: SlotGuard,
+    /// Whether the hedge is an early one.
+    pub is_early: bool,
+}
+
+/// Waits until a request is to be hedged by `plan` and acquires a slot and the allowance for it.
+/// Returns `None` if the request can't be hedged.
+pub async fn acquire_hedge(
+    routed: &RoutedRequest,
+    plan: HedgePlan,
+    request: &SlotRequest,
+) -> Option<HedgeSlot> {
+    let context = &routed.context;
+    let slots = context.slots(&routed.service);
+    let planned_at = context.clock.now();
+    if let Some(early) = plan.early
+        && let Some(slot) = acquire_early(routed, &slots, early, request).await
+    {
+        return Some(HedgeSlot { slot, is_early: true });
+    }
+    let passed = context.clock.now().since(planned_at);
+    tokio::time::sleep(plan.usual_delay.saturating_sub(passed)).await;
+    let slot = slots.assign_hedge(request)?;
+    if routed.caller.is_closed()
+        || !is_clear(routed)
+        || !slots.try_acquire_retry(retry_allowance(context))
+    {
+        return None;
+    }
+    Some(HedgeSlot { slot, is_early: false })
+}
+
+/// Tries to acquire a slot and the allowance for an early hedge as long as it may be sent.
+async fn acquire_early(
+    routed: &RoutedRequest,
+    slots: &Arc<ServiceSlots>,
+    early: EarlyHedge,
+    request: &SlotRequest,
+) -> Option<SlotGuard> {
+    let context = &routed.context;
+    let latest = context.clock.now().plus(early.latest);
+    tokio::time::sleep(early.delay).await;
+    while !routed.caller.is_closed() && is_clear(routed) {
+        if let Some(slot) = probed_hedge_slot(routed, slots, request).await
+            && slots.try_acquire_early_hedge(retry_allowance(context))
+        {
+            return Some(slot);
+        }
+        if context.clock.now().plus(EARLY_HEDGE_RETRY) > latest {
+            return None;
+        }
+        tokio::time::sleep(EARLY_HEDGE_RETRY).await;
+    }
+    None
+}
+
+/// Returns a slot for an early hedge at a target that a probe has just found neither slow nor full.
+/// A hedge that runs in a slow phase would miss the objective as well.
+async fn probed_hedge_slot(
+    routed: &RoutedRequest,
+    slots: &Arc<ServiceSlots>,
+    request: &SlotRequest,
+) -> Option<SlotGuard> {
+    for _ in 0..PROBED_TARGETS_MAX {
+        let slot = slots.assign_early_hedge(request)?;
+        if !slots.needs_probe(slot.target()) {
+            return Some(slot);
+        }
+        match probe(&routed.context, slots, slot.target()).await {
+            ProbeResult::Reported if !slot.is_unfit(request) => return Some(slot),
+            ProbeResult::Reported | ProbeResult::Full | ProbeResult::Unanswered => {}
+            ProbeResult::NoLoad => {
+                slots.record_missing_load();
+                return Some(slot);
+            }
+        }
+    }
+    None
+}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of callers: routing, attempts at targets, probes and slots.
 
+mod acquire_hedge;
 mod answer_owner;
 mod attempt_history;
 mod attempt_outcome;
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -1,5 +1,7 @@
 //! The slots of one service, shared by the traffic threads.
 
+mod hedges;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -7,7 +9,7 @@
 use shallotfork_balance::{
     Admission, Assignment, AttemptId, Resolution, ResolvedTicket, RetryAllowance, RetryWindow,
     Shed, SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, StateChange,
-    TargetLoad, TargetStateChange, Ticket, WorkClass,
+    TargetLoad, TargetStateChange, Ticket,
 };
 use shallotfork_events::slog::Logger;
 use shallotfork_events::{TARGET_COLD, TARGET_EJECTED, TARGET_RETURNED, event};
@@ -160,13 +162,6 @@
         self.lock().pool.shed_no_target(now)
     }
 
-    /// Returns a slot at a second target for a request in flight, if one is free and none waits.
-    pub fn assign_hedge(self: &Arc<Self>, request: &SlotRequest) -> Option<SlotGuard> {
-        let now = self.clock.now();
-        let assignment = self.lock().pool.assign_hedge(request, now)?;
-        Some(self.slot_guard(assignment))
-    }
-
     /// Sets the names of the entries that share the targets, and the share of the cold targets'
     /// warm-up rate that these entries may use together.
     pub fn set_sharers(&self, sharers: Vec<String>, share: Permille) {
@@ -290,11 +285,6 @@
         if in_use { inner.pool.due_probes(now) } else { Vec::new() }
     }
 
-    /// Returns the usual time of a class of requests.
-    pub fn usual_time(&self, class: &WorkClass) -> Duration {
-        self.lock().pool.usual_time(class)
-    }
-
     /// Returns the number of attempts in flight at targets of a failure domain.
     pub fn running_in(&self, failure_domain: &FailureDomain) -> usize {
         self.lock().pool.running_in(failure_domain)
