--- a/crates/balance/src/slots/work_times.rs
+++ b/crates/balance/src/slots/work_times.rs
@@ -23,6 +23,8 @@
 const CLASSES_MAX: usize = 256;
 /// Samples below which a distribution is not used; about four of them are long if one in thirty is.
 const SAMPLES_MIN: u64 = 128;
+/// Samples below which a cancelled run is not recorded, as the median is not known well enough.
+const CANCELLED_SAMPLES_MIN: u64 = 16;
 /// Number of samples at which the weight of all samples is halved.
 const SAMPLES_MAX: u64 = 2048;
 /// Number of samples after which the figures of a distribution are computed anew.
@@ -90,7 +92,7 @@
     /// as soon as hedges are sent. A run cancelled after less than the median says nothing new.
     pub(super) fn record_cancelled(&mut self, class: &WorkClass, time_us: f64) {
         let Some(distribution) = self.classes.get_mut(class) else { return };
-        if !time_us.is_finite() || distribution.times.len() < SAMPLES_MIN {
+        if !time_us.is_finite() || distribution.times.len() < CANCELLED_SAMPLES_MIN {
             return;
         }
         let units = in_units(time_us);
--- a/crates/gateway/src/traffic/acquire_hedge.rs
+++ b/crates/gateway/src/traffic/acquire_hedge.rs
@@ -5,6 +5,7 @@
 
 use shallotfork_balance::{EarlyHedge, HedgePlan, SlotRequest};
 
+use crate::traffic::hedge_report::NoHedge;
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::is_clear;
 use crate::traffic::retry_allowance::retry_allowance;
@@ -26,30 +27,52 @@
 }
 
 /// Waits until a request is to be hedged by `plan` and acquires a slot and the allowance for it.
-/// Returns `None` if the request can't be hedged.
+/// Returns `None` if the request can't be hedged. `reason` is then, and while this waits, the reason
+/// why no hedge was sent before the objective.
 pub async fn acquire_hedge(
     routed: &RoutedRequest,
     plan: HedgePlan,
     request: &SlotRequest,
+    reason: &mut NoHedge,
 ) -> Option<HedgeSlot> {
     let context = &routed.context;
     let slots = context.slots(&routed.service);
     let planned_at = context.clock.now();
     if let Some(early) = plan.early
-        && let Some(slot) = acquire_early(routed, &slots, early, request).await
+        && let Some(slot) = acquire_early(routed, &slots, early, request, reason).await
     {
         return Some(HedgeSlot { slot, is_early: true });
     }
     let passed = context.clock.now().since(planned_at);
     tokio::time::sleep(plan.usual_delay.saturating_sub(passed)).await;
-    let slot = slots.assign_hedge(request)?;
-    if routed.caller.is_closed()
-        || !is_clear(routed)
-        || !slots.try_acquire_retry(retry_allowance(context))
-    {
-        return None;
+    match acquire_usual(routed, &slots, request) {
+        Ok(slot) => Some(HedgeSlot { slot, is_early: false }),
+        Err(refused) => {
+            // After the objective, any hedge is too late.
+            if context.clock.now() < routed.objective {
+                *reason = refused;
+            }
+            None
+        }
+    }
+}
+
+fn acquire_usual(
+    routed: &RoutedRequest,
+    slots: &Arc<ServiceSlots>,
+    request: &SlotRequest,
+) -> Result<SlotGuard, NoHedge> {
+    let slot = slots.assign_hedge(request).ok_or(NoHedge::NoFreeTarget)?;
+    if routed.caller.is_closed() {
+        return Err(NoHedge::TooLate);
+    }
+    if !is_clear(routed) {
+        return Err(NoHedge::Quarantine);
     }
-    Some(HedgeSlot { slot, is_early: false })
+    if !slots.try_acquire_retry(retry_allowance(&routed.context)) {
+        return Err(NoHedge::NoAllowance);
+    }
+    Ok(slot)
 }
 
 /// Tries to acquire a slot and the allowance for an early hedge as long as it may be sent.
@@ -58,15 +81,22 @@
     slots: &Arc<ServiceSlots>,
     early: EarlyHedge,
     request: &SlotRequest,
+    reason: &mut NoHedge,
 ) -> Option<SlotGuard> {
     let context = &routed.context;
     let latest = context.clock.now().plus(early.latest);
     tokio::time::sleep(early.delay).await;
-    while !routed.caller.is_closed() && is_clear(routed) {
-        if let Some(slot) = probed_hedge_slot(routed, slots, request).await
-            && slots.try_acquire_early_hedge(retry_allowance(context))
-        {
-            return Some(slot);
+    while !routed.caller.is_closed() {
+        if !is_clear(routed) {
+            *reason = NoHedge::Quarantine;
+            return None;
+        }
+        match probed_hedge_slot(routed, slots, request).await {
+            Some(slot) if slots.try_acquire_early_hedge(retry_allowance(context)) => {
+                return Some(slot);
+            }
+            Some(_) => *reason = NoHedge::NoAllowance,
+            None => *reason = NoHedge::NoFreeTarget,
         }
         if context.clock.now().plus(EARLY_HEDGE_RETRY) > latest {
             return None;
--- a/crates/gateway/src/traffic/attempt_history.rs
+++ b/crates/gateway/src/traffic/attempt_history.rs
@@ -9,6 +9,7 @@
 use shallotfork_types::TargetId;
 
 use crate::traffic::attempt_outcome::AttemptOutcome;
+use crate::traffic::hedge_report::HedgeReport;
 use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
 use crate::traffic::routed_request::RoutedRequest;
 use crate::traffic::service_slots::SlotGuard;
@@ -34,6 +35,8 @@
     unreachable_count: u32,
     /// Time spent waiting for slots.
     pub queued: Duration,
+    /// What became of the hedge.
+    pub hedge: HedgeReport,
     may_have_run: bool,
     /// Server error of a target, forwarded to the caller if no later attempt is answered.
     server_error: Option<BufferedAnswer>,
@@ -77,8 +80,8 @@
 
     /// Completes a request with an outcome that needs no further decision.
     pub fn complete(self, outcome: RequestOutcome) -> CompletedRequest {
-        let Self { tried, queued, .. } = self;
-        CompletedRequest { outcome, tried, queued, is_forwarded: false }
+        let Self { tried, queued, hedge, .. } = self;
+        CompletedRequest { outcome, tried, queued, hedge, is_forwarded: false }
     }
 
     /// Completes a request that was forwarded to another entry. The other entry's rejection does not
--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -167,6 +167,10 @@
         RequestOutcome::CallerLeft => ("caller-left", CALLER_DISCONNECTED),
     };
     counter!("shallotfork_requests", "outcome" => outcome).increment(1);
+    let is_late = completed.is_late(routed.objective, routed.context.clock.now());
+    if is_late {
+        completed.hedge.count_late();
+    }
     let context = &routed.context;
     let left_out = match context.request_log_budget.try_acquire(context.clock.now()) {
         LogDecision::Write { left_out } => left_out,
@@ -184,6 +188,7 @@
         "outcome" => outcome,
         "targets" => targets.join(","),
         "forwarded" => completed.is_forwarded,
+        "hedge" => completed.hedge.log_text(is_late),
         "retry_after_ms" => completed.retry_after().map_or(0, millis),
         "waited_before_ms" => millis(routed.prior_wait),
         "queued_ms" => millis(completed.queued),
--- a/crates/gateway/src/traffic/hedge.rs
+++ b/crates/gateway/src/traffic/hedge.rs
@@ -9,6 +9,8 @@
 use crate::traffic::attempt_history::AttemptHistory;
 use crate::traffic::attempt_outcome::AttemptOutcome;
 use crate::traffic::forward::{reject_without_path, wait_until_forwarded};
+use crate::traffic::hedge_in_flight::HedgeInFlight;
+use crate::traffic::hedge_report::NoHedge;
 use crate::traffic::quarantine::is_clear;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::traffic::send_attempt::send_attempt;
@@ -47,50 +49,75 @@
     history: &mut AttemptHistory,
 ) -> AttemptOutcome {
     history.record_start(&slot);
-    if !routed.is_idempotent() || !history.has_attempt_left(routed) || !is_clear(routed) {
+    if let Err(reason) = check_hedge_allowed(routed, history) {
+        history.hedge.record_not_sent(reason);
         return send_attempt(routed, slot).await;
     }
     let slots = routed.context.slots(&routed.service);
     let request = routed.slot_request(&history.excluded);
     let plan = slots.plan_hedge(&slot, &request);
-    let first = pin!(send_attempt(routed, slot));
-    let (hedge, first) = match select(first, pin!(acquire_hedge(routed, plan, &request))).await {
-        Either::Left((outcome, _)) => return outcome,
-        Either::Right((hedge, first)) => (hedge, first),
-    };
-    let Some(HedgeSlot { slot: hedge, is_early }) = hedge else {
-        return first.await;
+    let mut reason = NoHedge::TooLate;
+    let mut first = pin!(send_attempt(routed, slot));
+    let acquired = {
+        let acquiring = pin!(acquire_hedge(routed, plan, &request, &mut reason));
+        match select(first.as_mut(), acquiring).await {
+            Either::Left((outcome, _)) => Err(outcome),
+            Either::Right((hedge, _)) => Ok(hedge),
+        }
     };
-    history.record_start(&hedge);
-    let hedged_at = routed.context.clock.now();
-    let record_result = |result: HedgeResult| {
-        if is_early {
-            let duration = routed.context.clock.now().since(hedged_at);
-            slots.record_early_hedge(&routed.class(), result, duration);
+    let HedgeSlot { slot: hedge, is_early } = match acquired {
+        Ok(Some(hedge)) => hedge,
+        Ok(None) => {
+            history.hedge.record_not_sent(reason);
+            return first.await;
+        }
+        Err(outcome) => {
+            history.hedge.record_not_sent(reason);
+            return outcome;
         }
     };
+    history.record_start(&hedge);
+    let in_flight =
+        HedgeInFlight::new(&routed.context, &slots, routed.class(), is_early, &mut history.hedge);
     match select(first, pin!(send_attempt(routed, hedge))).await {
         Either::Left((outcome @ AttemptOutcome::Answered(_), _)) => {
-            record_result(HedgeResult::Lost);
+            in_flight.end(HedgeResult::Lost);
             outcome
         }
         Either::Left((_, hedge)) => {
             let outcome = hedge.await;
             let is_answered = matches!(outcome, AttemptOutcome::Answered(_));
-            record_result(if is_answered { HedgeResult::Won } else { HedgeResult::Failed });
+            in_flight.end(if is_answered { HedgeResult::Won } else { HedgeResult::Failed });
             or_lost(outcome)
         }
         Either::Right((outcome @ AttemptOutcome::Answered(_), _)) => {
-            record_result(HedgeResult::Won);
+            in_flight.end(HedgeResult::Won);
             outcome
         }
         Either::Right((_, first)) => {
-            record_result(HedgeResult::Failed);
+            in_flight.end(HedgeResult::Failed);
             or_lost(first.await)
         }
     }
 }
 
+/// Checks whether the request may be hedged at all.
+///
+/// # Errors
+/// Returns the reason if it may not.
+fn check_hedge_allowed(routed: &RoutedRequest, history: &AttemptHistory) -> Result<(), NoHedge> {
+    if !routed.is_idempotent() {
+        return Err(NoHedge::NotIdempotent);
+    }
+    if !history.has_attempt_left(routed) {
+        return Err(NoHedge::NoAttemptLeft);
+    }
+    if !is_clear(routed) {
+        return Err(NoHedge::Quarantine);
+    }
+    Ok(())
+}
+
 /// Returns the outcome of the attempt that ended last. The other one may have run even if this one
 /// has not.
 fn or_lost(outcome: AttemptOutcome) -> AttemptOutcome {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,8 @@
 mod forward;
 mod health_request;
 mod hedge;
+mod hedge_in_flight;
+mod hedge_report;
 mod path_checks;
 mod probe_counters;
 mod probes;
--- a/crates/gateway/src/traffic/request_outcome.rs
+++ b/crates/gateway/src/traffic/request_outcome.rs
@@ -4,7 +4,9 @@
 
 use shallotfork_balance::Shed;
 use shallotfork_exchange::BufferedAnswer;
-use shallotfork_types::TargetId;
+use shallotfork_types::{Mono, TargetId};
+
+use crate::traffic::hedge_report::HedgeReport;
 
 /// Outcome of a caller's request.
 #[derive(Debug)]
@@ -33,6 +35,8 @@
     pub tried: Vec<TargetId>,
     /// Time spent waiting for slots.
     pub queued: Duration,
+    /// What became of the hedge.
+    pub hedge: HedgeReport,
     /// Whether the request was forwarded to another entry.
     pub is_forwarded: bool,
 }
@@ -41,7 +45,22 @@
     /// Returns the outcome of a request that is still running when the process stops.
     pub fn interrupted() -> Self {
         let outcome = RequestOutcome::MayHaveRun { timed_out: true };
-        Self { outcome, tried: Vec::new(), queued: Duration::ZERO, is_forwarded: false }
+        Self {
+            outcome,
+            tried: Vec::new(),
+            queued: Duration::ZERO,
+            hedge: HedgeReport::default(),
+            is_forwarded: false,
+        }
+    }
+
+    /// Whether the request was sent to a target and ended after its objective.
+    pub fn is_late(&self, objective: Mono, now: Mono) -> bool {
+        now > objective && !self.tried.is_empty() && !self.is_forwarded && self.has_run()
+    }
+
+    fn has_run(&self) -> bool {
+        matches!(self.outcome, RequestOutcome::Answered(_) | RequestOutcome::MayHaveRun { .. })
     }
 
     /// Returns the delay after which the caller may send the request again.
