--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of callers: routing, attempts at targets, probes and slots.
 
+mod acquire_hedge;
 mod answer_owner;
 mod attempt_history;
 mod attempt_outcome;
@@ -10,6 +11,8 @@
 mod forward;
 mod health_request;
 mod hedge;
+mod hedge_in_flight;
+mod hedge_report;
 mod path_checks;
 mod probe_counters;
 mod probes;
