feat(exchange): the types by which large answers are paced and reported

Large answers are written to callers without regard to the link, and nobody learns how their transfer ended. The trait WritePacer and the type AnswerTransfer are the interface for both; answers don't use them yet.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod activity;
 mod answer;
+mod answer_transfer;
 mod attempt;
 mod body_budget;
 mod body_buffer;
@@ -29,8 +30,10 @@
 mod serve_config;
 mod target_connection;
 mod target_connections;
+mod write_pacer;
 
 pub use answer::BufferedAnswer;
+pub use answer_transfer::{AnswerTransfer, TransferEnd, TransferEndFn, TransferReport};
 pub use attempt::{Attempt, AttemptFailure, FailureCause, Sent, TargetAddress, Unsent};
 pub use body_budget::{BodyBudget, BodyPermit};
 pub use caller_connection::CallerConnection;
@@ -50,3 +53,4 @@
 pub use serve::{PipelineFn, ServeControl, ServeError, serve, serve_pipelined};
 pub use serve_config::ServeConfig;
 pub use target_connections::{AnswerMatch, AnswerMatchFn, TargetConnections, TargetRequest};
+pub use write_pacer::WritePacer;
