feat(exchange): large answers are paced, counted until written, and ended when their caller stalls

A full body budget dropped answers to requests that had run, the HTTP library's header timeout cut answers whose caller was still reading them, a caller that read nothing held an answer for 60 s, and nobody learned how a transfer ended.

- Answers are counted but never rejected for lack of budget.
Requests are rejected as not run while the budget is full, also those without a body.
FailureCause::BudgetFull is gone.
- A caller that takes no byte for ServeConfig::stall_timeout (5 s) is disconnected by a reset and counted in ServeControl::stalled_connections.
It also covers closed HTTP/2 windows.
- Idle and header timeouts don't run while an answer is being written.
- Buffers of answers are allocated by the declared size, so that they hold what the budget counts.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -1,16 +1,20 @@
-//! Idle detection for the connections of callers.
+//! Detection of idle and of stalled connections of callers.
 
-use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Tracks the requests in progress on a connection and the time of its last progress.
+use crate::answer_transfer::TransferEnd;
+
+/// Number of checks within the stall timeout. A process that was suspended or overloaded misses
+/// checks, so that its delay is not taken for the caller's.
+const STALL_CHECKS: u32 = 5;
+
+/// Tracks the requests in progress on a connection, the answers being written, and the time of its
+/// last progress.
 ///
 /// Received bytes don't count as progress: otherwise a caller that sends a byte at a time would
 /// never be idle.
@@ -20,6 +24,20 @@
     has_started: AtomicBool,
     in_progress: AtomicUsize,
     last_progress_ms: AtomicU64,
+    /// Number of answers of which the connection has not taken the last byte.
+    deliveries: AtomicUsize,
+    /// Number of HTTP/2 answers that have bytes ready for the caller.
+    ready_streams: AtomicUsize,
+    /// Whether the socket accepted nothing at the last write.
+    is_write_blocked: AtomicBool,
+    /// Grows with each byte that the caller is seen to take. Bytes may count twice, since only a
+    /// change matters.
+    progress_bytes: AtomicU64,
+    /// Whether the next blocked write asks the kernel again.
+    is_write_check_due: AtomicBool,
+    /// Notified when bytes start to wait for the caller.
+    bytes_waiting: Notify,
+    end: OnceLock<TransferEnd>,
 }
 
 impl Activity {
@@ -29,6 +47,13 @@
             has_started: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             last_progress_ms: AtomicU64::new(0),
+            deliveries: AtomicUsize::new(0),
+            ready_streams: AtomicUsize::new(0),
+            is_write_blocked: AtomicBool::new(false),
+            progress_bytes: AtomicU64::new(0),
+            is_write_check_due: AtomicBool::new(false),
+            bytes_waiting: Notify::new(),
+            end: OnceLock::new(),
         }
     }
 
@@ -44,13 +69,99 @@
         self.in_progress.load(Ordering::Relaxed) > 0
     }
 
+    /// Records that an answer is being written, until [`Activity::end_delivery`].
+    pub(crate) fn start_delivery(&self) {
+        self.deliveries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn end_delivery(&self) {
+        self.record_progress();
+        self.deliveries.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether an answer is being written.
+    pub(crate) fn is_delivering(&self) -> bool {
+        self.deliveries.load(Ordering::Relaxed) > 0 || self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
+    /// Records that an HTTP/2 answer has bytes ready. Its stream's window may be closed while the
+    /// socket accepts bytes.
+    pub(crate) fn add_ready_stream(&self) {
+        if self.ready_streams.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.bytes_waiting.notify_one();
+        }
+    }
+
+    pub(crate) fn remove_ready_stream(&self) {
+        self.ready_streams.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Records bytes of answers that the connection has taken.
+    pub(crate) fn record_taken(&self, size_bytes: u64) {
+        self.progress_bytes.fetch_add(size_bytes, Ordering::Relaxed);
+    }
+
+    /// Records a write that was accepted.
+    pub(crate) fn record_write(&self, size_bytes: u64) {
+        self.record_progress();
+        if self.is_write_blocked.swap(false, Ordering::Relaxed) {
+            self.record_taken(size_bytes);
+        }
+    }
+
+    /// Records a write of which the socket accepted nothing.
+    pub(crate) fn record_blocked_write(&self) {
+        if !self.is_write_blocked.swap(true, Ordering::Relaxed) {
+            self.bytes_waiting.notify_one();
+        }
+    }
+
+    /// Returns whether the kernel is to be asked again about a blocked write.
+    pub(crate) fn take_write_check(&self) -> bool {
+        self.is_write_check_due.swap(false, Ordering::Relaxed)
+    }
+
+    /// Records why the connection ends; the first cause counts.
+    pub(crate) fn record_end(&self, end: TransferEnd) {
+        self.end.get_or_init(|| end);
+    }
+
+    /// Returns why the connection ended; `None` while it is open.
+    pub(crate) fn end(&self) -> Option<TransferEnd> {
+        self.end.get().copied()
+    }
+
+    /// Waits until the caller has taken no byte for `timeout`, although bytes were ready for it.
+    pub(crate) async fn wait_until_stalled(&self, timeout: Duration) {
+        loop {
+            self.bytes_waiting.notified().await;
+            let mut seen_bytes = self.progress_bytes.load(Ordering::Relaxed);
+            let mut checks = 0;
+            while self.has_waiting_bytes() {
+                if checks == STALL_CHECKS {
+                    return;
+                }
+                tokio::time::sleep(timeout / STALL_CHECKS).await;
+                self.is_write_check_due.store(true, Ordering::Relaxed);
+                let now_bytes = self.progress_bytes.load(Ordering::Relaxed);
+                checks = if now_bytes == seen_bytes { checks + 1 } else { 0 };
+                seen_bytes = now_bytes;
+            }
+        }
+    }
+
+    fn has_waiting_bytes(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Relaxed)
+            || self.ready_streams.load(Ordering::Relaxed) > 0
+    }
+
     fn record_progress(&self) {
         let elapsed_ms = u64::try_from(self.opened_at.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.last_progress_ms.store(elapsed_ms, Ordering::Relaxed);
     }
 
     /// Waits until no request has started within `first_request_timeout`, or until no request was
-    /// in progress and nothing was written for `timeout`.
+    /// in progress, no answer being written, and nothing was written for `timeout`.
     ///
     /// A connection without any request has a timeout of its own, because opening many connections
     /// costs a client nothing and each one counts towards the connection limit.
@@ -60,7 +171,7 @@
             return;
         }
         loop {
-            if self.in_progress.load(Ordering::Relaxed) > 0 {
+            if self.is_busy() || self.is_delivering() {
                 tokio::time::sleep(timeout).await;
                 continue;
             }
@@ -87,66 +198,3 @@
         self.activity.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// A stream that records each successful write as progress of its connection.
-#[derive(Debug)]
-pub(crate) struct TrackedStream<T> {
-    inner: T,
-    activity: Arc<Activity>,
-}
-
-impl<T> TrackedStream<T> {
-    pub(crate) fn new(inner: T, activity: Arc<Activity>) -> Self {
-        Self { inner, activity }
-    }
-
-    fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(size)) if *size > 0) {
-            self.activity.record_progress();
-        }
-    }
-}
-
-impl<T: AsyncRead + Unpin> AsyncRead for TrackedStream<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for TrackedStream<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.record_write(&written);
-        written
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.record_write(&written);
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-}
--- a/crates/exchange/src/attempt.rs
+++ b/crates/exchange/src/attempt.rs
@@ -156,8 +156,6 @@
     AnswerIncomplete,
     /// The answer's body exceeds the limit.
     AnswerTooLarge,
-    /// The process's memory budget for bodies is exhausted.
-    BudgetFull,
     /// The answer's body does not match its `Content-Digest`.
     AnswerDigestMismatch,
     /// The answer is not a final response, for example a protocol switch.
@@ -180,7 +178,6 @@
             Self::ConnectionLost => "the connection to the target was lost",
             Self::AnswerIncomplete => "the target's answer is incomplete",
             Self::AnswerTooLarge => "the target's answer is over the limit",
-            Self::BudgetFull => "too many bodies are held at the moment",
             Self::AnswerDigestMismatch => "the target's answer differs from its Content-Digest",
             Self::AnswerNotFinal => "the target's answer is not a final one",
             Self::AnswerMismatch => "the target's answer belongs to another request",
@@ -217,8 +214,7 @@
             FailureCause::DeadlinePassed | FailureCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
             FailureCause::Shed { .. }
             | FailureCause::StreamRefused
-            | FailureCause::ConnectRefusedByGate
-            | FailureCause::BudgetFull => StatusCode::SERVICE_UNAVAILABLE,
+            | FailureCause::ConnectRefusedByGate => StatusCode::SERVICE_UNAVAILABLE,
             FailureCause::BadRequest => StatusCode::BAD_REQUEST,
             _ => StatusCode::BAD_GATEWAY,
         }
--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -10,7 +10,10 @@
 /// connection, which the budget does not include.
 const DISCARDS_MAX: usize = 4;
 
-/// Counts the bytes of all bodies held by the process and rejects those beyond its limit.
+/// Counts the bytes of all bodies held by the process, and rejects requests beyond its limit.
+///
+/// Answers are counted but never rejected, because their requests have run. While they exceed the
+/// limit, no further request is accepted.
 ///
 /// Without the limit, many callers that send large bodies at once could exhaust the VM's memory;
 /// the process would be killed together with every request in flight.
@@ -42,6 +45,11 @@
         Bytes::new(self.shared.held_bytes.load(Ordering::Relaxed))
     }
 
+    /// Returns whether no request is accepted now.
+    pub fn is_full(&self) -> bool {
+        self.shared.held_bytes.load(Ordering::Relaxed) >= self.shared.limit_bytes
+    }
+
     /// Returns the semaphore that limits how many rejected bodies are discarded at the same time.
     pub(crate) fn discard_permits(&self) -> Arc<Semaphore> {
         Arc::clone(&self.shared.discard_permits)
@@ -78,6 +86,12 @@
         self.size_bytes += size_bytes;
         true
     }
+
+    /// Counts `size_bytes` more, even beyond the limit.
+    pub fn grow_unlimited(&mut self, size_bytes: u64) {
+        self.shared.held_bytes.fetch_add(size_bytes, Ordering::Relaxed);
+        self.size_bytes += size_bytes;
+    }
 }
 
 impl Drop for BodyPermit {
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONTENT_LENGTH, FORWARDED, HOST, HeaderMap, HeaderValue, RETRY_AFTER, VIA};
+use http::header::{FORWARDED, HOST, HeaderMap, HeaderValue, RETRY_AFTER, VIA};
 use http::{Method, StatusCode};
 use reqwest::{Client, Request, Response, Url};
 use shallotfork_types::Mono;
@@ -14,11 +14,13 @@
 use crate::answer::BufferedAnswer;
 use crate::attempt::{Attempt, AttemptFailure, FailureCause, NotRunEvidence, Sent, Unsent};
 use crate::body_budget::BodyBudget;
-use crate::body_buffer::{BodyBuffer, BodyBufferError};
+use crate::body_buffer::BodyBuffer;
 use crate::digest::{DigestCheck, check_digest};
 use crate::exchange_config::ExchangeConfig;
 use crate::gate::{ConnectionGate, GateLayer, GateRejection, with_target};
-use crate::headers::{DEADLINE_HEADER, deadline_value, strip_entry_headers, strip_hop_by_hop};
+use crate::headers::{
+    DEADLINE_HEADER, deadline_value, declared_length, strip_entry_headers, strip_hop_by_hop,
+};
 use crate::read_request::BufferedRequest;
 use crate::send_state::{DeadlinePassedError, SendState, TrackedBody};
 
@@ -136,14 +138,13 @@
         if !bodiless && declared_length(&headers) > limit_bytes {
             return Err(FailureCause::AnswerTooLarge);
         }
-        let mut body_buffer = BodyBuffer::new(limit_bytes, self.budget.permit());
+        let expected_bytes = if bodiless { 0 } else { declared_length(&headers) };
+        let mut body_buffer =
+            BodyBuffer::new(limit_bytes, self.budget.permit()).with_expected_size(expected_bytes);
         while let Some(chunk) =
             response.chunk().await.map_err(|_| FailureCause::AnswerIncomplete)?
         {
-            body_buffer.push(chunk).map_err(|error| match error {
-                BodyBufferError::TooLarge => FailureCause::AnswerTooLarge,
-                BodyBufferError::BudgetFull => FailureCause::BudgetFull,
-            })?;
+            body_buffer.push_answer(chunk).map_err(|_| FailureCause::AnswerTooLarge)?;
         }
         let body = body_buffer.finish();
         if !bodiless {
@@ -190,11 +191,6 @@
     method == Method::HEAD || status == StatusCode::NOT_MODIFIED || status == StatusCode::NO_CONTENT
 }
 
-fn declared_length(headers: &HeaderMap) -> u64 {
-    let text = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.parse().ok()).unwrap_or(0)
-}
-
 fn check_answer_digest(headers: &HeaderMap, body: &[u8]) -> Result<(), FailureCause> {
     match check_digest(headers, body) {
         DigestCheck::Absent | DigestCheck::Matches => Ok(()),
--- a/crates/exchange/src/headers.rs
+++ b/crates/exchange/src/headers.rs
@@ -4,8 +4,8 @@
 
 use http::HeaderMap;
 use http::header::{
-    CONNECTION, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use shallotfork_types::{CallerName, IdempotencyKey};
 
@@ -46,11 +46,28 @@
 /// forbids. Without them a target would serve another host, or run an operation without its key.
 const END_TO_END: [HeaderName; 3] = [HOST, KEY_HEADER, CALLER_HEADER];
 
+/// Size of `HTTP/1.1 200 OK`, the date and the length that the HTTP library adds, and the empty line.
+const STATUS_LINE_BYTES: usize = 80;
+/// Size of the separators of a header field.
+const FIELD_EXTRA_BYTES: usize = 4;
 /// Maximum length of a session; no entry issues a longer one.
 const MAX_SESSION_BYTES: usize = 1024;
 /// Upper limit for a caller's timeout: one day.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Returns the declared size of a body; 0 if there is none.
+pub(crate) fn declared_length(headers: &HeaderMap) -> u64 {
+    let text = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the size of a response's head on an HTTP/1 connection, nearly.
+pub(crate) fn head_size(headers: &HeaderMap) -> usize {
+    let fields =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA_BYTES);
+    STATUS_LINE_BYTES + fields.sum::<usize>()
+}
+
 /// Removes `Connection`, the headers that it lists, and all other hop-by-hop headers.
 pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in named_by_connection(headers) {
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Buf, BytesMut};
 use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
+use rustix::net::{RecvFlags, SendFlags, recv, send};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -76,6 +76,13 @@
         !self.lock().buffered.is_empty()
     }
 
+    /// Makes the end of the connection discard what the caller has not taken, which the kernel would
+    /// hold in memory for minutes otherwise.
+    pub(crate) fn reset_on_close(&self) {
+        // On failure the connection is closed in the ordinary way.
+        let _ = self.lock().socket.as_ref().set_zero_linger();
+    }
+
     /// Returns a handle by which requests can check whether their caller has disconnected.
     pub(crate) fn caller_connection(&self) -> CallerConnection {
         CallerConnection::new(Arc::downgrade(&self.state))
@@ -132,6 +139,20 @@
     write_half: OwnedWriteHalf,
 }
 
+impl ReadAheadStream {
+    /// Writes what the kernel accepts now, although it may not have reported the socket as writable.
+    pub(crate) fn send_now(&self, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if buf.is_empty() {
+            return Poll::Pending;
+        }
+        match send(self.write_half.as_ref(), buf, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
+            Ok(size) => Poll::Ready(Ok(size)),
+            Err(Errno::AGAIN | Errno::INTR) => Poll::Pending,
+            Err(error) => Poll::Ready(Err(error.into())),
+        }
+    }
+}
+
 impl AsyncRead for ReadAheadStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/exchange/src/read_request.rs
+++ b/crates/exchange/src/read_request.rs
@@ -82,6 +82,10 @@
     let service = service_of(&parts.uri, &headers)?;
     set_host(&parts.uri, &mut headers)?;
     let control = ControlHeaders::take(&mut headers)?;
+    if budget.is_full() {
+        // The answer to any request, even one without a body, would need more of the budget.
+        return Err(Rejection::BudgetFull);
+    }
     let reading = read_body(chunks, limits, budget);
     let body = tokio::time::timeout(limits.body_timeout, reading)
         .await
@@ -174,7 +178,7 @@
     let mut buffer = BodyBuffer::new(limits.body_max.value(), budget.permit());
     while let Some(chunk) = chunks.next().await {
         let chunk = chunk.map_err(|_| Rejection::BodyIncomplete)?;
-        buffer.push(chunk).map_err(|error| match error {
+        buffer.push_request(chunk).map_err(|error| match error {
             BodyBufferError::TooLarge => Rejection::BodyTooLarge { limit: limits.body_max },
             BodyBufferError::BudgetFull => Rejection::BudgetFull,
         })?;
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -7,6 +7,8 @@
 const DEFAULT_CONNECTIONS_MAX: usize = 10_000;
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Shorter than the header timeout, so that a caller that reads nothing is recognised as such.
+const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 const DEFAULT_HEADER_MAX: Bytes = Bytes::from_kib(64);
 const DEFAULT_STREAMS_MAX: u32 = 200;
 
@@ -18,9 +20,12 @@
     /// The timeout from the opening of a connection to the headers of its first request, and for
     /// the headers of each HTTP/1 request; 10 s by default.
     pub header_timeout: Duration,
-    /// The time without a request in progress or a written byte after which a connection is closed;
+    /// The time without a request in progress, an answer being written or a written byte after which a connection is closed;
     /// 60 s by default.
     pub idle_timeout: Duration,
+    /// The time after which a connection is closed if its caller takes no byte of an answer that is
+    /// ready for it; 5 s by default. Any byte that is taken starts the time anew.
+    pub stall_timeout: Duration,
     /// The maximum size of a request head; 64 KiB by default.
     pub header_max: Bytes,
     /// The maximum number of concurrent HTTP/2 requests on a connection; 200 by default.
@@ -33,6 +38,7 @@
             connections_max: DEFAULT_CONNECTIONS_MAX,
             header_timeout: DEFAULT_HEADER_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            stall_timeout: DEFAULT_STALL_TIMEOUT,
             header_max: DEFAULT_HEADER_MAX,
             streams_max: DEFAULT_STREAMS_MAX,
         }
--- /dev/null
+++ b/crates/exchange/src/serve_control.rs
@@ -0,0 +1,115 @@
+//! Monitors and stops a served port.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use tokio_util::sync::CancellationToken;
+
+/// Monitors and stops a served port; clones refer to the same port.
+#[derive(Debug, Clone, Default)]
+pub struct ServeControl {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    closing: AtomicBool,
+    /// Number of calls to [`ServeControl::renew_connections`].
+    renewals: AtomicU64,
+    stop: CancellationToken,
+    connections: AtomicUsize,
+    in_flight: AtomicUsize,
+    stalled_connections: AtomicU64,
+}
+
+impl ServeControl {
+    /// Creates the control of a port that is not served yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds `Connection: close` to HTTP/1 answers from now on, so that callers with open
+    /// connections move to another entry before this one stops. Pipelined requests that have
+    /// already started are answered first.
+    pub fn announce_close(&self) {
+        self.shared.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes callers replace all connections that are open now: the next HTTP/1 answer on each has
+    /// `Connection: close`, unless further requests wait behind it.
+    ///
+    /// A caller with an open connection stays with its entry as long as that entry is advertised to
+    /// it. When other advertised entries change, their callers choose again among all entries, and
+    /// the unchanged entry would end up with more than its share of callers.
+    pub fn renew_connections(&self) {
+        self.shared.renewals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Stops accepting connections and requests; requests in flight are completed.
+    pub fn stop(&self) {
+        self.announce_close();
+        self.shared.stop.cancel();
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests whose answer is not ready yet.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections were closed because their caller took nothing of an answer for
+    /// the [`stall_timeout`](crate::ServeConfig::stall_timeout).
+    pub fn stalled_connections(&self) -> u64 {
+        self.shared.stalled_connections.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn record_stalled_connection(&self) {
+        self.shared.stalled_connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the token that is cancelled by [`ServeControl::stop`].
+    pub(crate) fn stop_token(&self) -> &CancellationToken {
+        &self.shared.stop
+    }
+
+    /// Counts an open connection until the guard is dropped.
+    pub(crate) fn count_connection(&self) -> CountGuard {
+        CountGuard::new(&self.shared, |shared| &shared.connections)
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub(crate) fn count_in_flight(&self) -> CountGuard {
+        CountGuard::new(&self.shared, |shared| &shared.in_flight)
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.shared.closing.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn renewals(&self) -> u64 {
+        self.shared.renewals.load(Ordering::Relaxed)
+    }
+}
+
+/// Increments a counter until it is dropped.
+pub(crate) struct CountGuard {
+    shared: Arc<Shared>,
+    counter: fn(&Shared) -> &AtomicUsize,
+}
+
+impl CountGuard {
+    fn new(shared: &Arc<Shared>, counter: fn(&Shared) -> &AtomicUsize) -> Self {
+        counter(shared).fetch_add(1, Ordering::Relaxed);
+        Self { shared: Arc::clone(shared), counter }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        (self.counter)(&self.shared).fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/served_connection.rs
@@ -0,0 +1,232 @@
+//! One connection of a caller.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+
+use http::header::{CONNECTION, HeaderValue};
+use http::uri::Scheme;
+use http::{StatusCode, Version};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use poem::endpoint::DynEndpoint;
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Endpoint, IntoResponse};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::activity::Activity;
+use crate::answer_transfer::TransferEnd;
+use crate::caller_connection::CallerConnection;
+use crate::delivered_body::DeliveredBody;
+use crate::header_timer::HeaderTimer;
+use crate::headers::head_size;
+use crate::pipeline::{AbortOnDrop, ArrivedAt, PipelinedRequests};
+use crate::read_ahead::ReadAhead;
+use crate::serve::PipelineFn;
+use crate::serve_config::ServeConfig;
+use crate::serve_control::ServeControl;
+use crate::tracked_stream::TrackedStream;
+use crate::transfer_state::TransferState;
+
+pub(crate) type AnyEndpoint = Arc<dyn DynEndpoint<Output = poem::Response>>;
+
+/// One accepted connection and what its requests need.
+pub(crate) struct ServedConnection {
+    pub(crate) endpoint: AnyEndpoint,
+    pub(crate) local: LocalAddr,
+    pub(crate) remote: RemoteAddr,
+    pub(crate) config: ServeConfig,
+    pub(crate) control: ServeControl,
+    pub(crate) may_start_early: PipelineFn,
+    /// Value of the renewal counter when this connection was opened.
+    pub(crate) renewals_at_open: u64,
+    pub(crate) pipelined: Arc<PipelinedRequests>,
+}
+
+impl ServedConnection {
+    pub(crate) async fn run(self, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+        let _open_connection = self.control.count_connection();
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let activity = Arc::new(Activity::new());
+        let (stream, read_ahead) = ReadAhead::new(stream);
+        let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&activity)));
+        let caller = read_ahead.caller_connection();
+        let service = service_fn(|request| self.handle(request, &activity, &caller));
+        let builder = builder(&self.config, &activity);
+        let mut connection = pin!(builder.serve_connection(io, service));
+        // Dropped before the connection, so that transfers in progress learn their end from it.
+        let _end = EndOnDrop(&activity);
+        let ServeConfig { header_timeout, idle_timeout, stall_timeout, .. } = self.config;
+        let mut disconnect = pin!(self.wait_for_disconnect(&read_ahead, &activity));
+        let mut stalled = pin!(activity.wait_until_stalled(stall_timeout));
+        let mut idle = pin!(activity.wait_until_idle(header_timeout, idle_timeout));
+        let mut is_stopping = false;
+        let end = loop {
+            tokio::select! {
+                _ = connection.as_mut() => break TransferEnd::CallerLeft,
+                () = idle.as_mut() => break TransferEnd::CallerLeft,
+                () = disconnect.as_mut() => break TransferEnd::CallerLeft,
+                () = stalled.as_mut() => break TransferEnd::Stalled,
+                () = self.control.stop_token().cancelled(), if !is_stopping => {
+                    is_stopping = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        };
+        activity.record_end(end);
+        if end == TransferEnd::Stalled {
+            self.control.record_stalled_connection();
+            read_ahead.reset_on_close();
+        }
+    }
+
+    /// Reads ahead until the caller has disconnected, after which none of its remaining requests is
+    /// started.
+    async fn wait_for_disconnect(&self, read_ahead: &ReadAhead, activity: &Activity) {
+        let caller = read_ahead.caller_connection();
+        read_ahead.drive(|index, head| self.handle_pipelined_head(index, head, &caller)).await;
+        if !activity.is_busy() && !read_ahead.has_buffered_bytes() {
+            // The HTTP library detects the end of the connection by itself.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    fn handle_pipelined_head(
+        &self,
+        index: u64,
+        head: http::request::Parts,
+        caller: &CallerConnection,
+    ) {
+        self.pipelined.record_arrival(index);
+        // On a closing connection the request would reach a target, but its answer would be lost.
+        if self.is_closing() || !(self.may_start_early)(&head) {
+            return;
+        }
+        self.pipelined.start(index, || {
+            let endpoint = Arc::clone(&self.endpoint);
+            let mut request = self.poem_request(http::Request::from_parts(head, ()));
+            request.set_body(poem::Body::empty());
+            request.extensions_mut().insert(caller.clone());
+            tokio::spawn(respond(endpoint, request, caller.clone()))
+        });
+    }
+
+    /// Returns whether the connection closes once every started request has been answered.
+    fn is_closing(&self) -> bool {
+        self.control.is_closing() || self.control.renewals() > self.renewals_at_open
+    }
+
+    fn poem_request(&self, request: http::Request<()>) -> poem::Request {
+        let (head, ()) = request.into_parts();
+        let mut builder = poem::Request::builder().method(head.method).uri(head.uri);
+        builder = builder.version(head.version);
+        let mut request = builder.finish();
+        *request.headers_mut() = head.headers;
+        request
+    }
+
+    fn handle(
+        &self,
+        request: http::Request<Incoming>,
+        activity: &Arc<Activity>,
+        caller: &CallerConnection,
+    ) -> impl Future<Output = Result<http::Response<DeliveredBody>, Infallible>> + Send + use<>
+    {
+        let endpoint = Arc::clone(&self.endpoint);
+        let control = self.control.clone();
+        let in_flight = control.count_in_flight();
+        let in_progress = activity.start_request();
+        let version = request.version();
+        let dispatched = self.pipelined.dispatch_next();
+        let mut request = request;
+        if let Some(arrived_at) = dispatched.arrived_at {
+            request.extensions_mut().insert(ArrivedAt(arrived_at));
+        }
+        request.extensions_mut().insert(caller.clone());
+        let caller = caller.clone();
+        let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
+        let started = dispatched.started.map(AbortOnDrop);
+        let (renewals_at_open, pipelined) = (self.renewals_at_open, Arc::clone(&self.pipelined));
+        let activity = Arc::clone(activity);
+        async move {
+            let mut response = match started {
+                Some(mut started) => started_answer(&mut started).await,
+                None => respond(endpoint, request, caller).await,
+            };
+            let is_close_due = control.is_closing() && !pipelined.has_started();
+            let is_renewal_due = control.renewals() > renewals_at_open && !pipelined.has_waiting();
+            if (is_close_due || is_renewal_due) && version < Version::HTTP_2 {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            let response = delivered_response(response, activity, version);
+            drop((in_flight, in_progress));
+            Ok(response)
+        }
+    }
+}
+
+/// Runs the endpoint, unless the caller has disconnected.
+async fn respond(
+    endpoint: AnyEndpoint,
+    request: poem::Request,
+    caller: CallerConnection,
+) -> poem::Response {
+    if caller.is_closed() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    endpoint.get_response(request).await
+}
+
+/// Makes the response record which bytes of its body the connection takes.
+fn delivered_response(
+    mut response: poem::Response,
+    activity: Arc<Activity>,
+    version: Version,
+) -> http::Response<DeliveredBody> {
+    let transfer = response.extensions_mut().remove::<Arc<TransferState>>();
+    if let Some(transfer) = &transfer {
+        transfer.start(Arc::clone(&activity), head_size(response.headers()));
+    }
+    let is_http2 = version == Version::HTTP_2;
+    let response = http::Response::from(response);
+    response.map(|body| DeliveredBody::new(body, activity, transfer, is_http2))
+}
+
+/// Records that the process stopped serving if the connection ends without another cause.
+struct EndOnDrop<'a>(&'a Activity);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.record_end(TransferEnd::Stopped);
+    }
+}
+
+async fn started_answer(task: &mut AbortOnDrop) -> poem::Response {
+    match (&mut task.0).await {
+        Ok(response) => response,
+        // The task has panicked. Without its own task, the panic would end the connection.
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+fn builder(config: &ServeConfig, activity: &Arc<Activity>) -> auto::Builder<TokioExecutor> {
+    let header_max = usize::try_from(config.header_max.value()).unwrap_or(usize::MAX);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(HeaderTimer::new(Arc::clone(activity)))
+        .header_read_timeout(config.header_timeout)
+        .max_buf_size(header_max);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(config.streams_max)
+        .max_header_list_size(u32::try_from(header_max).unwrap_or(u32::MAX));
+    builder
+}
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -9,14 +9,14 @@
 use http::header::HeaderMap;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use shallotfork_types::{Endpoint, TargetId, Verdict};
 use tokio::time::Instant;
 
 use crate::answer::BufferedAnswer;
 use crate::attempt::{AttemptFailure, FailureCause};
 use crate::body_budget::BodyBudget;
-use crate::body_buffer::{BodyBuffer, BodyBufferError};
+use crate::body_buffer::BodyBuffer;
 use crate::connection_config::ConnectionConfig;
 use crate::headers::strip_hop_by_hop;
 use crate::opened_connections::{ConnectionCounters, ConnectionPurpose, OpenedConnections};
@@ -213,14 +213,14 @@
         if parts.status.is_informational() {
             return Err(FailureCause::AnswerNotFinal);
         }
-        let mut body_buffer = BodyBuffer::new(self.config.answer_max.value(), self.budget.permit());
+        // The size hint is that of the body itself, which an answer to `HEAD` does not have.
+        let expected_bytes = body.size_hint().exact().unwrap_or(0);
+        let mut body_buffer = BodyBuffer::new(self.config.answer_max.value(), self.budget.permit())
+            .with_expected_size(expected_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| FailureCause::AnswerIncomplete)?;
             let Ok(chunk) = frame.into_data() else { continue };
-            body_buffer.push(chunk).map_err(|error| match error {
-                BodyBufferError::TooLarge => FailureCause::AnswerTooLarge,
-                BodyBufferError::BudgetFull => FailureCause::BudgetFull,
-            })?;
+            body_buffer.push_answer(chunk).map_err(|_| FailureCause::AnswerTooLarge)?;
         }
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/traffic/attempt_outcome.rs
+++ b/crates/gateway/src/traffic/attempt_outcome.rs
@@ -76,9 +76,7 @@
         Err(failure) => match failure.cause() {
             FailureCause::ConnectFailed => SlotOutcome::Unreachable,
             FailureCause::Timeout => SlotOutcome::TimedOut,
-            FailureCause::BudgetFull | FailureCause::DeadlinePassed | FailureCause::BadRequest => {
-                SlotOutcome::Cancelled
-            }
+            FailureCause::DeadlinePassed | FailureCause::BadRequest => SlotOutcome::Cancelled,
             _ => SlotOutcome::Failed,
         },
     }
--- a/crates/shallotd/src/traffic/dispatch.rs
+++ b/crates/shallotd/src/traffic/dispatch.rs
@@ -276,8 +276,7 @@
             FailureCause::Timeout => AttemptOutcome::TimedOut,
             FailureCause::DeadlinePassed
             | FailureCause::BadRequest
-            | FailureCause::ConnectRefusedByGate
-            | FailureCause::BudgetFull => AttemptOutcome::Cancelled,
+            | FailureCause::ConnectRefusedByGate => AttemptOutcome::Cancelled,
             _ => AttemptOutcome::Failed,
         },
     }
