feat(balance): tell random rejections from lack of capacity

A service whose targets reject half of its requests at random had nearly all of them ejected, and callers were told to stay away although slots were free. Rejections now count as random while most tried targets reject with free slots.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool_config;
 mod prior_wait;
 mod queue;
+mod repeat_allocation;
 mod request;
 mod retry_window;
 mod slots;
@@ -29,11 +30,12 @@
 pub use pool::Pool;
 pub use pool_config::PoolConfig;
 pub use prior_wait::PriorWaitEstimator;
+pub use repeat_allocation::{RepeatAllocation, RepeatClass};
 pub use request::{PoolRequest, Priority};
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use slots::{
-    SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, Slowdown,
-    StateChange, TargetLoad, TargetStateChange, WorkClass,
+    RejectionCounts, SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget,
+    Slowdown, StateChange, TargetLoad, TargetStateChange, WorkClass,
 };
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- a/crates/balance/src/retry_window.rs
+++ b/crates/balance/src/retry_window.rs
@@ -60,6 +60,29 @@
         has_room
     }
 
+    /// Returns how many extra attempts a second the allowance permits if they are to last for
+    /// `horizon_buckets` buckets and requests continue at the rate of the last complete bucket.
+    pub fn sustainable_per_s(
+        &mut self,
+        allowance: RetryAllowance,
+        horizon_buckets: u32,
+        now: Mono,
+    ) -> f64 {
+        let current = self.bucket(now).index;
+        let horizon = u64::from(horizon_buckets);
+        let last = self.buckets.iter().find(|bucket| bucket.index + 1 == current);
+        let new_requests = last.map_or(0, |bucket| bucket.requests) * horizon;
+        let kept = || {
+            let oldest = (current + horizon).saturating_sub(u64::from(BUCKETS));
+            self.buckets.iter().filter(move |bucket| bucket.index >= oldest)
+        };
+        let requests: u64 = kept().map(|bucket| bucket.requests).sum();
+        let extra_attempts: u64 = kept().map(|bucket| bucket.extra_attempts).sum();
+        let allowed = allowance.share.of(requests + new_requests) + u64::from(allowance.extra);
+        let horizon_s = (horizon * self.bucket_us) as f64 / 1e6;
+        allowed.saturating_sub(extra_attempts) as f64 / horizon_s.max(f64::EPSILON)
+    }
+
     fn bucket(&mut self, now: Mono) -> &mut Bucket {
         let index = now.as_micros() / self.bucket_us;
         let oldest = index.saturating_sub(u64::from(BUCKETS));
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -10,6 +10,7 @@
 use super::probe_budget::ProbeBudget;
 use super::published::{SlotOutcome, SlotTarget, TargetLoad, TargetStateChange};
 use super::queue::SlotQueue;
+use super::rejections::RejectionMonitor;
 use super::target::Target;
 use super::{SlotRequest, WorkClass};
 use crate::{Admission, Assignment, AttemptId, ResolvedTicket, Shed, ShedReason, Ticket};
@@ -60,7 +61,7 @@
     pub(super) queue: SlotQueue,
     pub(super) estimates: Estimates,
     /// State changes that the caller of the pool has not collected yet.
-    state_changes: Vec<TargetStateChange>,
+    pub(super) state_changes: Vec<TargetStateChange>,
     /// Names of the processes that are advertised to callers and send requests to these targets.
     pub(super) sharers: Vec<String>,
     /// Share of the warm-up rate of cold targets that all sharers together may use.
@@ -74,6 +75,7 @@
     usable_slots: u32,
     /// Bounds the probes sent while requests wait.
     probe_budget: ProbeBudget,
+    pub(super) rejections: RejectionMonitor,
     last_id: u64,
 }
 
@@ -94,6 +96,7 @@
             serving_slots: 0,
             usable_slots: 0,
             probe_budget: ProbeBudget::new(),
+            rejections: RejectionMonitor::default(),
             last_id: 0,
         }
     }
@@ -230,22 +233,12 @@
         now: Mono,
     ) -> Vec<ResolvedTicket> {
         let Some(id) = self.attempts.remove(&attempt) else { return Vec::new() };
-        if let Some(target) = self.targets.get_mut(&id) {
-            if let Some(running) = target.remove_attempt(attempt) {
-                let change = target.record_outcome(
-                    &running,
-                    outcome,
-                    &self.config,
-                    &mut self.estimates,
-                    now,
-                );
-                let state_change =
-                    change.map(|change| TargetStateChange { target: id.clone(), change });
-                self.state_changes.extend(state_change);
-            }
-            if let Some(load) = load {
-                target.record_load(exclude_answered_request(load), &mut self.estimates, now);
-            }
+        let ended = self.targets.get_mut(&id).and_then(|target| target.remove_attempt(attempt));
+        if let Some(running) = ended {
+            self.record_attempt_outcome(&id, &running, outcome, load, now);
+        }
+        if let (Some(target), Some(load)) = (self.targets.get_mut(&id), load) {
+            target.record_load(exclude_answered_request(load), &mut self.estimates, now);
         }
         self.count_usable_slots();
         self.probe_budget.record_answer();
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -67,6 +67,29 @@
     pub(super) expected_us: f64,
 }
 
+/// Failures of a target at one time.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FailureRecord {
+    failure_rate: f64,
+    consecutive_failures: u32,
+    ejections: u32,
+    ejected_until: Option<Mono>,
+}
+
+impl FailureRecord {
+    pub(super) fn of(target: &Target) -> Self {
+        let Target { failure_rate, consecutive_failures, ejections, ejected_until, .. } = *target;
+        Self { failure_rate, consecutive_failures, ejections, ejected_until }
+    }
+
+    pub(super) fn restore(self, target: &mut Target) {
+        target.failure_rate = self.failure_rate;
+        target.consecutive_failures = self.consecutive_failures;
+        target.ejections = self.ejections;
+        target.ejected_until = self.ejected_until;
+    }
+}
+
 #[derive(Debug)]
 struct ForeignRequests {
     count: u32,
@@ -232,6 +255,14 @@
         fresh.map_or(0, |foreign_requests| foreign_requests.count)
     }
 
+    /// Returns the number of free slots by the target's last report; zero if that is older than
+    /// `max_age`.
+    pub(super) fn reported_free_slots(&self, now: Mono, max_age: Duration) -> u32 {
+        let report = self.foreign_requests.as_ref();
+        let is_fresh = report.is_some_and(|report| now.since(report.reported_at) < max_age);
+        if is_fresh { self.published.slots.saturating_sub(self.used_slots(now)) } else { 0 }
+    }
+
     /// Returns whether the target's last report, together with the attempts not sent yet, shows
     /// more requests than it has slots.
     pub(super) fn is_overfilled(&self, now: Mono) -> bool {
--- a/crates/balance/src/slots/wait.rs
+++ b/crates/balance/src/slots/wait.rs
@@ -114,6 +114,11 @@
         if let Some(until) = self.all_resting_until(now) {
             return Shed { retry_after: until.since(now), reason };
         }
+        if reason == ShedReason::NoTarget
+            && let Some(retry_after) = self.random_rejection_retry_after(now)
+        {
+            return Shed { retry_after, reason };
+        }
         let reinstated_at = self.targets.values().filter_map(Target::ejected_until);
         let reinstated_at = reinstated_at.filter(|until| *until > now).min();
         let wait = match (reason, reinstated_at) {
