--- a/crates/balance/src/repeat_allocation.rs
+++ b/crates/balance/src/repeat_allocation.rs
@@ -48,11 +48,19 @@
 }
 
 impl RepeatClass {
-    /// Returns the text used in metrics.
+    /// Returns the text used in metrics for the callers of the class.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Returned { .. } => "returned",
             Self::First { .. } => "first",
+            Self::Hedge => "any",
+        }
+    }
+
+    /// Returns the text used in metrics for what the repeat is.
+    pub fn use_str(self) -> &'static str {
+        match self {
+            Self::Returned { .. } | Self::First { .. } => "retry",
             Self::Hedge => "hedge",
         }
     }
--- a/crates/balance/src/slots/summary.rs
+++ b/crates/balance/src/slots/summary.rs
@@ -24,6 +24,8 @@
     pub overdue: usize,
     /// Serving targets without a free slot.
     pub full: usize,
+    /// Whether most targets reject requests at random although they have free slots.
+    pub rejects_at_random: bool,
     /// Free slots at targets that are neither ejected nor overdue.
     pub free_slots: usize,
     /// Factor by which runs take longer if their target is saturated meanwhile.
@@ -49,6 +51,7 @@
             silent: count(&|target| target.is_silent),
             overdue: count(&|target| target.is_overdue(now, &self.config)),
             full: count(&|target| target.free_slots(now, &self.estimates) == 0),
+            rejects_at_random: self.rejects_at_random(now),
             free_slots: self.free_slots(now),
             saturation_slowdown: self.estimates.saturation_slowdown(),
             mean_slowdown: self.estimates.mean_slowdown(),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -10,6 +10,7 @@
 use crate::traffic::hedge::send_until_forwarded;
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::{begin_run, record_answer};
+use crate::traffic::repeats::retry_class;
 use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
 use crate::traffic::retry_allowance::retry_allowance;
 use crate::traffic::routed_request::RoutedRequest;
@@ -66,13 +67,18 @@
         let was_sent = !matches!(outcome, AttemptOutcome::NotSent);
         let may_retry = history.record_outcome(outcome, routed)
             // An attempt that was not sent loads no target, so its retry needs no allowance.
-            && (!was_sent || slots.try_acquire_retry(retry_allowance(context)));
+            && (!was_sent || acquire_retry(routed, &slots));
         if !may_retry || routed.remaining(context.clock.now()).is_zero() {
             return history.complete_unanswered(routed);
         }
     }
 }
 
+/// Acquires permission for a retry. Returns whether there is one left for this request.
+fn acquire_retry(routed: &RoutedRequest, slots: &ServiceSlots) -> bool {
+    slots.try_acquire_repeat(retry_class(routed, slots), retry_allowance(&routed.context))
+}
+
 /// Acquires a slot at a target that a probe has just found neither slow nor full.
 ///
 /// A request is rejected if all probed targets are full. Otherwise it would queue at one of them,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod rate_limit;
 mod reach;
+mod repeats;
 mod request_outcome;
 mod retry_allowance;
 mod routed_request;
@@ -23,6 +24,7 @@
 mod send_attempt;
 mod service_load;
 mod service_slots;
+mod slot_events;
 mod target_statements;
 
 pub use caller_requests::{handle_request, may_begin_early};
--- a/crates/gateway/src/traffic/routed_request.rs
+++ b/crates/gateway/src/traffic/routed_request.rs
@@ -123,6 +123,11 @@
         self.route.repeat_policy == RepeatPolicy::Idempotent
     }
 
+    /// Whether the caller was rejected before and has sent the request again.
+    pub fn has_returned(&self) -> bool {
+        self.prior_wait >= RESUBMITTED_PRIOR_WAIT_MIN
+    }
+
     /// Returns the time remaining until the deadline.
     pub fn remaining(&self, now: Mono) -> Duration {
         self.deadline.since(now)
@@ -137,7 +142,7 @@
     pub fn slot_request(&self, exclude: &[TargetId]) -> SlotRequest {
         SlotRequest::new(self.class(), self.arrived_at, self.objective, self.deadline)
             .with_rank(self.route.priority.rank())
-            .with_resubmitted(self.prior_wait >= RESUBMITTED_PRIOR_WAIT_MIN || !exclude.is_empty())
+            .with_resubmitted(self.has_returned() || !exclude.is_empty())
             .with_exclude(exclude.to_vec())
     }
 }
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -30,6 +30,7 @@
         report_reach(&context);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
+            slots.update_rejections();
             report_slots(&context, &service, &slots.summary());
         }
     }
@@ -106,7 +107,9 @@
     let label = service.to_string();
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
     gauge!("shallotfork_running", "service" => label.clone()).set(load.running as f64);
-    gauge!("shallotfork_free_slots", "service" => label).set(load.free_slots as f64);
+    gauge!("shallotfork_free_slots", "service" => label.clone()).set(load.free_slots as f64);
+    gauge!("shallotfork_random_rejections", "service" => label)
+        .set(f64::from(u8::from(load.rejects_at_random)));
     if load.queued == 0 {
         return;
     }
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use shallotfork_balance::{
-    Admission, Assignment, AttemptId, Resolution, ResolvedTicket, RetryAllowance, RetryWindow,
-    Shed, SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, StateChange,
-    TargetLoad, TargetStateChange, Ticket, WorkClass,
+    Admission, Assignment, AttemptId, RepeatAllocation, Resolution, ResolvedTicket, Shed,
+    SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, TargetLoad,
+    Ticket, WorkClass,
 };
 use shallotfork_events::slog::Logger;
-use shallotfork_events::{TARGET_COLD, TARGET_EJECTED, TARGET_RETURNED, event};
+use shallotfork_events::{TARGET_COLD, event};
 use shallotfork_timer::Clock;
 use shallotfork_types::{
     FailureDomain, Mono, Permille, RequestRate, ServiceName, TargetId, Warmup,
@@ -27,18 +27,20 @@
 /// Slot pool of a service behind a lock. Wakes the requests that wait for a slot.
 #[derive(Debug)]
 pub struct ServiceSlots {
-    name: ServiceName,
-    clock: Clock,
-    log: Logger,
+    pub(super) name: ServiceName,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
     /// Notified when a request starts to wait.
     request_queued: Arc<Notify>,
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug)]
-struct Inner {
-    pool: SlotPool,
-    retries: RetryWindow,
+pub(super) struct Inner {
+    pub(super) pool: SlotPool,
+    pub(super) repeats: RepeatAllocation,
+    /// Whether targets rejected requests at random when this was logged last.
+    pub(super) logged_random_rejections: bool,
     waiting: HashMap<Ticket, oneshot::Sender<SlotResult>>,
     last_request_at: Option<Mono>,
 }
@@ -114,7 +116,8 @@
     ) -> Arc<Self> {
         let inner = Inner {
             pool: SlotPool::new(config),
-            retries: RetryWindow::new(retry_window),
+            repeats: RepeatAllocation::new(retry_window),
+            logged_random_rejections: false,
             waiting: HashMap::new(),
             last_request_at: None,
         };
@@ -125,16 +128,10 @@
     pub fn record_request(&self) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.retries.record_request(now);
+        inner.repeats.record_request(now);
         inner.last_request_at = Some(now);
     }
 
-    /// Acquires permission for a retry or a hedge. Returns whether the allowance still permits one.
-    pub fn try_acquire_retry(&self, allowance: RetryAllowance) -> bool {
-        let now = self.clock.now();
-        self.lock().retries.try_acquire(allowance, now)
-    }
-
     /// Acquires a slot for a request; waits until one is available.
     ///
     /// # Errors
@@ -338,27 +335,13 @@
         let mut inner = self.lock();
         let resolved = inner.pool.finish(attempt, outcome, reported_load, now);
         let changes = inner.pool.take_state_changes();
+        let rejection_change = inner.take_rejection_change(now);
         drop(inner);
         self.log_state_changes(&changes);
+        self.log_rejection_change(rejection_change);
         self.deliver(resolved);
     }
 
-    fn log_state_changes(&self, changes: &[TargetStateChange]) {
-        for TargetStateChange { target, change } in changes {
-            let (service, target) = (self.name.as_str(), target.as_str());
-            match change {
-                StateChange::Ejected { failures, pause } => {
-                    let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-                    event!(self.log, TARGET_EJECTED, "service" => service, "target" => target,
-                        "failures" => *failures, "pause_ms" => pause_ms);
-                }
-                StateChange::Returned => {
-                    event!(self.log, TARGET_RETURNED, "service" => service, "target" => target);
-                }
-            }
-        }
-    }
-
     /// Sends the results to the waiting requests with the lock released: if a receiver is gone, its
     /// slot is dropped, which takes the lock again.
     fn deliver(self: &Arc<Self>, resolved: Vec<ResolvedTicket>) {
@@ -374,7 +357,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         lock(&self.inner)
     }
 }
