feat(balance): fair shares of several routes while slots are short

Under twice the load that a service's slots take, callers that retried at once or could wait for longer were served up to three times as often as others, and a lower rank more often than a higher one. While slots are short, the next one now goes to the highest rank, and within it to the route of which the smallest fraction has been served. Without shortage, and with one route, the order is the same as before.

--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod estimate;
+mod fair_order;
 mod limits;
 mod pool;
 mod probe_budget;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -7,6 +7,7 @@
 
 use super::config::SlotPoolConfig;
 use super::estimate::Estimates;
+use super::fair_order::Populations;
 use super::probe_budget::ProbeBudget;
 use super::published::{SlotOutcome, SlotTarget, TargetLoad, TargetStateChange};
 use super::queue::SlotQueue;
@@ -76,6 +77,7 @@
     /// Bounds the probes sent while requests wait.
     probe_budget: ProbeBudget,
     pub(super) rejections: RejectionMonitor,
+    pub(super) populations: Populations,
     last_id: u64,
 }
 
@@ -97,6 +99,7 @@
             usable_slots: 0,
             probe_budget: ProbeBudget::new(),
             rejections: RejectionMonitor::default(),
+            populations: Populations::default(),
             last_id: 0,
         }
     }
@@ -187,8 +190,8 @@
         if !self.has_target_for(&request, now) {
             return Admission::Shed(self.shed(ShedReason::NoTarget, now));
         }
-        let ahead = self.queue.iter().filter(|(_, other)| self.precedes(other, &request, now));
-        let ahead = ahead.count();
+        self.populations.record_arrival(&request, now);
+        let ahead = self.count_ahead(&request, now);
         // Requests in the queue can't use the slots that are free now, or they would have been
         // assigned.
         if let Some(assignment) = self.assign(&request, TargetFilter::NotSlow, now) {
@@ -200,10 +203,10 @@
         }
         let start = now.plus(self.expected_wait(ahead, &request, now));
         if self.queue.len() >= self.config.queue_max {
-            return Admission::Shed(self.shed(ShedReason::QueueFull, now));
+            return Admission::Shed(self.shed_for_lack_of_slot(ShedReason::QueueFull, now));
         }
         if start > wait_until {
-            return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now));
+            return Admission::Shed(self.shed_for_lack_of_slot(ShedReason::DeadlineTooNear, now));
         }
         let ticket = Ticket(self.next_id());
         self.queue.push(ticket, request);
@@ -235,6 +238,7 @@
         let Some(id) = self.attempts.remove(&attempt) else { return Vec::new() };
         let ended = self.targets.get_mut(&id).and_then(|target| target.remove_attempt(attempt));
         if let Some(running) = ended {
+            self.populations.record_end(&running.class, attempt, running.is_sent, now);
             self.record_attempt_outcome(&id, &running, outcome, load, now);
         }
         if let (Some(target), Some(load)) = (self.targets.get_mut(&id), load) {
@@ -467,6 +471,7 @@
         let target = self.targets.get_mut(&id)?;
         target.start_attempt(attempt, &request.class, now);
         self.attempts.insert(attempt, id.clone());
+        self.populations.record_assignment(request, attempt, now);
         Some(Assignment { attempt, target: id })
     }
 
@@ -481,7 +486,7 @@
         };
         match self.assign(request, filter, now) {
             Some(assignment) => Admission::Send(assignment),
-            None => Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now)),
+            None => Admission::Shed(self.shed_for_lack_of_slot(ShedReason::DeadlineTooNear, now)),
         }
     }
 
--- a/crates/balance/src/slots/wake.rs
+++ b/crates/balance/src/slots/wake.rs
@@ -45,6 +45,9 @@
 
     /// Returns the tickets of waiting requests in the order in which they are served.
     fn ranked_tickets(&self, now: Mono) -> Vec<Ticket> {
+        if let Some(tickets) = self.fair_tickets(now) {
+            return tickets;
+        }
         let mut ranked: Vec<(Ticket, _)> = self
             .queue
             .iter()
