--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod estimate;
+mod fair_order;
 mod hedge;
 mod limits;
 mod pool;
@@ -14,6 +15,7 @@
 mod published;
 mod queue;
 mod rate_share;
+mod rejections;
 mod request;
 mod run_cost;
 mod summary;
@@ -27,5 +29,6 @@
 pub use hedge::{EarlyHedge, HedgePlan, HedgeResult};
 pub use pool::SlotPool;
 pub use published::{SlotOutcome, SlotTarget, StateChange, TargetLoad, TargetStateChange};
+pub use rejections::RejectionCounts;
 pub use request::{SlotRequest, WorkClass};
 pub use summary::SlotSummary;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -7,10 +7,12 @@
 
 use super::config::SlotPoolConfig;
 use super::estimate::Estimates;
+use super::fair_order::Populations;
 use super::hedge::EarlyHedges;
 use super::probe_budget::ProbeBudget;
 use super::published::{SlotOutcome, SlotTarget, TargetLoad, TargetStateChange};
 use super::queue::SlotQueue;
+use super::rejections::RejectionMonitor;
 use super::target::Target;
 use super::{SlotRequest, WorkClass};
 use crate::{Admission, Assignment, AttemptId, ResolvedTicket, Shed, ShedReason, Ticket};
@@ -64,7 +66,7 @@
     pub(super) estimates: Estimates,
     pub(super) early_hedges: EarlyHedges,
     /// State changes that the caller of the pool has not collected yet.
-    state_changes: Vec<TargetStateChange>,
+    pub(super) state_changes: Vec<TargetStateChange>,
     /// Names of the processes that are advertised to callers and send requests to these targets.
     pub(super) sharers: Vec<String>,
     /// Share of the warm-up rate of cold targets that all sharers together may use.
@@ -78,6 +80,8 @@
     usable_slots: u32,
     /// Bounds the probes sent while requests wait.
     probe_budget: ProbeBudget,
+    pub(super) rejections: RejectionMonitor,
+    pub(super) populations: Populations,
     last_id: u64,
 }
 
@@ -99,6 +103,8 @@
             serving_slots: 0,
             usable_slots: 0,
             probe_budget: ProbeBudget::new(),
+            rejections: RejectionMonitor::default(),
+            populations: Populations::default(),
             last_id: 0,
         }
     }
@@ -189,8 +195,8 @@
         if !self.has_target_for(&request, now) {
             return Admission::Shed(self.shed(ShedReason::NoTarget, now));
         }
-        let ahead = self.queue.iter().filter(|(_, other)| self.precedes(other, &request, now));
-        let ahead = ahead.count();
+        self.populations.record_arrival(&request, now);
+        let ahead = self.count_ahead(&request, now);
         // Requests in the queue can't use the slots that are free now, or they would have been
         // assigned.
         if let Some(assignment) = self.assign(&request, TargetFilter::NotSlow, now) {
@@ -202,10 +208,10 @@
         }
         let start = now.plus(self.expected_wait(ahead, &request, now));
         if self.queue.len() >= self.config.queue_max {
-            return Admission::Shed(self.shed(ShedReason::QueueFull, now));
+            return Admission::Shed(self.shed_for_lack_of_slot(ShedReason::QueueFull, now));
         }
         if start > wait_until {
-            return Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now));
+            return Admission::Shed(self.shed_for_lack_of_slot(ShedReason::DeadlineTooNear, now));
         }
         let ticket = Ticket(self.next_id());
         self.queue.push(ticket, request);
@@ -235,22 +241,13 @@
         now: Mono,
     ) -> Vec<ResolvedTicket> {
         let Some(id) = self.attempts.remove(&attempt) else { return Vec::new() };
-        if let Some(target) = self.targets.get_mut(&id) {
-            if let Some(running) = target.remove_attempt(attempt) {
-                let change = target.record_outcome(
-                    &running,
-                    outcome,
-                    &self.config,
-                    &mut self.estimates,
-                    now,
-                );
-                let state_change =
-                    change.map(|change| TargetStateChange { target: id.clone(), change });
-                self.state_changes.extend(state_change);
-            }
-            if let Some(load) = load {
-                target.record_load(exclude_answered_request(load), &mut self.estimates, now);
-            }
+        let ended = self.targets.get_mut(&id).and_then(|target| target.remove_attempt(attempt));
+        if let Some(running) = ended {
+            self.populations.record_end(&running.class, attempt, running.is_sent, now);
+            self.record_attempt_outcome(&id, &running, outcome, load, now);
+        }
+        if let (Some(target), Some(load)) = (self.targets.get_mut(&id), load) {
+            target.record_load(exclude_answered_request(load), &mut self.estimates, now);
         }
         self.count_usable_slots();
         self.probe_budget.record_answer();
@@ -482,6 +479,7 @@
         let target = self.targets.get_mut(&id)?;
         target.start_attempt(attempt, &request.class, now);
         self.attempts.insert(attempt, id.clone());
+        self.populations.record_assignment(request, attempt, now);
         Some(Assignment { attempt, target: id })
     }
 
@@ -496,7 +494,7 @@
         };
         match self.assign(request, filter, now) {
             Some(assignment) => Admission::Send(assignment),
-            None => Admission::Shed(self.shed(ShedReason::DeadlineTooNear, now)),
+            None => Admission::Shed(self.shed_for_lack_of_slot(ShedReason::DeadlineTooNear, now)),
         }
     }
 
--- a/crates/gateway/src/traffic/service_slots/hedges.rs
+++ b/crates/gateway/src/traffic/service_slots/hedges.rs
@@ -33,7 +33,9 @@
     /// permits one.
     pub fn try_acquire_early_hedge(&self, allowance: RetryAllowance) -> bool {
         let now = self.clock.now();
-        self.lock().retries.try_acquire_early_hedge(allowance, now)
+        let mut inner = self.lock();
+        // All repeats are needed for rejected requests then.
+        !inner.pool.rejects_at_random(now) && inner.repeats.try_acquire_early_hedge(allowance, now)
     }
 
     /// Records the result of an early hedge that was in flight for `duration`.
