feat(routes,feed,gateway,node): configuration that is usable in part

One undecodable element of the manifest rejected the whole configuration, so one bad route kept all other changes from every caller. Each element is now decoded on its own. A route that is not valid but has a readable host and prefix stays in the table as unusable: its requests are rejected as not run (503, Retry-After), never answered with 404 and never handled by a route with a shorter prefix. A route of an unknown kind is used as AtMostOnce. Limits that are missing or not valid stay as they were.

The entry reports which configuration is in force and whether a newer one is known that is not, in log lines 2016 to 2018, metrics and the body of the readiness answer. Ignored elements are named in lines 2012, up to 20 in a line, and counted by kind. Lines for a target that repeats an invalid record are written once, so the budget of one line a second, which left elements unnamed, is gone there.

Numbers out of range, also in fields that are not used, no longer make a whole manifest, target or evacuation unreadable (serde_json's raw_value). A value of an item that is not text affects only that item of a page.

Replaced tests: invalid_manifests_are_rejected_with_a_reason asserted that each of its inputs rejects the whole manifest, which is the old rule. Its inputs are in two tests now: one asserts that manifests without version or resources are rejected, with the reason, the other that the remaining inputs, and more, affect their own element only, with the reason and the lookup of each path. The test of RouteTable that asserted all errors of a rejected table asserts the same errors for unusable routes. decode_target returns a reason, so its tests check for an error instead of None, for the same inputs.

Property tests over arbitrary, truncated and damaged content of each decoder; process tests with one route of an unknown kind and one invalid route.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -39,6 +39,9 @@
     ITEMS_PULLED = 2013 Info "published items pulled from another entry";
     ITEMS_SERVED = 2014 Info "published items sent to other entries";
     ITEMS_RETAINED = 2015 Info "published items retained in place of those of an older copy";
+    CONFIGURATION_NOT_IN_FORCE = 2016 Error "newest known configuration is not in force";
+    CONFIGURATION_PARTIAL = 2017 Warning "configuration in force in part";
+    CONFIGURATION_COMPLETE = 2018 Info "newest known configuration in force as a whole again";
     LEDGER_FULL = 3001 Warning "idempotency ledger full: operation refused";
     LEDGER_SEALED = 3002 Info "idempotency ledger sealed and handed to peers";
     PEER_UP = 4001 Info "peer connected";
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -6,10 +6,12 @@
 use async_trait::async_trait;
 use shallotfork_evacuation::EvacuationChange;
 use shallotfork_roster::TargetChange;
-use shallotfork_routes::RouteTable;
+use shallotfork_routes::{RouteTable, TableVersion};
 use shallotfork_types::{Epoch, Position};
 use thiserror::Error;
 
+use crate::ignored_element::IgnoredElement;
+
 /// How old a response of the platform may be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -87,24 +89,29 @@
     Routes {
         /// The decoded table.
         table: RouteTable,
-        /// Descriptions of the invalid parts of the item that were skipped.
-        ignored: Vec<String>,
+        /// Elements of the item that are not used as published.
+        ignored: Vec<IgnoredElement>,
     },
     /// A route table that is unusable as a whole; the one in force stays.
-    BadRoutes(String),
+    BadRoutes {
+        /// Version of the table, if it can be read.
+        version: Option<TableVersion>,
+        /// Reason for the failure.
+        reason: String,
+    },
     /// A change of a target's published item.
     Target {
         /// The change to apply.
         change: TargetChange,
-        /// Description of an invalid part of the item that was skipped.
-        ignored: Option<String>,
+        /// The item, or the part of it, that is not used as published.
+        ignored: Option<IgnoredElement>,
     },
     /// A change of the evacuation of a failure domain.
     Evacuation(EvacuationChange),
     /// An evacuation request that cannot be decoded.
     BadEvacuation {
-        /// Reason for the failure.
-        reason: String,
+        /// The request, with the reason for the failure.
+        ignored: IgnoredElement,
         /// Change to apply, if the failure domain is known.
         change: Option<EvacuationChange>,
     },
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,6 +3,7 @@
 mod archive;
 mod check;
 mod feed;
+mod ignored_element;
 mod pack;
 mod precedence;
 mod pull_scheduler;
@@ -12,6 +13,7 @@
 pub use archive::{Archive, Judge, PullResponse};
 pub use check::PullError;
 pub use feed::{Decoded, Feed, FeedChanges, FeedError, FeedPage, Freshness, RawItem};
+pub use ignored_element::{ElementKind, IgnoredElement};
 pub use pack::{PACK_MIN_BYTES, Packer, pack, unpack};
 pub use precedence::precedence;
 pub use pull_scheduler::PullScheduler;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,9 +2,11 @@
 //! traffic threads.
 
 mod advertise;
+mod configuration;
 mod handler;
 mod heartbeat_messages;
 mod heartbeats;
+mod ignored_elements;
 mod peers;
 mod publish;
 mod pull;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -7,19 +7,20 @@
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
 use shallotfork_events::{
     EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, ITEMS_RETAINED, PLATFORM_RESTORED,
-    PLATFORM_SETTLED, PUBLISHED_IGNORED, ROUTES_ACCEPTED, ROUTES_REFUSED, TARGET_CHANGED,
-    TARGETS_CHANGED, event,
+    PLATFORM_SETTLED, TARGET_CHANGED, TARGETS_CHANGED, event,
 };
 use shallotfork_history::Precedence;
 use shallotfork_roster::{Availability, RosterChange, TargetChange, TargetRecord};
-use shallotfork_routes::{OfferOutcome, RouteTable};
 use shallotfork_statements::{LeavingTargets, TargetRun};
 use shallotfork_types::{Position, ServiceName, TargetId, Warmup};
 
 use crate::context::lock;
+use crate::control::configuration::{offer_table, reject_configuration};
+use crate::control::ignored_elements::{
+    count_ignored, forget_removed, report_ignored, track_ignored,
+};
 use crate::control::reader::update_platform_state;
 use crate::control::state::ControlState;
-use crate::log_budget::LogDecision;
 use crate::snapshot::Published;
 use crate::traffic::{ServiceSlots, target_run};
 use shallotfork_feed::{Decoded, FeedChanges, PullResponse, RawItem, precedence};
@@ -88,6 +89,7 @@
         let archive = state.archive.borrow();
         (archive.items(), archive.position())
     };
+    forget_removed(state, &items);
     let DecodedChanges { targets, evacuations } = apply_routes(state, &items, source);
     let now = state.context.clock.now();
     let evacuated = state.evacuations.borrow_mut().replace(evacuations, position, now);
@@ -162,52 +164,39 @@
 /// Applies the routes among the items and returns the other changes.
 fn apply_routes(state: &ControlState, items: &[RawItem], source: &str) -> DecodedChanges {
     let mut decoded = DecodedChanges::default();
+    let mut ignored_targets = Vec::new();
     for item in items {
         match state.feed.decode(item) {
             Decoded::Routes { table, ignored } => {
-                ignored.iter().for_each(|reason| log_ignored(state, item, reason));
-                offer(state, table, item.position, source);
+                offer_table(state, table, &ignored, item.position, source);
             }
-            Decoded::BadRoutes(reason) => {
-                event!(state.context.log, ROUTES_REFUSED, "reason" => reason,
-                    "revision" => item.position.revision().value());
+            Decoded::BadRoutes { version, reason } => {
+                reject_configuration(state, version, &reason, item.position);
             }
             Decoded::Target { change, ignored } => {
-                ignored.iter().for_each(|reason| log_ignored(state, item, reason));
                 decoded.targets.push(change);
+                ignored_targets.extend(track_ignored(state, item, ignored));
+            }
+            Decoded::Evacuation(change) => {
+                decoded.evacuations.push(change);
+                track_ignored(state, item, None);
             }
-            Decoded::Evacuation(change) => decoded.evacuations.push(change),
-            Decoded::BadEvacuation { reason, change } => {
-                event!(state.context.log, EVACUATION_INVALID, "reason" => reason,
-                    "revision" => item.position.revision().value());
+            Decoded::BadEvacuation { ignored, change } => {
                 decoded.evacuations.extend(change);
+                if let Some(ignored) = track_ignored(state, item, Some(ignored)) {
+                    count_ignored(&ignored);
+                    event!(state.context.log, EVACUATION_INVALID, "reason" => ignored.to_string(),
+                        "revision" => item.position.revision().value());
+                }
             }
             Decoded::Ignored => {}
         }
     }
+    let position = items.iter().map(|item| item.position).max().unwrap_or(Position::NONE);
+    report_ignored(state, &ignored_targets, position);
     decoded
 }
 
-/// Logs an invalid part of a published item. The number of log lines is limited, because targets
-/// publish their entries again every second or so.
-fn log_ignored(state: &ControlState, item: &RawItem, reason: &str) {
-    let LogDecision::Write { left_out } = state.context.invalid_log_budget.try_acquire(state.now())
-    else {
-        return;
-    };
-    event!(state.context.log, PUBLISHED_IGNORED, "key" => &item.key, "reason" => reason,
-        "revision" => item.position.revision().value(), "left_out" => left_out);
-}
-
-fn offer(state: &ControlState, table: RouteTable, position: Position, source: &str) {
-    let (version, routes) = (table.version(), table.routes().count());
-    if state.in_force.borrow_mut().offer(table) == OfferOutcome::Accepted {
-        event!(state.context.log, ROUTES_ACCEPTED, "version" => version.number(),
-            "routes" => routes, "revision" => position.revision().value(),
-            "epoch" => position.epoch().value(), "source" => source);
-    }
-}
-
 /// Publishes the current routes, evacuations and targets.
 fn publish(state: &ControlState, changed: &[RosterChange], evacuated: &[EvacuationEvent]) {
     let context = &state.context;
@@ -283,7 +272,7 @@
 
 fn publish_routes(state: &ControlState) {
     let published = state.context.published.load();
-    let table = state.in_force.borrow().table().cloned();
+    let table = state.configuration.borrow().table().cloned();
     state.context.published.store(Arc::new(Published { table, ..Published::clone(&published) }));
     for (service, slots) in state.context.services.all() {
         slots.set_warmup(warmup_of(state, &service));
@@ -291,8 +280,8 @@
 }
 
 fn warmup_of(state: &ControlState, service: &ServiceName) -> Option<Warmup> {
-    let in_force = state.in_force.borrow();
-    in_force.table()?.services().get(service)?.warmup
+    let configuration = state.configuration.borrow();
+    configuration.table()?.services().get(service)?.warmup
 }
 
 /// Publishes since when the platform counts as unavailable.
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -226,7 +226,7 @@
 /// Marks this process as synced, and so able to serve, once routes are in force.
 pub fn mark_synced(state: &ControlState) {
     let is_synced = state.fleet.borrow().own_state().is_synced;
-    if !is_synced && state.in_force.borrow().table().is_some() {
+    if !is_synced && state.configuration.borrow().table().is_some() {
         state.update_own_state(|own| OwnState { is_synced: true, ..own });
         state.ready.send_replace(true);
         update_advertised_entries(state);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -13,11 +13,12 @@
 use shallotfork_peer::Bundle;
 use shallotfork_revisions::PullGate;
 use shallotfork_roster::Roster;
-use shallotfork_routes::TableInForce;
+use shallotfork_routes::Configuration;
 use shallotfork_types::{Endpoint, Mono, Position, ServiceName};
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
+use crate::control::ignored_elements::IgnoredItem;
 use crate::control::peers::Peers;
 use crate::control::pull::PullSource;
 use crate::control::serve_pulls::PullCounts;
@@ -32,8 +33,10 @@
     pub fleet: RefCell<FleetMember>,
     /// Connections to other entries.
     pub peers: Peers,
-    /// Routes in force.
-    pub in_force: RefCell<TableInForce>,
+    /// Routes in force, and whether newer ones are known that are not.
+    pub configuration: RefCell<Configuration>,
+    /// Published targets and evacuations that are not used as published, by key.
+    pub ignored_items: RefCell<BTreeMap<String, IgnoredItem>>,
     /// Published targets.
     pub roster: RefCell<Roster>,
     /// Evacuations of failure domains.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -12,7 +12,7 @@
 use shallotfork_peer::{PeerConfig, PeerId, PeerKey, PeerServer};
 use shallotfork_revisions::PullGate;
 use shallotfork_roster::{Roster, RosterConfig};
-use shallotfork_routes::TableInForce;
+use shallotfork_routes::{Configuration, ConfigurationStatus};
 use shallotfork_timer::{Schedule, TimerService};
 use shallotfork_types::Endpoint;
 use tokio::net::TcpListener;
@@ -21,6 +21,7 @@
 
 use crate::context::{Context, lock};
 use crate::control::advertise::mark_settled;
+use crate::control::configuration::set_metrics;
 use crate::control::handler::Handler;
 use crate::control::heartbeats::{announce_isolation, announce_leaving, run_heartbeats};
 use crate::control::peers::Peers;
@@ -123,6 +124,7 @@
     };
     let own = PeerId::new(context.settings.vm.clone(), context.incarnation);
     let state = Rc::new(new_state(context, feed, &key, &own, ready));
+    set_metrics(&ConfigurationStatus::default());
     let server = PeerServer::new(
         listener,
         key,
@@ -182,7 +184,8 @@
     ControlState {
         fleet: RefCell::new(FleetMember::new(own_announcement(&context), context.clock.now())),
         peers: Peers::new(key.clone(), own.clone(), peer_config()),
-        in_force: RefCell::new(TableInForce::new()),
+        configuration: RefCell::new(Configuration::new()),
+        ignored_items: RefCell::default(),
         roster: RefCell::new(Roster::new(RosterConfig::default())),
         evacuations: RefCell::new(Evacuations::new()),
         feed,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -6,7 +6,7 @@
 use shallotfork_evacuation::Evacuation;
 use shallotfork_fleet::AdvertisedEntry;
 use shallotfork_roster::TargetRecord;
-use shallotfork_routes::RouteTable;
+use shallotfork_routes::{ConfigurationStatus, RouteTable};
 use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
 
 /// Published items that this process has received.
@@ -14,6 +14,8 @@
 pub struct Published {
     /// Routes in force; `None` before the first ones.
     pub table: Option<Arc<RouteTable>>,
+    /// Which configuration is in force, and whether a newer one is known that is not.
+    pub configuration: Arc<ConfigurationStatus>,
     /// All targets, including draining ones.
     pub targets: Arc<HashMap<TargetId, TargetRecord>>,
     /// Evacuated failure domains, whose targets get no further requests.
--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -9,26 +9,21 @@
 use shallotfork_events::{
     CALLER_DISCONNECTED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, REQUEST_REJECTED, event,
 };
-use shallotfork_exchange::{
-    ArrivedAt, BodyLimits, BufferedRequest, CallerConnection, read_request,
-};
-use shallotfork_routes::RepeatPolicy;
-use shallotfork_types::{Bytes, Mono, TargetId};
+use shallotfork_exchange::{ArrivedAt, BodyLimits, CallerConnection, read_request};
+use shallotfork_routes::{CallerLimits, RepeatPolicy, RouteLookup};
+use shallotfork_types::{Mono, TargetId};
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
 use crate::traffic::attempts::run_attempts;
-use crate::traffic::problem_responses::{bad_request, may_have_run, no_route, not_run};
+use crate::traffic::problem_responses::{bad_request, may_have_run, not_run};
 use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
-use crate::traffic::routed_request::{RouteMatch, RoutedRequest};
+use crate::traffic::routed_request::RoutedRequest;
+use crate::traffic::routing::{find_route, reject_unrouted};
 
-/// Retry-after time of an entry that has no routes yet; about the time that it takes to read them.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum time for a body to arrive. Equals the longest timeout that callers set for whole
 /// requests.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size of a body until a limit has been published.
-const DEFAULT_BODY_MAX: Bytes = Bytes::from_mib(8);
 
 /// Handles one request of a caller.
 pub async fn handle_request(context: Arc<Context>, request: poem::Request) -> poem::Response {
@@ -37,13 +32,11 @@
         return bad_request("the request came on no connection");
     };
     context.request_started.notify_one();
-    let body_max = context
-        .published
-        .load()
-        .table
-        .as_ref()
-        .map_or(DEFAULT_BODY_MAX, |table| table.limits().body_max);
-    let limits = BodyLimits { body_max, body_timeout: BODY_TIMEOUT };
+    let caller_limits = match &context.published.load().table {
+        Some(table) => table.limits(),
+        None => CallerLimits::default(),
+    };
+    let limits = BodyLimits { body_max: caller_limits.body_max, body_timeout: BODY_TIMEOUT };
     let request = match read_request(request, &limits, &context.body_budget).await {
         Ok(request) => request,
         Err(error) => {
@@ -56,11 +49,7 @@
     };
     let matched = match find_route(&context, &request) {
         Ok(matched) => matched,
-        Err(reason) => {
-            event!(context.log, REQUEST_REJECTED, "request" => request_id,
-                "reason" => format!("{reason:?}"));
-            return reason.response();
-        }
+        Err(failure) => return reject_unrouted(&context, &request_id, &failure),
     };
     let method = request.method.clone();
     let routed =
@@ -92,8 +81,10 @@
     let Some(table) = &published.table else { return false };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let name = host.rsplit_once(':').map_or(host, |(name, _port)| name).to_ascii_lowercase();
-    let route = table.find(&name, head.uri.path());
-    route.is_some_and(|route| route.repeat_policy == RepeatPolicy::Idempotent)
+    match table.find(&name, head.uri.path()) {
+        RouteLookup::Usable(route) => route.repeat_policy == RepeatPolicy::Idempotent,
+        RouteLookup::Unusable(_) | RouteLookup::NotFound => false,
+    }
 }
 
 fn request_id(context: &Context, headers: &HeaderMap) -> Option<String> {
@@ -101,42 +92,6 @@
     Some(id.to_owned())
 }
 
-/// Reason why no route was found for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RoutingFailure {
-    /// No routes are known yet.
-    Starting,
-    /// No known route covers the request, but this entry is disconnected from the platform and may
-    /// lack a new route. The caller may try another entry.
-    PerhapsNew,
-    /// No route covers the request.
-    NoRoute,
-}
-
-impl RoutingFailure {
-    fn response(self) -> poem::Response {
-        match self {
-            Self::Starting => not_run(STARTING_RETRY_AFTER, "no routes are known yet"),
-            Self::PerhapsNew => {
-                not_run(STARTING_RETRY_AFTER, "the routes known here may be out of date")
-            }
-            Self::NoRoute => no_route(),
-        }
-    }
-}
-
-/// Finds the route in force for a request, and the version of its table.
-fn find_route(context: &Context, request: &BufferedRequest) -> Result<RouteMatch, RoutingFailure> {
-    let published = context.published.load();
-    let table = published.table.as_ref().ok_or(RoutingFailure::Starting)?;
-    let host = request.service.as_str().to_ascii_lowercase();
-    if let Some(route) = table.find(&host, request.path_and_query.path()) {
-        return Ok(RouteMatch { route: Arc::clone(route), version: table.version() });
-    }
-    let is_disconnected = published.platform_disconnected_at.is_some();
-    Err(if is_disconnected { RoutingFailure::PerhapsNew } else { RoutingFailure::NoRoute })
-}
-
 fn respond(completed: CompletedRequest, method: &Method) -> poem::Response {
     match completed.outcome {
         RequestOutcome::Answered(answer) => answer.into_response(method),
--- a/crates/gateway/src/traffic/directory.rs
+++ b/crates/gateway/src/traffic/directory.rs
@@ -8,6 +8,7 @@
 use shallotfork_fleet::endpoints_for_caller;
 
 use crate::context::Context;
+use crate::traffic::configuration_report::readiness_report;
 
 /// Time after the start of a process during which it may not know all other entries.
 const STARTUP_PERIOD: Duration = Duration::from_millis(2500);
@@ -49,10 +50,14 @@
     if is_starting { ttl.min(STARTUP_TTL_MAX) } else { ttl }
 }
 
-/// Answers whether this process accepts new requests.
-pub fn handle_readiness(context: &Arc<Context>, request: &poem::Request) -> StatusCode {
+/// Answers whether this process accepts new requests, by the status. The body tells how far the newest
+/// known configuration is in force, which does not affect the status.
+pub fn handle_readiness(context: &Arc<Context>, request: &poem::Request) -> poem::Response {
     if request.uri().path() != context.dialect.paths.readiness {
-        return StatusCode::NOT_FOUND;
+        return StatusCode::NOT_FOUND.into_response();
     }
-    if context.is_serving() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+    let is_serving = context.is_serving();
+    let status = if is_serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let report = readiness_report(&context.published.load().configuration);
+    report.with_content_type(JSON).with_status(status).into_response()
 }
--- a/crates/routes/src/in_force.rs
+++ b/crates/routes/src/in_force.rs
@@ -11,6 +11,8 @@
     Accepted,
     /// The table was in force already.
     AlreadyInForce,
+    /// A table of the same version and other content is in force.
+    SameVersion,
     /// A later table is in force.
     Older {
         /// The version in force.
@@ -34,8 +36,9 @@
         Self::default()
     }
 
-    /// Puts a table into force if it is later than the current one.
-    pub fn offer(&mut self, table: RouteTable) -> OfferOutcome {
+    /// Puts a table into force if it is later than the current one. A table without limits adopts
+    /// those of the current one.
+    pub fn offer(&mut self, mut table: RouteTable) -> OfferOutcome {
         let Some(current) = &self.table else {
             self.table = Some(Arc::new(table));
             return OfferOutcome::Accepted;
@@ -44,11 +47,12 @@
         if table.version() < in_force {
             return OfferOutcome::Older { in_force };
         }
-        if table.version() == in_force {
-            return OfferOutcome::AlreadyInForce;
+        table.inherit_limits(current);
+        if table.version() > in_force {
+            self.table = Some(Arc::new(table));
+            return OfferOutcome::Accepted;
         }
-        self.table = Some(Arc::new(table));
-        OfferOutcome::Accepted
+        if table == **current { OfferOutcome::AlreadyInForce } else { OfferOutcome::SameVersion }
     }
 
     /// Returns the table in force; `None` if no table has been received yet.
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,15 +1,25 @@
 //! Route tables, which are validated when they are created.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use shallotfork_types::{Bytes, ParseError, ServiceName, Warmup};
-use thiserror::Error;
 
-use crate::route::{Route, RouteName};
+use crate::route::Route;
+use crate::route_error::{DeclaredRoutes, RouteError};
+use crate::unusable::UnusableRoute;
+
+/// Maximum size of a request head while no limits are known.
+const DEFAULT_HEADER_MAX: Bytes = Bytes::from_kib(64);
+/// Maximum size of a body while no limits are known.
+const DEFAULT_BODY_MAX: Bytes = Bytes::from_mib(8);
+/// Timeout for receiving a request head while no limits are known.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an idle connection may be closed while no limits are known.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Version of a route table. Versions increase, possibly with gaps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -65,63 +75,101 @@
     pub idle_timeout: Duration,
 }
 
-/// Reason for rejecting a whole table.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum TableError {
-    /// Two routes have the same name.
-    #[error("route {0} occurs twice")]
-    DuplicateName(RouteName),
-    /// Two routes have the same host and prefix, so that the choice between them would be
-    /// ambiguous.
-    #[error("routes {0} and {1} cover the same requests")]
-    DuplicateMatch(RouteName, RouteName),
-    /// The prefix of a route does not start and end with a slash.
-    #[error("route {0}: the prefix does not start and end with a slash")]
-    InvalidPrefix(RouteName),
-    /// A route refers to a service that is not in the table.
-    #[error("route {0}: unknown service {1}")]
-    UnknownService(RouteName, ServiceName),
-    /// No service of a route has a weight above zero.
-    #[error("route {0}: no service with a weight")]
-    NoService(RouteName),
-    /// A route allows no attempts.
-    #[error("route {0}: no attempt is allowed")]
-    NoAttempts(RouteName),
-    /// The timeout of a route is zero, so that no request could be answered.
-    #[error("route {0}: the timeout is zero")]
-    ZeroTimeout(RouteName),
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_max: DEFAULT_HEADER_MAX,
+            body_max: DEFAULT_BODY_MAX,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        }
+    }
+}
+
+/// Result of a search for the route of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteLookup<'a> {
+    /// The route that handles the request.
+    Usable(&'a Arc<Route>),
+    /// The request belongs to a route that can't be used, so no other route may handle it.
+    Unusable(&'a UnusableRoute),
+    /// No route covers the request.
+    NotFound,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum TableRoute {
+    Usable(Arc<Route>),
+    Unusable(UnusableRoute),
+}
+
+impl TableRoute {
+    fn host(&self) -> &str {
+        match self {
+            Self::Usable(route) => &route.host,
+            Self::Unusable(route) => &route.host,
+        }
+    }
+
+    fn prefix(&self) -> &str {
+        match self {
+            Self::Usable(route) => &route.prefix,
+            Self::Unusable(route) => &route.prefix,
+        }
+    }
 }
 
-/// Routes and services of one version. Every table is consistent, because it can only be created by
-/// [`RouteTable::new`].
+/// Routes and services of one version.
+///
+/// A usable route in a table is always valid, and both its name and its host and prefix are unique.
+/// Routes for which that does not hold are unusable: the table keeps their hosts and prefixes, so that
+/// requests to them are neither answered as unknown nor handled by a route with a shorter prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteTable {
     version: TableVersion,
     /// Routes by host. Those with longer prefixes come first, so that the first match is the most
     /// specific one.
-    routes: BTreeMap<String, Vec<Arc<Route>>>,
+    routes: BTreeMap<String, Vec<TableRoute>>,
     services: BTreeMap<ServiceName, ServiceSpec>,
-    limits: CallerLimits,
+    /// `None` if no valid limits are published with the table.
+    limits: Option<CallerLimits>,
 }
 
 impl RouteTable {
-    /// Creates a table from routes, services and limits, and validates them.
-    ///
-    /// # Errors
-    /// Returns all errors in the table.
-    pub fn new(
-        version: TableVersion,
-        routes: Vec<Route>,
-        services: BTreeMap<ServiceName, ServiceSpec>,
-        limits: CallerLimits,
-    ) -> Result<Self, Vec<TableError>> {
-        let mut errors: Vec<TableError> =
-            routes.iter().flat_map(|route| check_route(route, &services)).collect();
-        errors.extend(check_unique(&routes));
-        if !errors.is_empty() {
-            return Err(errors);
-        }
-        Ok(Self { version, routes: by_host(routes), services, limits })
+    /// Creates a table without routes, services and limits.
+    pub fn new(version: TableVersion) -> Self {
+        Self { version, routes: BTreeMap::new(), services: BTreeMap::new(), limits: None }
+    }
+
+    /// Replaces the services.
+    #[must_use]
+    pub fn with_services(self, services: BTreeMap<ServiceName, ServiceSpec>) -> Self {
+        Self { services, ..self }
+    }
+
+    /// Replaces the limits for callers.
+    #[must_use]
+    pub fn with_limits(self, limits: CallerLimits) -> Self {
+        Self { limits: Some(limits), ..self }
+    }
+
+    /// Replaces the routes, which refer to the services of the table. A route of `routes` that is not
+    /// valid, or that has the same host and prefix as any other one, becomes unusable.
+    #[must_use]
+    pub fn with_routes(self, routes: Vec<Route>, unusable: Vec<UnusableRoute>) -> Self {
+        let errors: Vec<Vec<RouteError>> = {
+            let declared = DeclaredRoutes::new(&routes, &unusable);
+            routes.iter().map(|route| declared.check(route, &self.services)).collect()
+        };
+        let checked = routes.into_iter().zip(errors).map(|(route, errors)| {
+            if errors.is_empty() {
+                TableRoute::Usable(Arc::new(route))
+            } else {
+                TableRoute::Unusable(UnusableRoute::from_errors(&route, &errors))
+            }
+        });
+        let unusable = unusable.into_iter().map(TableRoute::Unusable);
+        Self { routes: by_host(checked.chain(unusable)), ..self }
     }
 
     /// Returns the version of the table.
@@ -130,13 +178,33 @@
     }
 
     /// Returns the route with the longest prefix that matches the request.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.routes.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
+    pub fn find(&self, host: &str, path: &str) -> RouteLookup<'_> {
+        let routes = self.routes.get(host).map(Vec::as_slice).unwrap_or_default();
+        let found = routes.iter().find(|route| match route {
+            TableRoute::Usable(route) => path.starts_with(&route.prefix),
+            TableRoute::Unusable(route) => route.covers(path),
+        });
+        match found {
+            Some(TableRoute::Usable(route)) => RouteLookup::Usable(route),
+            Some(TableRoute::Unusable(route)) => RouteLookup::Unusable(route),
+            None => RouteLookup::NotFound,
+        }
     }
 
-    /// Returns all routes, grouped by host.
+    /// Returns the usable routes, grouped by host.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.routes.values().flatten().map(Arc::as_ref)
+        self.routes.values().flatten().filter_map(|route| match route {
+            TableRoute::Usable(route) => Some(route.as_ref()),
+            TableRoute::Unusable(_) => None,
+        })
+    }
+
+    /// Returns the unusable routes, grouped by host.
+    pub fn unusable_routes(&self) -> impl Iterator<Item = &UnusableRoute> {
+        self.routes.values().flatten().filter_map(|route| match route {
+            TableRoute::Usable(_) => None,
+            TableRoute::Unusable(route) => Some(route),
+        })
     }
 
     /// Returns all services.
@@ -144,53 +212,29 @@
         &self.services
     }
 
-    /// Returns the limits for callers.
+    /// Returns the limits for callers; the defaults if none are known.
     pub fn limits(&self) -> CallerLimits {
-        self.limits
+        self.limits.unwrap_or_default()
+    }
+
+    /// Adopts the limits of an earlier table if none are published with this one.
+    pub(crate) fn inherit_limits(&mut self, earlier: &Self) {
+        self.limits = self.limits.or(earlier.limits);
     }
 }
 
-fn by_host(routes: Vec<Route>) -> BTreeMap<String, Vec<Arc<Route>>> {
-    let mut by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+fn by_host(routes: impl Iterator<Item = TableRoute>) -> BTreeMap<String, Vec<TableRoute>> {
+    let mut by_host: BTreeMap<String, Vec<TableRoute>> = BTreeMap::new();
     for route in routes {
-        by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        by_host.entry(route.host().to_owned()).or_default().push(route);
     }
     for routes in by_host.values_mut() {
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        // The order of routes with prefixes of one length does not depend on that of their publication,
+        // so that equal tables compare as equal.
+        routes.sort_by(|one, other| {
+            let (one, other) = (one.prefix(), other.prefix());
+            other.len().cmp(&one.len()).then_with(|| one.cmp(other))
+        });
     }
     by_host
 }
-
-fn check_route(
-    route: &Route,
-    services: &BTreeMap<ServiceName, ServiceSpec>,
-) -> impl Iterator<Item = TableError> {
-    let name = || route.name.clone();
-    let has_slashes = route.prefix.starts_with('/') && route.prefix.ends_with('/');
-    let total_weight: u64 = route.services.iter().map(|weighted| u64::from(weighted.weight)).sum();
-    let unknown =
-        route.services.iter().filter(|weighted| !services.contains_key(&weighted.service));
-    let mut errors: Vec<TableError> = unknown
-        .map(|weighted| TableError::UnknownService(name(), weighted.service.clone()))
-        .collect();
-    errors.extend((!has_slashes).then(|| TableError::InvalidPrefix(name())));
-    errors.extend((total_weight == 0).then(|| TableError::NoService(name())));
-    errors.extend((route.attempts_max == 0).then(|| TableError::NoAttempts(name())));
-    errors.extend(route.timeout.is_zero().then(|| TableError::ZeroTimeout(name())));
-    errors.into_iter()
-}
-
-fn check_unique(routes: &[Route]) -> Vec<TableError> {
-    let mut names = BTreeSet::new();
-    let mut matches: BTreeMap<(&str, &str), &RouteName> = BTreeMap::new();
-    let mut errors = Vec::new();
-    for route in routes {
-        if !names.insert(&route.name) {
-            errors.push(TableError::DuplicateName(route.name.clone()));
-        }
-        if let Some(other) = matches.insert((&route.host, &route.prefix), &route.name) {
-            errors.push(TableError::DuplicateMatch(other.clone(), route.name.clone()));
-        }
-    }
-    errors
-}
