feat(shallotctl): show which configuration entries have in force

shallotctl could not reach the entries that read published routes, so an operator had to search every entry's log to learn whether a configuration was in force. The command configuration reads the metrics ports of entries and exits with 1 unless all have the same version in force as a whole and know no newer one.

--- a/crates/shallotctl/src/args.rs
+++ b/crates/shallotctl/src/args.rs
@@ -12,7 +12,8 @@
 use shallotfork_types::{Endpoint, Permille};
 
 use crate::command::{
-    AuditConfig, CheckConfig, ExplainConfig, RulesSource, StatusConfig, WatchConfig,
+    AuditConfig, CheckConfig, ConfigurationConfig, ExplainConfig, RulesSource, StatusConfig,
+    WatchConfig,
 };
 use crate::entries_config::EntriesConfig;
 use crate::help;
@@ -32,6 +33,8 @@
     Status(StatusConfig),
     /// Wait until a revision is in force.
     Watch(WatchConfig),
+    /// Show the configuration of entries.
+    Configuration(ConfigurationConfig),
     /// Show the audit trails of entries.
     Audit(AuditConfig),
 }
@@ -58,6 +61,7 @@
         Some("explain") => options.explain(),
         Some("status") => options.status(),
         Some("watch") => options.watch(),
+        Some("configuration") => options.configuration(),
         Some("audit") => options.audit(),
         _ => bail!("unknown command {}", command.display()),
     }
@@ -158,6 +162,14 @@
         self.finish(Invocation::Audit(config))
     }
 
+    fn configuration(mut self) -> Result<Invocation> {
+        if self.help {
+            return Ok(Invocation::Help(help::CONFIGURATION));
+        }
+        let config = ConfigurationConfig { entries: self.required_entries()?, json: self.json };
+        self.finish(Invocation::Configuration(config))
+    }
+
     fn required_entries(&mut self) -> Result<EntriesConfig> {
         let entries = self.entries()?;
         ensure!(!entries.entries.is_empty(), "--entry is missing");
--- a/crates/shallotctl/src/entries.rs
+++ b/crates/shallotctl/src/entries.rs
@@ -1,4 +1,4 @@
-//! HTTP client for the operator port of entries.
+//! HTTP client for the ports of entries that operators use.
 
 use std::fs;
 
@@ -11,7 +11,7 @@
 
 use crate::entries_config::EntriesConfig;
 
-/// Read-only client for the operator port of entries.
+/// Read-only client for the operator ports, or the metrics ports, of entries.
 #[derive(Debug)]
 pub struct EntriesClient {
     client: Client,
@@ -22,7 +22,7 @@
 /// Result of a request to one entry.
 #[derive(Debug)]
 pub struct EntryResponse<T> {
-    /// Operator port of the entry.
+    /// Address that was queried.
     pub entry: Endpoint,
     /// The report, or the error if the entry returned none.
     pub report: Result<T>,
@@ -58,6 +58,15 @@
         self.get_all("/v1/audit").await
     }
 
+    /// Returns the metrics of every entry as text, in the order given.
+    pub async fn metrics(&self) -> Vec<EntryResponse<String>> {
+        let requests = self.config.entries.iter().map(async |entry| {
+            let report = self.get_text(*entry, "/metrics").await;
+            EntryResponse { entry: *entry, report }
+        });
+        join_all(requests).await
+    }
+
     /// Returns the text of a list in force at the first entry, or `None` if it has no such list.
     ///
     /// # Errors
--- a/crates/shallotctl/src/entries_config.rs
+++ b/crates/shallotctl/src/entries_config.rs
@@ -5,10 +5,10 @@
 
 use shallotfork_types::Endpoint;
 
-/// Entries to query on their operator ports, and how to query them.
+/// Entries to query, and how to query them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntriesConfig {
-    /// Addresses of the operator ports.
+    /// Addresses of the operator ports, or of the metrics ports if metrics are read.
     pub entries: Vec<Endpoint>,
     /// File with the token that the operator ports require.
     pub token_file: Option<PathBuf>,
--- a/crates/shallotctl/src/help.rs
+++ b/crates/shallotctl/src/help.rs
@@ -10,6 +10,7 @@
   shallotctl status --entry ADDRS     what each entry does now
   shallotctl watch REVISION ...       wait until a revision is in force everywhere
   shallotctl audit --entry ADDRS      which changes took effect, when and where
+  shallotctl configuration --entry ADDRS  which routes are in force, and which are not
   shallotctl COMMAND --help           options and examples of one command
   shallotctl --version
 
@@ -17,7 +18,8 @@
 
 Exit codes:
   0  done; the answer is yes
-  1  the answer is no: the list is not valid, or not in force everywhere in time
+  1  the answer is no: the list is not valid, or not in force everywhere in time;
+     or the configuration is not in force as a whole
   2  the command line is wrong
   3  a file cannot be read, or an entry did not answer
 ";
@@ -105,3 +107,22 @@
 
 Exit codes: 0 every entry answered, 2 wrong command line, 3 an entry did not answer.
 ";
+
+/// Output of `shallotctl configuration --help`.
+pub const CONFIGURATION: &str = "\
+Usage: shallotctl configuration --entry ADDR[,ADDR...] [--timeout-ms N] [--json]
+
+Shows for each entry which version of the published routes, services and limits it has in force, how
+much of it can't be used, and the newest published one that is not in force. The entry's log says why
+(events 2012, 2016 and 2017). For entries that read published routes (shallotfork-node).
+ADDR is the IP number and port at which the entry gives its metrics.
+
+  --timeout-ms N     how long one entry may take to answer, 2000 by default
+  --json             output for scripts
+
+Example:
+  shallotctl configuration --entry 10.0.0.1:7200,10.0.0.2:7200 || page-someone
+
+Exit codes: 0 the newest known configuration is in force everywhere as a whole, 1 it is not,
+2 wrong command line, 3 an entry did not answer.
+";
--- a/crates/shallotctl/src/main.rs
+++ b/crates/shallotctl/src/main.rs
@@ -45,6 +45,7 @@
         Invocation::Explain(config) => command::explain(&config).await,
         Invocation::Status(config) => command::status(&config).await,
         Invocation::Watch(config) => command::watch(&config).await,
+        Invocation::Configuration(config) => command::configuration(&config).await,
         Invocation::Audit(config) => command::audit(&config).await,
     }
 }
--- a/crates/shallotctl/tests/shallotctl/offline.rs
+++ b/crates/shallotctl/tests/shallotctl/offline.rs
@@ -91,7 +91,7 @@
 
 #[test]
 fn every_command_has_help_with_its_exit_codes() {
-    for command in ["check", "explain", "status", "watch", "audit"] {
+    for command in ["check", "explain", "status", "watch", "audit", "configuration"] {
         let run = shallotctl(&[command, "--help"]);
         let complete = run.stdout.contains("Example:") && run.stdout.contains("Exit codes:");
         assert!(complete && run.code == 0, "{command}: {}", run.stdout);
--- a/crates/shallotctl/tests/shallotctl/online.rs
+++ b/crates/shallotctl/tests/shallotctl/online.rs
@@ -147,3 +147,47 @@
     insta::assert_snapshot!(run.stdout);
     assert_eq!(0, run.code);
 }
+
+/// Returns the metrics of an entry with this configuration, among others with similar names.
+fn metrics(version: u64, unusable: u64, ignored: u64, newer: (u64, u64)) -> String {
+    let (newer_version, newer_revision) = newer;
+    format!(
+        "# TYPE shallotfork_configuration_version gauge\n\
+         shallotfork_configuration_version {version}\n\
+         shallotfork_configuration_unusable_routes {unusable}\n\
+         shallotfork_configuration_ignored_elements {ignored}\n\
+         shallotfork_ignored_elements{{kind=\"route\"}} 9\n\
+         shallotfork_configuration_not_in_force_version {newer_version}\n\
+         shallotfork_configuration_not_in_force_revision {newer_revision}\n"
+    )
+}
+
+/// Guards against an operator who takes a configuration for being in force because the platform has
+/// acknowledged it.
+#[test]
+fn configuration_shows_what_is_not_in_force() {
+    let entry = |text: &str| FakeEntry::with_answers(&[text]);
+    let entries = [
+        entry(&metrics(7, 0, 0, (0, 0))),
+        entry(&metrics(7, 1, 3, (0, 0))),
+        entry(&metrics(6, 0, 0, (7, 21))),
+        entry(&metrics(0, 0, 0, (0, 21))),
+    ];
+    let run = run_against(&["configuration"], &entries);
+    insta::assert_snapshot!(without_padding(&run.stdout));
+    assert_eq!(1, run.code);
+    let run = run_against(&["configuration", "--json"], &entries[2..3]);
+    insta::assert_snapshot!("configuration_json", run.stdout);
+    assert_eq!(1, run.code);
+}
+
+/// Guards against reporting success while one entry has an older version in force, or gives no metrics.
+#[test]
+fn configuration_succeeds_if_all_entries_agree() {
+    let complete = |version| FakeEntry::with_answers(&[&metrics(version, 0, 0, (0, 0))]);
+    assert_eq!(0, run_against(&["configuration"], &[complete(7), complete(7)]).code);
+    assert_eq!(1, run_against(&["configuration"], &[complete(7), complete(6)]).code);
+    assert_eq!(1, run_against(&["configuration"], &[complete(0)]).code);
+    let other = FakeEntry::with_answers(&["shallotd_ready 1\n"]);
+    assert_eq!(3, run_against(&["configuration"], &[complete(7), other]).code);
+}
