feat(balance): one long run does not make its target look slow

A run of seven times the usual time raised the work time factor of its target by three quarters, and late in the run the target seemed to hang, so it was avoided without cause. In classes with a long tail, a run beyond three times the median counts as long work; it changes neither the target's statistics nor the usual time of the class unless three of the target's last eight runs are long. Runs that hedges cancel count as well, or a slow target would never be measured.

--- a/crates/balance/src/slots/estimate.rs
+++ b/crates/balance/src/slots/estimate.rs
@@ -200,6 +200,16 @@
         let sample_us = work_us * ratio;
         let weight = if known { WORK_WEIGHT } else { 1.0 };
         self.work_us.insert(class.clone(), work_us + (sample_us - work_us) * weight);
+        self.record_mean(sample_us);
+    }
+
+    /// Records long work, whose time at usual speed is not the usual time of its class. It counts in
+    /// the mean over all classes, since it occupies slots like other work.
+    pub(super) fn record_long_work(&mut self, class: &WorkClass, time_us: f64) {
+        self.record_mean(time_us.min(self.work_us(class) * SAMPLE_RATIO_MAX));
+    }
+
+    fn record_mean(&mut self, sample_us: f64) {
         let mean_us = self.mean_work_us.get_or_insert(sample_us);
         *mean_us += (sample_us - *mean_us) * WORK_WEIGHT;
     }
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -9,6 +9,7 @@
 mod estimate;
 mod hedge;
 mod limits;
+mod long_work;
 mod pool;
 mod probe_budget;
 mod published;
--- a/crates/balance/src/slots/run_cost.rs
+++ b/crates/balance/src/slots/run_cost.rs
@@ -8,9 +8,10 @@
 use crate::AttemptId;
 
 impl Target {
-    /// Records how long a cancelled attempt has run; says nothing about the target.
+    /// Records how long a cancelled attempt has run. It is no fault of the target. Only if such runs
+    /// recur at the target, it counts as slow: hedges end its runs, so that few of them are answered.
     pub(super) fn record_cancelled(
-        &self,
+        &mut self,
         running: &RunningAttempt,
         estimates: &mut Estimates,
         now: Mono,
@@ -19,7 +20,12 @@
         if !self.is_cold(running.started_at) {
             let cost = slowdown * estimates.saturation_cost(running.was_saturated_at_start);
             let time_us = now.since(running.started_at).as_micros() as f64;
-            estimates.work_times.record_cancelled(&running.class, time_us / cost);
+            let long_us = estimates.work_times.record_cancelled(&running.class, time_us / cost);
+            if let Some(long_us) = long_us
+                && !self.long_work.record(true)
+            {
+                self.record_work_time_ratio(long_us / estimates.work_us(&running.class));
+            }
         }
     }
 
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -6,6 +6,7 @@
 
 use super::config::SlotPoolConfig;
 use super::estimate::{Estimates, SlowdownReport, unsaturated_slots};
+use super::long_work::RecentLongWork;
 use super::published::{SlotOutcome, SlotTarget, StateChange, TargetLoad};
 use super::rate_share::RateShare;
 use super::{SlotRequest, WorkClass};
@@ -83,6 +84,7 @@
     /// Mean of the slowdowns that the target has reported.
     mean_slowdown: Option<f64>,
     work_time_factor: f64,
+    pub(super) long_work: RecentLongWork,
     failure_rate: f64,
     consecutive_failures: u32,
     ejections: u32,
@@ -116,6 +118,7 @@
             slowdown: None,
             mean_slowdown: None,
             work_time_factor: 1.0,
+            long_work: RecentLongWork::default(),
             failure_rate: 0.0,
             consecutive_failures: 0,
             ejections: 0,
@@ -377,6 +380,10 @@
         let (class, is_saturated) =
             (self.running[index].class.clone(), self.running[index].was_saturated_at_start);
         let expected_us = self.base_time_us(&class, is_saturated, now, estimates) * slowdown;
+        let longest_us = estimates.work_times.longest_us(&class)
+            * slowdown
+            * estimates.saturation_cost(is_saturated);
+        let expected_us = expected_us.max(longest_us / config.overdue_factor);
         let running = &mut self.running[index];
         let first = !running.is_sent;
         running.started_at = now;
@@ -448,14 +455,14 @@
         }
         let time_us = latency.as_micros() as f64;
         let cost = slowdown * estimates.saturation_cost(running.was_saturated_at_start);
-        estimates.work_times.record(&running.class, time_us / cost);
+        let is_long = estimates.work_times.record(&running.class, time_us / cost);
+        if self.long_work.record(is_long) {
+            return estimates.record_long_work(&running.class, time_us / cost);
+        }
         let usual_us = estimates.work_us(&running.class)
             * slowdown
             * estimates.saturation_cost(running.was_saturated_at_start);
-        let ratio = (time_us / usual_us).min(WORK_TIME_SAMPLE_MAX);
-        self.work_time_factor += (ratio - self.work_time_factor) * WORK_TIME_FACTOR_WEIGHT;
-        self.work_time_factor =
-            self.work_time_factor.clamp(WORK_TIME_FACTOR_BOUNDS.0, WORK_TIME_FACTOR_BOUNDS.1);
+        self.record_work_time_ratio(time_us / usual_us);
         estimates.record_run_ratio(
             time_us / (estimates.work_us(&running.class) * slowdown),
             running.met_saturation,
@@ -468,6 +475,14 @@
         );
     }
 
+    /// Records the time of a run as a multiple of the time expected at a target of average speed.
+    pub(super) fn record_work_time_ratio(&mut self, ratio: f64) {
+        let ratio = ratio.min(WORK_TIME_SAMPLE_MAX);
+        self.work_time_factor += (ratio - self.work_time_factor) * WORK_TIME_FACTOR_WEIGHT;
+        self.work_time_factor =
+            self.work_time_factor.clamp(WORK_TIME_FACTOR_BOUNDS.0, WORK_TIME_FACTOR_BOUNDS.1);
+    }
+
     /// Discards all failures, so that the target is used like one that has never failed.
     pub(super) fn clear_failures(&mut self) {
         self.failure_rate = 0.0;
--- a/crates/balance/src/slots/work_times.rs
+++ b/crates/balance/src/slots/work_times.rs
@@ -32,6 +32,9 @@
 /// Multiple of the median above which work counts as long. A run in a slow phase that its target
 /// did not report, or an ordinary spread of work times, stays below it or is rare.
 const LONG_WORK_RATIO: f64 = 3.0;
+/// Multiple of the time after which a run has taken longer than most, above which a cancelled run
+/// seems to be long work. An early hedge that wins cancels the first attempt after more than that.
+const CANCELLED_LONG_RATIO: f64 = 1.5;
 /// Quantile that is long work in a distribution with a long tail.
 const TAIL_QUANTILE: f64 = 0.98;
 /// Quantile at which a run has taken longer than most. It bounds the share of hedged requests to 15
@@ -90,16 +93,30 @@
     ///
     /// Hedges cancel most of the long runs. If these were left out, the tail would seem to disappear
     /// as soon as hedges are sent. A run cancelled after less than the median says nothing new.
-    pub(super) fn record_cancelled(&mut self, class: &WorkClass, time_us: f64) {
-        let Some(distribution) = self.classes.get_mut(class) else { return };
+    ///
+    /// Returns the time that the run would probably have taken if it seems to be long work of a class
+    /// with a long tail.
+    pub(super) fn record_cancelled(&mut self, class: &WorkClass, time_us: f64) -> Option<f64> {
+        let distribution = self.classes.get_mut(class)?;
         if !time_us.is_finite() || distribution.times.len() < CANCELLED_SAMPLES_MIN {
-            return;
+            return None;
         }
         let units = in_units(time_us);
-        if units > distribution.times.value_at_quantile(0.5) {
-            let expected_units = distribution.median_beyond(units);
-            distribution.record(expected_units);
+        if units <= distribution.times.value_at_quantile(0.5) {
+            return None;
         }
+        let expected_units = distribution.median_beyond(units);
+        distribution.record(expected_units);
+        let seems_long = distribution.long_tail.is_some_and(|long_tail| {
+            time_us > long_tail.slower_than_most_us * CANCELLED_LONG_RATIO
+        });
+        seems_long.then_some(expected_units as f64 * RESOLUTION_US)
+    }
+
+    /// Returns the time up to which long work of a class with a long tail is usual; zero without a
+    /// long tail.
+    pub(super) fn longest_us(&self, class: &WorkClass) -> f64 {
+        self.long_tail(class).map_or(0.0, |long_tail| long_tail.longest_us)
     }
 
     /// Returns the figures of a class with a long tail; `None` if it has none or few samples.
--- a/crates/balance/tests/hedge_timing.rs
+++ b/crates/balance/tests/hedge_timing.rs
@@ -47,7 +47,7 @@
 /// Creates a pool in which runs with these times have ended at one of two targets of usual speed.
 fn pool_after(times_ms: impl IntoIterator<Item = u64>) -> SlotPool {
     let mut pool = named_pool("vm-0", &[]);
-    let targets = ["one", "two"].map(|name| SlotTarget { slots: 4, ..target(name) });
+    let targets = ["one", "two"].map(|name| SlotTarget { slots: 2, ..target(name) });
     pool.set_targets(targets.to_vec(), at(0));
     for time_ms in times_ms {
         run_for(&mut pool, time_ms, |latency| SlotOutcome::Answered { latency });
@@ -191,21 +191,17 @@
 #[test]
 fn early_hedge_needs_an_unsaturated_target_and_an_empty_queue() {
     let mut pool = pool_after(uneven_times_ms());
-    let mut first = Vec::new();
-    // Of four slots two can be in use without saturating the target.
-    for _ in 0..3 {
-        let Admission::Send(assignment) = pool.admit(request(OBJECTIVE_MS), at(0)) else {
-            panic!("a slot is free");
-        };
-        first.push(assignment);
-    }
+    // Of two slots one can be in use without saturating the target.
+    let Admission::Send(first) = pool.admit(request(OBJECTIVE_MS), at(0)) else {
+        panic!("a slot is free");
+    };
     let hedge = pool.assign_early_hedge(&request(OBJECTIVE_MS), at(0)).unwrap();
     assert_eq!(pool.assign_early_hedge(&request(OBJECTIVE_MS), at(0)), None);
     assert!(pool.assign_hedge(&request(OBJECTIVE_MS), at(0)).is_some());
     pool.finish(hedge.attempt, SlotOutcome::Cancelled, None, at(0));
     while let Admission::Send(_) = pool.admit(request(OBJECTIVE_MS), at(0)) {}
     assert_eq!(pool.queued(), 1);
-    pool.finish(first[0].attempt, SlotOutcome::Cancelled, None, at(0));
+    pool.finish(first.attempt, SlotOutcome::Cancelled, None, at(0));
     assert_eq!(pool.assign_early_hedge(&request(OBJECTIVE_MS), at(0)), None);
 }
 
