--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -10,6 +10,7 @@
 mod fair_order;
 mod hedge;
 mod limits;
+mod long_work;
 mod pool;
 mod probe_budget;
 mod published;
