feat(gateway): room for large answers is reserved before their requests are sent

Requests of routes with large answers were sent whatever the memory and the link already had to carry. Now such a request reserves room once it has a slot; if it has to wait, others may use the slot. What can't be transferred in time is refused as not run, with the reason no-room and Retry-After. Retries use the room of the first attempt, a hedge is sent only if there is room for a second answer. The room is released when the answer's body is dropped. Metrics and event 7022 tell what is reserved and refused. Ordinary routes take none of these steps.

--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -53,6 +53,8 @@
     Suspected,
     /// This process reaches no target.
     NoPath,
+    /// The answer does not fit into the memory and the link of this process in time.
+    NoRoom,
 }
 
 impl ShedReason {
@@ -67,6 +69,7 @@
             Self::Quarantined => "quarantined",
             Self::Suspected => "suspected",
             Self::NoPath => "no-path",
+            Self::NoRoom => "no-room",
         }
     }
 }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -76,5 +76,7 @@
     CALLER_DISCONNECTED = 7006 Info "caller disconnected before its request was sent";
     TARGET_CRASHED = 7007 Warning "target crashed while it ran a request";
     REQUEST_QUARANTINED = 7008 Error "request quarantined: it crashes the targets that run it";
+    TRANSFER_BROKEN = 7021 Warning "transfer of a large answer ended before its last byte";
+    LARGE_ANSWERS = 7022 Info "room for large answers";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
+use crate::large::LargeAnswers;
 use crate::log_budget::LogBudget;
 use crate::settings::GatewaySettings;
 use crate::snapshot::{FleetSnapshot, Published};
@@ -63,6 +64,8 @@
     pub probe_counts: ProbeCounters,
     /// Budget for the bodies held in memory.
     pub body_budget: BodyBudget,
+    /// Room and pace of large answers.
+    pub large_answers: Arc<LargeAnswers>,
     /// Slots of each service.
     pub services: Services,
     /// Signalled when a request starts to wait for a slot.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod control;
 mod dialect;
+mod large;
 mod leave;
 mod log_budget;
 mod metrics_page;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -28,6 +28,7 @@
 use crate::context::{Context, PriorWaitEstimators, Services};
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
+use crate::large::LargeAnswers;
 use crate::leave::{leave, leave_before_serving};
 use crate::log_budget::LogBudget;
 use crate::metrics_page::MetricsPage;
@@ -96,12 +97,14 @@
     let metrics = MetricsPage::install()?;
     let process = Process::new(log.clone());
     let body_budget = BodyBudget::new(settings.body_budget);
+    let clock = Clock::new();
+    let large_answers = LargeAnswers::new(settings.body_budget, settings.link_bandwidth, clock);
     let threads = settings.traffic_threads.max(1);
     let context = Arc::new(Context {
         settings,
         incarnation,
         dialect,
-        clock: Clock::new(),
+        clock,
         log,
         phase: process.watch(),
         published: ArcSwap::from_pointee(Published::default()),
@@ -118,6 +121,7 @@
         forwarded_count: AtomicUsize::new(0),
         probe_counts: ProbeCounters::default(),
         body_budget,
+        large_answers,
         services: Services::default(),
         request_queued: Arc::new(Notify::new()),
         splitter: Mutex::new(Splitter::new()),
--- a/crates/gateway/src/traffic/attempt_history.rs
+++ b/crates/gateway/src/traffic/attempt_history.rs
@@ -8,6 +8,7 @@
 use shallotfork_quarantine::SendKind;
 use shallotfork_types::TargetId;
 
+use crate::traffic::answer_room::AnswerRoom;
 use crate::traffic::attempt_outcome::AttemptOutcome;
 use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
 use crate::traffic::routed_request::RoutedRequest;
@@ -32,8 +33,10 @@
     /// Targets that must not be selected again.
     pub excluded: Vec<TargetId>,
     unreachable_count: u32,
-    /// Time spent waiting for slots.
+    /// Time spent waiting for slots and for room.
     pub queued: Duration,
+    /// Room for the answer, from the first attempt on.
+    pub room: AnswerRoom,
     may_have_run: bool,
     /// Server error of a target, forwarded to the caller if no later attempt is answered.
     server_error: Option<BufferedAnswer>,
@@ -77,8 +80,8 @@
 
     /// Completes a request with an outcome that needs no further decision.
     pub fn complete(self, outcome: RequestOutcome) -> CompletedRequest {
-        let Self { tried, queued, .. } = self;
-        CompletedRequest { outcome, tried, queued, is_forwarded: false }
+        let Self { tried, queued, room, .. } = self;
+        CompletedRequest { outcome, tried, queued, room, is_forwarded: false }
     }
 
     /// Completes a request that was forwarded to another entry. The other entry's rejection does not
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -4,6 +4,7 @@
 
 use shallotfork_balance::Shed;
 
+use crate::traffic::answer_room::{RoomCheck, check_room, wait_for_room};
 use crate::traffic::attempt_history::AttemptHistory;
 use crate::traffic::attempt_outcome::AttemptOutcome;
 use crate::traffic::forward::{forward, reject_without_path, should_forward, wait_until_forwarded};
@@ -27,10 +28,14 @@
     }
     let mut history = AttemptHistory::default();
     loop {
-        if should_forward(routed)
-            && let Some(outcome) = forward(routed).await
-        {
-            return history.complete_forwarded(outcome);
+        if should_forward(routed) {
+            // The answer passes through this entry as one of a target would.
+            if let Err(shed) = reserve_room_for_forwarding(routed, &mut history).await {
+                return history.complete_without_slot(shed);
+            }
+            if let Some(outcome) = forward(routed).await {
+                return history.complete_forwarded(outcome);
+            }
         }
         if let Some(shed) = reject_without_path(context) {
             return history.complete_without_slot(shed);
@@ -52,6 +57,25 @@
         if routed.caller.is_closed() {
             return history.complete(RequestOutcome::CallerLeft);
         }
+        match check_room(routed, history.room.take()) {
+            Ok(RoomCheck::Send(room)) => history.room = room,
+            Ok(RoomCheck::Wait(pending)) => {
+                // Others may use the slot meanwhile.
+                drop(slot);
+                let requested_at = context.clock.now();
+                let reserved = tokio::select! {
+                    reserved = wait_for_room(pending) => reserved,
+                    () = wait_until_forwarded(routed) => continue,
+                };
+                history.queued += context.clock.now().since(requested_at);
+                match reserved {
+                    Ok(room) => history.room = room,
+                    Err(shed) => return history.complete_without_slot(shed),
+                }
+                continue;
+            }
+            Err(shed) => return history.complete_without_slot(shed),
+        }
         // Checks again, since other runs may have started or ended while the request waited.
         let run = match begin_run(routed, history.next_send_kind()) {
             Ok(run) => run,
@@ -73,6 +97,18 @@
     }
 }
 
+/// Reserves room for the answer to a request that is forwarded; waits until there is room.
+async fn reserve_room_for_forwarding(
+    routed: &RoutedRequest,
+    history: &mut AttemptHistory,
+) -> Result<(), Shed> {
+    history.room = match check_room(routed, history.room.take())? {
+        RoomCheck::Send(room) => room,
+        RoomCheck::Wait(pending) => wait_for_room(pending).await?,
+    };
+    Ok(())
+}
+
 /// Acquires a slot at a target that a probe has just found neither slow nor full.
 ///
 /// A request is rejected if all probed targets are full. Otherwise it would queue at one of them,
--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::header::HOST;
-use http::{HeaderMap, Method};
 use metrics::{counter, histogram};
 use shallotfork_events::{
     CALLER_DISCONNECTED, REQUEST_ANSWERED, REQUEST_NOT_ANSWERED, REQUEST_REJECTED, event,
@@ -17,6 +17,7 @@
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
+use crate::traffic::answer_response::answer_response;
 use crate::traffic::attempts::run_attempts;
 use crate::traffic::problem_responses::{bad_request, may_have_run, no_route, not_run};
 use crate::traffic::request_outcome::{CompletedRequest, RequestOutcome};
@@ -62,7 +63,6 @@
             return reason.response();
         }
     };
-    let method = request.method.clone();
     let routed =
         RoutedRequest::new(Arc::clone(&context), request, request_id, matched, arrived_at, caller);
     let completed = tokio::select! {
@@ -71,7 +71,7 @@
         () = context.wait_for_answer_deadline() => CompletedRequest::interrupted(),
     };
     log_completion(&routed, &completed);
-    respond(completed, &method)
+    respond(&routed, completed)
 }
 
 /// Returns when the request arrived, which is in the past if it waited behind others on its
@@ -137,9 +137,9 @@
     Err(if is_disconnected { RoutingFailure::PerhapsNew } else { RoutingFailure::NoRoute })
 }
 
-fn respond(completed: CompletedRequest, method: &Method) -> poem::Response {
+fn respond(routed: &RoutedRequest, completed: CompletedRequest) -> poem::Response {
     match completed.outcome {
-        RequestOutcome::Answered(answer) => answer.into_response(method),
+        RequestOutcome::Answered(answer) => answer_response(routed, answer, completed.room),
         RequestOutcome::Rejected(shed) | RequestOutcome::NotRun(shed) => {
             not_run(shed.retry_after, shed.reason.as_str())
         }
--- a/crates/gateway/src/traffic/hedge.rs
+++ b/crates/gateway/src/traffic/hedge.rs
@@ -5,6 +5,7 @@
 
 use futures::future::{Either, select};
 
+use crate::traffic::answer_room::try_reserve_hedge;
 use crate::traffic::attempt_history::AttemptHistory;
 use crate::traffic::attempt_outcome::AttemptOutcome;
 use crate::traffic::forward::{reject_without_path, wait_until_forwarded};
@@ -51,7 +52,7 @@
     history: &mut AttemptHistory,
 ) -> AttemptOutcome {
     history.record_start(&slot);
-    let first = pin!(send_attempt(routed, slot));
+    let first = pin!(send_attempt(routed, slot, history.room.clone()));
     if !routed.is_idempotent() || !history.has_attempt_left(routed) || !is_clear(routed) {
         return first.await;
     }
@@ -65,6 +66,9 @@
     let Some(hedge) = slots.assign_hedge(&routed.slot_request(&history.excluded)) else {
         return first.await;
     };
+    let Some(hedge_room) = try_reserve_hedge(routed) else {
+        return first.await;
+    };
     if routed.caller.is_closed()
         || !is_clear(routed)
         || !slots.try_acquire_retry(retry_allowance(&routed.context))
@@ -72,7 +76,7 @@
         return first.await;
     }
     history.record_start(&hedge);
-    match select(first, pin!(send_attempt(routed, hedge))).await {
+    match select(first, pin!(send_attempt(routed, hedge, hedge_room))).await {
         Either::Left((outcome, other)) => prefer_answered(outcome, other).await,
         Either::Right((outcome, other)) => prefer_answered(outcome, other).await,
     }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,6 +1,8 @@
 //! Serves the requests of callers: routing, attempts at targets, probes and slots.
 
 mod answer_owner;
+mod answer_response;
+mod answer_room;
 mod attempt_history;
 mod attempt_outcome;
 mod attempts;
--- a/crates/gateway/src/traffic/request_outcome.rs
+++ b/crates/gateway/src/traffic/request_outcome.rs
@@ -6,6 +6,8 @@
 use shallotfork_exchange::BufferedAnswer;
 use shallotfork_types::TargetId;
 
+use crate::traffic::answer_room::AnswerRoom;
+
 /// Outcome of a caller's request.
 #[derive(Debug)]
 pub enum RequestOutcome {
@@ -31,8 +33,10 @@
     pub outcome: RequestOutcome,
     /// Targets that the request was sent to, in order.
     pub tried: Vec<TargetId>,
-    /// Time spent waiting for slots.
+    /// Time spent waiting for slots and for room.
     pub queued: Duration,
+    /// Room for the answer, if the answers of the route are large.
+    pub room: AnswerRoom,
     /// Whether the request was forwarded to another entry.
     pub is_forwarded: bool,
 }
@@ -41,7 +45,7 @@
     /// Returns the outcome of a request that is still running when the process stops.
     pub fn interrupted() -> Self {
         let outcome = RequestOutcome::MayHaveRun { timed_out: true };
-        Self { outcome, tried: Vec::new(), queued: Duration::ZERO, is_forwarded: false }
+        Self { outcome, tried: Vec::new(), queued: Duration::ZERO, room: None, is_forwarded: false }
     }
 
     /// Returns the delay after which the caller may send the request again.
--- a/crates/gateway/src/traffic/send_attempt.rs
+++ b/crates/gateway/src/traffic/send_attempt.rs
@@ -17,6 +17,7 @@
 
 use crate::context::{Context, lock};
 use crate::traffic::answer_owner::answer_owner;
+use crate::traffic::answer_room::{AnswerRoom, correct_room};
 use crate::traffic::attempt_outcome::{
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
@@ -32,8 +33,13 @@
 /// Timeout of the check whether a target's port refuses connections after a failed attempt.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Sends the request to one target and records the result.
-pub async fn send_attempt(routed: &RoutedRequest, slot: SlotGuard) -> AttemptOutcome {
+/// Sends the request to one target and records the result. `room` is the room for the answer, if
+/// the answers of the route are large.
+pub async fn send_attempt(
+    routed: &RoutedRequest,
+    slot: SlotGuard,
+    room: AnswerRoom,
+) -> AttemptOutcome {
     let context = &routed.context;
     let target = slot.target().clone();
     let location = location_of(context, &target);
@@ -51,6 +57,7 @@
         let owner = answer_owner(context, &routed.request_id, headers);
         if owner == AnswerMatch::Match {
             record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
+            correct_room(&room, headers);
         }
         owner
     };
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -6,10 +6,12 @@
 
 use metrics::gauge;
 use shallotfork_balance::SlotSummary;
-use shallotfork_events::{EVACUATION_RUNNING, OVERLOADED, SERVICE_LOAD, TARGET_CONNECTIONS, event};
+use shallotfork_events::{
+    EVACUATION_RUNNING, LARGE_ANSWERS, OVERLOADED, SERVICE_LOAD, TARGET_CONNECTIONS, event,
+};
 use shallotfork_exchange::OpenedConnections;
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::ServiceName;
+use shallotfork_types::{Bytes, ServiceName};
 
 use crate::context::{Context, lock};
 use crate::traffic::ProbeTotals;
@@ -23,10 +25,12 @@
 pub async fn report_service_load(context: Arc<Context>, timer: TimerService) {
     let mut ticks = timer.subscribe(Schedule::new(REPORT_INTERVAL));
     let mut counts = TargetCounts::default();
+    let mut refused_count = 0;
     while ticks.tick().await.is_some() {
         report_scheduling_delay(&context);
         counts = report_connections(&context, counts);
         report_quarantine(&context);
+        refused_count = report_large_answers(&context, refused_count);
         report_reach(&context);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
@@ -79,6 +83,31 @@
     gauge!("shallotfork_quarantined_requests").set(quarantined as f64);
 }
 
+/// Reports the room for large answers. Returns the number of requests refused so far.
+fn report_large_answers(context: &Context, refused_before: u64) -> u64 {
+    let large_answers = &context.large_answers;
+    let (room, refused_count) = large_answers.summary();
+    let bytes = |state: &'static str, size: Bytes| {
+        gauge!("shallotfork_large_answer_bytes", "state" => state).set(size.value() as f64);
+    };
+    bytes("reserved", room.reserved);
+    bytes("held", room.held);
+    gauge!("shallotfork_large_answers_waiting").set(room.waiting as f64);
+    gauge!("shallotfork_body_bytes").set(context.body_budget.held().value() as f64);
+    if room.waiting == 0 && refused_count == refused_before {
+        return refused_count;
+    }
+    event!(context.log, LARGE_ANSWERS,
+        "waiting" => room.waiting,
+        "refused" => refused_count - refused_before,
+        "reservations" => room.reservations,
+        "reserved_bytes" => room.reserved.value(),
+        "held_bytes" => room.held.value(),
+        "memory_max_bytes" => large_answers.memory_max().value(),
+    );
+    refused_count
+}
+
 fn report_evacuations(context: &Context) {
     let evacuated = Arc::clone(&context.published.load().evacuated);
     let services = context.services.all();
