--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -82,6 +82,8 @@
     pub feed_log_budget: LogBudget,
     /// Budget for log lines about invalid data from targets.
     pub invalid_log_budget: LogBudget,
+    /// Budget for log lines about transfers that ended early.
+    pub transfer_log_budget: LogBudget,
     /// Signalled when a request starts.
     pub request_started: Notify,
     /// Scheduling delay of the traffic threads.
--- a/crates/gateway/src/large/room.rs
+++ b/crates/gateway/src/large/room.rs
@@ -1,30 +1,34 @@
 //! Room for large answers, shared by the traffic threads.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use shallotfork_routes::RouteName;
 use shallotfork_timer::Clock;
 use shallotfork_transfer::{
-    AnswerRoom, AnswerSizes, ReservationId, ResolvedWait, RoomConfig, RoomDecision, RoomRequest,
-    RoomResolution, RoomSummary, RoomTicket, SizeEstimate,
+    AnswerRoom, AnswerSizes, PacerConfig, ReservationId, ResolvedWait, RoomConfig, RoomDecision,
+    RoomRequest, RoomResolution, RoomSummary, RoomTicket, SizeEstimate,
 };
 use shallotfork_types::{Bytes, BytesPerSecond, Mono};
 use tokio::sync::oneshot;
 
 use crate::context::lock;
-use crate::large::RoomGuard;
+use crate::large::{LinkPacing, RoomGuard};
 
 /// Room that was granted, or the time after which the caller of a refused request may retry.
 type RoomResult = Result<RoomGuard, Duration>;
 
-/// Sizes and room of the large answers of this process.
+/// Sizes, room and pace of the large answers of this process.
 #[derive(Debug)]
 pub struct LargeAnswers {
     clock: Clock,
     config: RoomConfig,
     inner: Mutex<Inner>,
+    /// Number of reservations; readable without the lock.
+    reservations: AtomicUsize,
+    pacing: LinkPacing,
 }
 
 #[derive(Debug)]
@@ -92,7 +96,30 @@
             waiting: HashMap::new(),
             refused_count: 0,
         };
-        Arc::new(Self { clock, config, inner: Mutex::new(inner) })
+        Arc::new(Self {
+            clock,
+            config,
+            inner: Mutex::new(inner),
+            reservations: AtomicUsize::new(0),
+            pacing: LinkPacing::new(PacerConfig::new(link), clock),
+        })
+    }
+
+    /// Returns the pacing of the link.
+    pub fn pacing(&self) -> &LinkPacing {
+        &self.pacing
+    }
+
+    /// Counts the bytes of a request to a target, which share the link with answers to callers.
+    pub fn record_request(&self, size_bytes: u64) {
+        if self.is_active() {
+            self.pacing.record_ordinary(Bytes::new(size_bytes));
+        }
+    }
+
+    /// Whether room is reserved for any large answer. Otherwise nothing needs to be paced.
+    pub fn is_active(&self) -> bool {
+        self.reservations.load(Ordering::Relaxed) > 0
     }
 
     /// Requests room for the answer to a request that would be sent now.
@@ -176,6 +203,7 @@
 
     /// Releases a reservation.
     pub(super) fn release(self: &Arc<Self>, id: ReservationId) {
+        self.reservations.fetch_sub(1, Ordering::Relaxed);
         self.update(|room, now| room.release(id, now));
     }
 
@@ -191,6 +219,7 @@
     }
 
     fn guard(self: &Arc<Self>, id: ReservationId) -> RoomGuard {
+        self.reservations.fetch_add(1, Ordering::Relaxed);
         RoomGuard::new(Arc::clone(self), id)
     }
 }
--- a/crates/gateway/src/large/room_guard.rs
+++ b/crates/gateway/src/large/room_guard.rs
@@ -22,6 +22,11 @@
         Self { large_answers, id }
     }
 
+    /// Returns the room that this reservation is part of.
+    pub fn large_answers(&self) -> &Arc<LargeAnswers> {
+        &self.large_answers
+    }
+
     /// Sets the size that the target has stated.
     pub fn correct(&self, actual: Bytes) {
         self.large_answers.update(|room, now| room.correct(self.id, actual, now));
@@ -39,6 +44,14 @@
     pub fn start_sending(&self, actual: Bytes) {
         self.large_answers.update(|room, now| room.start_sending(self.id, actual, now));
     }
+
+    /// Records that a part of the answer is written.
+    pub fn record_sent(&self, sent: Bytes) {
+        self.large_answers.update(|room, now| {
+            room.record_sent(self.id, sent, now);
+            Vec::new()
+        });
+    }
 }
 
 impl Drop for RoomGuard {
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -55,9 +55,11 @@
     wait_until_idle(context, started_at.plus(grace.mul_f64(END_GRACE_FRACTION))).await;
 }
 
-/// Waits until no request is in flight, at most until `end`.
+/// Waits until no request is in flight and all large answers are written, at most until `end`.
 async fn wait_until_idle(context: &Context, end: Mono) {
-    while context.callers.in_flight() > 0 && context.clock.now() < end {
+    // A large answer that is paced is written long after it was ready.
+    let is_busy = || context.callers.in_flight() > 0 || context.large_answers.is_active();
+    while is_busy() && context.clock.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     // Leaves time to write the last answers to their connections.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -47,6 +47,9 @@
 
 /// Log lines per second about invalid data from targets, which may repeat it in every answer.
 const INVALID_LOG_LIMIT: PerSecond = PerSecond::new(1);
+/// Log lines per second about transfers that ended early. Callers that lose their network all at once
+/// break as many transfers as an entry has.
+const TRANSFER_LOG_LIMIT: PerSecond = PerSecond::new(20);
 /// Maximum number of log lines per second about answers of the platform that do not follow what is
 /// known.
 const FEED_LOG_LIMIT: PerSecond = PerSecond::new(2);
@@ -129,6 +132,7 @@
         answer_deadline: watch::Sender::new(None),
         request_log_budget: LogBudget::new(REQUEST_LOG_LIMIT),
         invalid_log_budget: LogBudget::new(INVALID_LOG_LIMIT),
+        transfer_log_budget: LogBudget::new(TRANSFER_LOG_LIMIT),
         feed_log_budget: LogBudget::new(FEED_LOG_LIMIT),
         request_started: Notify::new(),
         scheduling_delay: Mutex::default(),
--- a/crates/gateway/src/traffic/send_attempt.rs
+++ b/crates/gateway/src/traffic/send_attempt.rs
@@ -76,6 +76,7 @@
     let is_cold = slot.mark_sent();
     let sent_bytes = message_bytes(target_request.request.headers(), routed.request.body.len());
     TransferKind::Requests.record_bytes(&domain, sent_bytes);
+    context.large_answers.record_request(sent_bytes);
     let result = context.target_connections.send(target_request).await;
     if let Ok(answer) = &result {
         TransferKind::Answers
--- a/crates/transfer/src/config.rs
+++ b/crates/transfer/src/config.rs
@@ -26,6 +26,9 @@
 /// of milliseconds. Shorter queues would leave the link idle, since timers are late by a
 /// millisecond or two.
 const LINK_QUEUE_MAX: Duration = Duration::from_millis(8);
+/// Queue behind which bytes may be written that take longer than the maximum queue. Without it the
+/// link would be idle between them for as long as timers are late.
+const LINK_QUEUE_MIN: Duration = Duration::from_millis(2);
 /// Divisor of the maximum queue that gives the size of a chunk. With half of the queue per chunk,
 /// the link is busy with one chunk while the next is written.
 const CHUNKS_PER_QUEUE: u64 = 2;
@@ -98,6 +101,8 @@
     pub large_rate_min: BytesPerSecond,
     /// Maximum queue at the link after a write of a large answer's bytes.
     pub queue_max: Duration,
+    /// Queue behind which bytes may be written that take longer than the maximum queue.
+    pub queue_min: Duration,
     /// Time after an ordinary answer during which the link counts as shared.
     pub shared_for: Duration,
 }
@@ -111,6 +116,7 @@
             large_rate: link.share(LARGE_LINK_SHARE),
             large_rate_min: link.share(LARGE_LINK_SHARE_MIN),
             queue_max: LINK_QUEUE_MAX,
+            queue_min: LINK_QUEUE_MIN,
             shared_for: SHARED_FOR,
         }
     }
--- a/crates/transfer/src/pacer.rs
+++ b/crates/transfer/src/pacer.rs
@@ -57,9 +57,14 @@
         self.add_to_queue(size, now);
     }
 
+    /// Counts the head of a large answer, which is written without asking.
+    pub fn record_large_head(&mut self, size: Bytes, now: Mono) {
+        self.add_to_queue(size, now);
+    }
+
     /// Decides whether `size` bytes of a large answer may be written now.
     ///
-    /// Bytes that take longer than the maximum queue may be written while the link is idle.
+    /// Bytes that take longer than the maximum queue may be written when the link is nearly idle.
     pub fn request(&mut self, size: Bytes, now: Mono) -> Pace {
         let at = self.allowed_at(size, now);
         if at > now {
@@ -79,8 +84,8 @@
     fn allowed_at(&self, size: Bytes, now: Mono) -> Mono {
         let config = &self.config;
         let own_time = config.link.time_for(size);
-        let queue_max = config.queue_max.saturating_sub(own_time);
-        let queue_at = self.link_free_at.minus(queue_max);
+        let queue_before = config.queue_max.saturating_sub(own_time).max(config.queue_min);
+        let queue_at = self.link_free_at.minus(queue_before);
         let allowed_at = match self.ordinary_at {
             Some(ordinary_at) if self.is_shared(now) => {
                 // Without further ordinary answers the share no longer applies after a while.
--- a/crates/transfer/tests/pacer.rs
+++ b/crates/transfer/tests/pacer.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use link::{Traffic, latencies, quantile};
+use link::{Traffic, Writes, latencies, quantile};
 use quickcheck::{Gen, QuickCheck};
 use shallotfork_transfer::{LinkPacer, Pace, PacerConfig};
 use shallotfork_types::{Bytes, BytesPerSecond, Mono};
@@ -14,6 +14,8 @@
 const TESTS: u64 = 300;
 const GEN_SIZE: usize = 200;
 const SLOWEST_LINK: BytesPerSecond = BytesPerSecond::new(1_250_000);
+/// Largest chunk that the exchange writes.
+const EXCHANGE_CHUNK: Bytes = Bytes::from_kib(16);
 /// Latency of an ordinary answer from which callers with an objective of hundreds of milliseconds
 /// would notice large ones.
 const ADDED_LATENCY_MAX: Duration = Duration::from_millis(16);
@@ -23,15 +25,23 @@
     Traffic { link: SLOWEST_LINK, ordinary_permille, large_permille, duration }
 }
 
+/// Chunks as small as the pacer asks for, and those of the exchange.
+fn paced() -> [Writes; 2] {
+    let chunk = LinkPacer::new(PacerConfig::new(SLOWEST_LINK)).chunk_size();
+    [chunk, EXCHANGE_CHUNK].map(|chunk| Writes::Paced { chunk })
+}
+
 /// Guards against ordinary answers that wait behind large ones at the link.
 #[test]
 fn ordinary_answers_are_as_fast_beside_large_ones() {
     for (ordinary, large) in [(100, 300), (100, 600), (300, 300), (300, 500), (200, 900)] {
-        let alone = latencies(&traffic(ordinary, 0), true).ordinary;
-        let paced = latencies(&traffic(ordinary, large), true).ordinary;
-        let unpaced = latencies(&traffic(ordinary, large), false).ordinary;
+        let alone = latencies(&traffic(ordinary, 0), Writes::AtOnce).ordinary;
+        let unpaced = latencies(&traffic(ordinary, large), Writes::AtOnce).ordinary;
         let max = quantile(&alone, 990) + ADDED_LATENCY_MAX;
-        assert!(quantile(&paced, 990) <= max, "{ordinary} {large}: {:?}", quantile(&paced, 990));
+        for writes in paced() {
+            let paced = quantile(&latencies(&traffic(ordinary, large), writes).ordinary, 990);
+            assert!(paced <= max, "{ordinary} {large}, {writes:?}: {paced:?}");
+        }
         assert!(quantile(&unpaced, 990) > max, "the traffic does not need a pacer");
     }
 }
@@ -39,10 +49,12 @@
 /// Guards against a pacer that leaves the link idle while large answers wait.
 #[test]
 fn large_answers_use_what_ordinary_ones_leave() {
-    let paced = latencies(&traffic(100, 600), true).large;
-    let unpaced = latencies(&traffic(100, 600), false).large;
-    assert!(quantile(&paced, 500) <= quantile(&unpaced, 500).mul_f64(1.5));
-    assert!(quantile(&paced, 990) <= quantile(&unpaced, 990).mul_f64(1.75));
+    let unpaced = latencies(&traffic(100, 600), Writes::AtOnce).large;
+    for writes in paced() {
+        let paced = latencies(&traffic(100, 600), writes).large;
+        assert!(quantile(&paced, 500) <= quantile(&unpaced, 500).mul_f64(1.5), "{writes:?}");
+        assert!(quantile(&paced, 990) <= quantile(&unpaced, 990).mul_f64(1.75), "{writes:?}");
+    }
 }
 
 /// Guards against transfers that never end while ordinary answers saturate the link.
--- a/crates/transfer/tests/support/link.rs
+++ b/crates/transfer/tests/support/link.rs
@@ -123,14 +123,23 @@
 struct Transfer {
     ready_at: Mono,
     left_bytes: u64,
+    chunk_bytes: u64,
 }
 
-/// Calculates the latencies with or without a pacer.
-pub fn latencies(traffic: &Traffic, is_paced: bool) -> Latencies {
+/// How large answers are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Writes {
+    /// Completely when they are ready.
+    AtOnce,
+    /// In chunks of at most this size, each admitted by a pacer.
+    Paced { chunk: Bytes },
+}
+
+/// Calculates the latencies.
+pub fn latencies(traffic: &Traffic, writes: Writes) -> Latencies {
     let mut ordinary = arrivals(traffic, traffic.ordinary_permille, SEED, |_| ORDINARY_BYTES);
     let mut large = arrivals(traffic, traffic.large_permille, !SEED, Random::large_size);
     let mut pacer = LinkPacer::new(PacerConfig::new(traffic.link));
-    let chunk_bytes = pacer.chunk_size().value();
     let mut link = Link { rate: traffic.payload(), free_at: Mono::ZERO };
     let mut transfers: VecDeque<Transfer> = VecDeque::new();
     let mut ask_at = Mono::ZERO;
@@ -148,14 +157,16 @@
             result.ordinary.push(link.write(bytes, now).since(now));
         } else if large_at == Some(now) {
             let (_, bytes) = large.pop_front().unwrap_or_default();
-            if is_paced {
-                transfers.push_back(Transfer { ready_at: now, left_bytes: bytes });
-                ask_at = if transfers.len() == 1 { now } else { ask_at };
-            } else {
-                result.large.push(link.write(bytes, now).since(now));
+            match writes {
+                Writes::AtOnce => result.large.push(link.write(bytes, now).since(now)),
+                Writes::Paced { chunk } => {
+                    let chunk_bytes = chunk.value();
+                    transfers.push_back(Transfer { ready_at: now, left_bytes: bytes, chunk_bytes });
+                    ask_at = if transfers.len() == 1 { now } else { ask_at };
+                }
             }
         } else if let Some(mut transfer) = transfers.pop_front() {
-            let bytes = transfer.left_bytes.min(chunk_bytes);
+            let bytes = transfer.left_bytes.min(transfer.chunk_bytes);
             match pacer.request(Bytes::new(bytes), now) {
                 Pace::Write => {
                     let sent_at = link.write(bytes, now);
