refactor(exchange): the HTTP library's own timer for request headers; a test of what stopped callers request

The library's idle time is not affected either way; only the port's idle timeout is, which a test covers.

Leaving out the wait for the previous chunk failed no test. One now compares the bytes that a stopped caller requests with those that its connection took, and fails without the wait.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,7 +19,6 @@
 mod exchange_config;
 mod gate;
 mod head_scanner;
-mod header_timer;
 mod headers;
 mod opened_connections;
 mod paced_body;
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -7,7 +7,7 @@
 const DEFAULT_CONNECTIONS_MAX: usize = 10_000;
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Shorter than the header timeout, so that a caller that reads nothing is recognised as such.
+/// As with the operators' targets, which give up answers that stay unread for some seconds.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 const DEFAULT_HEADER_MAX: Bytes = Bytes::from_kib(64);
 const DEFAULT_STREAMS_MAX: u32 = 200;
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -22,7 +22,6 @@
 use crate::answer_transfer::TransferEnd;
 use crate::caller_connection::CallerConnection;
 use crate::delivered_body::DeliveredBody;
-use crate::header_timer::HeaderTimer;
 use crate::headers::head_size;
 use crate::pipeline::{AbortOnDrop, ArrivedAt, PipelinedRequests};
 use crate::read_ahead::ReadAhead;
@@ -58,7 +57,7 @@
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&activity)));
         let caller = read_ahead.caller_connection();
         let service = service_fn(|request| self.handle(request, &activity, &caller));
-        let builder = builder(&self.config, &activity);
+        let builder = builder(&self.config);
         let mut connection = pin!(builder.serve_connection(io, service));
         // Dropped before the connection, so that transfers in progress learn their end from it.
         let _end = EndOnDrop(&activity);
@@ -215,12 +214,12 @@
     }
 }
 
-fn builder(config: &ServeConfig, activity: &Arc<Activity>) -> auto::Builder<TokioExecutor> {
+fn builder(config: &ServeConfig) -> auto::Builder<TokioExecutor> {
     let header_max = usize::try_from(config.header_max.value()).unwrap_or(usize::MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(HeaderTimer::new(Arc::clone(activity)))
+        .timer(TokioTimer::new())
         .header_read_timeout(config.header_timeout)
         .max_buf_size(header_max);
     builder
--- a/crates/exchange/tests/stalled_callers.rs
+++ b/crates/exchange/tests/stalled_callers.rs
@@ -65,7 +65,6 @@
 }
 
 /// Guards against cutting a caller that reads slowly but steadily, by any of the port's timeouts.
-/// The last bytes are the hardest: the HTTP library waits for the next request by then.
 #[tokio::test]
 async fn slow_caller_gets_complete_answer() {
     const SIZE: usize = 384 * 1024;
--- a/crates/exchange/tests/transfers.rs
+++ b/crates/exchange/tests/transfers.rs
@@ -130,8 +130,7 @@
     }
 }
 
-/// Guards against large answers that fill the link without the pacer's permission, and against a
-/// stopped caller that uses up what the pacer grants.
+/// Guards against large answers that fill the link without the pacer's permission.
 #[tokio::test]
 async fn paced_answer_waits_for_each_chunk() {
     let pacer = Arc::new(TestPacer::new(0));
@@ -149,14 +148,30 @@
         assert_eq!((chunks + 1) * CHUNK_BYTES, pacer.requested_bytes());
     }
     pacer.chunks.add_permits(1000);
-    tokio::time::sleep(SETTLE).await;
-    assert!(pacer.requested_bytes() < LARGE / 2, "{} bytes", pacer.requested_bytes());
     let mut rest = vec![0; LARGE - 3 * CHUNK_BYTES];
     caller.stream.read_exact(&mut rest).await.expect("the rest");
     assert_eq!(LARGE, pacer.requested_bytes());
     assert!((80..400).contains(&pacer.unpaced_bytes()), "{} bytes", pacer.unpaced_bytes());
 }
 
+/// Guards against a stopped caller that uses up what the pacer grants: at most one chunk is requested
+/// that its connection has not taken.
+#[tokio::test]
+async fn stopped_caller_requests_no_further_chunk() {
+    let pacer = Arc::new(TestPacer::unlimited());
+    let port = Forwarder::start(ForwarderConfig::new(Writing::Paced(Arc::clone(&pacer)))).await;
+    let mut caller = port.connect().await;
+    caller.send(&[LARGE]).await;
+    caller.head().await.expect("a head");
+    tokio::time::sleep(SETTLE).await;
+    let requested = Bytes::new(pacer.requested_bytes() as u64);
+    drop(caller);
+    port.wait_for_reports(1).await;
+    let sent = port.reports()[0].sent;
+    let chunk = CHUNK_BYTES as u64;
+    assert!(requested.value() <= sent.value() + chunk, "{requested} requested, {sent} sent");
+}
+
 /// Guards against a pacer that plans without the bytes of small answers.
 #[tokio::test]
 async fn small_answers_are_recorded_without_waiting() {
