--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -28,6 +28,7 @@
 use crate::context::{Context, PriorWaitEstimators, Services};
 use crate::control::{ControlHandle, ControlParts, start};
 use crate::dialect::Dialect;
+use crate::large::LargeAnswers;
 use crate::leave::{leave, leave_before_serving};
 use crate::log_budget::LogBudget;
 use crate::metrics_page::MetricsPage;
@@ -46,6 +47,9 @@
 
 /// Log lines per second about invalid data from targets, which may repeat it in every answer.
 const INVALID_LOG_LIMIT: PerSecond = PerSecond::new(1);
+/// Log lines per second about transfers that ended early. Callers that lose their network all at once
+/// break as many transfers as an entry has.
+const TRANSFER_LOG_LIMIT: PerSecond = PerSecond::new(20);
 /// Maximum number of log lines per second about answers of the platform that do not follow what is
 /// known.
 const FEED_LOG_LIMIT: PerSecond = PerSecond::new(2);
@@ -96,12 +100,14 @@
     let metrics = MetricsPage::install()?;
     let process = Process::new(log.clone());
     let body_budget = BodyBudget::new(settings.body_budget);
+    let clock = Clock::new();
+    let large_answers = LargeAnswers::new(settings.body_budget, settings.link_bandwidth, clock);
     let threads = settings.traffic_threads.max(1);
     let context = Arc::new(Context {
         settings,
         incarnation,
         dialect,
-        clock: Clock::new(),
+        clock,
         log,
         phase: process.watch(),
         published: ArcSwap::from_pointee(Published::default()),
@@ -118,6 +124,7 @@
         forwarded_count: AtomicUsize::new(0),
         probe_counts: ProbeCounters::default(),
         body_budget,
+        large_answers,
         services: Services::default(),
         request_queued: Arc::new(Notify::new()),
         splitter: Mutex::new(Splitter::new()),
@@ -125,6 +132,7 @@
         answer_deadline: watch::Sender::new(None),
         request_log_budget: LogBudget::new(REQUEST_LOG_LIMIT),
         invalid_log_budget: LogBudget::new(INVALID_LOG_LIMIT),
+        transfer_log_budget: LogBudget::new(TRANSFER_LOG_LIMIT),
         feed_log_budget: LogBudget::new(FEED_LOG_LIMIT),
         request_started: Notify::new(),
         scheduling_delay: Mutex::default(),
--- a/crates/gateway/src/traffic/acquire_hedge.rs
+++ b/crates/gateway/src/traffic/acquire_hedge.rs
@@ -5,6 +5,7 @@
 
 use shallotfork_balance::{EarlyHedge, HedgePlan, SlotRequest};
 
+use crate::traffic::answer_room::{AnswerRoom, try_reserve_hedge};
 use crate::traffic::hedge_report::NoHedge;
 use crate::traffic::probes::{ProbeResult, probe};
 use crate::traffic::quarantine::is_clear;
@@ -22,6 +23,8 @@
 pub struct HedgeSlot {
     /// Slot of the hedge.
     pub slot: SlotGuard,
+    /// Room for the answer, if the answers of the route are large.
+    pub room: AnswerRoom,
     /// Whether the hedge is an early one.
     pub is_early: bool,
 }
@@ -39,14 +42,14 @@
     let slots = context.slots(&routed.service);
     let planned_at = context.clock.now();
     if let Some(early) = plan.early
-        && let Some(slot) = acquire_early(routed, &slots, early, request, reason).await
+        && let Some(hedge) = acquire_early(routed, &slots, early, request, reason).await
     {
-        return Some(HedgeSlot { slot, is_early: true });
+        return Some(hedge);
     }
     let passed = context.clock.now().since(planned_at);
     tokio::time::sleep(plan.usual_delay.saturating_sub(passed)).await;
     match acquire_usual(routed, &slots, request) {
-        Ok(slot) => Some(HedgeSlot { slot, is_early: false }),
+        Ok(hedge) => Some(hedge),
         Err(refused) => {
             // After the objective, any hedge is too late.
             if context.clock.now() < routed.objective {
@@ -61,7 +64,7 @@
     routed: &RoutedRequest,
     slots: &Arc<ServiceSlots>,
     request: &SlotRequest,
-) -> Result<SlotGuard, NoHedge> {
+) -> Result<HedgeSlot, NoHedge> {
     let slot = slots.assign_hedge(request).ok_or(NoHedge::NoFreeTarget)?;
     if routed.caller.is_closed() {
         return Err(NoHedge::TooLate);
@@ -69,10 +72,11 @@
     if !is_clear(routed) {
         return Err(NoHedge::Quarantine);
     }
+    let room = try_reserve_hedge(routed).ok_or(NoHedge::NoRoom)?;
     if !slots.try_acquire_retry(retry_allowance(&routed.context)) {
         return Err(NoHedge::NoAllowance);
     }
-    Ok(slot)
+    Ok(HedgeSlot { slot, room, is_early: false })
 }
 
 /// Tries to acquire a slot and the allowance for an early hedge as long as it may be sent.
@@ -82,7 +86,7 @@
     early: EarlyHedge,
     request: &SlotRequest,
     reason: &mut NoHedge,
-) -> Option<SlotGuard> {
+) -> Option<HedgeSlot> {
     let context = &routed.context;
     let latest = context.clock.now().plus(early.latest);
     tokio::time::sleep(early.delay).await;
@@ -91,13 +95,16 @@
             *reason = NoHedge::Quarantine;
             return None;
         }
-        match probed_hedge_slot(routed, slots, request).await {
-            Some(slot) if slots.try_acquire_early_hedge(retry_allowance(context)) => {
-                return Some(slot);
-            }
-            Some(_) => *reason = NoHedge::NoAllowance,
-            None => *reason = NoHedge::NoFreeTarget,
-        }
+        *reason = match probed_hedge_slot(routed, slots, request).await {
+            None => NoHedge::NoFreeTarget,
+            Some(slot) => match try_reserve_hedge(routed) {
+                None => NoHedge::NoRoom,
+                Some(room) if slots.try_acquire_early_hedge(retry_allowance(context)) => {
+                    return Some(HedgeSlot { slot, room, is_early: true });
+                }
+                Some(_) => NoHedge::NoAllowance,
+            },
+        };
         if context.clock.now().plus(EARLY_HEDGE_RETRY) > latest {
             return None;
         }
--- a/crates/gateway/src/traffic/hedge.rs
+++ b/crates/gateway/src/traffic/hedge.rs
@@ -51,13 +51,13 @@
     history.record_start(&slot);
     if let Err(reason) = check_hedge_allowed(routed, history) {
         history.hedge.record_not_sent(reason);
-        return send_attempt(routed, slot).await;
+        return send_attempt(routed, slot, history.room.clone()).await;
     }
     let slots = routed.context.slots(&routed.service);
     let request = routed.slot_request(&history.excluded);
     let plan = slots.plan_hedge(&slot, &request);
     let mut reason = NoHedge::TooLate;
-    let mut first = pin!(send_attempt(routed, slot));
+    let mut first = pin!(send_attempt(routed, slot, history.room.clone()));
     let acquired = {
         let acquiring = pin!(acquire_hedge(routed, plan, &request, &mut reason));
         match select(first.as_mut(), acquiring).await {
@@ -65,7 +65,7 @@
             Either::Right((hedge, _)) => Ok(hedge),
         }
     };
-    let HedgeSlot { slot: hedge, is_early } = match acquired {
+    let HedgeSlot { slot: hedge, room, is_early } = match acquired {
         Ok(Some(hedge)) => hedge,
         Ok(None) => {
             history.hedge.record_not_sent(reason);
@@ -79,7 +79,7 @@
     history.record_start(&hedge);
     let in_flight =
         HedgeInFlight::new(&routed.context, &slots, routed.class(), is_early, &mut history.hedge);
-    match select(first, pin!(send_attempt(routed, hedge))).await {
+    match select(first, pin!(send_attempt(routed, hedge, room))).await {
         Either::Left((outcome @ AttemptOutcome::Answered(_), _)) => {
             in_flight.end(HedgeResult::Lost);
             outcome
--- a/crates/gateway/src/traffic/hedge_report.rs
+++ b/crates/gateway/src/traffic/hedge_report.rs
@@ -10,6 +10,8 @@
     NoAttemptLeft,
     /// No other target had a slot for a hedge, or requests waited.
     NoFreeTarget,
+    /// There was no room for a second large answer.
+    NoRoom,
     /// The allowance of repeats did not permit a hedge.
     NoAllowance,
     /// The request is suspected to crash targets.
@@ -27,6 +29,7 @@
         match self {
             Self::NoAttemptLeft => "no-attempt-left",
             Self::NoFreeTarget => "no-free-target",
+            Self::NoRoom => "no-room",
             Self::NoAllowance => "no-allowance",
             Self::Quarantine => "quarantine",
             Self::TooLate => "too-late",
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -2,6 +2,8 @@
 
 mod acquire_hedge;
 mod answer_owner;
+mod answer_response;
+mod answer_room;
 mod attempt_history;
 mod attempt_outcome;
 mod attempts;
--- a/crates/gateway/src/traffic/request_outcome.rs
+++ b/crates/gateway/src/traffic/request_outcome.rs
@@ -6,6 +6,7 @@
 use shallotfork_exchange::BufferedAnswer;
 use shallotfork_types::{Mono, TargetId};
 
+use crate::traffic::answer_room::AnswerRoom;
 use crate::traffic::hedge_report::HedgeReport;
 
 /// Outcome of a caller's request.
@@ -33,10 +34,12 @@
     pub outcome: RequestOutcome,
     /// Targets that the request was sent to, in order.
     pub tried: Vec<TargetId>,
-    /// Time spent waiting for slots.
+    /// Time spent waiting for slots and for room.
     pub queued: Duration,
     /// What became of the hedge.
     pub hedge: HedgeReport,
+    /// Room for the answer, if the answers of the route are large.
+    pub room: AnswerRoom,
     /// Whether the request was forwarded to another entry.
     pub is_forwarded: bool,
 }
@@ -50,6 +53,7 @@
             tried: Vec::new(),
             queued: Duration::ZERO,
             hedge: HedgeReport::default(),
+            room: None,
             is_forwarded: false,
         }
     }
