--- a/crates/balance/tests/random_repeats.rs
+++ b/crates/balance/tests/random_repeats.rs
@@ -7,11 +7,14 @@
 mod random_numbers;
 #[path = "support/rejecting.rs"]
 mod rejecting;
+#[path = "support/rejection_results.rs"]
+mod rejection_results;
 
 use std::time::Duration;
 
 use quickcheck::QuickCheck;
-use rejecting::{RepeatRule, Results, Simulation, Variant};
+use rejecting::{RepeatRule, Simulation, Variant};
+use rejection_results::Results;
 use shallotfork_balance::{RepeatAllocation, RepeatClass, RetryAllowance};
 use shallotfork_types::{Mono, Permille};
 
