fix(exchange,gateway): a stopping entry writes its answers to the end; the kernel's send buffer is bounded

The kernel let the send buffer of a caller that read nothing grow to megabytes, which no budget counts. It is set to 256 KiB (ServeConfig::send_buffer).

--- a/crates/exchange/src/delivered_body.rs
+++ b/crates/exchange/src/delivered_body.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::activity::Activity;
+use crate::serve_control::CountGuard;
 use crate::transfer_state::TransferState;
 
 /// An answer that is being written, shared by its body and its unwritten chunks.
@@ -18,6 +19,7 @@
 struct Delivery {
     activity: Arc<Activity>,
     transfer: Option<Arc<TransferState>>,
+    _writing: CountGuard,
     /// Whether the activity counts this answer as an HTTP/2 stream with bytes ready.
     is_ready_stream: AtomicBool,
 }
@@ -59,10 +61,12 @@
         inner: BoxBody<Bytes, io::Error>,
         activity: Arc<Activity>,
         transfer: Option<Arc<TransferState>>,
+        writing: CountGuard,
         is_http2: bool,
     ) -> Self {
         activity.start_delivery();
-        let delivery = Delivery { activity, transfer, is_ready_stream: AtomicBool::new(false) };
+        let is_ready_stream = AtomicBool::new(false);
+        let delivery = Delivery { activity, transfer, _writing: writing, is_ready_stream };
         delivery.set_ready_stream(is_http2);
         Self { inner, delivery: Arc::new(delivery), is_http2 }
     }
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -9,6 +9,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// As with the operators' targets, which give up answers that stay unread for some seconds.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Carries 200 Mbit/s over a network delay of 10 ms.
+const DEFAULT_SEND_BUFFER: Bytes = Bytes::from_kib(256);
 const DEFAULT_HEADER_MAX: Bytes = Bytes::from_kib(64);
 const DEFAULT_STREAMS_MAX: u32 = 200;
 
@@ -24,8 +26,13 @@
     /// 60 s by default.
     pub idle_timeout: Duration,
     /// The time after which a connection is closed if its caller takes no byte of an answer that is
-    /// ready for it; 5 s by default. Any byte that is taken starts the time anew.
+    /// ready for it; 5 s by default. Any byte that is taken starts the time anew, and so do bytes
+    /// for which the kernel makes room when it probes the caller, once after 1.6 to 3 s.
     pub stall_timeout: Duration,
+    /// The size of the kernel's send buffer of each connection; 256 KiB by default, less if the
+    /// kernel's limit is lower. By itself the kernel lets it grow to megabytes for a caller that
+    /// reads nothing, which no budget counts and which looks like progress of the caller.
+    pub send_buffer: Bytes,
     /// The maximum size of a request head; 64 KiB by default.
     pub header_max: Bytes,
     /// The maximum number of concurrent HTTP/2 requests on a connection; 200 by default.
@@ -39,6 +46,7 @@
             header_timeout: DEFAULT_HEADER_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             stall_timeout: DEFAULT_STALL_TIMEOUT,
+            send_buffer: DEFAULT_SEND_BUFFER,
             header_max: DEFAULT_HEADER_MAX,
             streams_max: DEFAULT_STREAMS_MAX,
         }
--- a/crates/exchange/src/serve_control.rs
+++ b/crates/exchange/src/serve_control.rs
@@ -19,6 +19,7 @@
     stop: CancellationToken,
     connections: AtomicUsize,
     in_flight: AtomicUsize,
+    writing: AtomicUsize,
     stalled_connections: AtomicU64,
 }
 
@@ -61,6 +62,12 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of answers that are ready, and whose last byte their caller's connection
+    /// has not taken yet.
+    pub fn writing(&self) -> usize {
+        self.shared.writing.load(Ordering::Relaxed)
+    }
+
     /// Returns how many connections were closed because their caller took nothing of an answer for
     /// the [`stall_timeout`](crate::ServeConfig::stall_timeout).
     pub fn stalled_connections(&self) -> u64 {
@@ -86,6 +93,11 @@
         CountGuard::new(&self.shared, |shared| &shared.in_flight)
     }
 
+    /// Counts an answer that is being written until the guard is dropped.
+    pub(crate) fn count_writing(&self) -> CountGuard {
+        CountGuard::new(&self.shared, |shared| &shared.writing)
+    }
+
     pub(crate) fn is_closing(&self) -> bool {
         self.shared.closing.load(Ordering::Relaxed)
     }
@@ -96,6 +108,7 @@
 }
 
 /// Increments a counter until it is dropped.
+#[derive(Debug)]
 pub(crate) struct CountGuard {
     shared: Arc<Shared>,
     counter: fn(&Shared) -> &AtomicUsize,
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -15,6 +15,7 @@
 use poem::endpoint::DynEndpoint;
 use poem::web::{LocalAddr, RemoteAddr};
 use poem::{Endpoint, IntoResponse};
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -27,7 +28,7 @@
 use crate::read_ahead::ReadAhead;
 use crate::serve::PipelineFn;
 use crate::serve_config::ServeConfig;
-use crate::serve_control::ServeControl;
+use crate::serve_control::{CountGuard, ServeControl};
 use crate::tracked_stream::TrackedStream;
 use crate::transfer_state::TransferState;
 
@@ -49,7 +50,10 @@
 impl ServedConnection {
     pub(crate) async fn run(self, stream: TcpStream, _permit: OwnedSemaphorePermit) {
         let _open_connection = self.control.count_connection();
-        if stream.set_nodelay(true).is_err() {
+        let send_buffer_bytes = usize::try_from(self.config.send_buffer.value());
+        let send_buffer_bytes = send_buffer_bytes.unwrap_or(usize::MAX);
+        let sized = set_socket_send_buffer_size(&stream, send_buffer_bytes);
+        if sized.is_err() || stream.set_nodelay(true).is_err() {
             return;
         }
         let activity = Arc::new(Activity::new());
@@ -163,7 +167,7 @@
             if (is_close_due || is_renewal_due) && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            let response = delivered_response(response, activity, version);
+            let response = delivered_response(response, activity, control.count_writing(), version);
             drop((in_flight, in_progress));
             Ok(response)
         }
@@ -186,6 +190,7 @@
 fn delivered_response(
     mut response: poem::Response,
     activity: Arc<Activity>,
+    writing: CountGuard,
     version: Version,
 ) -> http::Response<DeliveredBody> {
     let transfer = response.extensions_mut().remove::<Arc<TransferState>>();
@@ -194,7 +199,7 @@
     }
     let is_http2 = version == Version::HTTP_2;
     let response = http::Response::from(response);
-    response.map(|body| DeliveredBody::new(body, activity, transfer, is_http2))
+    response.map(|body| DeliveredBody::new(body, activity, transfer, writing, is_http2))
 }
 
 /// Records that the process stopped serving if the connection ends without another cause.
--- a/crates/exchange/tests/transfers.rs
+++ b/crates/exchange/tests/transfers.rs
@@ -34,9 +34,11 @@
         port.wait_for_written(1).await;
         tokio::time::sleep(SETTLE).await;
         assert_eq!(Bytes::new(LARGE as u64), port.budget.held());
+        assert_eq!((0, 1), (port.control.in_flight(), port.control.writing()));
         let answer = caller.answer().await.expect("a complete answer");
         assert_eq!((200, body(LARGE)), (answer.status, answer.body));
         wait_until("the budget is free", || port.budget.held() == Bytes::new(0)).await;
+        wait_until("the answer is written", || port.control.writing() == 0).await;
     }
 }
 
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -30,7 +30,7 @@
 /// 2. Callers that cache an earlier directory answer are still served, and each answer asks them to
 ///    close the connection. Requests that can't be served before the end are rejected while there
 ///    is time to answer them.
-/// 3. The port is closed, and the requests in flight end.
+/// 3. The port is closed, and the requests in flight end. Their answers are written to the end.
 pub async fn leave(context: &Arc<Context>, control: &ControlHandle, process: Process<Leaving>) {
     let callers = &context.callers;
     let started_at = context.clock.now();
@@ -55,9 +55,10 @@
     wait_until_idle(context, started_at.plus(grace.mul_f64(END_GRACE_FRACTION))).await;
 }
 
-/// Waits until no request is in flight, at most until `end`.
+/// Waits until no request is in flight and no answer is being written, at most until `end`.
 async fn wait_until_idle(context: &Context, end: Mono) {
-    while context.callers.in_flight() > 0 && context.clock.now() < end {
+    let callers = &context.callers;
+    while callers.in_flight() + callers.writing() > 0 && context.clock.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     // Leaves time to write the last answers to their connections.
