--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -30,7 +30,7 @@
 /// 2. Callers that cache an earlier directory answer are still served, and each answer asks them to
 ///    close the connection. Requests that can't be served before the end are rejected while there
 ///    is time to answer them.
-/// 3. The port is closed, and the requests in flight end.
+/// 3. The port is closed, and the requests in flight end. Their answers are written to the end.
 pub async fn leave(context: &Arc<Context>, control: &ControlHandle, process: Process<Leaving>) {
     let callers = &context.callers;
     let started_at = context.clock.now();
@@ -55,10 +55,12 @@
     wait_until_idle(context, started_at.plus(grace.mul_f64(END_GRACE_FRACTION))).await;
 }
 
-/// Waits until no request is in flight and all large answers are written, at most until `end`.
+/// Waits until no request is in flight and no answer is being written, at most until `end`.
 async fn wait_until_idle(context: &Context, end: Mono) {
+    let callers = &context.callers;
     // A large answer that is paced is written long after it was ready.
-    let is_busy = || context.callers.in_flight() > 0 || context.large_answers.is_active();
+    let is_busy =
+        || callers.in_flight() + callers.writing() > 0 || context.large_answers.is_active();
     while is_busy() && context.clock.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
