feat(balance): share of a service's slots by demand

has_reached_share divides the slots of a service equally among the advertised entries, so a busy entry refuses requests while others leave part of their share unused. Adds the demand meter and report (measure), the pure division by demand with a floor, and its use in SlotPool. Nothing sets a share by demand yet, so every decision is as before; rate limits and warm-up rates stay divided equally.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod budget;
+mod demand_shares;
 mod group;
 mod latency;
 mod limit;
@@ -25,6 +26,7 @@
     Admission, Assignment, AttemptId, AttemptOutcome, PoolCounts, Resolution, ResolvedTicket, Shed,
     ShedReason, Ticket,
 };
+pub use demand_shares::{SlotShares, divide_slots};
 pub use group::{GroupEntry, GroupSize, ServiceGroup};
 pub use policy::{Policy, UnknownPolicy};
 pub use pool::Pool;
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -18,6 +18,7 @@
 mod rejections;
 mod request;
 mod run_cost;
+mod slot_share;
 mod summary;
 mod target;
 mod wait;
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use shallotfork_types::{FailureDomain, Mono, Permille, TargetId, Warmup};
+use shallotfork_types::{FailureDomain, Mono, PartsPerMillion, Permille, TargetId, Warmup};
 
 use super::config::SlotPoolConfig;
 use super::estimate::Estimates;
@@ -69,6 +69,8 @@
     pub(super) state_changes: Vec<TargetStateChange>,
     /// Names of the processes that are advertised to callers and send requests to these targets.
     pub(super) sharers: Vec<String>,
+    /// Share of the usable slots for this process; `None` if all sharers have equal shares.
+    pub(super) demand_share: Option<PartsPerMillion>,
     /// Share of the warm-up rate of cold targets that all sharers together may use.
     pub(super) sharers_total_share: Permille,
     /// Warm-up rate of cold targets; `None` if they have no such limit.
@@ -98,6 +100,7 @@
             early_hedges: EarlyHedges::default(),
             state_changes: Vec::new(),
             sharers: Vec::new(),
+            demand_share: None,
             sharers_total_share: Permille::new(0),
             warmup: None,
             serving_slots: 0,
@@ -109,17 +112,6 @@
         }
     }
 
-    /// Returns whether this process already uses an equal share of the usable slots.
-    ///
-    /// Under overload a process reuses a slot that it has freed before another process learns of
-    /// it, so that an uneven distribution persists: of three processes with equal load one rejected
-    /// 300 requests a second and the others ten. A process that has reached its share leaves slots
-    /// in other failure domains to the processes there. One with less takes any free slot, since
-    /// its own failure domain may have few.
-    pub(super) fn has_reached_share(&self) -> bool {
-        self.attempts.len() * self.sharers.len().max(1) >= self.usable_slots() as usize
-    }
-
     /// Returns the number of slots of all targets that take new work.
     pub(super) fn serving_slots(&self) -> u32 {
         self.serving_slots
--- a/crates/balance/tests/slots_domains_and_probes.rs
+++ b/crates/balance/tests/slots_domains_and_probes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use shallotfork_balance::{Admission, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
-use shallotfork_types::{FailureDomain, Permille};
+use shallotfork_types::{FailureDomain, PartsPerMillion, Permille};
 
 use support::{
     SLOW_PERMILLE, USUAL_PERMILLE, answered, at, expect_queued, expect_sent, id, learn_work_time,
@@ -74,6 +74,28 @@
     assert_eq!(chosen, [id("far"), id("far")]);
 }
 
+/// Guards against a busy process that refuses requests while the others leave their shares unused,
+/// and against one that keeps more than an equal share when demand is even again.
+#[test]
+fn process_uses_its_share_by_demand() {
+    let mut pool = pool_with_remote_target();
+    pool.set_sharers(two_sharers(), Permille::new(1000), at(0));
+    assert_eq!(pool.slot_share(), PartsPerMillion::new(500_000));
+    pool.set_demand_share(Some(PartsPerMillion::new(750_000)));
+    assert_eq!(pool.slot_share(), PartsPerMillion::new(750_000));
+    let _local = [(); 2].map(|()| expect_sent(pool.admit(request_at(0), at(0))));
+    pool.record_load(&id("far"), load(1, USUAL_PERMILLE), at(0));
+    assert_eq!(expect_sent(pool.admit(request_at(0), at(0))).target, id("far"));
+
+    let mut pool = pool_with_remote_target();
+    pool.set_sharers(two_sharers(), Permille::new(1000), at(0));
+    pool.set_demand_share(Some(PartsPerMillion::new(750_000)));
+    pool.set_demand_share(None);
+    let _local = [(); 2].map(|()| expect_sent(pool.admit(request_at(0), at(0))));
+    pool.record_load(&id("far"), load(1, USUAL_PERMILLE), at(0));
+    expect_queued(pool.admit(request_at(0), at(0)));
+}
+
 /// Guards against probing all twenty slow targets 40 times a second for two waiting requests, which
 /// took the processor time that the requests needed.
 #[test]
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,5 @@
-//! Budgets for probes and connections, load and rate limits reported by targets, and the scheduling
-//! delay of this process.
+//! Budgets for probes and connections, load and rate limits reported by targets, demand of callers,
+//! and the scheduling delay of this process.
 //!
 //! This crate performs no I/O and reads no clock; callers pass in the current time. The budgets
 //! hold over the whole fleet in every window of one second, because each process uses only a share
@@ -7,6 +7,7 @@
 //! views differ cannot exceed them.
 
 mod connection_budget;
+mod demand;
 mod fleet_share;
 mod load_report;
 mod probe_budget;
@@ -15,6 +16,9 @@
 mod scheduling_delay;
 
 pub use connection_budget::{ConnectionBudget, ConnectionLimits, ConnectionPermit};
+pub use demand::{
+    DEMAND_SMOOTHING, DemandMeter, DemandReport, ServiceDemand, SharerDemand, demand_noise_per_s,
+};
 pub use fleet_share::{FleetShare, FleetShareError};
 pub use load_report::{LoadReport, LoadReportError};
 pub use probe_budget::{MeasuredTarget, ProbeBudget};
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -51,6 +51,10 @@
     /// A share in thousandths.
     Permille, "‰"
 }
+number_type! {
+    /// A share in millionths.
+    PartsPerMillion, "ppm"
+}
 number_type! {
     /// A rate in events per second.
     PerSecond, "/s"
--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -2,8 +2,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use shallotfork_types::{
-    Bytes, Epoch, IdempotencyKey, Incarnation, Mono, PerSecond, Permille, Position, Revision,
-    ServiceName, Verdict,
+    Bytes, Epoch, IdempotencyKey, Incarnation, Mono, PartsPerMillion, PerSecond, Permille,
+    Position, Revision, ServiceName, Verdict,
 };
 
 const SEED: u64 = 0x5e1f;
@@ -25,6 +25,7 @@
             && Epoch::new(value).to_string().parse() == Ok(Epoch::new(value))
             && position.to_string().parse() == Ok(position)
             && Permille::new(small).to_string().parse() == Ok(Permille::new(small))
+            && PartsPerMillion::new(small).to_string().parse() == Ok(PartsPerMillion::new(small))
             && PerSecond::new(small).to_string().parse() == Ok(PerSecond::new(small))
     }
     quickcheck().quickcheck(property as fn(u64) -> bool);
