feat(gateway): use each entry's share of a service by demand

With uneven callers a busy entry refused requests while others left part of their equal share unused. Entries now measure the demand for each service on arrival, report it, and set the share in SlotPool by the demand of all advertised entries. Even demand, unknown demand of any entry and a view of less than most of the fleet give the equal share as before.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+mod demand;
 mod items;
 
 use std::cmp::Reverse;
@@ -10,6 +11,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use shallotfork_balance::divide_slots;
 use shallotfork_feed::PullResponse;
 use shallotfork_fleet::{
     Candidate, FleetHeartbeat, FleetMember, HEARTBEAT_PERIOD, OwnState, choose_initial_seed,
@@ -34,6 +36,7 @@
 /// Time over which the starts of all processes are spread.
 const START_SPREAD_MS: u64 = 300;
 
+pub use demand::{Demand, ModelShare, service};
 pub use items::Items;
 
 /// A scheduled event.
@@ -111,6 +114,8 @@
     pub sent_updates: usize,
     /// Number of crash reports in these heartbeats.
     pub crash_reports: usize,
+    /// Demand of callers.
+    pub demand: Demand,
     /// Published items, if the model has any.
     pub items: Option<Items>,
     /// Probability that a message is lost.
@@ -148,6 +153,7 @@
             cross_domain_heartbeats: 0,
             sent_updates: 0,
             crash_reports: 0,
+            demand: Demand::default(),
             items: None,
             loss_rate: 0.0,
             crashing_sends: Vec::new(),
@@ -207,6 +213,24 @@
         Some(member.view(now).advertised.iter().map(|entry| entry.vm.clone()).collect())
     }
 
+    /// Returns the share of an entry in the slots of the service whose demand varies; `None` if it is
+    /// not advertised in its own view. Like the gateway, an
+    /// entry that does not see most of the fleet uses an equal share.
+    pub fn slot_share_of(&mut self, index: usize) -> Option<ModelShare> {
+        let (now, own) = (self.now, self.name_of(index));
+        let member = self.vms[index].member.as_mut()?;
+        let view = member.view(now);
+        let position = view.advertised.iter().position(|entry| entry.vm == own)?;
+        let equal = 1_000_000 / view.advertised.len();
+        let by_demand = if self.demand.sees_majority(index, view.core_entries.len()) {
+            divide_slots(&member.demands(service(), now)).share(position)
+        } else {
+            None
+        };
+        let millionths = by_demand.map_or(equal, |share| share.value() as usize);
+        Some(ModelShare { millionths, is_by_demand: by_demand.is_some() })
+    }
+
     /// Returns the number of entries in the model.
     pub fn len(&self) -> usize {
         self.vms.len()
@@ -222,6 +246,11 @@
         self.vms.iter().position(|other| other.listed.vm == *vm).unwrap()
     }
 
+    /// Returns the failure domain of an entry.
+    pub fn domain_of(&self, index: usize) -> FailureDomain {
+        self.vms[index].listed.failure_domain.clone()
+    }
+
     /// Returns all entries in the failure domain of an entry.
     pub fn entries_in_domain_of(&self, index: usize) -> Vec<usize> {
         let domain = &self.vms[index].listed.failure_domain;
@@ -355,6 +384,7 @@
             isolated: false,
         };
         vm.member = Some(FleetMember::new(own, self.now));
+        self.demand.reset(index);
         vm.started_at = self.now;
         vm.isolated = false;
         vm.quarantine = Quarantine::new(QuarantineConfig::default());
@@ -380,6 +410,7 @@
         let is_reader = member.should_read(now);
         let own = member.own_state();
         member.set_own_state(OwnState { is_reader, ..own });
+        member.set_own_demand(self.demand.measure(index, &mut self.rng, now), now);
         calls.into_iter().for_each(|endpoint| self.call(index, endpoint));
         self.schedule_period(index, run);
     }
@@ -488,8 +519,13 @@
         let (vm, now) = (self.vms[to].listed.vm.clone(), self.now);
         let sender = &mut self.vms[from];
         let Some(member) = sender.member.as_mut() else { return false };
+        let mut heartbeat = member.heartbeat_for(&vm, now);
+        if self.demand.older.contains(&from) {
+            heartbeat.demands.clear();
+        }
+        self.demand.record_sent(from, &heartbeat.demands);
         let message = Box::new(Message {
-            heartbeat: member.heartbeat_for(&vm, now),
+            heartbeat,
             crash_reports: sender.quarantine.reports(peer_digest, now),
             digest: sender.quarantine.digest(now),
         });
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -10,6 +10,7 @@
 use shallotfork_types::Endpoint;
 
 use crate::control::advertise::update_advertised_entries;
+use crate::control::demand_shares::update_demand;
 use crate::control::heartbeat_messages::{build_heartbeat, receive_heartbeat};
 use crate::control::pull::{PullSource, pull};
 use crate::control::pulled_items::should_pull_from;
@@ -37,6 +38,7 @@
         let is_overloaded = state.context.is_overloaded();
         let scheduling_delay = tick_delay.at(tick.now).max(state.context.scheduling_delay());
         state.update_own_state(|own| OwnState { is_overloaded, scheduling_delay, ..own });
+        update_demand(&state);
         let seeds = state.seeds.borrow().clone();
         let endpoints = state.fleet.borrow_mut().start_period(&seeds, &mut rand::rng(), tick.now);
         if let Some(kept) = state.fleet.borrow_mut().connections_to_keep(tick.now) {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod advertise;
 mod configuration;
+mod demand_shares;
 mod handler;
 mod heartbeat_messages;
 mod heartbeats;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -16,6 +16,7 @@
 
 use crate::context::lock;
 use crate::control::configuration::{offer_table, reject_configuration};
+use crate::control::demand_shares::set_demand_shares;
 use crate::control::ignored_elements::{
     count_ignored, forget_removed, report_ignored, track_ignored,
 };
@@ -297,6 +298,7 @@
     for (_, slots) in state.context.services.all() {
         set_sharers(state, &slots);
     }
+    set_demand_shares(state);
 }
 
 fn set_sharers(state: &ControlState, slots: &ServiceSlots) {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -30,6 +30,7 @@
 mod service_load;
 mod service_slots;
 mod slot_events;
+mod slot_share;
 mod target_statements;
 
 pub use caller_requests::{handle_request, may_begin_early};
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -31,6 +31,7 @@
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
             slots.update_rejections();
+            slots.report_share();
             report_slots(&context, &service, &slots.summary());
         }
     }
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -13,9 +13,10 @@
 };
 use shallotfork_events::slog::Logger;
 use shallotfork_events::{TARGET_COLD, event};
+use shallotfork_measure::DemandMeter;
 use shallotfork_timer::Clock;
 use shallotfork_types::{
-    FailureDomain, Mono, Permille, RequestRate, ServiceName, TargetId, Warmup,
+    FailureDomain, Mono, PartsPerMillion, Permille, RequestRate, ServiceName, TargetId, Warmup,
 };
 use tokio::sync::{Notify, oneshot};
 
@@ -43,6 +44,10 @@
     pub(super) repeats: RepeatAllocation,
     /// Whether targets rejected requests at random when this was logged last.
     pub(super) logged_random_rejections: bool,
+    /// Requests of callers at this entry.
+    pub(super) demand: DemandMeter,
+    /// Share of the slots that was logged last, and whether it was a share by demand.
+    pub(super) logged_share: (bool, PartsPerMillion),
     waiting: HashMap<Ticket, oneshot::Sender<SlotResult>>,
     last_request_at: Option<Mono>,
 }
@@ -120,6 +125,8 @@
             pool: SlotPool::new(config),
             repeats: RepeatAllocation::new(retry_window),
             logged_random_rejections: false,
+            demand: DemandMeter::default(),
+            logged_share: (false, PartsPerMillion::default()),
             waiting: HashMap::new(),
             last_request_at: None,
         };
@@ -131,6 +138,7 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.repeats.record_request(now);
+        inner.demand.record_request(now);
         inner.last_request_at = Some(now);
     }
 
