--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -136,6 +136,7 @@
         is_overloaded: false,
         restart_safe: state.ledger.borrow().running() == 0,
         loads: Vec::new(),
+        demands: Vec::new(),
         // All entries of a fleet of this kind have the same capacity.
         capacity: PerSecond::default(),
     }
