--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -1,5 +1,5 @@
-//! Decisions about large answers: whether an entry has room for one, when its bytes may be written,
-//! and when a transfer is given up.
+//! Decisions about large answers: whether an entry has room for one, and when its bytes may be
+//! written.
 //!
 //! The load is a route whose answers have a mean size of 90 kB and a maximum of 540 kB, at an entry
 //! with a link of 10 Mbit/s and 37 MB for bodies. One answer of the maximum size occupies that link
@@ -11,7 +11,6 @@
 
 mod config;
 mod pacer;
-mod progress;
 mod request;
 mod reservation;
 mod room;
@@ -20,7 +19,6 @@
 
 pub use config::{PacerConfig, RoomConfig};
 pub use pacer::{LinkPacer, Pace};
-pub use progress::{STALL_MAX, TransferProgress};
 pub use request::{ResolvedWait, RoomDecision, RoomRequest, RoomResolution, RoomTicket};
 pub use reservation::ReservationId;
 pub use room::AnswerRoom;
