--- a/crates/balance/tests/hedge_timing.rs
+++ b/crates/balance/tests/hedge_timing.rs
@@ -32,7 +32,7 @@
 const WINDOW_REPEATS: usize = 20;
 const WINDOW_EARLY_HEDGES: usize = 12;
 
-/// Simulates the load of the page under the old and the planned rule.
+/// Simulates the load of docs/design/demanding-load.md under the old and the planned rule.
 fn compare(long_work: LongWork) -> (Report, Report) {
     let load = UnevenLoad::new(long_work);
     let reports = (simulate(load, Rule::Old, SEED), simulate(load, Rule::Planned, SEED));
--- a/crates/balance/tests/support/uneven_load.rs
+++ b/crates/balance/tests/support/uneven_load.rs
@@ -35,7 +35,7 @@
 }
 
 impl UnevenLoad {
-    /// The load of the page on demanding loads.
+    /// The load that docs/design/demanding-load.md describes.
     pub fn new(long_work: LongWork) -> Self {
         Self {
             long_work,
--- a/crates/balance/tests/support/uneven_report.rs
+++ b/crates/balance/tests/support/uneven_report.rs
@@ -7,7 +7,8 @@
 
 /// Window of the limit on repeats.
 pub const WINDOW_MS: u64 = 10_000;
-/// Limit on repeats of one process: the share of the page, and a process's part of the fixed number.
+/// Limit on repeats of one process: the share of requests in docs/design/demanding-load.md, and a
+/// part of the fixed number.
 pub const ALLOWANCE: RetryAllowance = RetryAllowance { share: Permille::new(200), extra: 10 };
 
 /// Result of a simulation.
