--- a/crates/balance/src/retry_window.rs
+++ b/crates/balance/src/retry_window.rs
@@ -102,7 +102,7 @@
         };
         let requests: u64 = kept().map(|bucket| bucket.requests).sum();
         let extra_attempts: u64 = kept().map(|bucket| bucket.extra_attempts).sum();
-        let allowed = allowance.share.of(requests + new_requests) + u64::from(allowance.extra);
+        let allowed = allowance.attempts_max(requests + new_requests);
         let horizon_s = (horizon * self.bucket_us) as f64 / 1e6;
         allowed.saturating_sub(extra_attempts) as f64 / horizon_s.max(f64::EPSILON)
     }
--- a/crates/balance/src/slots/run_cost.rs
+++ b/crates/balance/src/slots/run_cost.rs
@@ -40,8 +40,6 @@
     ) -> f64 {
         let running = self.running.iter().find(|running| running.attempt == attempt);
         let is_saturated = running.is_some_and(|running| running.was_saturated_at_start);
-        let fresh = self.fresh_slowdown(now, config);
-        let slowdown = fresh.unwrap_or_else(|| self.expected_slowdown(now, config, estimates));
-        slowdown * estimates.saturation_cost(is_saturated)
+        self.current_slowdown(now, config, estimates) * estimates.saturation_cost(is_saturated)
     }
 }
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -278,17 +278,23 @@
     }
 
     /// Returns the reported slowdown if the report is fresh enough to rely on.
-    pub(super) fn fresh_slowdown(&self, now: Mono, config: &SlotPoolConfig) -> Option<f64> {
+    fn fresh_slowdown(&self, now: Mono, config: &SlotPoolConfig) -> Option<f64> {
         let fresh = |report: &SlowdownReport| now.since(report.reported_at) < config.load_max_age;
         self.slowdown.filter(fresh).map(|report| report.slowdown.factor())
     }
 
-    pub(super) fn expected_slowdown(
+    /// Returns the reported slowdown if it is fresh, otherwise the expected one.
+    pub(super) fn current_slowdown(
         &self,
         now: Mono,
         config: &SlotPoolConfig,
         estimates: &Estimates,
     ) -> f64 {
+        let fresh = self.fresh_slowdown(now, config);
+        fresh.unwrap_or_else(|| self.expected_slowdown(now, config, estimates))
+    }
+
+    fn expected_slowdown(&self, now: Mono, config: &SlotPoolConfig, estimates: &Estimates) -> f64 {
         let mean = self.mean_slowdown.unwrap_or(estimates.mean_slowdown());
         let report = self.slowdown;
         report.map_or(mean, |report| report.expected(now, config.slowdown_decay, mean))
@@ -405,7 +411,7 @@
         estimates: &Estimates,
     ) {
         let fresh = self.fresh_slowdown(now, config);
-        let slowdown = fresh.unwrap_or_else(|| self.expected_slowdown(now, config, estimates));
+        let slowdown = self.current_slowdown(now, config, estimates);
         let index = self.running.iter().position(|running| running.attempt == attempt);
         let Some(index) = index else { return };
         let (class, is_saturated) =
@@ -490,10 +496,7 @@
         if self.long_work.record(is_long) {
             return estimates.record_long_work(&running.class, time_us / cost);
         }
-        let usual_us = estimates.work_us(&running.class)
-            * slowdown
-            * estimates.saturation_cost(running.was_saturated_at_start);
-        self.record_work_time_ratio(time_us / usual_us);
+        self.record_work_time_ratio(time_us / (estimates.work_us(&running.class) * cost));
         estimates.record_run_ratio(
             time_us / (estimates.work_us(&running.class) * slowdown),
             running.met_saturation,
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -6,6 +6,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+mod random_numbers;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -15,6 +17,8 @@
 };
 use shallotfork_types::{FailureDomain, Mono, TargetId};
 
+use random_numbers::RandomNumbers;
+
 /// Round-trip time of a probe to a target, including its load report.
 const PROBE_ROUND_TRIP_MS: u64 = 2;
 /// Interval at which waits are expired and probes are sent.
@@ -35,23 +39,6 @@
     format!("target-{number}")
 }
 
-/// A deterministic pseudo-random sequence of numbers from 0 to 1.
-#[derive(Debug)]
-pub struct RandomNumbers(u64);
-
-impl RandomNumbers {
-    pub fn new(seed: u64) -> Self {
-        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
-    }
-
-    pub fn next(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 /// Load and timing of the callers of a service.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
