fix(roster): look up shared addresses in an index

Cause: for each record of a full read that is as before, the roster compared its address with those of all other records. A full read of n targets took n^2 comparisons, on every entry that applies one, after each time the platform discards its history.

Change: targets are kept by address as well. Which of several records holds an address is decided as before.

--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -48,6 +48,8 @@
 pub struct Roster {
     config: RosterConfig,
     members: BTreeMap<TargetId, Member>,
+    /// Targets with a record, by address. A full read looks up the address of every record.
+    by_endpoint: BTreeMap<Endpoint, BTreeSet<TargetId>>,
     is_platform_disconnected: bool,
     reconnected_at: Option<Mono>,
     version: u64,
@@ -59,6 +61,7 @@
         Self {
             config,
             members: BTreeMap::new(),
+            by_endpoint: BTreeMap::new(),
             is_platform_disconnected: false,
             reconnected_at: None,
             version: 0,
@@ -128,7 +131,9 @@
         for (id, member) in &mut self.members {
             if member.is_lapsed {
                 member.is_lapsed = false;
-                member.record = None;
+                if let Some(record) = member.record.take() {
+                    remove_address(&mut self.by_endpoint, id, record.endpoint);
+                }
                 member.last_seen_at = now;
                 left.push(RosterChange::Left(id.clone()));
             }
@@ -144,19 +149,20 @@
     /// The address of a target that has ended may be reused before the target's record is removed.
     /// If several records have the same address, only the one published last is included.
     pub fn targets(&self) -> Vec<(&TargetId, &TargetRecord)> {
-        let mut holders: BTreeMap<Endpoint, (Position, &TargetId)> = BTreeMap::new();
-        for (id, member) in &self.members {
-            let Some(record) = &member.record else { continue };
-            let holder = holders.entry(record.endpoint).or_insert((member.position, id));
-            if member.position > holder.0 {
-                *holder = (member.position, id);
-            }
-        }
         let present =
             self.members.iter().filter_map(|(id, member)| Some((id, member.record.as_ref()?)));
-        present
-            .filter(|(id, record)| holders.get(&record.endpoint).is_some_and(|h| h.1 == *id))
-            .collect()
+        present.filter(|(id, record)| self.holds_address(id, record.endpoint)).collect()
+    }
+
+    /// Returns whether no other record of this address was published after that of the target.
+    fn holds_address(&self, id: &TargetId, endpoint: Endpoint) -> bool {
+        let Some(ids) = self.by_endpoint.get(&endpoint) else { return false };
+        if ids.len() == 1 {
+            return true;
+        }
+        let position = |id: &TargetId| self.members.get(id).map(|member| member.position);
+        // Of several records at the same position, the one with the lowest ID holds the address.
+        ids.iter().rev().max_by_key(|other| position(other)) == Some(id)
     }
 
     fn is_in_grace_period(&self, now: Mono) -> bool {
@@ -186,7 +192,7 @@
     ) -> Option<RosterChange> {
         let new_member =
             Member { position, record: Some(record), is_lapsed: false, last_seen_at: now };
-        let old = self.members.insert(id.clone(), new_member);
+        let old = self.insert(&id, new_member);
         self.update_version(&id, old.as_ref());
         let new = self.members.get(&id)?.record.as_ref()?;
         let Some((old, is_lapsed)) = old.and_then(|old| Some((old.record?, old.is_lapsed))) else {
@@ -235,18 +241,45 @@
 
     /// Returns whether more than one record has this address.
     fn is_shared(&self, endpoint: Endpoint) -> bool {
-        let records = self.members.values().filter_map(|member| member.record.as_ref());
-        records.filter(|record| record.endpoint == endpoint).count() > 1
+        self.by_endpoint.get(&endpoint).is_some_and(|ids| ids.len() > 1)
+    }
+
+    /// Sets the state of a target and returns the one before.
+    fn insert(&mut self, id: &TargetId, member: Member) -> Option<Member> {
+        let endpoint = member.record.as_ref().map(|record| record.endpoint);
+        let old = self.members.insert(id.clone(), member);
+        let old_endpoint = old.as_ref().and_then(|old| Some(old.record.as_ref()?.endpoint));
+        if endpoint != old_endpoint {
+            if let Some(old_endpoint) = old_endpoint {
+                remove_address(&mut self.by_endpoint, id, old_endpoint);
+            }
+            if let Some(endpoint) = endpoint {
+                self.by_endpoint.entry(endpoint).or_default().insert(id.clone());
+            }
+        }
+        old
     }
 
     fn remove(&mut self, id: TargetId, position: Position, now: Mono) -> Option<RosterChange> {
         let removed = Member { position, record: None, is_lapsed: false, last_seen_at: now };
-        let old = self.members.insert(id.clone(), removed);
+        let old = self.insert(&id, removed);
         self.update_version(&id, old.as_ref());
         old.and_then(|old| old.record).map(|_| RosterChange::Left(id))
     }
 }
 
+fn remove_address(
+    by_endpoint: &mut BTreeMap<Endpoint, BTreeSet<TargetId>>,
+    id: &TargetId,
+    endpoint: Endpoint,
+) {
+    let Some(ids) = by_endpoint.get_mut(&endpoint) else { return };
+    ids.remove(id);
+    if ids.is_empty() {
+        by_endpoint.remove(&endpoint);
+    }
+}
+
 /// Returns whether two records with the same ID describe different runs of the target.
 fn is_other_run(old: &TargetRecord, new: &TargetRecord) -> bool {
     let has_restarted = match (old.started_at_ms, new.started_at_ms) {
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test builder may end the test")]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quickcheck::QuickCheck;
@@ -191,3 +192,50 @@
     assert_eq!(names(&roster), ["a", "b"]);
     assert_ne!(roster.version(), version);
 }
+
+/// Guards against a full read that takes the square of the number of targets: with thousands of
+/// them, a small VM could apply nothing else for seconds after the platform had discarded its history.
+#[test]
+fn full_read_of_unchanged_records_takes_linear_time() {
+    const TARGETS: u32 = 18_000;
+    /// Time within which a change has to be in force.
+    const IN_FORCE_MAX: Duration = Duration::from_secs(8);
+    let records = || {
+        (0..TARGETS).map(|number| {
+            let endpoint =
+                format!("10.{}.{}.{}:80", number / 65_536, number / 256 % 256, number % 256);
+            let record = TargetRecord { endpoint: endpoint.parse().unwrap(), ..record(1) };
+            change(&format!("target-{number:05}"), 1, PublishedState::Target(record))
+        })
+    };
+    let mut roster = Roster::new(RosterConfig::default());
+    assert_eq!(roster.replace(records().collect(), at_revision(1), at(0)).len(), 18_000);
+    let started_at = std::time::Instant::now();
+    assert_eq!(roster.replace(records().collect(), at_revision(2), at(1)), []);
+    assert!(started_at.elapsed() < IN_FORCE_MAX, "{:?}", started_at.elapsed());
+}
+
+/// Guards against an address that is looked up under a target that no longer has it.
+#[test]
+fn each_address_is_used_by_the_target_published_last() {
+    fn property(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut roster = Roster::new(RosterConfig::default());
+        let mut published: BTreeMap<String, (u64, u16)> = BTreeMap::new();
+        for (revision, (name, port, is_removed)) in (1..).zip(steps) {
+            let (name, port) = (format!("target-{}", name % 5), u16::from(port % 3));
+            if is_removed {
+                published.remove(&name);
+                roster.apply(vec![change(&name, revision, PublishedState::Removed)], at(0));
+            } else {
+                published.insert(name.clone(), (revision, port));
+                roster.apply(vec![present(&name, revision, port)], at(0));
+            }
+        }
+        let is_last = |revision: u64, port: u16| {
+            published.values().all(|other| other.1 != port || other.0 <= revision)
+        };
+        let holders = published.iter().filter(|(_, (revision, port))| is_last(*revision, *port));
+        names(&roster) == holders.map(|(name, _)| name.as_str()).collect::<Vec<_>>()
+    }
+    QuickCheck::new().tests(500).quickcheck(property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
