feat(feed): pulls across a lost history transfer the difference

Change: a reader knows what exists at both positions, but not what came and went in between. It now returns the difference with a mark that it has a gap. The pulling entry passes the mark on: it claims to know the history only from the new position on.

Tests: a property test over reads, watches, lost histories and pulls among four entries; it fails if entries with later items take a gap too.

--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -49,6 +49,9 @@
     pub changes: FeedChanges,
     /// Whether the response contains all published items.
     pub is_snapshot: bool,
+    /// Whether items that came and went since the requested position may be missing, because the
+    /// responding entry has not seen all changes since.
+    pub has_gap: bool,
     /// Lowest revision that the responding entry knows of the platform in the current epoch; `None` if
     /// it states none.
     pub seen_from: Option<Revision>,
@@ -83,8 +86,27 @@
     /// Applies an incremental read of the platform that continues from the current position, and returns
     /// the items that it contains as they are now.
     pub fn apply(&mut self, changes: &FeedChanges, judge: &Judge<'_>) -> Vec<RawItem> {
+        self.apply_then(changes, judge, Self::advance)
+    }
+
+    /// Applies changes that may lack items that came and went. This entry then cannot tell others of
+    /// these either.
+    pub(crate) fn apply_with_gap(
+        &mut self,
+        changes: &FeedChanges,
+        judge: &Judge<'_>,
+    ) -> Vec<RawItem> {
+        self.apply_then(changes, judge, Self::skip_to)
+    }
+
+    fn apply_then(
+        &mut self,
+        changes: &FeedChanges,
+        judge: &Judge<'_>,
+        move_on: impl FnOnce(&mut Self, Position),
+    ) -> Vec<RawItem> {
         changes.items.iter().for_each(|item| self.write(item, judge));
-        self.advance(changes.position);
+        move_on(self, changes.position);
         let changed = changes.items.iter().filter_map(|item| {
             let register = self.items.get(&item.key)?;
             Some(effective_item(&item.key, register))
@@ -98,16 +120,41 @@
     /// Returns the changes after `position`, or a snapshot if removals since then may be missing.
     pub fn changes_after(&self, position: Position) -> PullResponse {
         let is_snapshot = !self.has_changes_after(position);
-        let published = self.items.iter().map(|(key, register)| published_item(key, register));
-        let mut items: Vec<RawItem> = published
-            .filter(
-                |item| if is_snapshot { item.content.is_some() } else { item.position > position },
-            )
-            .collect();
+        self.response(position, is_snapshot, false)
+    }
+
+    /// Returns the changes after `position` for an entry that [accepts a gap](Self::accepts_gap).
+    ///
+    /// After the platform has discarded its history, the entries that read it know what exists but
+    /// not what happened meanwhile. If all others had to pull a snapshot from them, a loss of history
+    /// would transfer every item to every entry.
+    pub fn changes_with_gap_after(&self, position: Position) -> PullResponse {
+        if self.has_changes_after(position) {
+            return self.response(position, false, false);
+        }
+        let is_known = self.known_after.iter().any(|known| known.contains(&position));
+        let has_gap = is_known && position.epoch() == self.position.epoch();
+        self.response(position, !has_gap, has_gap)
+    }
+
+    /// Returns whether this entry can apply changes that may lack items that came and went after its
+    /// position: it holds no item of a later position, which might be one of these.
+    pub fn accepts_gap(&self) -> bool {
+        self.items.values().all(|register| register.published().position <= self.position)
+    }
+
+    fn response(&self, position: Position, is_snapshot: bool, has_gap: bool) -> PullResponse {
+        let is_included = |version: &Version<Vec<u8>>| {
+            if is_snapshot { version.content.is_some() } else { version.position > position }
+        };
+        let included = self.items.iter().filter(|(_, register)| is_included(register.published()));
+        let mut items: Vec<RawItem> =
+            included.map(|(key, register)| published_item(key, register)).collect();
         items.sort_by_key(|item| item.position);
         PullResponse {
             changes: FeedChanges { items, position: self.position },
             is_snapshot,
+            has_gap,
             seen_from: Some(self.seen_from),
             retained: Retained::default(),
         }
--- a/crates/feed/src/restore.rs
+++ b/crates/feed/src/restore.rs
@@ -51,7 +51,7 @@
         now: Mono,
         judge: &Judge<'_>,
     ) -> Option<Vec<RawItem>> {
-        let PullResponse { changes, is_snapshot, seen_from, retained } = response;
+        let PullResponse { changes, is_snapshot, has_gap, seen_from, retained } = response;
         let position = changes.position;
         let seen_from = seen_from.unwrap_or(position.revision());
         let changed = if *is_snapshot {
@@ -60,6 +60,8 @@
         } else if self.is_restored_at(position) {
             self.adopt_difference(seen_from, changes, now, judge);
             None
+        } else if *has_gap {
+            Some(self.apply_with_gap(changes, judge))
         } else {
             Some(self.apply(changes, judge))
         };
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -26,7 +26,8 @@
 }
 
 fn response(changes: FeedChanges, is_snapshot: bool) -> PullResponse {
-    PullResponse { changes, is_snapshot, seen_from: None, retained: Retained::default() }
+    let retained = Retained::default();
+    PullResponse { changes, is_snapshot, has_gap: false, seen_from: None, retained }
 }
 
 fn archive() -> Archive {
@@ -173,3 +174,106 @@
     let position = at_epoch(1, 8);
     assert_eq!(archive.check(&retained(position)), Err(PullError::NotRetained(position)));
 }
+
+/// Guards against a transfer of all items to all entries after the platform has discarded its history:
+/// the entries that read it again know what differs.
+#[test]
+fn pull_across_a_lost_history_returns_the_difference() {
+    let mut source = archive();
+    let mut follower = Archive::new();
+    follow(&source, &mut follower);
+    source.replace(&[item(1, 3, Some("a")), item(3, 9, Some("c"))], at(9), NOW, &undecided);
+    assert!(source.changes_after(at(6)).is_snapshot, "an older release takes no gap");
+    let response = source.changes_with_gap_after(follower.position());
+    assert!(response.has_gap && !response.is_snapshot);
+    assert_eq!(response.changes, changes(vec![item(2, 9, None), item(3, 9, Some("c"))], 9));
+    follower.apply_response(&response, NOW, &undecided);
+    assert_eq!(follower.items(), source.items());
+    assert!(follower.changes_after(at(6)).is_snapshot, "what came and went is unknown here too");
+}
+
+/// Guards against an item that is used for ever: its removal is missing in the difference, because the
+/// entry that was pulled from has never seen it.
+#[test]
+fn entry_with_later_items_than_its_position_accepts_no_gap() {
+    let mut reader = Archive::new();
+    assert!(reader.accepts_gap());
+    reader.replace(&[item(1, 3, Some("a")), item(2, 8, Some("b"))], at(6), NOW, &undecided);
+    assert!(!reader.accepts_gap());
+    reader.apply(&changes(Vec::new(), 8), &undecided);
+    assert!(reader.accepts_gap());
+}
+
+/// Published items with their history, which readers may find discarded.
+#[derive(Default)]
+struct Platform {
+    items: std::collections::BTreeMap<u8, RawItem>,
+    history: Vec<RawItem>,
+    revision: u64,
+}
+
+impl Platform {
+    fn write(&mut self, key: u8, content: Option<&str>) {
+        self.revision += 1;
+        let written = item(key, self.revision, content);
+        self.history.push(written.clone());
+        self.items.insert(key, written);
+        self.items.retain(|_, item| item.content.is_some());
+    }
+
+    fn watch(&self, archive: &mut Archive) {
+        let after = archive.position();
+        let items = self.history.iter().filter(|item| item.position > after).cloned();
+        archive.apply(&changes(items.collect(), self.revision), &undecided);
+    }
+
+    /// Reads all items while `key` is written after the first page.
+    fn read(&mut self, archive: &mut Archive, key: u8, content: Option<&str>) {
+        let position = at(self.revision);
+        self.write(key, content);
+        let items: Vec<RawItem> = self.items.values().cloned().collect();
+        archive.replace(&items, position, NOW, &undecided);
+    }
+}
+
+/// Whatever is read, watched and pulled across lost histories, entries that have followed to the same
+/// position hold the published items.
+#[test]
+fn entries_hold_the_published_items_across_lost_histories() {
+    const ENTRIES: usize = 4;
+    fn property(steps: Vec<(u8, u8, u8, bool)>) -> bool {
+        let mut platform = Platform::default();
+        platform.write(0, Some("x"));
+        let mut entries: Vec<Archive> = (0..ENTRIES).map(|_| Archive::new()).collect();
+        entries.iter_mut().for_each(|archive| platform.read(archive, 0, Some("x")));
+        for (action, key, entry, is_removed) in steps {
+            let content = if is_removed { None } else { Some("x") };
+            let (key, index) = (key % 6, usize::from(entry) % ENTRIES);
+            match action % 5 {
+                0 | 1 => platform.write(key, content),
+                2 => platform.watch(&mut entries[index]),
+                3 => platform.read(&mut entries[index], key, content),
+                _ => pull(&mut entries, index, (index + 1 + usize::from(key) % 3) % ENTRIES),
+            }
+        }
+        platform.watch(&mut entries[0]);
+        (1..ENTRIES).for_each(|index| pull(&mut entries, index, 0));
+        let published: Vec<RawItem> = platform.items.values().cloned().collect();
+        entries.iter().all(|archive| archive.items() == published)
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<(u8, u8, u8, bool)>) -> bool);
+}
+
+/// Pulls from an entry that is ahead.
+fn pull(entries: &mut [Archive], to: usize, from: usize) {
+    let after = entries[to].position();
+    if entries[from].position() <= after {
+        return;
+    }
+    let response = if entries[to].accepts_gap() {
+        entries[from].changes_with_gap_after(after)
+    } else {
+        entries[from].changes_after(after)
+    };
+    entries[to].apply_response(&response, NOW, &undecided);
+}
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -71,6 +71,7 @@
     items: usize,
     bytes: u64,
     is_snapshot: bool,
+    has_gap: bool,
 }
 
 /// Makes one pull. A pull rejected because the other entry is busy is not logged here, because that
@@ -82,7 +83,9 @@
     let is_next_epoch = source.epoch > Some(after.epoch());
     let has_other_retained = source.retained_digest != ListsDigest::default()
         && source.retained_digest != state.archive.borrow().retained_digest();
-    let request = ChangesRequest::new(after).with_retained(is_next_epoch || has_other_retained);
+    let request = ChangesRequest::new(after)
+        .with_retained(is_next_epoch || has_other_retained)
+        .with_gap(state.archive.borrow().accepts_gap());
     let answer = request_changes(state, &source.client, &request).await;
     let bytes = source.client.take_transferred_bytes();
     TransferKind::Pulls.record_bytes(&source.failure_domain, bytes);
@@ -91,13 +94,13 @@
             log_failed_pull(state, source, after, started_at, &error.to_string());
         }
     })?;
-    let Changes { revision, epoch, is_snapshot, .. } = changes;
+    let Changes { revision, epoch, is_snapshot, has_gap, .. } = changes;
     let position = Position::new(epoch.unwrap_or_default(), revision);
     match apply_response(state, changes, source.client.peer().vm.as_str()) {
         Ok(items) => log_pull(
             state,
             source,
-            &PullStats { after, started_at, position, items, bytes, is_snapshot },
+            &PullStats { after, started_at, position, items, bytes, is_snapshot, has_gap },
         ),
         Err(error) => log_failed_pull(state, source, after, started_at, &error.to_string()),
     }
@@ -146,7 +149,7 @@
         "after" => pull.after.revision().value(), "revision" => pull.position.revision().value(),
         "epoch" => pull.position.epoch().value(),
         "items" => pull.items, "bytes" => pull.bytes, "took_ms" => millis(duration),
-        "whole" => pull.is_snapshot);
+        "whole" => pull.is_snapshot, "gap" => pull.has_gap);
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -68,6 +68,7 @@
         epoch,
         mut values,
         is_snapshot,
+        has_gap,
         bundle,
         retained,
         settles_in,
@@ -87,6 +88,7 @@
     let response = PullResponse {
         changes: FeedChanges { items, position },
         is_snapshot,
+        has_gap,
         seen_from,
         retained: Retained { items: retained, settles_in },
     };
--- a/crates/gateway/src/control/serve_pulls.rs
+++ b/crates/gateway/src/control/serve_pulls.rs
@@ -59,7 +59,11 @@
     }
     let archive = state.archive.borrow();
     let after = Position::new(request.epoch.unwrap_or(archive.position().epoch()), request.after);
-    let mut response = archive.changes_after(after);
+    let mut response = if request.accepts_gap {
+        archive.changes_with_gap_after(after)
+    } else {
+        archive.changes_after(after)
+    };
     if request.wants_retained {
         response.retained = archive.retained_for(after, now);
     }
@@ -77,6 +81,7 @@
         retained: retained_values(state, &response.retained, request.accepts_packed),
         settles_in: response.retained.settles_in,
         seen_from: response.seen_from,
+        has_gap: response.has_gap,
         ..changes
     };
     let size = size(&changes);
@@ -100,6 +105,7 @@
         epoch: Some(position.epoch()),
         values,
         is_snapshot: response.is_snapshot,
+        has_gap: false,
         bundle: None,
         retained: Vec::new(),
         settles_in: None,
@@ -129,6 +135,7 @@
         epoch: Some(changes.position.epoch()),
         values,
         is_snapshot: *is_snapshot,
+        has_gap: false,
         bundle,
         retained: Vec::new(),
         settles_in: None,
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -75,6 +75,7 @@
             epoch: request.epoch,
             values: Vec::new(),
             is_snapshot: false,
+            has_gap: false,
             bundle: None,
             retained: Vec::new(),
             settles_in: None,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -21,10 +21,10 @@
   lookup @4 (operation :Operation) -> (held :Bool, answer :ClaimAnswer);
   issue @5 () -> (session :Text);
   changes @6 (after :UInt64, takesPacked :Bool, epoch :UInt64 = 0xffffffffffffffff,
-              wantsRetained :Bool) -> (changes :Changes);
+              wantsRetained :Bool, takesGap :Bool) -> (changes :Changes);
   # With `takesPacked` large contents may come compressed. `epoch` is that of the revision `after`; the
   # default means that the caller does not know of epochs. With `wantsRetained` the changes have the
-  # retained values.
+  # retained values, and with `takesGap` they may have a gap.
   push @7 (changes :Changes) -> ();
   handoff @8 (ledger :SealedLedger, index :UInt32, count :UInt32) -> (accepted :Bool);
 }
@@ -204,6 +204,8 @@
   # default means that it is not known.
   seenFrom @8 :UInt64 = 0xffffffffffffffff;
   # Lowest revision that the sender knows of the platform in this epoch; the default means none.
+  gap @9 :Bool;
+  # Values that came and went after the requested revision may be missing.
 }
 
 struct Values {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -202,6 +202,7 @@
         call.get().set_epoch(wire::write_epoch(request.epoch));
         call.get().set_takes_packed(request.accepts_packed);
         call.get().set_wants_retained(request.wants_retained);
+        call.get().set_takes_gap(request.accepts_gap);
         with_timeout(self.config.bulk_timeout, async {
             let response = call.send().promise.await?;
             Ok(wire::read_changes(response.get()?.get_changes()?)?)
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -152,6 +152,8 @@
     pub values: Vec<ValueChange>,
     /// Whether these are all published values, so that any other value no longer exists.
     pub is_snapshot: bool,
+    /// Whether values that came and went after the requested revision may be missing.
+    pub has_gap: bool,
     /// Further values, packed together.
     pub bundle: Option<Bundle>,
     /// Values of earlier epochs that hold in place of those published since, if they were requested.
@@ -184,6 +186,8 @@
     pub accepts_packed: bool,
     /// Whether the response is to contain the values of earlier epochs that the peer retains.
     pub wants_retained: bool,
+    /// Whether values that came and went after `after` may be missing in the response.
+    pub accepts_gap: bool,
 }
 
 impl ChangesRequest {
@@ -194,6 +198,7 @@
             epoch: Some(after.epoch()),
             accepts_packed: true,
             wants_retained: false,
+            accepts_gap: false,
         }
     }
 
@@ -202,6 +207,12 @@
     pub fn with_retained(self, wants_retained: bool) -> Self {
         Self { wants_retained, ..self }
     }
+
+    /// Returns the request with whether the response may have a gap.
+    #[must_use]
+    pub fn with_gap(self, accepts_gap: bool) -> Self {
+        Self { accepts_gap, ..self }
+    }
 }
 
 /// One published value, or its removal.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -4105,6 +4105,10 @@
             pub fn get_wants_retained(self) -> bool {
                 self.reader.get_bool_field(65)
             }
+            #[inline]
+            pub fn get_takes_gap(self) -> bool {
+                self.reader.get_bool_field(66)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4191,6 +4195,14 @@
             pub fn set_wants_retained(&mut self, value: bool)  {
                 self.builder.set_bool_field(65, value);
             }
+            #[inline]
+            pub fn get_takes_gap(self) -> bool {
+                self.builder.get_bool_field(66)
+            }
+            #[inline]
+            pub fn set_takes_gap(&mut self, value: bool)  {
+                self.builder.set_bool_field(66, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4202,7 +4214,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(99, 195, 103, 22, 38, 171, 71, 230),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
@@ -4212,42 +4224,49 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(99, 104, 97, 110, 103, 101, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4282,6 +4301,15 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 107, 101, 115, 71, 97, 112),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4289,6 +4317,7 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4302,9 +4331,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,4,1,3];
             pub(crate) const TYPE_ID: u64 = 0xe647_ab26_1667_c363;
         }
     }
@@ -10310,6 +10339,10 @@
         pub fn get_seen_from(self) -> u64 {
             self.reader.get_data_field_mask::<u64>(4, 18446744073709551615)
         }
+        #[inline]
+        pub fn get_gap(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -10460,6 +10493,14 @@
         pub fn set_seen_from(&mut self, value: u64)  {
             self.builder.set_data_field_mask::<u64>(4, value, 18446744073709551615);
         }
+        #[inline]
+        pub fn get_gap(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_gap(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10471,7 +10512,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 166] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 181] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 49, 144, 145, 226, 178, 165, 223),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
@@ -10481,77 +10522,84 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 97, 110, 103),
             ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -10638,6 +10686,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 112, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10650,6 +10706,7 @@
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::value::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10663,9 +10720,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,6,0,8,7,4,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,9,6,0,8,7,4,1,2];
         pub(crate) const TYPE_ID: u64 = 0xdfa5_b2e2_9190_3139;
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -274,6 +274,7 @@
             epoch: wire::read_epoch(params.get_epoch()),
             accepts_packed: params.get_takes_packed(),
             wants_retained: params.get_wants_retained(),
+            accepts_gap: params.get_takes_gap(),
         };
         let Some(changes) = self.handler.changes(request).await else {
             return Err(Error::overloaded("hands on as much as the link bears".to_owned()));
--- a/crates/peer/src/wire/changes.rs
+++ b/crates/peer/src/wire/changes.rs
@@ -14,6 +14,7 @@
     to.set_revision(changes.revision.value());
     to.set_epoch(write_epoch(changes.epoch));
     to.set_whole(changes.is_snapshot);
+    to.set_gap(changes.has_gap);
     if let Some(bundle) = &changes.bundle {
         to.set_bundle(&bundle.content);
         to.set_unpacked_bundle_bytes(unpacked_bytes(bundle.unpacked_size));
@@ -76,6 +77,7 @@
         epoch: read_epoch(from.get_epoch()),
         values,
         is_snapshot: from.get_whole(),
+        has_gap: from.get_gap(),
         bundle,
         retained: from.get_retained()?.iter().map(read_value).collect::<Result<_>>()?,
         settles_in: read_age(from.get_settles_ms()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -193,6 +193,7 @@
         epoch: Some(Epoch::new(2)),
         values: vec![value],
         is_snapshot: true,
+        has_gap: true,
         bundle: Some(bundle),
         retained: vec![retained],
         settles_in: Some(Duration::from_millis(2300)),
--- a/crates/shallotd/src/control/lists_pull.rs
+++ b/crates/shallotd/src/control/lists_pull.rs
@@ -118,6 +118,7 @@
         epoch: None,
         values,
         is_snapshot: false,
+        has_gap: false,
         bundle: None,
         retained: Vec::new(),
         settles_in: None,
