--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -51,6 +51,7 @@
     ADVERTISED_ENTRIES_CHANGED = 4005 Info "entries advertised to callers changed";
     PATH_LOST = 4006 Warning "this entry reaches no target: it steps aside and forwards its requests";
     PATH_RESTORED = 4007 Info "this entry reaches targets again";
+    ENTRY_LOAD_INVALID = 4008 Warning "load reported by an entry ignored: it is not a level";
     TARGET_EJECTED = 5001 Warning "target ejected";
     TARGET_RETURNED = 5002 Info "ejected target used again";
     TARGET_CHANGED = 5003 Info "published target changed";
--- a/crates/fleet/src/advertised.rs
+++ b/crates/fleet/src/advertised.rs
@@ -4,10 +4,9 @@
 
 use shallotfork_types::{Endpoint, FailureDomain, PerSecond, Region, VmId};
 
+use crate::fleet_load::FleetLoad;
 use crate::ranking::Candidate;
 
-/// Requests per second that each target adds to the load of the entries, including bursts.
-const REQUESTS_PER_S_PER_TARGET: u64 = 6;
 /// Divisor of the total load: entries of lower capacity are left out once the others carry the
 /// total load divided by this.
 ///
@@ -95,9 +94,12 @@
 /// Small VMs are advertised together with large ones only if the large ones do not suffice.
 /// Otherwise, when the large entries of a fleet stop, a VM with a fraction of their processor time
 /// and bandwidth would receive as many callers as they did.
-pub fn select_advertised_entries(target_count: usize, ranking: &[Candidate]) -> Vec<Candidate> {
-    let load = target_count as u64 * REQUESTS_PER_S_PER_TARGET;
-    let min_capacity = min_capacity(load, ranking);
+pub fn select_advertised_entries(load: FleetLoad, ranking: &[Candidate]) -> Vec<Candidate> {
+    let min_capacity = match load.observed_with_headroom() {
+        Some(observed) => min_capacity(observed.value().into(), ranking),
+        None => min_capacity_for_assumed(load, ranking),
+    };
+    let load = u64::from(load.expected().value());
     let eligible: Vec<&Candidate> =
         ranking.iter().filter(|entry| capacity(entry) >= min_capacity).collect();
     let domains: BTreeSet<&FailureDomain> =
@@ -114,6 +116,19 @@
     ranking.iter().filter(|entry| selected.contains(&entry.vm)).cloned().collect()
 }
 
+/// Returns the capacity that an entry needs to be advertised while the load is only assumed.
+///
+/// The assumption may be many times the load. Smaller entries are then left out as long as each
+/// failure domain can have a larger one: callers would press them although larger ones are idle, and
+/// each of many entries would know little of the targets. If the larger ones do not suffice, their
+/// reports show it.
+fn min_capacity_for_assumed(load: FleetLoad, ranking: &[Candidate]) -> u64 {
+    let domains: BTreeSet<&FailureDomain> =
+        ranking.iter().map(|entry| &entry.failure_domain).collect();
+    let one_per_domain = domains.len().checked_sub(1).map_or(0, |last| capacity(&ranking[last]));
+    min_capacity(load.expected().value().into(), ranking).max(one_per_domain / 2)
+}
+
 /// Returns the capacity that an entry needs to be advertised: half of the lowest capacity among the
 /// smallest set of leading entries that carries a sufficient share of the load.
 fn min_capacity(load: u64, ranking: &[Candidate]) -> u64 {
--- a/crates/fleet/src/fleet_view.rs
+++ b/crates/fleet/src/fleet_view.rs
@@ -10,6 +10,7 @@
 use crate::advertised::{AdvertisedEntry, select_advertised_entries};
 use crate::contacts::{Contacts, FleetPosition, select_contacts};
 use crate::core_entries::select_core_entries;
+use crate::fleet_load::FleetLoad;
 use crate::intervals::propagation_delay;
 use crate::overflow::add_overflow_entries;
 use crate::ranking::{Candidate, rank_entries};
@@ -39,8 +40,8 @@
     pub(crate) is_serving: bool,
     /// Whether this entry is leaving.
     pub(crate) is_leaving: bool,
-    /// Number of known targets.
-    pub(crate) target_count: usize,
+    /// Load that the advertised entries have to carry.
+    pub(crate) load: FleetLoad,
     /// Number of live entries in the failure domain of this entry, as reported by the leading
     /// entries there.
     pub(crate) reported_domain_entries: u32,
@@ -69,10 +70,14 @@
     /// Digest of the core entries. Two entries that know different core entries have different
     /// digests.
     pub core_digest: ListsDigest,
+    /// Digest of the loads of the core entries, which differs from the digest of no list.
+    pub load_digest: ListsDigest,
     /// Entries that this entry exchanges heartbeats with.
     pub contacts: Contacts,
     /// Number of live entries in the failure domain of this entry.
     pub domain_entries: u32,
+    /// Load for which entries are advertised.
+    pub load: FleetLoad,
 }
 
 impl FleetView {
@@ -87,7 +92,7 @@
         let serving: Vec<Candidate> =
             ranking.iter().filter(|entry| is_serving(&entry.vm)).cloned().collect();
         let (serving, reach_targets) = prefer_connected(serving, &entries);
-        let usual = select_advertised_entries(inputs.target_count, &serving);
+        let usual = select_advertised_entries(inputs.load, &serving);
         let usual_vms: BTreeSet<VmId> = usual.iter().map(|entry| entry.vm.clone()).collect();
         let own_overloaded = inputs.is_overloaded.then_some(own);
         let overloaded: BTreeSet<VmId> =
@@ -115,6 +120,7 @@
                 .chain(inputs.overloaded_until.into_values())
                 .min(),
             core_digest: core_digest(&core_entries, &entries),
+            load_digest: load_digest(&core_entries, &entries),
             core_entries: core_entries.into_iter().collect(),
             entries,
             ranking,
@@ -122,6 +128,7 @@
             advertised,
             contacts,
             domain_entries,
+            load: inputs.load,
         }
     }
 
@@ -209,6 +216,14 @@
     ListsDigest::new(weights.fold(0, |digest, weight| digest.rotate_left(7) ^ weight))
 }
 
+/// Computes the digest of the loads of the core entries. Entries that are not core entries receive the
+/// loads only after a comparison of digests.
+fn load_digest(core_entries: &[VmId], entries: &BTreeMap<VmId, EntryVm>) -> ListsDigest {
+    let loads = core_entries.iter().filter_map(|vm| Some((vm, entries.get(vm)?.load?)));
+    let weights = loads.map(|(vm, load)| rendezvous_weight(vm.as_str(), &load.to_string()));
+    ListsDigest::new(weights.fold(0, |digest, weight| digest ^ weight).max(1))
+}
+
 fn is_isolated(entries: &BTreeMap<VmId, EntryVm>, vm: &VmId) -> bool {
     entries.get(vm).is_some_and(|entry| entry.isolated)
 }
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -17,6 +17,8 @@
     pub updates: Vec<MemberUpdate>,
     /// Digest of the core entries in the sender's view.
     pub core_digest: ListsDigest,
+    /// Digest of the loads of these entries; `None` if the sender is of a release that knows none.
+    pub load_digest: Option<ListsDigest>,
     /// Whether the sender is disconnected from the platform.
     pub is_disconnected: bool,
     /// What the sender knows of the platform's availability.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -11,12 +11,14 @@
 use shallotfork_membership::{Announcement, MemberUpdate, MembershipView, ViewConfig};
 use shallotfork_types::{Endpoint, Mono, VmId};
 
-use crate::core_sync::CoreSync;
+use crate::core_sync::{CoreComparison, CoreSync};
 use crate::demand_exchange::DemandExchange;
 use crate::discovery::{calls_when_alone, discovery_calls};
+use crate::fleet_load::{FleetLoad, RecentLoad};
 use crate::fleet_view::{FleetView, ViewInputs};
 use crate::heartbeat::FleetHeartbeat;
 use crate::intervals::{HEARTBEAT_PERIOD, local_interval_periods};
+use crate::own_load::OwnLoad;
 use crate::platform_availability::PlatformAvailability;
 use crate::reported_states::ReportedStates;
 
@@ -66,7 +68,7 @@
     is_synced: bool,
     is_leaving: bool,
     is_disconnected: bool,
-    target_count: usize,
+    load: FleetLoad,
     local_interval_periods: u32,
 }
 
@@ -89,6 +91,10 @@
     core_syncs: BTreeMap<VmId, CoreSync>,
     /// Demand of advertised entries.
     demands: DemandExchange,
+    /// When this entry reports its load.
+    own_load: OwnLoad,
+    /// Load of the fleet in the last seconds.
+    recent_load: RecentLoad,
     cached_view: Option<(ViewCacheKey, Rc<FleetView>)>,
     /// Number of periods since the start.
     period_count: u32,
@@ -117,6 +123,8 @@
             reports: ReportedStates::default(),
             reported_domain_entries: 0,
             core_syncs: BTreeMap::new(),
+            own_load: OwnLoad::default(),
+            recent_load: RecentLoad::new(now),
             cached_view: None,
             period_count: 0,
             monitored_interval_periods: 1,
@@ -145,7 +153,8 @@
 
     /// Returns the current view of the fleet.
     pub fn view(&mut self, now: Mono) -> Rc<FleetView> {
-        let cache_key = self.view_cache_key();
+        let load = self.update_load(now);
+        let cache_key = self.view_cache_key(load);
         let is_valid = |view: &FleetView| view.valid_until.is_none_or(|until| now < until);
         if let Some((cached_key, cached)) = &self.cached_view
             && *cached_key == cache_key
@@ -153,7 +162,7 @@
         {
             return Rc::clone(cached);
         }
-        let view = Rc::new(FleetView::new(self.view_inputs(now)));
+        let view = Rc::new(FleetView::new(self.view_inputs(load, now)));
         self.membership.set_propagated(view.core_entries.clone());
         self.membership.set_forwards_updates(view.contacts.forwards_updates);
         self.demands.set_advertised(view.advertised.iter().map(|entry| &entry.vm), now);
@@ -248,13 +257,15 @@
         let updates = self.due_updates(&view, to, now);
         let round = self.membership.own_round();
         let isolated = self.membership.is_own_isolated();
-        let mut from = Announcement { round, isolated, ..self.own.clone() };
+        let load = self.membership.own_load();
+        let mut from = Announcement { round, isolated, load, ..self.own.clone() };
         from.listed.leaving = self.own_state.is_leaving;
         FleetHeartbeat {
             from,
             is_starting: !self.own_state.is_synced,
             updates: updates.into_values().collect(),
             core_digest: view.core_digest,
+            load_digest: Some(view.load_digest),
             is_disconnected: self.platform.is_disconnected(),
             platform: self.platform.ages(self.own_state.is_reader, now),
             domain_entries: view.domain_entries,
@@ -299,30 +310,34 @@
             self.core_syncs.remove(vm);
         }
         let sync = self.core_syncs.entry(vm.clone()).or_insert_with(|| CoreSync::new(now));
-        sync.record_comparison(
-            heartbeat.core_digest == view.core_digest,
-            self.membership.version(),
-            now,
-        );
+        sync.record_comparison(compare_core(heartbeat, &view), self.membership.version(), now);
     }
 
     fn own_vm(&self) -> &VmId {
         &self.own.listed.vm
     }
 
-    fn view_cache_key(&self) -> ViewCacheKey {
+    /// Records the present load of the fleet and returns the highest one of the last seconds.
+    fn update_load(&mut self, now: Mono) -> FleetLoad {
+        let target_count = self.own_state.target_count;
+        let load = FleetLoad::observed(self.membership.live_loads(), target_count);
+        self.recent_load.record(load, FleetLoad::assumed(target_count), now);
+        self.recent_load.highest().unwrap_or(load)
+    }
+
+    fn view_cache_key(&self, load: FleetLoad) -> ViewCacheKey {
         ViewCacheKey {
             membership_version: self.membership.version(),
             reports_version: self.reports.version(),
             is_synced: self.own_state.is_synced,
             is_leaving: self.own_state.is_leaving,
             is_disconnected: self.platform.is_disconnected(),
-            target_count: self.own_state.target_count,
+            load,
             local_interval_periods: local_interval_periods(self.reported_domain_entries as usize),
         }
     }
 
-    fn view_inputs(&self, now: Mono) -> ViewInputs<'_> {
+    fn view_inputs(&self, load: FleetLoad, now: Mono) -> ViewInputs<'_> {
         let mut disconnected = self.reports.disconnected().clone();
         if self.platform.is_disconnected() {
             disconnected.insert(self.own_vm().clone());
@@ -336,7 +351,7 @@
             disconnected,
             is_serving: self.own_state.is_synced && !self.own_state.is_leaving,
             is_leaving: self.own_state.is_leaving,
-            target_count: self.own_state.target_count,
+            load,
             reported_domain_entries: self.reported_domain_entries,
         }
     }
@@ -431,6 +446,17 @@
     }
 }
 
+/// Compares the core entries and loads that the sender of a heartbeat knows with those of this entry.
+fn compare_core(heartbeat: &FleetHeartbeat, view: &FleetView) -> CoreComparison {
+    if heartbeat.core_digest != view.core_digest {
+        CoreComparison::EntriesDiffer
+    } else if heartbeat.load_digest.is_some_and(|digest| digest != view.load_digest) {
+        CoreComparison::LoadsDiffer
+    } else {
+        CoreComparison::Same
+    }
+}
+
 fn is_discovery_period(view: &FleetView, period: u32) -> bool {
     period.is_multiple_of(DISCOVERY_EVERY * view.contacts.monitored_interval_periods)
 }
--- a/crates/fleet/tests/advertised.rs
+++ b/crates/fleet/tests/advertised.rs
@@ -7,8 +7,8 @@
 
 use quickcheck::QuickCheck;
 use shallotfork_fleet::{
-    AdvertisedEntry, Candidate, Regions, add_overflow_entries, endpoints_for_caller, rank_entries,
-    select_advertised_entries,
+    AdvertisedEntry, Candidate, FleetLoad, Regions, add_overflow_entries, endpoints_for_caller,
+    rank_entries, select_advertised_entries,
 };
 use shallotfork_types::{Endpoint, FailureDomain, PerSecond, Region, VmId};
 
@@ -41,7 +41,7 @@
 /// Returns the number of advertised entries per failure domain.
 fn advertised_counts(target_count: usize, ranking: &[Candidate]) -> [usize; DOMAINS] {
     let mut counts = [0; DOMAINS];
-    for entry in select_advertised_entries(target_count, ranking) {
+    for entry in select_advertised_entries(FleetLoad::assumed(target_count), ranking) {
         let index = (0..DOMAINS).find(|number| domain(*number) == entry.failure_domain).unwrap();
         counts[index] += 1;
     }
@@ -89,7 +89,7 @@
         let groups: Vec<(usize, u32)> =
             capacities.into_iter().map(|capacity| (1, capacity.into())).collect();
         let ranking = fleet(&groups);
-        let advertised = select_advertised_entries(targets.into(), &ranking);
+        let advertised = select_advertised_entries(FleetLoad::assumed(targets.into()), &ranking);
         let positions =
             advertised.iter().map(|entry| ranking.iter().position(|other| other == entry));
         advertised.is_empty() == ranking.is_empty() && positions.is_sorted()
@@ -151,7 +151,7 @@
     ranking: &[Candidate],
     overloaded_count: usize,
 ) -> Vec<usize> {
-    let usual = select_advertised_entries(target_count, ranking);
+    let usual = select_advertised_entries(FleetLoad::assumed(target_count), ranking);
     let first_domain = &usual[0].failure_domain;
     let local = ranking.iter().filter(|entry| entry.failure_domain == *first_domain);
     let overloaded: BTreeSet<VmId> =
@@ -210,7 +210,7 @@
         let groups: Vec<(usize, u32)> =
             capacities.into_iter().map(|capacity| (1, capacity.into())).collect();
         let ranking = fleet(&groups);
-        let usual = select_advertised_entries(targets.into(), &ranking);
+        let usual = select_advertised_entries(FleetLoad::assumed(targets.into()), &ranking);
         let vm = |number: u8| VmId::new(&format!("vm-{number}")).unwrap();
         let overloaded: BTreeSet<VmId> = overloaded.into_iter().map(vm).collect();
         let advertised = add_overflow_entries(&usual, &ranking, &overloaded);
--- a/crates/fleet/tests/contacts.rs
+++ b/crates/fleet/tests/contacts.rs
@@ -5,8 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use shallotfork_fleet::{
-    Candidate, Contacts, FleetPosition, choose_readers, local_interval_periods, may_become_reader,
-    rank_entries, select_advertised_entries, select_contacts, select_core_entries,
+    Candidate, Contacts, FleetLoad, FleetPosition, choose_readers, local_interval_periods,
+    may_become_reader, rank_entries, select_advertised_entries, select_contacts,
+    select_core_entries,
 };
 use shallotfork_types::{FailureDomain, PerSecond, VmId};
 
@@ -31,7 +32,10 @@
 }
 
 fn advertised(ranking: &[Candidate]) -> BTreeSet<VmId> {
-    select_advertised_entries(TARGET_COUNT, ranking).into_iter().map(|entry| entry.vm).collect()
+    select_advertised_entries(FleetLoad::assumed(TARGET_COUNT), ranking)
+        .into_iter()
+        .map(|entry| entry.vm)
+        .collect()
 }
 
 /// Returns the contacts of each entry in a fleet in which all entries know each other.
--- a/crates/fleet/tests/older_release.rs
+++ b/crates/fleet/tests/older_release.rs
@@ -27,6 +27,7 @@
         incarnation: Incarnation::new(u64::from(number) + 1),
         round: 0,
         isolated: false,
+        load: None,
     }
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -14,8 +14,8 @@
 use shallotfork_balance::divide_slots;
 use shallotfork_feed::PullResponse;
 use shallotfork_fleet::{
-    Candidate, FleetHeartbeat, FleetMember, HEARTBEAT_PERIOD, OwnState, choose_initial_seed,
-    rank_entries, select_advertised_entries,
+    Candidate, FleetHeartbeat, FleetLoad, FleetMember, HEARTBEAT_PERIOD, OwnState,
+    choose_initial_seed, rank_entries, select_advertised_entries,
 };
 use shallotfork_membership::{Announcement, EntryState, ListedVm};
 use shallotfork_quarantine::{
@@ -26,6 +26,7 @@
 
 pub const LARGE_CAPACITY: u32 = 833;
 pub const SMALL_CAPACITY: u32 = 104;
+/// Number of targets unless a test sets another one.
 const TARGET_COUNT: usize = 809;
 /// One-way network delay between two entries.
 const NETWORK_DELAY_MS: std::ops::Range<u64> = 1..8;
@@ -114,6 +115,8 @@
     pub sent_updates: usize,
     /// Number of crash reports in these heartbeats.
     pub crash_reports: usize,
+    /// Number of targets that each entry knows once it has read them.
+    pub target_count: usize,
     /// Demand of callers.
     pub demand: Demand,
     /// Published items, if the model has any.
@@ -153,6 +156,7 @@
             cross_domain_heartbeats: 0,
             sent_updates: 0,
             crash_reports: 0,
+            target_count: TARGET_COUNT,
             demand: Demand::default(),
             items: None,
             loss_rate: 0.0,
@@ -231,6 +235,20 @@
         Some(ModelShare { millionths, is_by_demand: by_demand.is_some() })
     }
 
+    /// Lets callers bring a load for a time, divided among the entries that a running entry
+    /// advertises. They follow a change within seconds.
+    pub fn bring_load(&mut self, load_per_s: f64, time_ms: u64) {
+        const FOLLOW_MS: u64 = 2_000;
+        for _ in 0..time_ms / FOLLOW_MS {
+            let running = (0..self.vms.len()).find_map(|index| self.advertised_by(index));
+            let advertised = running.unwrap_or_default();
+            let rate_per_s = load_per_s / advertised.len().max(1) as f64;
+            let rates = advertised.iter().map(|vm| (self.index_of(vm), rate_per_s));
+            self.demand.rates_per_s = rates.collect();
+            self.run_for(FOLLOW_MS);
+        }
+    }
+
     /// Returns the number of entries in the model.
     pub fn len(&self) -> usize {
         self.vms.len()
@@ -323,6 +341,11 @@
 
     /// Returns the entries that are advertised with full knowledge of the fleet.
     pub fn expected_advertised(&self) -> Vec<VmId> {
+        self.expected_advertised_for(FleetLoad::assumed(self.target_count))
+    }
+
+    /// Returns the entries that are advertised for a load with full knowledge of the fleet.
+    pub fn expected_advertised_for(&self, load: FleetLoad) -> Vec<VmId> {
         let running: Vec<&Vm> = self.vms.iter().filter(|vm| vm.member.is_some()).collect();
         let candidates = running.iter().map(|vm| Candidate {
             vm: vm.listed.vm.clone(),
@@ -335,10 +358,7 @@
         if isolated.len() < running.len() {
             ranking.retain(|candidate| !isolated.contains(&candidate.vm));
         }
-        select_advertised_entries(TARGET_COUNT, &ranking)
-            .into_iter()
-            .map(|entry| entry.vm)
-            .collect()
+        select_advertised_entries(load, &ranking).into_iter().map(|entry| entry.vm).collect()
     }
 
     fn handle(&mut self, event: Event) {
@@ -382,6 +402,7 @@
             incarnation: Incarnation::new(run * 10_000 + index as u64),
             round: 0,
             isolated: false,
+            load: None,
         };
         vm.member = Some(FleetMember::new(own, self.now));
         self.demand.reset(index);
@@ -396,9 +417,10 @@
     }
 
     fn sync(&mut self, index: usize, run: u64) {
+        let target_count = self.target_count;
         if let Some(member) = self.running_member(index, run) {
             let own = member.own_state();
-            member.set_own_state(OwnState { is_synced: true, target_count: TARGET_COUNT, ..own });
+            member.set_own_state(OwnState { is_synced: true, target_count, ..own });
         }
     }
 
--- a/crates/gateway/src/control/advertise.rs
+++ b/crates/gateway/src/control/advertise.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::gauge;
 use shallotfork_events::{ADVERTISED_ENTRIES_CHANGED, ENTRY_STATE_CHANGED, event};
-use shallotfork_fleet::{AdvertisedEntry, FleetView};
+use shallotfork_fleet::{AdvertisedEntry, FleetLoad, FleetView};
 use shallotfork_membership::EntryVm;
-use shallotfork_types::VmId;
+use shallotfork_types::{PerSecond, VmId};
 
 use crate::control::publish::publish_sharers;
 use crate::control::state::ControlState;
@@ -25,6 +26,7 @@
         return;
     }
     log_view_changes(state, previous.as_deref(), &view);
+    set_load_metrics(view.load);
     let advertised = view.advertised.clone();
     let previous_advertised =
         previous.as_ref().map_or_else(Vec::new, |previous| previous.advertised.clone());
@@ -37,7 +39,9 @@
     if has_changed {
         let names: Vec<&str> = advertised.iter().map(|entry| entry.vm.as_str()).collect();
         event!(state.context.log, ADVERTISED_ENTRIES_CHANGED, "entries" => names.join(","),
-            "live" => live_entries, "known" => state.known_entries.get());
+            "live" => live_entries, "known" => state.known_entries.get(),
+            "expected_per_s" => view.load.expected().value(),
+            "observed_per_s" => view.load.observed_with_headroom().map(PerSecond::value));
     }
     let is_advertised =
         advertised.is_empty() || contains_vm(&advertised, &state.context.settings.vm);
@@ -117,9 +121,20 @@
     });
 }
 
+/// Sets the metrics of the load for which entries are advertised. A load that is not observed is 0.
+fn set_load_metrics(load: FleetLoad) {
+    let observed = load.observed_with_headroom().map_or(0, PerSecond::value);
+    gauge!("shallotfork_fleet_expected_per_second").set(f64::from(load.expected().value()));
+    gauge!("shallotfork_fleet_observed_per_second").set(f64::from(observed));
+}
+
 fn log_view_changes(state: &ControlState, previous: Option<&FleetView>, current: &FleetView) {
-    let is_changed =
-        |entry: &&EntryVm| previous.and_then(|view| view.entries.get(&entry.vm)) != Some(*entry);
+    // Entries report their load often while it changes.
+    let without_load = |entry: &EntryVm| EntryVm { load: None, ..entry.clone() };
+    let is_changed = |entry: &&EntryVm| {
+        let before = previous.and_then(|view| view.entries.get(&entry.vm));
+        before.is_none_or(|before| before != *entry && without_load(before) != without_load(entry))
+    };
     for entry in current.entries.values().filter(is_changed) {
         let incarnation =
             entry.incarnation.map_or_else(|| "unknown".to_owned(), |known| known.to_string());
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -1,18 +1,23 @@
 //! Converts between the fleet's heartbeats and the messages that carry them.
 
+use shallotfork_events::{ENTRY_LOAD_INVALID, event};
 use shallotfork_fleet::{FleetHeartbeat, PlatformAges};
 use shallotfork_measure::RateLimitReport;
 use shallotfork_membership::{Announcement, ListedVm, MemberUpdate};
 use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_statements::LeavingReport;
-use shallotfork_types::{Epoch, VmId};
+use shallotfork_types::{Epoch, LoadLevel, VmId};
 
 use crate::context::lock;
 use crate::control::reader::update_platform_state;
 use crate::control::state::ControlState;
+use crate::log_budget::LogDecision;
 use crate::traffic::{apply_rate_limit, log_quarantined, stop_sending};
 
+/// Load level in a message of an entry that reports no load.
+const NO_LOAD: u8 = 0;
+
 /// Builds the heartbeat to an entry, with the membership updates that are due to it. `peer_digest`
 /// is the digest in the heartbeat that is being answered, if any.
 pub fn build_heartbeat(
@@ -27,6 +32,7 @@
         is_starting,
         updates,
         core_digest,
+        load_digest,
         is_disconnected,
         platform,
         domain_entries,
@@ -45,12 +51,14 @@
         peers: from.listed.peers,
         round: from.round,
         isolated: from.isolated,
+        load_level: from.load.map_or(NO_LOAD, LoadLevel::number),
         updates: updates.into_iter().map(peer_update).collect(),
         seen_revision: position.revision(),
         synced_revision: position.revision(),
         synced_epoch: Some(position.epoch()),
         retained_digest,
         lists_digest: core_digest,
+        loads_digest: load_digest,
         is_disconnected,
         platform: platform_report(platform),
         domain_entries,
@@ -71,10 +79,11 @@
     // On a platform without epochs there is nothing to tell apart.
     let has_epochs = state.archive.borrow().position().epoch() != Epoch::NONE;
     let received = FleetHeartbeat {
-        from: announcement(peer, heartbeat),
+        from: announcement(state, peer, heartbeat),
         is_starting: heartbeat.state == PeerState::Starting,
-        updates: heartbeat.updates.iter().map(member_update).collect(),
+        updates: heartbeat.updates.iter().map(|update| member_update(state, update)).collect(),
         core_digest: heartbeat.lists_digest,
+        load_digest: heartbeat.loads_digest,
         is_disconnected: heartbeat.is_disconnected,
         platform: platform_ages(heartbeat.platform),
         domain_entries: heartbeat.domain_entries,
@@ -129,7 +138,7 @@
     }
 }
 
-fn announcement(peer: &PeerId, heartbeat: &Heartbeat) -> Announcement {
+fn announcement(state: &ControlState, peer: &PeerId, heartbeat: &Heartbeat) -> Announcement {
     Announcement {
         listed: ListedVm {
             vm: peer.vm.clone(),
@@ -142,7 +151,24 @@
         incarnation: peer.incarnation,
         round: heartbeat.round,
         isolated: heartbeat.isolated,
+        load: load(state, peer, heartbeat.load_level),
+    }
+}
+
+/// Returns the load that an entry reports. A number that is not a level counts as no report.
+fn load(state: &ControlState, reporter: &PeerId, number: u8) -> Option<LoadLevel> {
+    if number == NO_LOAD {
+        return None;
+    }
+    let level = LoadLevel::new(number);
+    if let Err(error) = &level
+        && let LogDecision::Write { left_out } =
+            state.context.invalid_log_budget.try_acquire(state.now())
+    {
+        event!(state.context.log, ENTRY_LOAD_INVALID, "entry" => reporter.vm.as_str(),
+            "reason" => error.to_string(), "left_out" => left_out);
     }
+    level.ok()
 }
 
 fn peer_state(is_leaving: bool, is_starting: bool) -> PeerState {
@@ -168,6 +194,7 @@
         peer: PeerId::new(about.listed.vm, about.incarnation),
         round: about.round,
         isolated: about.isolated,
+        load_level: about.load.map_or(NO_LOAD, LoadLevel::number),
         state: peer_state(about.listed.leaving, false),
         suspected,
         failure_domain: about.listed.failure_domain,
@@ -177,7 +204,7 @@
     }
 }
 
-fn member_update(update: &PeerUpdate) -> MemberUpdate {
+fn member_update(state: &ControlState, update: &PeerUpdate) -> MemberUpdate {
     let about = Announcement {
         listed: ListedVm {
             vm: update.peer.vm.clone(),
@@ -190,6 +217,7 @@
         incarnation: update.peer.incarnation,
         round: update.round,
         isolated: update.isolated,
+        load: load(state, &update.peer, update.load_level),
     };
     MemberUpdate { about, suspected: update.suspected }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -122,5 +122,6 @@
         incarnation: context.incarnation,
         round: 0,
         isolated: false,
+        load: None,
     }
 }
--- a/crates/membership/src/entry_vm.rs
+++ b/crates/membership/src/entry_vm.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use shallotfork_types::{Endpoint, FailureDomain, Incarnation, PerSecond, VmId};
+use shallotfork_types::{Endpoint, FailureDomain, Incarnation, LoadLevel, PerSecond, VmId};
 
 /// A VM of the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,11 +28,14 @@
     pub listed: ListedVm,
     /// Incarnation of the announcing process.
     pub incarnation: Incarnation,
-    /// Counter that the announcing process raises each time it refutes a suspicion or its isolation
-    /// changes.
+    /// Counter that the announcing process raises each time it refutes a suspicion or what it states
+    /// below changes.
     pub round: u32,
     /// Whether the announcing process reaches no target.
     pub isolated: bool,
+    /// Load of the announcing process; `None` if it has observed none yet, or is of a release that
+    /// reports none.
+    pub load: Option<LoadLevel>,
 }
 
 /// A membership update: what one VM reports to another about a third one.
@@ -82,6 +85,8 @@
     pub state: EntryState,
     /// Whether the VM reports that it reaches no target.
     pub isolated: bool,
+    /// Load that the VM reports; `None` if it reports none.
+    pub load: Option<LoadLevel>,
     /// Number of requests per second that the VM reports it can carry; zero if it reports none.
     pub capacity: PerSecond,
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shallotfork_types::{Incarnation, Mono};
+use shallotfork_types::{Incarnation, LoadLevel, Mono};
 
 use crate::silence_allowance::SilenceAllowance;
 use crate::{Announcement, EntryState, EntryVm, ListedVm, MemberUpdate};
@@ -15,6 +15,7 @@
     pub(crate) round: u32,
     reported_leaving: bool,
     isolated: bool,
+    load: Option<LoadLevel>,
     is_suspected: bool,
     /// Round of a suspicion that ended with a heartbeat of this incarnation, which the incarnation
     /// has not yet refuted by a higher round.
@@ -36,6 +37,7 @@
             round: 0,
             reported_leaving: false,
             isolated: false,
+            load: None,
             is_suspected: false,
             unrefuted_round: None,
             is_monitored: false,
@@ -108,7 +110,7 @@
             return true;
         }
         self.reported_leaving |= about.listed.leaving;
-        self.merge_isolated(about);
+        self.merge_statements(about);
         if update.suspected && about.round >= self.round && !seen_recently {
             self.suspect(now);
         }
@@ -156,25 +158,28 @@
             self.round = 0;
             self.reported_leaving = false;
             self.isolated = from.isolated;
+            self.load = from.load;
             self.silence_allowance = SilenceAllowance::default();
             self.unrefuted_round = None;
         }
         let leaving = self.listed.leaving && self.is_listed;
         self.listed = ListedVm { leaving, ..from.listed.clone() };
         self.reported_leaving |= from.listed.leaving;
-        self.merge_isolated(from);
+        self.merge_statements(from);
         self.round = self.round.max(from.round);
     }
 
-    /// Applies what an announcement of the known incarnation states about its isolation.
+    /// Applies what an announcement of the known incarnation states about its isolation and load.
     ///
-    /// A VM raises its round with each change, so within one round an announcement without the
+    /// A VM raises its round with each change, so within one round an announcement without a
     /// statement has passed through an entry that does not forward it.
-    fn merge_isolated(&mut self, about: &Announcement) {
+    fn merge_statements(&mut self, about: &Announcement) {
         if about.round > self.round {
             self.isolated = about.isolated;
+            self.load = about.load;
         } else if about.round == self.round {
             self.isolated |= about.isolated;
+            self.load = about.load.or(self.load);
         }
     }
 
@@ -187,6 +192,15 @@
         std::mem::replace(&mut self.isolated, isolated) != isolated
     }
 
+    /// Sets the load of the VM of this process.
+    pub(crate) fn set_load(&mut self, load: Option<LoadLevel>) {
+        self.load = load;
+    }
+
+    pub(crate) fn load(&self) -> Option<LoadLevel> {
+        self.load
+    }
+
     pub(crate) fn isolated(&self) -> bool {
         self.isolated
     }
@@ -219,8 +233,8 @@
         self.last_seen_at = now;
     }
 
-    fn comparable_state(&self) -> (EntryState, Option<Incarnation>, u32, bool) {
-        (self.state(), self.incarnation, self.round, self.isolated)
+    fn comparable_state(&self) -> (EntryState, Option<Incarnation>, u32, bool, Option<LoadLevel>) {
+        (self.state(), self.incarnation, self.round, self.isolated, self.load)
     }
 
     pub(crate) fn state(&self) -> EntryState {
@@ -239,6 +253,7 @@
             incarnation: self.incarnation,
             state: self.state(),
             isolated: self.isolated,
+            load: self.load,
             capacity: self.listed.capacity,
         }
     }
@@ -247,8 +262,8 @@
     pub(crate) fn update(&self) -> Option<MemberUpdate> {
         let listed = ListedVm { leaving: self.reported_leaving, ..self.listed.clone() };
         let incarnation = self.incarnation?;
-        let isolated = self.isolated;
-        let about = Announcement { listed, incarnation, round: self.round, isolated };
+        let Self { round, isolated, load, .. } = *self;
+        let about = Announcement { listed, incarnation, round, isolated, load };
         Some(MemberUpdate { about, suspected: self.is_suspected })
     }
 
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use shallotfork_types::{Incarnation, Mono, Revision, VmId};
+use shallotfork_types::{Incarnation, LoadLevel, Mono, Revision, VmId};
 
 use crate::member::Member;
 use crate::{Announcement, EntryState, EntryVm, ListedVm, MemberUpdate, ViewConfig};
@@ -208,6 +208,27 @@
         self.members.get(&self.own).is_some_and(Member::isolated)
     }
 
+    /// Sets the load that this process states. This raises the round, so that it replaces what other
+    /// entries know.
+    pub fn set_own_load(&mut self, load: Option<LoadLevel>) {
+        let own = self.own.clone();
+        if let Some(member) = self.members.get_mut(&own) {
+            member.set_load(load);
+            self.raise_own_round();
+        }
+    }
+
+    /// Returns the load that this process states.
+    pub fn own_load(&self) -> Option<LoadLevel> {
+        self.members.get(&self.own).and_then(Member::load)
+    }
+
+    /// Returns the loads that live VMs state, including that of this process.
+    pub fn live_loads(&self) -> impl Iterator<Item = LoadLevel> {
+        let live = self.members.values().filter(|member| member.state() == EntryState::Live);
+        live.filter_map(Member::load)
+    }
+
     /// Returns the round of this process, which heartbeats carry.
     pub fn own_round(&self) -> u32 {
         self.members.get(&self.own).map_or(0, |member| member.round)
--- a/crates/membership/tests/updates.rs
+++ b/crates/membership/tests/updates.rs
@@ -106,7 +106,13 @@
 
 fn announcement(index: usize, leaving: bool, round: u32) -> Announcement {
     let listed = ListedVm { leaving, ..listed(index) };
-    Announcement { listed, incarnation: Incarnation::new(index as u64), round, isolated: false }
+    Announcement {
+        listed,
+        incarnation: Incarnation::new(index as u64),
+        round,
+        isolated: false,
+        load: None,
+    }
 }
 
 #[test]
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -33,7 +33,13 @@
 
 fn announcement(number: u8, incarnation: u64, leaving: bool) -> Announcement {
     let listed = ListedVm { leaving, ..listed(number) };
-    Announcement { listed, incarnation: Incarnation::new(incarnation), round: 0, isolated: false }
+    Announcement {
+        listed,
+        incarnation: Incarnation::new(incarnation),
+        round: 0,
+        isolated: false,
+        load: None,
+    }
 }
 
 /// Builds a view of VM 0 by a chain of events.
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -68,6 +68,13 @@
   demands @25 :List(DemandReport);
   # Demand of advertised entries, the sender first; only between advertised entries.
 
+  loadLevel @26 :UInt8;
+  # Requests of callers at the sender, at most the square root of two to the power of `loadLevel` - 1 in
+  # a second; 0 if it reports none.
+
+  loadsDigest @27 :UInt64;
+  # Digest of the loads that the sender knows; 0 if it knows of no loads.
+
   enum State {
     live @0;
     leaving @1;
@@ -88,6 +95,7 @@
   peers @7 :Text;
   strengthPerS @8 :UInt32;
   isolated @9 :Bool;
+  loadLevel @10 :UInt8;
 }
 
 struct CrashReport {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -49,11 +49,13 @@
     pub callers: Endpoint,
     /// Endpoint for peers of the sender.
     pub peers: Endpoint,
-    /// Counter that the sender increments each time it refutes a suspicion against itself or its
-    /// isolation changes.
+    /// Counter that the sender increments each time it refutes a suspicion against itself, or its
+    /// isolation or load changes.
     pub round: u32,
     /// Whether the sender reaches no target.
     pub isolated: bool,
+    /// Number of the sender's load level; zero if it reports none.
+    pub load_level: u8,
     /// Membership updates about other VMs.
     pub updates: Vec<PeerUpdate>,
     /// Highest revision known to the sender.
@@ -66,6 +68,8 @@
     pub retained_digest: ListsDigest,
     /// Fingerprint of the lists in force at the sender; changes with any list or its content.
     pub lists_digest: ListsDigest,
+    /// Digest of the loads of entries that the sender knows; `None` if it knows of no loads.
+    pub loads_digest: Option<ListsDigest>,
     /// Whether the sender cannot read the platform, or reads a replica that lags, and so depends
     /// on peers for published values.
     pub is_disconnected: bool,
@@ -116,6 +120,8 @@
     pub round: u32,
     /// Whether the process reported in that round that it reaches no target.
     pub isolated: bool,
+    /// Number of the load level that the process reported in that round; zero if it reported none.
+    pub load_level: u8,
     /// State that the process reported about itself.
     pub state: PeerState,
     /// Whether the process is suspected because its heartbeats are missing.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5586,11 +5586,19 @@
         pub fn has_demands(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_load_level(self) -> u8 {
+            self.reader.get_data_field::<u8>(3)
+        }
+        #[inline]
+        pub fn get_loads_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(10)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 10, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5920,6 +5928,22 @@
         pub fn has_demands(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_load_level(self) -> u8 {
+            self.builder.get_data_field::<u8>(3)
+        }
+        #[inline]
+        pub fn set_load_level(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(3, value);
+        }
+        #[inline]
+        pub fn get_loads_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(10)
+        }
+        #[inline]
+        pub fn set_loads_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(10, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5931,17 +5955,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 454] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 486] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 10, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 11, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
             ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 183, 5, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 39, 6, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5951,189 +5975,203 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 3, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(125, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(141, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(149, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(153, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(177, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(189, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(221, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(245, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(253, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(25, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 4, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(26, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(25, 4, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(27, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 4, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -6386,6 +6424,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 76, 101, 118, 101),
+            ::capnp::word(108, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 68, 105, 103),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6415,6 +6471,8 @@
                 23 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 24 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 25 => <::capnp::struct_list::Owned<crate::peer_capnp::demand_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                26 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                27 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6428,9 +6486,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,25,16,5,21,22,10,4,9,7,13,15,11,19,20,14,3,24,8,1,0,12,23,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,25,16,5,21,22,10,26,4,27,9,7,13,15,11,19,20,14,3,24,8,1,0,12,23,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -6624,6 +6682,10 @@
         pub fn get_isolated(self) -> bool {
             self.reader.get_bool_field(113)
         }
+        #[inline]
+        pub fn get_load_level(self) -> u8 {
+            self.reader.get_data_field::<u8>(15)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6790,6 +6852,14 @@
         pub fn set_isolated(&mut self, value: bool)  {
             self.builder.set_bool_field(113, value);
         }
+        #[inline]
+        pub fn get_load_level(self) -> u8 {
+            self.builder.get_data_field::<u8>(15)
+        }
+        #[inline]
+        pub fn set_load_level(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(15, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6801,7 +6871,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 171] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(227, 140, 14, 207, 194, 180, 106, 130),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -6811,83 +6881,90 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 112, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 113, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6973,6 +7050,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 76, 101, 118, 101),
+            ::capnp::word(108, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6986,6 +7072,7 @@
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6999,9 +7086,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,9,7,2,3,8,4,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,9,10,7,2,3,8,4,0];
         pub(crate) const TYPE_ID: u64 = 0x826a_b4c2_cf0e_8ce3;
     }
 }
--- a/crates/peer/src/wire/heartbeat.rs
+++ b/crates/peer/src/wire/heartbeat.rs
@@ -16,6 +16,9 @@
 use crate::peer_capnp as schema;
 use crate::{Heartbeat, LoadHint, PeerState, PeerUpdate, PlatformReport};
 
+/// Wire value for a digest of loads that is not stated.
+const NO_LOADS_DIGEST: u64 = 0;
+
 pub(crate) fn write_heartbeat(heartbeat: &Heartbeat, mut to: schema::heartbeat::Builder<'_>) {
     to.set_state(write_state(heartbeat.state));
     to.set_seen_revision(heartbeat.seen_revision.value());
@@ -23,6 +26,7 @@
     to.set_synced_epoch(write_epoch(heartbeat.synced_epoch));
     to.set_retained_digest(heartbeat.retained_digest.value());
     to.set_lists_digest(heartbeat.lists_digest.value());
+    to.set_loads_digest(heartbeat.loads_digest.map_or(NO_LOADS_DIGEST, ListsDigest::value));
     to.set_platform_lost(heartbeat.is_disconnected);
     to.set_restart_safe(heartbeat.restart_safe);
     to.set_strength_per_s(heartbeat.capacity.value());
@@ -31,6 +35,7 @@
     to.set_peers(&heartbeat.peers.to_string()[..]);
     to.set_round(heartbeat.round);
     to.set_isolated(heartbeat.isolated);
+    to.set_load_level(heartbeat.load_level);
     to.set_platform_answered_ms(write_age(heartbeat.platform.last_answer));
     to.set_reader_heard_ms(write_age(heartbeat.platform.reader_last_seen));
     to.set_platform_away_ms(write_age(heartbeat.platform.outage));
@@ -117,6 +122,7 @@
     to.set_incarnation(update.peer.incarnation.value());
     to.set_round(update.round);
     to.set_isolated(update.isolated);
+    to.set_load_level(update.load_level);
     to.set_state(write_state(update.state));
     to.set_suspected(update.suspected);
     to.set_failure_domain(update.failure_domain.as_str());
@@ -202,12 +208,16 @@
         peers: from.get_peers()?.to_str()?.parse().map_err(to_capnp_error)?,
         round: from.get_round(),
         isolated: from.get_isolated(),
+        load_level: from.get_load_level(),
         updates: from.get_news()?.iter().map(read_update).collect::<Result<_>>()?,
         seen_revision: Revision::new(from.get_seen_revision()),
         synced_revision: Revision::new(from.get_synced_revision()),
         synced_epoch: read_epoch(from.get_synced_epoch()),
         retained_digest: ListsDigest::new(from.get_retained_digest()),
         lists_digest: ListsDigest::new(from.get_lists_digest()),
+        loads_digest: Some(from.get_loads_digest())
+            .filter(|digest| *digest != NO_LOADS_DIGEST)
+            .map(ListsDigest::new),
         is_disconnected: from.get_platform_lost(),
         platform: PlatformReport {
             last_answer: read_age(from.get_platform_answered_ms()),
@@ -236,6 +246,7 @@
         peer: read_peer_id(from.get_vm()?, from.get_incarnation())?,
         round: from.get_round(),
         isolated: from.get_isolated(),
+        load_level: from.get_load_level(),
         state: read_state(from.get_state()?),
         suspected: from.get_suspected(),
         failure_domain: from.get_failure_domain()?.to_str()?.parse().map_err(to_capnp_error)?,
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -9,7 +9,7 @@
 };
 use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::PerSecond;
+use shallotfork_types::{LoadLevel, PerSecond};
 
 use crate::control::lists_pull::pull_lists;
 use crate::control::publish::publish;
@@ -120,12 +120,14 @@
         peers: identity.peers,
         round: view.own_round(),
         isolated: view.is_own_isolated(),
+        load_level: 0,
         updates: view.take_due_updates().into_iter().map(to_peer_update).collect(),
         seen_revision: lists.cursor.highest_revision(),
         synced_revision: lists.cursor.synced_revision(),
         synced_epoch: None,
         retained_digest: Default::default(),
         lists_digest: lists.digest(),
+        loads_digest: None,
         is_disconnected: state.is_disconnected.get(),
         platform: PlatformReport::default(),
         domain_entries: 0,
@@ -164,12 +166,13 @@
 
 /// Converts a membership update to a peer message.
 pub fn to_peer_update(update: MemberUpdate) -> PeerUpdate {
-    let Announcement { listed, incarnation, round, isolated } = update.about;
+    let Announcement { listed, incarnation, round, isolated, load } = update.about;
     PeerUpdate {
         state: peer_state(listed.leaving),
         peer: PeerId::new(listed.vm, incarnation),
         round,
         isolated,
+        load_level: load.map_or(0, LoadLevel::number),
         suspected: update.suspected,
         failure_domain: listed.failure_domain,
         callers: listed.callers,
@@ -188,8 +191,13 @@
         capacity: update.capacity,
     };
     let incarnation = update.peer.incarnation;
-    let about =
-        Announcement { listed, incarnation, round: update.round, isolated: update.isolated };
+    let about = Announcement {
+        listed,
+        incarnation,
+        round: update.round,
+        isolated: update.isolated,
+        load: LoadLevel::new(update.load_level).ok(),
+    };
     MemberUpdate { about, suspected: update.suspected }
 }
 
@@ -216,6 +224,7 @@
         incarnation: peer.incarnation,
         round: heartbeat.round,
         isolated: heartbeat.isolated,
+        load: LoadLevel::new(heartbeat.load_level).ok(),
     };
     let now = state.context.clock.now();
     let mut view = state.view.borrow_mut();
--- a/crates/shallotd/src/control/thread.rs
+++ b/crates/shallotd/src/control/thread.rs
@@ -144,7 +144,13 @@
         leaving: false,
         capacity: PerSecond::default(),
     };
-    Announcement { listed, incarnation: identity.incarnation, round: 0, isolated: false }
+    Announcement {
+        listed,
+        incarnation: identity.incarnation,
+        round: 0,
+        isolated: false,
+        load: None,
+    }
 }
 
 fn own_id(context: &Context) -> PeerId {
--- a/crates/slopes/src/members.rs
+++ b/crates/slopes/src/members.rs
@@ -30,6 +30,7 @@
         incarnation: Incarnation::new(index as u64),
         round: 0,
         isolated: false,
+        load: None,
     })
 }
 
