feat(balance): the processes divide the targets of a large service

Cause: for each request a pool compared all targets of the service, twice for each comparison, and counted all slots after each answer. A request's processor time grew with the targets, while each process got a few requests a second for thousands of them.

Change: of services with more than 512 targets a process chooses among a subset first, and among all targets only if it finds no open, healthy and fast slot there. Each target is left to two processes of its failure domain, and to one of the whole fleet for the other domains, by hash rings, so that a change moves few targets. The subset is a fraction of the targets by the number of advertised processes, which follows the load. Slots are counted by kind of target, and again only when the targets change. The cost of a target is computed once for each choice.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -36,9 +36,9 @@
 pub use request::{PoolRequest, Priority};
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use slots::{
-    EarlyHedge, HedgePlan, HedgeResult, RejectionCounts, SlotOutcome, SlotPool, SlotPoolConfig,
-    SlotRequest, SlotSummary, SlotTarget, Slowdown, StateChange, TargetLoad, TargetStateChange,
-    WorkClass,
+    EarlyHedge, HedgePlan, HedgeResult, RejectionCounts, Sharer, SlotOutcome, SlotPool,
+    SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, Slowdown, StateChange, TargetLoad,
+    TargetStateChange, WorkClass,
 };
 pub use target::{PoolTarget, TargetState, TargetStatus};
 pub use target_config::TargetConfig;
--- a/crates/balance/src/slots/limits.rs
+++ b/crates/balance/src/slots/limits.rs
@@ -7,6 +7,7 @@
 
 use super::SlotPool;
 use super::rate_share::{RateShare, compute_share};
+use super::subset::Sharer;
 use super::target::Target;
 use crate::AttemptId;
 
@@ -65,12 +66,15 @@
 }
 
 impl SlotPool {
-    /// Sets the names of the processes that share the slots and recomputes the shares of all
+    /// Sets the processes that share the slots and recomputes the shares of all
     /// limits. This process is included only if it is advertised to callers. `share` is the share
     /// of the warm-up rate of cold targets that these processes may use together: less than the
     /// full rate if they see only some of the fleet. Before the first call it is zero.
-    pub fn set_sharers(&mut self, sharers: Vec<String>, share: Permille, now: Mono) {
-        self.sharers = sharers;
+    pub fn set_sharers(&mut self, sharers: Vec<Sharer>, share: Permille, now: Mono) {
+        if self.sharers != sharers {
+            self.sharers = sharers;
+            self.update_subset();
+        }
         self.sharers_total_share = share;
         let Self { targets, config, sharers, .. } = self;
         for (id, target) in targets {
--- a/crates/balance/src/slots/pool.rs
+++ b/crates/balance/src/slots/pool.rs
@@ -13,7 +13,8 @@
 use super::published::{SlotOutcome, SlotTarget, TargetLoad, TargetStateChange};
 use super::queue::SlotQueue;
 use super::rejections::RejectionMonitor;
-use super::target::Target;
+use super::subset::{Sharer, SlotCounts};
+use super::target::{Target, usable_slots};
 use super::{SlotRequest, WorkClass};
 use crate::{Admission, Assignment, AttemptId, ResolvedTicket, Shed, ShedReason, Ticket};
 
@@ -40,6 +41,20 @@
     Any,
 }
 
+/// A target with what it is compared by.
+struct Ranked<'a> {
+    cost_us: f64,
+    tie_breaker: u64,
+    id: &'a TargetId,
+}
+
+impl Ranked<'_> {
+    fn precedes(&self, other: &Self) -> bool {
+        let by_cost = self.cost_us.total_cmp(&other.cost_us);
+        by_cost.then(self.tie_breaker.cmp(&other.tie_breaker)).is_lt()
+    }
+}
+
 /// Excludes the answered request, which the target still counts as running, from its load report.
 /// Counted as a request of another process, it would make the target look half full until the
 /// report expires.
@@ -67,18 +82,18 @@
     pub(super) early_hedges: EarlyHedges,
     /// State changes that the caller of the pool has not collected yet.
     pub(super) state_changes: Vec<TargetStateChange>,
-    /// Names of the processes that are advertised to callers and send requests to these targets.
-    pub(super) sharers: Vec<String>,
+    /// Processes that are advertised to callers and send requests to these targets.
+    pub(super) sharers: Vec<Sharer>,
     /// Share of the usable slots for this process; `None` if all sharers have equal shares.
     pub(super) demand_share: Option<PartsPerMillion>,
     /// Share of the warm-up rate of cold targets that all sharers together may use.
     pub(super) sharers_total_share: Permille,
     /// Warm-up rate of cold targets; `None` if they have no such limit.
     pub(super) warmup: Option<Warmup>,
-    serving_slots: u32,
-    /// Number of slots in use at a time at most. Recounted only when it may have changed: with
-    /// hundreds of targets and waiting requests, counting for each choice would take longer than
-    /// serving the requests.
+    pub(super) slot_counts: SlotCounts,
+    /// Whether this process chooses among a part of the targets first.
+    pub(super) is_divided: bool,
+    /// Number of slots in use at a time at most. Recounted only when it may have changed.
     usable_slots: u32,
     /// Bounds the probes sent while requests wait.
     probe_budget: ProbeBudget,
@@ -103,7 +118,8 @@
             demand_share: None,
             sharers_total_share: Permille::new(0),
             warmup: None,
-            serving_slots: 0,
+            slot_counts: SlotCounts::default(),
+            is_divided: false,
             usable_slots: 0,
             probe_budget: ProbeBudget::new(),
             rejections: RejectionMonitor::default(),
@@ -114,7 +130,7 @@
 
     /// Returns the number of slots of all targets that take new work.
     pub(super) fn serving_slots(&self) -> u32 {
-        self.serving_slots
+        self.slot_counts.serving_slots
     }
 
     /// Returns how many of the serving slots may be in use at a time.
@@ -123,14 +139,15 @@
     }
 
     fn count_slots(&mut self) {
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        self.serving_slots = serving.map(|target| target.published.slots).sum();
+        self.slot_counts = SlotCounts::of(self.targets.values());
         self.count_usable_slots();
     }
 
     fn count_usable_slots(&mut self) {
-        let serving = self.targets.values().filter(|target| target.published.serving);
-        self.usable_slots = serving.map(|target| target.usable_slots(&self.estimates)).sum();
+        let kinds = self.slot_counts.kinds.iter();
+        let usable = kinds
+            .map(|((slots, part), count)| count * usable_slots(*slots, *part, &self.estimates));
+        self.usable_slots = usable.sum();
     }
 
     /// Sets the published targets and keeps the state of those that were known before.
@@ -147,6 +164,7 @@
             self.targets.insert(id, next);
         }
         self.add_warmup_shares(now);
+        self.update_subset();
         self.count_slots();
         self.wake(now)
     }
@@ -162,7 +180,10 @@
     /// Discards the state of a target that has restarted.
     pub fn reset_target(&mut self, id: &TargetId, now: Mono) {
         let Some(old) = self.targets.remove(id) else { return };
-        self.targets.insert(id.clone(), Target::new(old.published, &self.config, now));
+        let is_in_subset = old.is_in_subset;
+        let mut target = Target::new(old.published, &self.config, now);
+        target.is_in_subset = is_in_subset;
+        self.targets.insert(id.clone(), target);
         self.add_warmup_shares(now);
     }
 
@@ -423,12 +444,20 @@
         self.targets.iter().any(|(id, t)| t.accepts_work(now) && !request.exclude.contains(id))
     }
 
+    /// Assigns a slot of the best target in the subset of this process, or of the best of all targets
+    /// if none in the subset is open and healthy.
     pub(super) fn assign(
         &mut self,
         request: &SlotRequest,
         filter: TargetFilter,
         now: Mono,
     ) -> Option<Assignment> {
+        if self.is_divided {
+            let in_subset = self.targets.iter().filter(|(_, target)| target.is_in_subset);
+            if let (Some(id), _) = self.best_targets(in_subset, request, filter, now) {
+                return self.assign_to(id.clone(), request, now);
+            }
+        }
         self.assign_among(request, filter, None, now)
     }
 
@@ -440,12 +469,29 @@
         only: Option<&TargetId>,
         now: Mono,
     ) -> Option<Assignment> {
-        let (config, estimates, has_reached_share) =
-            (&self.config, &self.estimates, self.has_reached_share());
         let among = match only {
             Some(id) => self.targets.range::<TargetId, _>(id..=id),
             None => self.targets.range::<TargetId, _>(..),
         };
+        let (healthy, unhealthy) = self.best_targets(among, request, filter, now);
+        let best = match healthy {
+            None if self.ignores_health(now) => unhealthy,
+            healthy => healthy,
+        };
+        let id = best?.clone();
+        self.assign_to(id, request, now)
+    }
+
+    /// Returns the best target that looks healthy and the best one that doesn't.
+    fn best_targets<'a>(
+        &self,
+        among: impl Iterator<Item = (&'a TargetId, &'a Target)>,
+        request: &SlotRequest,
+        filter: TargetFilter,
+        now: Mono,
+    ) -> (Option<&'a TargetId>, Option<&'a TargetId>) {
+        let (config, estimates, has_reached_share) =
+            (&self.config, &self.estimates, self.has_reached_share());
         let open = among.filter(|(id, target)| {
             target.published.serving
                 && !request.exclude.contains(id)
@@ -457,16 +503,20 @@
         let open = open.filter(|(_, target)| {
             filter != TargetFilter::UnsaturatedNotSlow || !target.would_saturate(now)
         });
-        let (healthy, unhealthy): (Vec<_>, Vec<_>) =
-            open.partition(|(_, target)| target.looks_healthy(now, config));
-        let candidates =
-            if healthy.is_empty() && self.ignores_health(now) { unhealthy } else { healthy };
-        let cost = |target: &Target| target.cost_us(request, now, config, estimates);
-        let compare = |a: &Target, b: &Target| {
-            cost(a).total_cmp(&cost(b)).then(a.tie_breaker.cmp(&b.tie_breaker))
-        };
-        let best = candidates.into_iter().min_by(|a, b| compare(a.1, b.1));
-        let id = best?.0.clone();
+        let (mut healthy, mut unhealthy): (Option<Ranked<'a>>, Option<Ranked<'a>>) = (None, None);
+        for (id, target) in open {
+            let best =
+                if target.looks_healthy(now, config) { &mut healthy } else { &mut unhealthy };
+            let cost_us = target.cost_us(request, now, config, estimates);
+            let ranked = Ranked { cost_us, tie_breaker: target.tie_breaker, id };
+            if best.as_ref().is_none_or(|best| ranked.precedes(best)) {
+                *best = Some(ranked);
+            }
+        }
+        (healthy.map(|ranked| ranked.id), unhealthy.map(|ranked| ranked.id))
+    }
+
+    fn assign_to(&mut self, id: TargetId, request: &SlotRequest, now: Mono) -> Option<Assignment> {
         let attempt = AttemptId(self.next_id());
         let target = self.targets.get_mut(&id)?;
         target.start_attempt(attempt, &request.class, now);
--- a/crates/balance/src/slots/rate_share.rs
+++ b/crates/balance/src/slots/rate_share.rs
@@ -4,6 +4,8 @@
 
 use shallotfork_types::{Mono, RequestRate, TargetId, rendezvous_weight};
 
+use super::subset::Sharer;
+
 /// Limits the rate at which one process sends requests to a target that is cold or has a rate
 /// limit.
 ///
@@ -70,18 +72,14 @@
     limit: RequestRate,
     target: &TargetId,
     own_name: &str,
-    sharer_names: &[String],
+    sharers: &[Sharer],
 ) -> RequestRate {
-    if sharer_names.is_empty() {
+    if sharers.is_empty() {
         return limit;
     }
-    let mut selected: Vec<&String> = sharer_names.iter().collect();
+    let mut selected: Vec<&str> = sharers.iter().map(|sharer| sharer.name.as_str()).collect();
     selected.sort_by_cached_key(|name| Reverse(rendezvous_weight(target.as_str(), name)));
     let selected_max = usize::try_from(limit.whole_per_s()).unwrap_or(usize::MAX);
-    selected.truncate(selected_max.clamp(1, sharer_names.len()));
-    if selected.iter().any(|name| *name == own_name) {
-        limit.divided_by(selected.len())
-    } else {
-        RequestRate::ZERO
-    }
+    selected.truncate(selected_max.clamp(1, sharers.len()));
+    if selected.contains(&own_name) { limit.divided_by(selected.len()) } else { RequestRate::ZERO }
 }
--- a/crates/balance/src/slots/rejections.rs
+++ b/crates/balance/src/slots/rejections.rs
@@ -177,7 +177,7 @@
         load: Option<TargetLoad>,
         now: Mono,
     ) {
-        let serving = self.targets.values().filter(|target| target.published.serving).count();
+        let serving = self.slot_counts.serving_targets;
         let Some(target) = self.targets.get_mut(id) else { return };
         let kind = attempt_kind(target, outcome, load, now);
         if let Some(kind) = kind {
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -12,6 +12,8 @@
 use super::{SlotRequest, WorkClass};
 use crate::AttemptId;
 
+/// Key of a target's position on the rings in the hash. All processes must use the same one.
+const RING_KEY: &str = "subset";
 /// Weight of a new sample in a target's work time factor.
 const WORK_TIME_FACTOR_WEIGHT: f64 = 0.15;
 /// Weight of a new report in the mean slowdown of a target.
@@ -50,6 +52,18 @@
 /// Number of times that the duration of an ejection is doubled at most.
 const EJECTION_DOUBLINGS_MAX: u32 = 6;
 
+/// Returns the number of slots to use at a time at a target with `slots` slots, by its part in the
+/// comparison of saturated and unsaturated targets.
+pub(super) fn usable_slots(slots: u32, comparison_part: u64, estimates: &Estimates) -> u32 {
+    let may_saturate = slots < LIMITED_SLOTS_MIN
+        || match comparison_part {
+            0 => true,
+            1 => false,
+            _ => estimates.is_saturation_worthwhile(slots),
+        };
+    if may_saturate { slots } else { unsaturated_slots(slots) }
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct RunningAttempt {
     pub(super) attempt: AttemptId,
@@ -128,11 +142,16 @@
     pub(super) rate_share: Option<RateShare>,
     /// This process's share of the target's warm-up rate.
     pub(super) warmup_share: Option<RateShare>,
+    /// Position of the target on the rings by which processes divide the targets.
+    pub(super) ring_position: u64,
+    /// Whether this process chooses the target before those outside its subset.
+    pub(super) is_in_subset: bool,
 }
 
 impl Target {
     pub(super) fn new(published: SlotTarget, config: &SlotPoolConfig, now: Mono) -> Self {
         let tie_breaker = rendezvous_weight(&config.name, published.id.as_str());
+        let ring_position = rendezvous_weight(RING_KEY, published.id.as_str());
         let cold_until = now.plus(published.cold_for);
         Self {
             published,
@@ -155,6 +174,8 @@
             is_silent: false,
             rate_share: None,
             warmup_share: None,
+            ring_position,
+            is_in_subset: true,
         }
     }
 
@@ -203,14 +224,12 @@
     /// Returns the number of slots to use at a time. Slots whose use would slow down the target's
     /// other runs by more than they add are left free.
     pub(super) fn usable_slots(&self, estimates: &Estimates) -> u32 {
-        let slots = self.published.slots;
-        let may_saturate = slots < LIMITED_SLOTS_MIN
-            || match self.tie_breaker % COMPARISON_DIVISOR {
-                0 => true,
-                1 => false,
-                _ => estimates.is_saturation_worthwhile(slots),
-            };
-        if may_saturate { slots } else { unsaturated_slots(slots) }
+        usable_slots(self.published.slots, self.comparison_part(), estimates)
+    }
+
+    /// Returns the part of the target in the comparison of saturated and unsaturated targets.
+    pub(super) fn comparison_part(&self) -> u64 {
+        self.tie_breaker % COMPARISON_DIVISOR
     }
 
     pub(super) fn free_slots(&self, now: Mono, estimates: &Estimates) -> u32 {
--- a/crates/balance/tests/cold_targets.rs
+++ b/crates/balance/tests/cold_targets.rs
@@ -12,7 +12,7 @@
 
 use std::time::{Duration, Instant};
 
-use shallotfork_balance::{Admission, SlotPool, SlotTarget};
+use shallotfork_balance::{Admission, Sharer, SlotPool, SlotTarget};
 use shallotfork_types::{Permille, RequestRate, Warmup};
 
 use fleet::{FULL_SHARE, Fleet};
@@ -95,7 +95,7 @@
             8..12 => (8..12, Permille::new(266)),
             _ => (12..15, Permille::new(200)),
         };
-        let names = group.map(|number| format!("vm-{number}")).collect();
+        let names = group.map(|number| Sharer::new(&format!("vm-{number}"))).collect();
         process.pool.set_sharers(names, share, at(0));
     }
     fleet.run(SIMULATED_MS, SIMULATED_MS);
@@ -108,7 +108,7 @@
 fn processes_without_fleet_view_send_nothing_to_cold_targets() {
     for count in [3, 15, 472] {
         let mut fleet = Fleet::new(1, count, 3, QUICK_MS, |name| cold_pool(name, &[TARGET]));
-        let own_view = |name: &str| (vec![name.to_owned()], Permille::new(0));
+        let own_view = |name: &str| (vec![Sharer::new(name)], Permille::new(0));
         for process in &mut fleet.processes {
             let (names, share) = own_view(&process.name);
             process.pool.set_sharers(names, share, at(0));
@@ -126,7 +126,7 @@
 #[test]
 fn slot_is_unfit_after_target_turns_cold() {
     let mut pool = named_pool("vm-0", &[TARGET]);
-    pool.set_sharers(vec!["vm-0".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-0")], FULL_SHARE, at(0));
     pool.set_warmup(warmup(3_000), at(0));
     let assignment = expect_sent(pool.admit(request_at(0), at(0)));
     assert!(!pool.is_unfit(&assignment, &request_at(0), at(1)));
@@ -152,7 +152,7 @@
 #[test]
 fn busy_target_is_probed_for_cold_report() {
     let mut pool = named_pool("vm-0", &[TARGET]);
-    pool.set_sharers(vec!["vm-0".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-0")], FULL_SHARE, at(0));
     pool.set_warmup(warmup(3_000), at(0));
     pool.record_cold_report(&id(TARGET), Duration::ZERO, at(0));
     let mut unprobed = 0;
@@ -201,7 +201,7 @@
 #[test]
 fn requests_beyond_warm_up_rate_are_shed_at_once() {
     let mut pool = cold_pool("vm-0", &[TARGET]);
-    pool.set_sharers(vec!["vm-0".to_owned(), "vm-1".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-0"), Sharer::new("vm-1")], FULL_SHARE, at(0));
     let mut refused = Vec::new();
     for _ in 0..10 {
         if let Admission::Shed(shed) = pool.admit(request_at(0), at(0)) {
@@ -216,7 +216,7 @@
 #[test]
 fn cold_target_latency_does_not_change_usual_time() {
     let mut pool = cold_pool("vm-0", &[TARGET]);
-    pool.set_sharers(vec!["vm-0".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-0")], FULL_SHARE, at(0));
     let before = pool.usual_time(&request_at(0).class);
     pool.record_load(&id(TARGET), load(0, 1000), at(1_000));
     let assignment = expect_sent(pool.admit(request_at(1_000), at(1_000)));
@@ -237,7 +237,8 @@
     );
     let began = Instant::now();
     for round in 0..20 {
-        let names = (round..round + 100).map(|number| format!("vm-{number}")).collect();
+        let names =
+            (round..round + 100).map(|number| Sharer::new(&format!("vm-{number}"))).collect();
         pool.set_sharers(names, FULL_SHARE, at(0));
     }
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
--- a/crates/balance/tests/rate_limits.rs
+++ b/crates/balance/tests/rate_limits.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use shallotfork_balance::{Admission, ShedReason};
+use shallotfork_balance::{Admission, Sharer, ShedReason};
 use shallotfork_types::{Mono, RequestRate};
 
 use fleet::{FULL_SHARE, Fleet};
@@ -79,14 +79,14 @@
 #[test]
 fn process_without_share_sheds_at_once() {
     let mut pool = named_pool("vm-1", &[TARGET]);
-    pool.set_sharers(vec!["vm-0".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-0")], FULL_SHARE, at(0));
     pool.set_rate_limit(&id(TARGET), Some(rate("1")), at(0));
     let Admission::Shed(shed) = pool.admit(request_at(0), at(0)) else {
         panic!("expected a rejection")
     };
     assert_eq!(shed.reason, ShedReason::NoTarget);
     assert!(shed.retry_after > Duration::ZERO);
-    pool.set_sharers(vec!["vm-1".to_owned()], FULL_SHARE, at(0));
+    pool.set_sharers(vec![Sharer::new("vm-1")], FULL_SHARE, at(0));
     expect_sent(pool.admit(request_at(2_000), at(2_000)));
 }
 
--- a/crates/balance/tests/slots_domains_and_probes.rs
+++ b/crates/balance/tests/slots_domains_and_probes.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use shallotfork_balance::{Admission, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
+use shallotfork_balance::{Admission, Sharer, SlotOutcome, SlotPool, SlotPoolConfig, SlotTarget};
 use shallotfork_types::{FailureDomain, PartsPerMillion, Permille};
 
 use support::{
@@ -159,6 +159,6 @@
     assert_eq!(pool.due_probes(at(31)).len(), 4);
 }
 
-fn two_sharers() -> Vec<String> {
-    ["entry", "other"].map(str::to_owned).to_vec()
+fn two_sharers() -> Vec<Sharer> {
+    ["entry", "other"].map(Sharer::new).to_vec()
 }
--- a/crates/balance/tests/slots_probe_failures.rs
+++ b/crates/balance/tests/slots_probe_failures.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use shallotfork_balance::Sharer;
 use shallotfork_types::{Permille, TargetId};
 
 use support::{at, expect_sent, id, pool, request_at};
@@ -19,8 +20,8 @@
     id(TARGET)
 }
 
-fn sharers(count: usize) -> Vec<String> {
-    (0..count).map(|number| format!("vm-{number}")).collect()
+fn sharers(count: usize) -> Vec<Sharer> {
+    (0..count).map(|number| Sharer::new(&format!("vm-{number}"))).collect()
 }
 
 /// Guards against sending requests to a dead target because a single lost probe proves nothing.
--- a/crates/balance/tests/support/fleet.rs
+++ b/crates/balance/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use shallotfork_balance::{Admission, Assignment, SlotPool};
+use shallotfork_balance::{Admission, Assignment, Sharer, SlotPool};
 use shallotfork_types::Permille;
 
 use super::support::{answered, at, request_at};
@@ -48,7 +48,7 @@
         let sharers = names[..sharers].to_vec();
         let process = |name: &String| {
             let mut pool = pool(name);
-            pool.set_sharers(sharers.clone(), FULL_SHARE, at(0));
+            pool.set_sharers(named(&sharers), FULL_SHARE, at(0));
             Process { name: name.clone(), pool, running: Vec::new(), pending_view: None }
         };
         let processes = names.iter().map(process).collect();
@@ -82,7 +82,7 @@
         for process in &mut self.processes {
             let view = process.pending_view.take_if(|(update_at_ms, _)| *update_at_ms <= now_ms);
             if let Some((_, view)) = view {
-                process.pool.set_sharers(view, FULL_SHARE, at(now_ms));
+                process.pool.set_sharers(named(&view), FULL_SHARE, at(now_ms));
             }
             let ended = process.running.extract_if(.., |(ends_ms, _)| *ends_ms <= now_ms);
             for (_, assignment) in ended {
@@ -119,3 +119,7 @@
         window_starts.map(in_window).max().unwrap_or(0)
     }
 }
+
+fn named(names: &[String]) -> Vec<Sharer> {
+    names.iter().map(|name| Sharer::new(name)).collect()
+}
--- a/crates/balance/tests/support/rejecting.rs
+++ b/crates/balance/tests/support/rejecting.rs
@@ -9,8 +9,8 @@
 use crate::rejection_results::{RankResults, Results};
 use shallotfork_balance::{
     Admission, Assignment, PriorWaitEstimator, RepeatAllocation, RepeatClass, Resolution,
-    ResolvedTicket, RetryAllowance, Shed, SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest,
-    SlotTarget, Slowdown, StateChange, TargetLoad, Ticket, WorkClass,
+    ResolvedTicket, RetryAllowance, Sharer, Shed, SlotOutcome, SlotPool, SlotPoolConfig,
+    SlotRequest, SlotTarget, Slowdown, StateChange, TargetLoad, Ticket, WorkClass,
 };
 use shallotfork_types::{FailureDomain, Mono, Permille, TargetId};
 
@@ -132,7 +132,8 @@
                 cold_for: Duration::ZERO,
             });
             pool.set_targets(targets.collect(), Mono::ZERO);
-            let names = (0..ENTRIES).map(|number| format!("entry-{number}")).collect();
+            let names =
+                (0..ENTRIES).map(|number| Sharer::new(&format!("entry-{number}"))).collect();
             pool.set_sharers(names, Permille::new(1000), Mono::ZERO);
             let timeout = Duration::from_millis(CALLER_TIMEOUT_MS);
             Entry {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use shallotfork_balance::SlotTarget;
+use shallotfork_balance::{Sharer, SlotTarget};
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
 use shallotfork_events::{
     EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, ITEMS_RETAINED, PLATFORM_RESTORED,
@@ -303,8 +303,10 @@
 
 fn set_sharers(state: &ControlState, slots: &ServiceSlots) {
     let fleet = state.context.fleet.load();
-    let names = fleet.advertised.iter().map(|entry| entry.vm.to_string()).collect();
-    slots.set_sharers(names, fleet.share());
+    let sharers = fleet.advertised.iter().map(|entry| {
+        Sharer::new(entry.vm.as_str()).with_failure_domain(entry.failure_domain.clone())
+    });
+    slots.set_sharers(sharers.collect(), fleet.share());
 }
 
 /// Publishes the targets, and passes each service's targets to its slots if they have changed or
--- a/crates/gateway/src/traffic/service_slots.rs
+++ b/crates/gateway/src/traffic/service_slots.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use shallotfork_balance::{
-    Admission, Assignment, AttemptId, RepeatAllocation, Resolution, ResolvedTicket, Shed,
+    Admission, Assignment, AttemptId, RepeatAllocation, Resolution, ResolvedTicket, Sharer, Shed,
     SlotOutcome, SlotPool, SlotPoolConfig, SlotRequest, SlotSummary, SlotTarget, TargetLoad,
     Ticket, WorkClass,
 };
@@ -167,9 +167,9 @@
         self.lock().pool.shed_no_target(now)
     }
 
-    /// Sets the names of the entries that share the targets, and the share of the cold targets'
+    /// Sets the entries that share the targets, and the share of the cold targets'
     /// warm-up rate that these entries may use together.
-    pub fn set_sharers(&self, sharers: Vec<String>, share: Permille) {
+    pub fn set_sharers(&self, sharers: Vec<Sharer>, share: Permille) {
         let now = self.clock.now();
         self.lock().pool.set_sharers(sharers, share, now);
     }
