--- a/crates/balance/src/slots/summary.rs
+++ b/crates/balance/src/slots/summary.rs
@@ -16,6 +16,8 @@
     pub running: usize,
     /// Targets that take new work.
     pub serving: usize,
+    /// Serving targets that this process chooses among first.
+    pub subset: usize,
     /// Serving targets that are ejected after failures.
     pub ejected: usize,
     /// Serving targets that have not answered a load probe in time.
@@ -47,6 +49,7 @@
             queued: self.queue.len(),
             running: self.attempts.len(),
             serving: serving.len(),
+            subset: count(&|target| target.is_in_subset),
             ejected: count(&|target| target.is_ejected(now)),
             silent: count(&|target| target.is_silent),
             overdue: count(&|target| target.is_overdue(now, &self.config)),
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -138,6 +138,7 @@
     gauge!("shallotfork_queued", "service" => label.clone()).set(load.queued as f64);
     gauge!("shallotfork_running", "service" => label.clone()).set(load.running as f64);
     gauge!("shallotfork_free_slots", "service" => label.clone()).set(load.free_slots as f64);
+    gauge!("shallotfork_targets_in_subset", "service" => label.clone()).set(load.subset as f64);
     gauge!("shallotfork_random_rejections", "service" => label)
         .set(f64::from(u8::from(load.rejects_at_random)));
     if load.queued == 0 {
@@ -148,6 +149,7 @@
         "queued" => load.queued,
         "running" => load.running,
         "serving" => load.serving,
+        "subset" => load.subset,
         "ejected" => load.ejected,
         "silent" => load.silent,
         "overdue" => load.overdue,
