feat(gateway): with thousands of items only the leading entries read them at their start

Cause: each entry read all items from the platform when it started: 2 MB at 5,999 targets, base64 included, some 1.2 GB for a start of 587 entries, 10 s of the platform's link (worked out). That grows with entries times targets: 38 s at twice the size, over the 18 s within which service has to be back.

Change: an entry that finds more than 2,000 items stops reading and pulls from another one, as it does with all later changes, packed to a tenth. The leading three entries of each failure domain, which nobody may be able to serve, read all of them after half a second; any other one after 3 to 5 s, if nobody has served it. With up to 2,000 items nothing changes: all earlier deployments have fewer.

An entry whose peers are gone reads them itself.

--- a/crates/fleet/src/contacts.rs
+++ b/crates/fleet/src/contacts.rs
@@ -45,6 +45,8 @@
     pub rotating_interval_periods: u32,
     /// Whether other entries receive changes from this one, so that it forwards what it receives.
     pub forwards_updates: bool,
+    /// Whether the entry is one of the leading entries of its failure domain.
+    pub is_leading: bool,
     /// Whether the entry exchanges heartbeats with the readers directly and not only through
     /// others.
     pub monitors_readers: bool,
@@ -87,6 +89,7 @@
         rotating: if calls_every_period && !connects_domains { remote } else { Vec::new() },
         rotating_interval_periods: REMOTE_INTERVAL_PERIODS,
         forwards_updates: calls_every_period,
+        is_leading,
         monitors_readers: connects_domains,
     }
 }
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -47,6 +47,18 @@
 /// entry whether what it has read is an older copy. Other entries usually answer within milliseconds;
 /// after a loss of all of them nobody knows better.
 const COPY_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of items up to which an entry reads all of them at its start. Of more, the leading entries of
+/// each failure domain read them and the others pull from these: a common start of hundreds of entries
+/// would otherwise transfer every item to every entry over the platform's link.
+const FIRST_READ_ITEMS_MAX: usize = 2000;
+/// Time for which an entry waits at its start to receive the items from others. The leading ones need
+/// about a second to read them.
+const FIRST_PULL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest additional wait, drawn at random, so that entries that no other one serves do not read at the
+/// same time.
+const FIRST_PULL_SPREAD: Duration = Duration::from_secs(2);
+/// Interval of the checks whether the items have been received.
+const FIRST_PULL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Source of the items that this entry reads itself, in log lines.
 const PLATFORM_SOURCE: &str = "platform";
 
@@ -108,21 +120,58 @@
     tokio::time::sleep(delay.mul_f64(jitter)).await;
 }
 
+/// Result of a full read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadResult {
+    /// The items are applied.
+    Applied,
+    /// Other entries have sent later items meanwhile.
+    Superseded,
+    /// There are more items than were to be read.
+    TooMany,
+}
+
 /// Reads everything once, before this entry knows whether it is a reader. A read that may be stale
 /// costs the platform a tenth of a current one.
 ///
 /// The result may be seconds old; the readers, or the platform's watch, report what has changed
-/// since. After a loss of all entries at once, each entry can serve as soon as it has started.
+/// since. After a loss of all entries at once, each entry can serve as soon as it has started. If there
+/// are too many items for all entries to read, only the leading ones read all of them.
 async fn initial_read(state: &ControlState) {
-    let result = read_and_apply(state, Freshness::MayBeStale).await;
+    let freshness = Freshness::MayBeStale;
+    let mut result = read_and_apply(state, freshness, FIRST_READ_ITEMS_MAX).await;
+    if result == Ok(ReadResult::TooMany) {
+        if is_served_by_others(state).await {
+            return;
+        }
+        result = read_and_apply(state, freshness, usize::MAX).await;
+    }
     let _timed_out = timeout(COPY_CHECK_TIMEOUT, agree_with_another_entry(state)).await;
     match result {
-        Ok(true) => mark_synced(state),
-        Ok(false) => {}
+        Ok(ReadResult::Applied) => mark_synced(state),
+        Ok(ReadResult::Superseded | ReadResult::TooMany) => {}
         Err(error) => record_platform_failure(state, &error),
     }
 }
 
+/// Waits until the items have been pulled from another entry. Returns whether they have; this entry
+/// reads them itself if it is among the leading ones, or if nobody has served it in time.
+async fn is_served_by_others(state: &ControlState) -> bool {
+    let started_at = state.now();
+    let spread = FIRST_PULL_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    loop {
+        if state.archive.borrow().position() != Position::NONE {
+            return true;
+        }
+        let elapsed = state.now().since(started_at);
+        let is_leading = elapsed >= DISCOVERY_WAIT && state.view().contacts.is_leading;
+        if is_leading || elapsed >= FIRST_PULL_TIMEOUT + spread {
+            return false;
+        }
+        tokio::time::sleep(FIRST_PULL_CHECK_INTERVAL).await;
+    }
+}
+
 /// Waits until another entry retains the same items of earlier epochs as this one.
 ///
 /// A platform that was restored publishes its copy until everything is written again. An entry that
@@ -147,17 +196,22 @@
 
 /// Reads everything and applies it.
 async fn full_read(state: &ControlState, freshness: Freshness) -> Result<(), FeedError> {
-    if read_and_apply(state, freshness).await? {
+    if read_and_apply(state, freshness, usize::MAX).await? == ReadResult::Applied {
         mark_synced(state);
     }
     Ok(())
 }
 
-/// Reads everything and applies it, unless other entries have sent later items meanwhile. Returns
-/// whether it was applied.
-async fn read_and_apply(state: &ControlState, freshness: Freshness) -> Result<bool, FeedError> {
-    let (items, position) = read_pages(state, freshness).await?;
+/// Reads everything, if that is at most `items_max` items, and applies it, unless other entries have sent
+/// later items meanwhile.
+async fn read_and_apply(
+    state: &ControlState,
+    freshness: Freshness,
+    items_max: usize,
+) -> Result<ReadResult, FeedError> {
+    let read = read_pages(state, freshness, items_max).await?;
     record_platform_answer(state);
+    let Some((items, position)) = read else { return Ok(ReadResult::TooMany) };
     let known = state.archive.borrow().position();
     if freshness == Freshness::Latest {
         check_epoch(position, known)?;
@@ -166,18 +220,21 @@
     // has been removed since.
     if position >= known {
         apply_snapshot(state, &items, position, PLATFORM_SOURCE);
-        return Ok(true);
+        return Ok(ReadResult::Applied);
     }
     log_dropped_read(state, position, known);
-    Ok(false)
+    Ok(ReadResult::Superseded)
 }
 
 /// Reads all pages. They are not a consistent snapshot, so watching continues from the oldest page's
 /// revision, which reports changes made during the read again. Of stale pages any may be the oldest.
+///
+/// Returns `None` as soon as more than `items_max` items are known to exist.
 async fn read_pages(
     state: &ControlState,
     freshness: Freshness,
-) -> Result<(Vec<RawItem>, Position), FeedError> {
+    items_max: usize,
+) -> Result<Option<(Vec<RawItem>, Position)>, FeedError> {
     let mut items: Vec<RawItem> = Vec::new();
     let mut after: Option<String> = None;
     let mut oldest: Option<Position> = None;
@@ -193,7 +250,10 @@
         let position = oldest.map_or(page.position, |oldest| oldest.min(page.position));
         oldest = Some(position);
         items.extend(page.items);
-        let Some(next) = page.next_after else { return Ok((items, position)) };
+        let Some(next) = page.next_after else { return Ok(Some((items, position))) };
+        if items.len() >= items_max {
+            return Ok(None);
+        }
         after = Some(next);
     }
 }
