--- a/crates/balance/src/slots/hedge.rs
+++ b/crates/balance/src/slots/hedge.rs
@@ -11,7 +11,7 @@
 
 use shallotfork_types::Mono;
 
-use super::pool::TargetFilter;
+use super::assign::TargetFilter;
 use super::work_times::LongTail;
 use super::{SlotPool, SlotRequest, WorkClass};
 use crate::{Assignment, AttemptId};
--- a/crates/balance/src/slots/mod.rs
+++ b/crates/balance/src/slots/mod.rs
@@ -5,6 +5,7 @@
 //! requests locally instead of at the targets, and knows for each request whether it can still be
 //! answered within its objective.
 
+mod assign;
 mod config;
 mod estimate;
 mod fair_order;
--- a/crates/balance/src/slots/target.rs
+++ b/crates/balance/src/slots/target.rs
@@ -1,31 +1,26 @@
 //! State that a [`SlotPool`](super::SlotPool) keeps for one target.
 
+mod outcome;
+mod speed;
+
 use std::time::Duration;
 
 use shallotfork_types::{Mono, RequestRate, rendezvous_weight};
 
+use super::WorkClass;
 use super::config::SlotPoolConfig;
 use super::estimate::{Estimates, SlowdownReport, unsaturated_slots};
 use super::long_work::RecentLongWork;
-use super::published::{SlotOutcome, SlotTarget, StateChange, TargetLoad};
+use super::published::{SlotTarget, TargetLoad};
 use super::rate_share::RateShare;
-use super::{SlotRequest, WorkClass};
 use crate::AttemptId;
 
+pub(super) use outcome::FailureRecord;
+
 /// Key of a target's position on the rings in the hash. All processes must use the same one.
 const RING_KEY: &str = "subset";
-/// Weight of a new sample in a target's work time factor.
-const WORK_TIME_FACTOR_WEIGHT: f64 = 0.15;
 /// Weight of a new report in the mean slowdown of a target.
 const SLOWDOWN_WEIGHT: f64 = 0.05;
-/// Bounds of a target's work time factor.
-const WORK_TIME_FACTOR_BOUNDS: (f64, f64) = (0.5, 10.0);
-/// Cap on a single sample of the work time factor, which may be one hang or one slow phase.
-const WORK_TIME_SAMPLE_MAX: f64 = 6.0;
-/// Weight of a new outcome in the failure rate.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// Cost of a failure to a caller, as a multiple of the time of an answer.
-const FAILURE_COST: f64 = 6.0;
 /// Divisor that gives the fraction of a remote target's slots up to which a process that has
 /// reached its share may fill them. A smaller fraction leaves spare slots unused; a larger one
 /// takes slots that another failure domain needs.
@@ -38,19 +33,6 @@
 const COMPARISON_DIVISOR: u64 = 8;
 /// Age beyond which a target's report of requests from other processes is ignored.
 const FOREIGN_REQUESTS_MAX_AGE: Duration = Duration::from_millis(500);
-/// Factor by which a target is assumed to be slower for some seconds after its start, until it has
-/// been measured.
-const COLD_FACTOR: f64 = 2.0;
-/// Weight of an estimated slowdown in the ranking of targets that have no fresh report. A probe
-/// costs a hundredth of the work, and the estimate ranks targets that are equal otherwise.
-const UNKNOWN_SLOWDOWN_WEIGHT: f64 = 0.05;
-/// A request waits for a faster slot only if at least this multiple of its usual time is left.
-const WAIT_MARGIN: f64 = 1.2;
-/// Consecutive failed probes after which a target is ejected. A single one can be due to a lost
-/// packet.
-const FAILED_PROBES_MAX: u32 = 2;
-/// Number of times that the duration of an ejection is doubled at most.
-const EJECTION_DOUBLINGS_MAX: u32 = 6;
 
 /// Returns the number of slots to use at a time at a target with `slots` slots, by its part in the
 /// comparison of saturated and unsaturated targets.
@@ -82,29 +64,6 @@
     pub(super) expected_us: f64,
 }
 
-/// Failures of a target at one time.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct FailureRecord {
-    failure_rate: f64,
-    consecutive_failures: u32,
-    ejections: u32,
-    ejected_until: Option<Mono>,
-}
-
-impl FailureRecord {
-    pub(super) fn of(target: &Target) -> Self {
-        let Target { failure_rate, consecutive_failures, ejections, ejected_until, .. } = *target;
-        Self { failure_rate, consecutive_failures, ejections, ejected_until }
-    }
-
-    pub(super) fn restore(self, target: &mut Target) {
-        target.failure_rate = self.failure_rate;
-        target.consecutive_failures = self.consecutive_failures;
-        target.ejections = self.ejections;
-        target.ejected_until = self.ejected_until;
-    }
-}
-
 #[derive(Debug)]
 struct ForeignRequests {
     count: u32,
@@ -296,107 +255,6 @@
         self.published.slots > 1 && self.used_slots(now) >= unsaturated_slots(self.published.slots)
     }
 
-    /// Returns the reported slowdown if the report is fresh enough to rely on.
-    fn fresh_slowdown(&self, now: Mono, config: &SlotPoolConfig) -> Option<f64> {
-        let fresh = |report: &SlowdownReport| now.since(report.reported_at) < config.load_max_age;
-        self.slowdown.filter(fresh).map(|report| report.slowdown.factor())
-    }
-
-    /// Returns the reported slowdown if it is fresh, otherwise the expected one.
-    pub(super) fn current_slowdown(
-        &self,
-        now: Mono,
-        config: &SlotPoolConfig,
-        estimates: &Estimates,
-    ) -> f64 {
-        let fresh = self.fresh_slowdown(now, config);
-        fresh.unwrap_or_else(|| self.expected_slowdown(now, config, estimates))
-    }
-
-    fn expected_slowdown(&self, now: Mono, config: &SlotPoolConfig, estimates: &Estimates) -> f64 {
-        let mean = self.mean_slowdown.unwrap_or(estimates.mean_slowdown());
-        let report = self.slowdown;
-        report.map_or(mean, |report| report.expected(now, config.slowdown_decay, mean))
-    }
-
-    /// Returns the slowdown used to compare targets. An unknown slowdown has little weight, because
-    /// the target is probed before the request is sent and passed over if it turns out to be slow.
-    fn slowdown_for_ranking(
-        &self,
-        now: Mono,
-        config: &SlotPoolConfig,
-        estimates: &Estimates,
-    ) -> f64 {
-        let fresh = self.fresh_slowdown(now, config);
-        let guess =
-            1.0 + (self.expected_slowdown(now, config, estimates) - 1.0) * UNKNOWN_SLOWDOWN_WEIGHT;
-        fresh.unwrap_or(guess)
-    }
-
-    /// Returns whether the target reports such a slowdown that waiting for the end of the slow
-    /// phase would be quicker. A run keeps the slowdown with which it started, so a slot that is
-    /// assigned in a slow phase is occupied for several times as long.
-    ///
-    /// A short request may finish earlier in a slow phase than after it and still miss its
-    /// objective; it waits as well if the wait leaves enough time.
-    pub(super) fn is_slow(
-        &self,
-        request: &SlotRequest,
-        now: Mono,
-        config: &SlotPoolConfig,
-        estimates: &Estimates,
-    ) -> bool {
-        if self.slowdown.is_none() {
-            return false;
-        }
-        let usual_us = estimates.work_us(&request.class);
-        let now_us = usual_us * self.expected_slowdown(now, config, estimates);
-        let phase_us = config.slowdown_decay.as_micros() as f64;
-        let left_us = request.objective.since(now).as_micros() as f64;
-        let too_late = now_us > left_us && usual_us * WAIT_MARGIN < left_us;
-        now_us - usual_us > phase_us || too_late
-    }
-
-    /// Returns the expected time in microseconds of a request of this class without slowdown.
-    fn base_time_us(
-        &self,
-        class: &WorkClass,
-        is_saturated: bool,
-        now: Mono,
-        estimates: &Estimates,
-    ) -> f64 {
-        let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
-        estimates.work_us(class)
-            * self.work_time_factor.max(cold)
-            * estimates.saturation_cost(is_saturated)
-    }
-
-    /// Returns the cost in microseconds by which targets are compared: the expected time, raised by
-    /// the risk of a failure, and the cost of crossing failure domains.
-    pub(super) fn cost_us(
-        &self,
-        request: &SlotRequest,
-        now: Mono,
-        config: &SlotPoolConfig,
-        estimates: &Estimates,
-    ) -> f64 {
-        let risk = 1.0 + self.failure_rate * FAILURE_COST;
-        let slowdown = self.slowdown_for_ranking(now, config, estimates);
-        let time_us =
-            self.base_time_us(&request.class, self.would_saturate(now), now, estimates) * slowdown;
-        time_us * risk + self.cross_domain_cost_us(&request.class, config, estimates)
-    }
-
-    fn cross_domain_cost_us(
-        &self,
-        class: &WorkClass,
-        config: &SlotPoolConfig,
-        estimates: &Estimates,
-    ) -> f64 {
-        let cost = f64::from(config.cross_domain_cost_permille) / 1000.0;
-        if self.is_remote(config) { estimates.work_us(class) * cost } else { 0.0 }
-    }
-
     /// Returns whether the target runs in another failure domain than this process.
     pub(super) fn is_remote(&self, config: &SlotPoolConfig) -> bool {
         config.failure_domain.as_ref().is_some_and(|own| *own != self.published.failure_domain)
@@ -457,113 +315,6 @@
         Some(self.running.swap_remove(index))
     }
 
-    pub(super) fn record_outcome(
-        &mut self,
-        running: &RunningAttempt,
-        outcome: SlotOutcome,
-        config: &SlotPoolConfig,
-        estimates: &mut Estimates,
-        now: Mono,
-    ) -> Option<StateChange> {
-        match outcome {
-            SlotOutcome::Answered { latency } => self.record_answer(running, latency, estimates),
-            SlotOutcome::Cancelled => {
-                self.record_cancelled(running, estimates, now);
-                None
-            }
-            SlotOutcome::Failed => self.record_failure(config.failures_max, config, now),
-            SlotOutcome::Unreachable | SlotOutcome::TimedOut | SlotOutcome::Misdirected => {
-                self.record_failure(1, config, now)
-            }
-            // The pool counted a free slot, so the target either serves other processes or rejects
-            // on its own account. Both call for an ejection.
-            SlotOutcome::Full => self.record_failure(2, config, now),
-        }
-    }
-
-    fn record_answer(
-        &mut self,
-        running: &RunningAttempt,
-        latency: Duration,
-        estimates: &mut Estimates,
-    ) -> Option<StateChange> {
-        let returned = self.ejections > 0;
-        self.failure_rate -= self.failure_rate * FAILURE_WEIGHT;
-        self.consecutive_failures = 0;
-        self.ejections = 0;
-        self.ejected_until = None;
-        // Without a known slowdown, the time can't be attributed to the target or its neighbours.
-        if let Some(slowdown) = running.slowdown {
-            self.record_latency(running, latency, slowdown, estimates);
-        }
-        returned.then_some(StateChange::Returned)
-    }
-
-    fn record_latency(
-        &mut self,
-        running: &RunningAttempt,
-        latency: Duration,
-        slowdown: f64,
-        estimates: &mut Estimates,
-    ) {
-        if self.is_cold(running.started_at) {
-            return;
-        }
-        let time_us = latency.as_micros() as f64;
-        let cost = slowdown * estimates.saturation_cost(running.was_saturated_at_start);
-        let is_long = estimates.work_times.record(&running.class, time_us / cost);
-        if self.long_work.record(is_long) {
-            return estimates.record_long_work(&running.class, time_us / cost);
-        }
-        self.record_work_time_ratio(time_us / (estimates.work_us(&running.class) * cost));
-        estimates.record_run_ratio(
-            time_us / (estimates.work_us(&running.class) * slowdown),
-            running.met_saturation,
-        );
-        estimates.record_work_time(
-            &running.class,
-            time_us,
-            slowdown,
-            running.was_saturated_at_start,
-        );
-    }
-
-    /// Records the time of a run as a multiple of the time expected at a target of average speed.
-    pub(super) fn record_work_time_ratio(&mut self, ratio: f64) {
-        let ratio = ratio.min(WORK_TIME_SAMPLE_MAX);
-        self.work_time_factor += (ratio - self.work_time_factor) * WORK_TIME_FACTOR_WEIGHT;
-        self.work_time_factor =
-            self.work_time_factor.clamp(WORK_TIME_FACTOR_BOUNDS.0, WORK_TIME_FACTOR_BOUNDS.1);
-    }
-
-    /// Discards all failures, so that the target is used like one that has never failed.
-    pub(super) fn clear_failures(&mut self) {
-        self.failure_rate = 0.0;
-        self.consecutive_failures = 0;
-        self.ejections = 0;
-        self.ejected_until = None;
-        self.is_silent = false;
-    }
-
-    fn record_failure(
-        &mut self,
-        failures_max: u32,
-        config: &SlotPoolConfig,
-        now: Mono,
-    ) -> Option<StateChange> {
-        self.failure_rate += (1.0 - self.failure_rate) * FAILURE_WEIGHT;
-        self.consecutive_failures += 1;
-        // Attempts that were in flight at the time of the ejection are no new evidence.
-        if self.consecutive_failures < failures_max || self.is_ejected(now) {
-            return None;
-        }
-        let pause = config.ejection_initial * 2u32.pow(self.ejections.min(EJECTION_DOUBLINGS_MAX));
-        let pause = pause.min(config.ejection_max);
-        self.ejections += 1;
-        self.ejected_until = Some(now.plus(pause));
-        Some(StateChange::Ejected { failures: self.consecutive_failures, pause })
-    }
-
     /// Records a load report from a time at which the target ran only those of this process's
     /// requests that are counted as sent here.
     pub(super) fn record_load(&mut self, load: TargetLoad, estimates: &mut Estimates, now: Mono) {
@@ -584,14 +335,6 @@
         self.slowdown.is_none_or(|report| now.since(report.reported_at) >= max_age)
     }
 
-    pub(super) fn record_failed_probe(
-        &mut self,
-        config: &SlotPoolConfig,
-        now: Mono,
-    ) -> Option<StateChange> {
-        self.record_failure(FAILED_PROBES_MAX, config, now)
-    }
-
     /// Returns whether a probe would yield new information, because the slowdown would be estimated
     /// otherwise. A target with a rate limit is not probed, because a probe is itself a request.
     pub(super) fn is_probe_due(
--- a/crates/balance/src/slots/wake.rs
+++ b/crates/balance/src/slots/wake.rs
@@ -4,7 +4,7 @@
 
 use shallotfork_types::{Mono, TargetId};
 
-use super::pool::TargetFilter;
+use super::assign::TargetFilter;
 use super::{SlotPool, SlotRequest, WorkClass};
 use crate::{Admission, Resolution, ResolvedTicket, ShedReason, Ticket};
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -2,6 +2,8 @@
 //! it calls.
 
 mod demand;
+mod load;
+mod received;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -9,7 +11,7 @@
 
 use rand::Rng;
 use shallotfork_membership::{Announcement, MemberUpdate, MembershipView, ViewConfig};
-use shallotfork_types::{Endpoint, LoadLevel, Mono, VmId};
+use shallotfork_types::{Endpoint, Mono, VmId};
 
 use crate::core_sync::{CoreComparison, CoreSync};
 use crate::demand_exchange::DemandExchange;
@@ -320,27 +322,6 @@
         &self.own.listed.vm
     }
 
-    /// Records the present load of the fleet and returns the highest one of the last seconds.
-    fn update_load(&mut self, now: Mono) -> FleetLoad {
-        let assumed = FleetLoad::assumed(self.own_state.target_count);
-        let load = self.present_load(now).unwrap_or(assumed);
-        self.recent_load.record(load, now);
-        self.recent_load.highest(assumed, now)
-    }
-
-    /// Returns the load as reported by the entries; `None` if it can't be known because an advertised
-    /// entry is of a release that reports none.
-    fn present_load(&self, now: Mono) -> Option<FleetLoad> {
-        let is_missing = |vm: &VmId, load: Option<LoadLevel>| {
-            load.is_none() && self.advertised_since.is_report_expected(vm, now)
-        };
-        if self.membership.live_loads().any(|(vm, load)| is_missing(vm, load)) {
-            return None;
-        }
-        let reports = self.membership.live_loads().filter_map(|(_, load)| load);
-        Some(FleetLoad::observed(reports, self.own_state.target_count))
-    }
-
     fn view_cache_key(&self, load: FleetLoad) -> ViewCacheKey {
         ViewCacheKey {
             membership_version: self.membership.version(),
@@ -431,35 +412,6 @@
         updates.extend(self.membership.suspicion_of(to));
         updates.into_iter().map(|update| (update.about.listed.vm.clone(), update)).collect()
     }
-
-    /// Records what the sender reports about the platform: its own result if it is a reader,
-    /// otherwise the ages that it forwards.
-    ///
-    /// Reports of a sender that doesn't tell epochs apart are ignored: this entry can't use what it has
-    /// read, and has to read for itself while there are no other readers.
-    fn record_platform_report(&mut self, view: &FleetView, heartbeat: &FleetHeartbeat, now: Mono) {
-        if !heartbeat.knows_epochs {
-            return;
-        }
-        if view.readers.contains(&heartbeat.from.listed.vm) {
-            self.platform.record_reader_report(!heartbeat.is_disconnected, now);
-        } else if !view.contacts.monitors_readers {
-            self.platform.merge_ages(heartbeat.platform, now);
-        }
-    }
-
-    /// Records the number of entries in this entry's failure domain if the sender is a leading
-    /// entry there, since these know all of them.
-    fn record_domain_entries(&mut self, view: &FleetView, heartbeat: &FleetHeartbeat) {
-        let listed = &heartbeat.from.listed;
-        let is_local = listed.failure_domain == self.own.listed.failure_domain;
-        if is_local
-            && !view.contacts.forwards_updates
-            && view.contacts.monitored.contains(&listed.vm)
-        {
-            self.reported_domain_entries = heartbeat.domain_entries;
-        }
-    }
 }
 
 /// Compares the core entries and loads that the sender of a heartbeat knows with those of this entry.
