--- a/crates/balance/src/slots/subset.rs
+++ b/crates/balance/src/slots/subset.rs
@@ -2,8 +2,8 @@
 //!
 //! A process that gets a few requests a second for thousands of targets reaches each of them once in
 //! minutes: its reports are always out of date, its connections closed meanwhile, and comparing all
-//! targets takes longer than everything else that a request needs. Each target is therefore left to
-//! a few of the processes, near ones first. The others use it only if they find no slot among theirs.
+//! targets takes longer than everything else that a request needs. Each target is therefore assigned to
+//! a few of the processes, near ones first. The others use it only if they find no slot in their subset.
 
 use std::collections::BTreeMap;
 
@@ -12,12 +12,12 @@
 use super::SlotPool;
 use super::target::Target;
 
-/// Number of targets up to which a process compares all of them, which takes it 50 us.
+/// Number of targets up to which a process compares all of them for each request.
 const UNDIVIDED_TARGETS_MAX: usize = 512;
-/// Number of processes of its failure domain to which a target is left. With two, the loss of one
-/// leaves the target in use.
+/// Number of processes of its failure domain to which a target is assigned. With two, it stays in use
+/// after the loss of one.
 const LOCAL_PROCESSES: usize = 2;
-/// Number of processes of all failure domains to which a target of another one is left.
+/// Number of processes of all failure domains to which a target is assigned for requests from others.
 const REMOTE_PROCESSES: usize = 1;
 /// Number of points of a process on the ring. More points divide the targets more evenly.
 const POINTS_PER_PROCESS: u32 = 32;
--- a/crates/fleet/src/fleet_load.rs
+++ b/crates/fleet/src/fleet_load.rs
@@ -17,8 +17,8 @@
 const REMEMBERED_FOR: Duration = Duration::from_secs(10);
 /// Time after which the report of an advertised entry is expected at all others.
 const REPORT_EXPECTED_AFTER: Duration = Duration::from_secs(10);
-/// Interval at which the remembered load is divided.
-const SLOT: Duration = Duration::from_secs(1);
+/// Intervals of which the highest load is remembered.
+const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Load, in requests per second, that the advertised entries have to carry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,30 +99,30 @@
 pub(crate) struct RecentLoad {
     started_at: Mono,
     /// Highest load by interval, the latest one last.
-    slots: VecDeque<(u64, FleetLoad)>,
+    intervals: VecDeque<(u64, FleetLoad)>,
 }
 
 impl RecentLoad {
     /// Creates the record of a process that starts now.
     pub(crate) fn new(now: Mono) -> Self {
-        Self { started_at: now, slots: VecDeque::new() }
+        Self { started_at: now, intervals: VecDeque::new() }
     }
 
     /// Records the present load.
     pub(crate) fn record(&mut self, load: FleetLoad, now: Mono) {
-        let slot = slot_number(now);
-        let remembered_slots = REMEMBERED_FOR.as_secs() / SLOT.as_secs();
-        self.slots.retain(|(number, _)| number + remembered_slots > slot);
-        match self.slots.back_mut() {
-            Some((number, highest)) if *number == slot => *highest = highest.highest_of(load),
-            _ => self.slots.push_back((slot, load)),
+        let interval = interval_number(now);
+        let remembered_intervals = REMEMBERED_FOR.as_secs() / INTERVAL.as_secs();
+        self.intervals.retain(|(number, _)| number + remembered_intervals > interval);
+        match self.intervals.back_mut() {
+            Some((number, highest)) if *number == interval => *highest = highest.highest_of(load),
+            _ => self.intervals.push_back((interval, load)),
         }
     }
 
     /// Returns the highest load. `assumed` counts as well until this process has run for long enough to
     /// remember a higher load: entries that start with it report the load of their first callers.
     pub(crate) fn highest(&self, assumed: FleetLoad, now: Mono) -> FleetLoad {
-        let recent = self.slots.iter().map(|(_, load)| *load).reduce(FleetLoad::highest_of);
+        let recent = self.intervals.iter().map(|(_, load)| *load).reduce(FleetLoad::highest_of);
         let is_new = now.since(self.started_at) < REMEMBERED_FOR;
         match recent {
             Some(recent) if is_new => recent.highest_of(assumed),
@@ -132,6 +132,6 @@
     }
 }
 
-fn slot_number(now: Mono) -> u64 {
-    now.since(Mono::ZERO).as_secs() / SLOT.as_secs()
+fn interval_number(now: Mono) -> u64 {
+    now.since(Mono::ZERO).as_secs() / INTERVAL.as_secs()
 }
--- a/crates/fleet/src/own_load.rs
+++ b/crates/fleet/src/own_load.rs
@@ -8,8 +8,8 @@
 const REPORT_INTERVAL_MIN: Duration = Duration::from_secs(2);
 /// Number of levels by which the load has to fall to be reported: to half of the reported rate.
 const FALL_LEVELS_MIN: u8 = 2;
-/// Time after which an advertised entry reports that it gets no requests, if it has got none. Callers
-/// may not have found it before.
+/// Time after which an advertised entry that has received no requests reports to be idle. Callers may not
+/// have found it before.
 const IDLE_REPORT_AFTER: Duration = Duration::from_secs(5);
 
 /// Decides when the load of this entry is reported.
--- a/crates/membership/tests/updates.rs
+++ b/crates/membership/tests/updates.rs
@@ -9,7 +9,7 @@
 use shallotfork_membership::{
     Announcement, EntryState, ListedVm, MemberUpdate, MembershipView, ViewConfig, heartbeat_peers,
 };
-use shallotfork_types::{Incarnation, Mono, PerSecond, Revision, VmId};
+use shallotfork_types::{Incarnation, LoadLevel, Mono, PerSecond, Revision, VmId};
 
 const PEERS: usize = 3;
 const PERIOD: Duration = Duration::from_millis(500);
@@ -331,3 +331,25 @@
     view.set_own_isolated(false);
     assert_eq!((view.own_round(), view.is_own_isolated()), (2, false));
 }
+
+/// Guards against a load that is lost where an entry of an older release forwards the update without it,
+/// and against an older load that replaces a later one.
+#[test]
+fn load_follows_the_latest_round() {
+    let load = |number: u8| LoadLevel::new(number).ok();
+    let update = |round: u32, number: u8| MemberUpdate {
+        about: Announcement { load: load(number), ..announcement(1, false, round) },
+        suspected: false,
+    };
+    let load_after = |updates: &[MemberUpdate]| {
+        let own = announcement(0, false, 0);
+        let mut view = MembershipView::new(ViewConfig::default(), &own, Mono::ZERO);
+        updates.iter().for_each(|update| view.receive_update(update, Mono::from_millis(60_000)));
+        view.live_loads().find(|(vm, _)| **vm == listed(1).vm).and_then(|(_, load)| load)
+    };
+    let no_load = 0;
+    assert_eq!(load_after(&[update(2, 9), update(2, no_load)]), load(9));
+    assert_eq!(load_after(&[update(2, no_load), update(2, 9)]), load(9));
+    assert_eq!(load_after(&[update(3, 5), update(2, 9)]), load(5));
+    assert_eq!(load_after(&[update(2, 9), update(3, 5)]), load(5));
+}
