fix(gateway): a first pull stays in its failure domain for two seconds

Cause: an entry that left its first read to others pulled all items from whichever entry answered first, mostly one in another failure domain.

Change: while it waits for others, an entry pulls from its own failure domain only, for 2 s; the leading entries there read all items within about one.

--- a/crates/feed/src/pull_scheduler.rs
+++ b/crates/feed/src/pull_scheduler.rs
@@ -7,6 +7,10 @@
 /// Time without received data after which a pull no longer prevents another one from beginning.
 const PULL_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which an entry that has left its first read to others pulls from its own failure domain only.
+/// The leading entries there need about a second to read all items.
+const FIRST_LOCAL_WAIT: Duration = Duration::from_millis(2000);
+
 /// Limits pulls to one at a time and prefers entries in the own failure domain.
 ///
 /// All entries that have a change advertise it at about the same time, and pulling from one of them
@@ -41,6 +45,13 @@
         !in_progress
     }
 
+    /// Returns whether an entry that has left its first read to others may pull from an entry in another
+    /// failure domain, given how long it has waited. At a start of all, every item would otherwise cross
+    /// domains once per entry.
+    pub fn may_pull_first_from_other_domain(waited: Duration) -> bool {
+        waited >= FIRST_LOCAL_WAIT
+    }
+
     /// Records that the current pull received a part of the response.
     pub fn record_progress(&mut self, now: Mono) {
         if let Some(at) = &mut self.last_progress_at {
--- a/crates/feed/tests/pull_scheduler.rs
+++ b/crates/feed/tests/pull_scheduler.rs
@@ -78,3 +78,13 @@
     assert!(!pulls.try_begin(at(790)));
     assert!(pulls.try_begin(at(800)), "no data received within the idle timeout");
 }
+
+/// Guards against a start of all entries that transfers every item between failure domains once per
+/// entry, although the leading entries of each domain read them.
+#[test]
+fn first_pull_crosses_domains_only_after_a_wait() {
+    let may_cross = PullScheduler::may_pull_first_from_other_domain;
+    assert!(!may_cross(Duration::ZERO));
+    assert!(!may_cross(Duration::from_millis(1_500)), "the leading entries may still be reading");
+    assert!(may_cross(Duration::from_secs(3)), "no entry of the own domain has sent them");
+}
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -7,7 +7,9 @@
 use crate::control::publish::apply_pulled;
 use crate::control::reader::mark_synced;
 use crate::control::state::ControlState;
-use shallotfork_feed::{FeedChanges, PullError, PullResponse, RawItem, Retained, unpack};
+use shallotfork_feed::{
+    FeedChanges, PullError, PullResponse, PullScheduler, RawItem, Retained, unpack,
+};
 
 /// Whether to pull published items from the sender of a heartbeat because it is at a later position.
 ///
@@ -24,6 +26,11 @@
     if theirs <= own {
         return theirs == own && should_pull_retained(state, peer, heartbeat);
     }
+    if let Some(since) = state.first_pull_awaited_since.get()
+        && heartbeat.failure_domain != settings.failure_domain
+    {
+        return PullScheduler::may_pull_first_from_other_domain(state.now().since(since));
+    }
     let is_reader = view.readers.contains(&settings.vm);
     let is_local = heartbeat.failure_domain == settings.failure_domain && !is_reader;
     if is_local || own == Position::NONE || view.contacts.monitors_readers && !is_reader {
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -141,7 +141,10 @@
     let freshness = Freshness::MayBeStale;
     let mut result = read_and_apply(state, freshness, FIRST_READ_ITEMS_MAX).await;
     if result == Ok(ReadResult::TooMany) {
-        if is_served_by_others(state).await {
+        state.first_pull_awaited_since.set(Some(state.now()));
+        let is_served = is_served_by_others(state).await;
+        state.first_pull_awaited_since.set(None);
+        if is_served {
             return;
         }
         result = read_and_apply(state, freshness, usize::MAX).await;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -62,6 +62,8 @@
     pub snapshot_bundle: RefCell<Option<(Position, Bundle)>>,
     /// Decides when to pull from other entries.
     pub pull_scheduler: RefCell<PullScheduler>,
+    /// Since when this entry has waited for others to send the items that it would have read first.
+    pub first_pull_awaited_since: Cell<Option<Mono>>,
     /// Alternative entries to pull from while the chosen one is busy.
     pub pull_sources: RefCell<Vec<PullSource>>,
     /// Counts of pulls served to other entries.
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -198,6 +198,7 @@
         retained_pulls: RefCell::new(PullGate::new(RETAINED_PULL_REPEAT)),
         snapshot_bundle: RefCell::default(),
         pull_scheduler: RefCell::new(PullScheduler::new()),
+        first_pull_awaited_since: Cell::new(None),
         pull_sources: RefCell::default(),
         served_pulls: PullCounts::default(),
         uplink: RefCell::new(Uplink::new(context.settings.link_bandwidth)),
