fix(feed): a gap is served only from positions at which all items are known

Cause: a full read misses an item that is removed while it is in progress. The watch that follows reports the removal; if the history is lost before, the entry has never known the item. As the answer to an entry at the position of that read its difference lacked the removal, and the item would have been used for ever.

Change: the position at the end of a full read is recorded. A range of positions is used for differences with a gap only if the changes up to that position were known before the history was lost.

--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -35,13 +35,30 @@
     pub(crate) position: Position,
     /// Positions after which all changes are known, as ranges within one epoch. The last one ends at the
     /// current position.
-    known_after: Vec<RangeInclusive<Position>>,
+    known_after: Vec<KnownRange>,
+    /// Position from which on no removal was missed by the last full read; `None` if it is not known.
+    exact_from: Option<Position>,
     /// Lowest revision seen of the platform in the current epoch. The copy is not later than that.
     pub(crate) seen_from: Revision,
     pub(crate) settle_time: SettleTime,
     pub(crate) retained_digest: ListsDigest,
 }
 
+/// Positions after which all changes up to the last one are known.
+#[derive(Debug, Clone)]
+struct KnownRange {
+    positions: RangeInclusive<Position>,
+    /// Whether all items are known that existed at these positions. A full read misses those that were
+    /// removed while it was in progress, until the changes made meanwhile are known as well.
+    is_exact: bool,
+}
+
+impl KnownRange {
+    fn new(position: Position) -> Self {
+        Self { positions: position..=position, is_exact: false }
+    }
+}
+
 /// Response to an entry that pulls published items.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PullResponse {
@@ -81,6 +98,12 @@
     /// after it.
     pub fn replace(&mut self, items: &[RawItem], position: Position, now: Mono, judge: &Judge<'_>) {
         self.replace_seen_from(position.revision(), items, position, now, judge);
+        self.exact_from = None;
+    }
+
+    /// Records the position of the platform at the end of the full read that has been applied.
+    pub fn end_read(&mut self, newest: Position) {
+        self.exact_from = Some(newest);
     }
 
     /// Applies an incremental read of the platform that continues from the current position, and returns
@@ -96,7 +119,14 @@
         changes: &FeedChanges,
         judge: &Judge<'_>,
     ) -> Vec<RawItem> {
-        self.apply_then(changes, judge, Self::skip_to)
+        let changed = self.apply_then(changes, judge, Self::skip_to);
+        self.forget_exactness();
+        changed
+    }
+
+    /// Forgets from which position on nothing was missed: another entry does not state it.
+    pub(crate) fn forget_exactness(&mut self) {
+        self.exact_from = None;
     }
 
     fn apply_then(
@@ -132,8 +162,9 @@
         if self.has_changes_after(position) {
             return self.response(position, false, false);
         }
-        let is_known = self.known_after.iter().any(|known| known.contains(&position));
-        let has_gap = is_known && position.epoch() == self.position.epoch();
+        let is_known = |known: &KnownRange| known.is_exact && known.positions.contains(&position);
+        let has_gap =
+            self.known_after.iter().any(is_known) && position.epoch() == self.position.epoch();
         self.response(position, !has_gap, has_gap)
     }
 
@@ -167,15 +198,17 @@
     fn has_changes_after(&self, position: Position) -> bool {
         let is_current = position.epoch() == self.position.epoch();
         let skipped = if is_current { self.known_after.len().saturating_sub(1) } else { 0 };
-        self.known_after.iter().skip(skipped).any(|known| known.contains(&position))
+        self.known_after.iter().skip(skipped).any(|known| known.positions.contains(&position))
     }
 
     /// Moves on to a position up to which all changes have been applied.
     fn advance(&mut self, position: Position) {
         self.position = self.position.max(position);
         match self.known_after.pop() {
-            Some(last) => self.known_after.push(*last.start()..=self.position),
-            None => self.known_after.push(self.position..=self.position),
+            Some(last) => self
+                .known_after
+                .push(KnownRange { positions: *last.positions.start()..=self.position, ..last }),
+            None => self.known_after.push(KnownRange::new(self.position)),
         }
     }
 
@@ -185,8 +218,12 @@
         if position <= self.position {
             return;
         }
+        let is_exact = self.exact_from.is_some_and(|from| from <= self.position);
+        if let Some(last) = self.known_after.last_mut() {
+            last.is_exact = is_exact;
+        }
         self.position = position;
-        self.known_after.push(position..=position);
+        self.known_after.push(KnownRange::new(position));
         let excess = self.known_after.len().saturating_sub(KNOWN_RANGES_MAX);
         self.known_after.drain(..excess);
     }
@@ -244,7 +281,7 @@
     pub(crate) fn limit_tombstones(&mut self) {
         if self.items.values().filter(|register| is_tombstone(register)).count() > TOMBSTONES_MAX {
             self.items.retain(|_, register| !is_tombstone(register));
-            self.known_after = vec![self.position..=self.position];
+            self.known_after = vec![KnownRange::new(self.position)];
         }
     }
 }
--- a/crates/feed/src/restore.rs
+++ b/crates/feed/src/restore.rs
@@ -56,9 +56,11 @@
         let seen_from = seen_from.unwrap_or(position.revision());
         let changed = if *is_snapshot {
             self.replace_seen_from(seen_from, &changes.items, position, now, judge);
+            self.forget_exactness();
             None
         } else if self.is_restored_at(position) {
             self.adopt_difference(seen_from, changes, now, judge);
+            self.forget_exactness();
             None
         } else if *has_gap {
             Some(self.apply_with_gap(changes, judge))
--- a/crates/feed/tests/archive.rs
+++ b/crates/feed/tests/archive.rs
@@ -180,6 +180,7 @@
 #[test]
 fn pull_across_a_lost_history_returns_the_difference() {
     let mut source = archive();
+    source.end_read(at(6));
     let mut follower = Archive::new();
     follow(&source, &mut follower);
     source.replace(&[item(1, 3, Some("a")), item(3, 9, Some("c"))], at(9), NOW, &undecided);
@@ -233,9 +234,29 @@
         self.write(key, content);
         let items: Vec<RawItem> = self.items.values().cloned().collect();
         archive.replace(&items, position, NOW, &undecided);
+        archive.end_read(at(self.revision));
     }
 }
 
+/// Guards against an item that is used for ever: it was removed while the entry that is pulled from read
+/// all items, so that this entry has never known it.
+#[test]
+fn removal_during_a_full_read_is_not_left_out() {
+    let mut platform = Platform::default();
+    platform.write(0, Some("x"));
+    let (mut source, mut follower) = (Archive::new(), Archive::new());
+    platform.read(&mut source, 0, Some("x"));
+    platform.read(&mut follower, 0, Some("x"));
+    platform.write(1, Some("x"));
+    platform.watch(&mut follower);
+    platform.read(&mut source, 1, None);
+    platform.read(&mut source, 0, Some("x"));
+    let response = source.changes_with_gap_after(follower.position());
+    assert!(response.is_snapshot);
+    follower.apply_response(&response, NOW, &undecided);
+    assert_eq!(follower.items(), source.items());
+}
+
 /// Whatever is read, watched and pulled across lost histories, entries that have followed to the same
 /// position hold the published items.
 #[test]
@@ -261,7 +282,7 @@
         let published: Vec<RawItem> = platform.items.values().cloned().collect();
         entries.iter().all(|archive| archive.items() == published)
     }
-    QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<(u8, u8, u8, bool)>) -> bool);
+    QuickCheck::new().tests(20_000).quickcheck(property as fn(Vec<(u8, u8, u8, bool)>) -> bool);
 }
 
 /// Pulls from an entry that is ahead.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -40,12 +40,19 @@
     evacuations: Vec<EvacuationChange>,
 }
 
-/// Applies a full read of the platform that began at `position`. `source` is where it comes from, for
-/// the log.
-pub fn apply_snapshot(state: &ControlState, items: &[RawItem], position: Position, source: &str) {
+/// Applies a full read of the platform that began at `position` and ended at `newest`. `source` is where
+/// it comes from, for the log.
+pub fn apply_snapshot(
+    state: &ControlState,
+    items: &[RawItem],
+    position: Position,
+    newest: Position,
+    source: &str,
+) {
     let is_restored = record_restored(state, position, source);
     let mut archive = state.archive.borrow_mut();
     archive.replace(items, position, state.now(), &judge(state));
+    archive.end_read(newest);
     drop(archive);
     if is_restored {
         log_retained(state);
--- a/crates/gateway/src/control/reader.rs
+++ b/crates/gateway/src/control/reader.rs
@@ -120,6 +120,15 @@
     tokio::time::sleep(delay.mul_f64(jitter)).await;
 }
 
+/// All items, as of some time between two positions.
+struct FullRead {
+    items: Vec<RawItem>,
+    /// Position of the oldest page.
+    position: Position,
+    /// Position of the newest page.
+    newest: Position,
+}
+
 /// Result of a full read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadResult {
@@ -214,7 +223,7 @@
 ) -> Result<ReadResult, FeedError> {
     let read = read_pages(state, freshness, items_max).await?;
     record_platform_answer(state);
-    let Some((items, position)) = read else { return Ok(ReadResult::TooMany) };
+    let Some(FullRead { items, position, newest }) = read else { return Ok(ReadResult::TooMany) };
     let known = state.archive.borrow().position();
     if freshness == Freshness::Latest {
         check_epoch(position, known)?;
@@ -222,7 +231,7 @@
     // Items pulled from other entries in the meantime are complete, and these items would restore what
     // has been removed since.
     if position >= known {
-        apply_snapshot(state, &items, position, PLATFORM_SOURCE);
+        apply_snapshot(state, &items, position, newest, PLATFORM_SOURCE);
         return Ok(ReadResult::Applied);
     }
     log_dropped_read(state, position, known);
@@ -237,10 +246,11 @@
     state: &ControlState,
     freshness: Freshness,
     items_max: usize,
-) -> Result<Option<(Vec<RawItem>, Position)>, FeedError> {
+) -> Result<Option<FullRead>, FeedError> {
     let mut items: Vec<RawItem> = Vec::new();
     let mut after: Option<String> = None;
     let mut oldest: Option<Position> = None;
+    let mut newest = Position::NONE;
     loop {
         let page = state.feed.page(after.as_deref(), freshness, PAGE_SILENCE_MAX);
         let page = with_timeout(CALL_TIMEOUT, page).await;
@@ -252,8 +262,11 @@
         }
         let position = oldest.map_or(page.position, |oldest| oldest.min(page.position));
         oldest = Some(position);
+        newest = newest.max(page.position);
         items.extend(page.items);
-        let Some(next) = page.next_after else { return Ok(Some((items, position))) };
+        let Some(next) = page.next_after else {
+            return Ok(Some(FullRead { items, position, newest }));
+        };
         if items.len() >= items_max {
             return Ok(None);
         }
