refactor(fleet,peer): one name for a load that is not reported; shallotd takes no part in loads

The report of an own load is an option, not an option of one: a load is never withdrawn. The range of levels is named once in the errors. Comments: what the digest of loads is never, and why an entry's history begins anew after a gap. No change at entries of the users' platform.

--- a/crates/feed/src/archive.rs
+++ b/crates/feed/src/archive.rs
@@ -112,8 +112,8 @@
         self.apply_then(changes, judge, Self::advance)
     }
 
-    /// Applies changes that may lack items that came and went. This entry then cannot tell others of
-    /// these either.
+    /// Applies changes that may lack items that came and went. Responses of this entry then lack them as
+    /// well, so that its history begins anew.
     pub(crate) fn apply_with_gap(
         &mut self,
         changes: &FeedChanges,
@@ -124,7 +124,8 @@
         changed
     }
 
-    /// Forgets from which position on nothing was missed: another entry does not state it.
+    /// Forgets from which position on no removal was missed, because responses of other entries do not
+    /// state it.
     pub(crate) fn forget_exactness(&mut self) {
         self.exact_from = None;
     }
--- a/crates/fleet/src/fleet_view.rs
+++ b/crates/fleet/src/fleet_view.rs
@@ -70,7 +70,8 @@
     /// Digest of the core entries. Two entries that know different core entries have different
     /// digests.
     pub core_digest: ListsDigest,
-    /// Digest of the loads of the core entries, which differs from the digest of no list.
+    /// Digest of the loads of the core entries. It is never zero, which in a message stands for a sender
+    /// that knows of no loads.
     pub load_digest: ListsDigest,
     /// Entries that this entry exchanges heartbeats with.
     pub contacts: Contacts,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -97,6 +97,7 @@
     own_load: OwnLoad,
     /// Load of the fleet in the last seconds.
     recent_load: RecentLoad,
+    /// Since when entries have been advertised, so that their reports can be expected.
     advertised_since: AdvertisedSince,
     cached_view: Option<(ViewCacheKey, Rc<FleetView>)>,
     /// Number of periods since the start.
--- a/crates/fleet/src/own_load.rs
+++ b/crates/fleet/src/own_load.rs
@@ -21,7 +21,7 @@
 }
 
 impl OwnLoad {
-    /// Returns whether to report now, and the load to report.
+    /// Returns the load to report now; `None` if there is nothing to report.
     ///
     /// An entry reports its load while it is advertised. Once it is not, it reports to be idle: its
     /// callers move to other entries and are reported there.
@@ -30,7 +30,7 @@
         rate: RequestRate,
         is_advertised: bool,
         now: Mono,
-    ) -> Option<Option<LoadLevel>> {
+    ) -> Option<LoadLevel> {
         let since = self.advertised_since.filter(|_| is_advertised);
         self.advertised_since = is_advertised.then(|| since.unwrap_or(now));
         let level = self.level(rate, now);
@@ -39,7 +39,7 @@
         }
         self.reported = level;
         self.reported_at = now;
-        Some(level)
+        level
     }
 
     /// Returns the load to report: the present one, or the reported one if that has fallen a little.
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -4,7 +4,7 @@
 use shallotfork_fleet::{FleetHeartbeat, PlatformAges};
 use shallotfork_measure::RateLimitReport;
 use shallotfork_membership::{Announcement, ListedVm, MemberUpdate};
-use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
+use shallotfork_peer::{Heartbeat, NO_LOAD, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
 use shallotfork_statements::LeavingReport;
 use shallotfork_types::{Epoch, LoadLevel, VmId};
@@ -15,9 +15,6 @@
 use crate::log_budget::LogDecision;
 use crate::traffic::{apply_rate_limit, log_quarantined, stop_sending};
 
-/// Load level in a message of an entry that reports no load.
-const NO_LOAD: u8 = 0;
-
 /// Builds the heartbeat to an entry, with the membership updates that are due to it. `peer_digest`
 /// is the digest in the heartbeat that is being answered, if any.
 pub fn build_heartbeat(
--- a/crates/gateway/src/control/pulled_items.rs
+++ b/crates/gateway/src/control/pulled_items.rs
@@ -17,6 +17,8 @@
 /// received from entries that can. A reader receives most changes from the platform first; if its
 /// position stays before that of others for longer than the propagation delay, its read of the platform
 /// hangs.
+///
+/// An entry that has left its first read to others waits for its own failure domain first.
 pub fn should_pull_from(state: &ControlState, peer: &VmId, heartbeat: &Heartbeat) -> bool {
     let own = state.archive.borrow().position();
     let Some(epoch) = epoch_of(heartbeat.synced_epoch, own) else { return false };
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -193,8 +193,8 @@
     }
 
     /// Sets the load of the VM of this process.
-    pub(crate) fn set_load(&mut self, load: Option<LoadLevel>) {
-        self.load = load;
+    pub(crate) fn set_load(&mut self, load: LoadLevel) {
+        self.load = Some(load);
     }
 
     pub(crate) fn load(&self) -> Option<LoadLevel> {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -210,7 +210,7 @@
 
     /// Sets the load that this process states. This raises the round, so that it replaces what other
     /// entries know.
-    pub fn set_own_load(&mut self, load: Option<LoadLevel>) {
+    pub fn set_own_load(&mut self, load: LoadLevel) {
         let own = self.own.clone();
         if let Some(member) = self.members.get_mut(&own) {
             member.set_load(load);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -26,7 +26,7 @@
 pub use handler::PeerHandler;
 pub use key::{KEY_BYTES_MIN, KeyError, PeerKey};
 pub use message::{
-    Bundle, Changes, ChangesRequest, Heartbeat, LoadHint, PeerId, PeerState, PeerUpdate,
+    Bundle, Changes, ChangesRequest, Heartbeat, LoadHint, NO_LOAD, PeerId, PeerState, PeerUpdate,
     PlatformReport, ValueChange,
 };
 pub use peer_config::PeerConfig;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -37,6 +37,9 @@
     Leaving,
 }
 
+/// Load level of a process that reports no load.
+pub const NO_LOAD: u8 = 0;
+
 /// Periodic message in which a process reports its own state; also sent immediately when it leaves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -54,7 +57,7 @@
     pub round: u32,
     /// Whether the sender reaches no target.
     pub isolated: bool,
-    /// Number of the sender's load level; zero if it reports none.
+    /// Number of the sender's load level, or [`NO_LOAD`].
     pub load_level: u8,
     /// Membership updates about other VMs.
     pub updates: Vec<PeerUpdate>,
@@ -120,7 +123,7 @@
     pub round: u32,
     /// Whether the process reported in that round that it reaches no target.
     pub isolated: bool,
-    /// Number of the load level that the process reported in that round; zero if it reported none.
+    /// Number of the load level that the process reported in that round, or [`NO_LOAD`].
     pub load_level: u8,
     /// State that the process reported about itself.
     pub state: PeerState,
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -7,9 +7,9 @@
 use shallotfork_membership::{
     Announcement, EntryState, EntryVm, ListedVm, MemberUpdate, heartbeat_peers,
 };
-use shallotfork_peer::{Heartbeat, PeerId, PeerState, PeerUpdate, PlatformReport};
+use shallotfork_peer::{Heartbeat, NO_LOAD, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_timer::{Schedule, TimerService};
-use shallotfork_types::{LoadLevel, PerSecond};
+use shallotfork_types::PerSecond;
 
 use crate::control::lists_pull::pull_lists;
 use crate::control::publish::publish;
@@ -120,7 +120,7 @@
         peers: identity.peers,
         round: view.own_round(),
         isolated: view.is_own_isolated(),
-        load_level: 0,
+        load_level: NO_LOAD,
         updates: view.take_due_updates().into_iter().map(to_peer_update).collect(),
         seen_revision: lists.cursor.highest_revision(),
         synced_revision: lists.cursor.synced_revision(),
@@ -166,13 +166,14 @@
 
 /// Converts a membership update to a peer message.
 pub fn to_peer_update(update: MemberUpdate) -> PeerUpdate {
-    let Announcement { listed, incarnation, round, isolated, load } = update.about;
+    // This daemon chooses entries for callers without regard to their load.
+    let Announcement { listed, incarnation, round, isolated, load: _ } = update.about;
     PeerUpdate {
         state: peer_state(listed.leaving),
         peer: PeerId::new(listed.vm, incarnation),
         round,
         isolated,
-        load_level: load.map_or(0, LoadLevel::number),
+        load_level: NO_LOAD,
         suspected: update.suspected,
         failure_domain: listed.failure_domain,
         callers: listed.callers,
@@ -196,7 +197,7 @@
         incarnation,
         round: update.round,
         isolated: update.isolated,
-        load: LoadLevel::new(update.load_level).ok(),
+        load: None,
     };
     MemberUpdate { about, suspected: update.suspected }
 }
@@ -224,7 +225,7 @@
         incarnation: peer.incarnation,
         round: heartbeat.round,
         isolated: heartbeat.isolated,
-        load: LoadLevel::new(heartbeat.load_level).ok(),
+        load: None,
     };
     let now = state.context.clock.now();
     let mut view = state.view.borrow_mut();
--- a/crates/types/src/load_level.rs
+++ b/crates/types/src/load_level.rs
@@ -7,6 +7,8 @@
 
 /// Highest level: a million requests a second.
 const LEVEL_MAX: u8 = 41;
+/// What an error says was expected; ends with the highest level.
+const EXPECTED: &str = "a load level from 1 to 41";
 
 /// Rate of callers' requests, rounded up to a power of the square root of two.
 ///
@@ -25,8 +27,9 @@
     /// Returns an error if the number is zero or above the highest level.
     pub fn new(number: u8) -> Result<Self, ParseError> {
         let is_valid = (1..=LEVEL_MAX).contains(&number);
-        let error = || ParseError::new("a load level from 1 to 41", &number.to_string());
-        is_valid.then_some(Self(number)).ok_or_else(error)
+        is_valid
+            .then_some(Self(number))
+            .ok_or_else(|| ParseError::new(EXPECTED, &number.to_string()))
     }
 
     /// Returns the lowest level whose rate is not below `rate`.
@@ -57,8 +60,7 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let number: u8 =
-            text.parse().map_err(|_| ParseError::new("a load level from 1 to 41", text))?;
+        let number: u8 = text.parse().map_err(|_| ParseError::new(EXPECTED, text))?;
         Self::new(number)
     }
 }
