fix(fleet): loads are brought by the digest alone, and few requests are one level

Cause: a change of load was sent twelve times by each entry that forwards membership updates, although the comparison of digests brings it to all. An entry with a few requests a second reported each random change of its rate, since a rate measured over some seconds is not known within a step there. Where the assumed load advertises many entries, each with few requests, the reports took more of the links than control may: 8,667 bytes a second and entry in the model of 300 entries, 6,000 allowed.

Change: a membership update is not queued for a change of load alone. Rates of up to eight requests a second are one level, and an entry reports to be idle again only below one request in four seconds.

Result: the model's test, which fails with the old levels, passes.

--- a/crates/fleet/src/own_load.rs
+++ b/crates/fleet/src/own_load.rs
@@ -8,6 +8,9 @@
 const REPORT_INTERVAL_MIN: Duration = Duration::from_secs(2);
 /// Number of levels by which the load has to fall to be reported: to half of the reported rate.
 const FALL_LEVELS_MIN: u8 = 2;
+/// Rate below which an entry that has reported requests reports to be idle again. It is lower than the
+/// rate up to which an entry counts as idle at first, so that single requests are not reported.
+const BUSY_RATE_MIN: RequestRate = RequestRate::from_milli_per_s(250);
 /// Time after which an advertised entry that has received no requests reports to be idle. Callers may not
 /// have found it before.
 const IDLE_REPORT_AFTER: Duration = Duration::from_secs(5);
@@ -48,13 +51,19 @@
             return self.reported.map(|_| LoadLevel::IDLE);
         };
         let advertised_for = now.since(advertised_since);
-        let level = LoadLevel::of(rate);
+        let is_idle = rate <= LoadLevel::IDLE.rate();
+        let level = if is_idle {
+            LoadLevel::IDLE
+        } else {
+            LoadLevel::of(rate).max(LoadLevel::FEW_REQUESTS)
+        };
         let Some(reported) = self.reported else {
             let is_known = rate > RequestRate::ZERO || advertised_for >= IDLE_REPORT_AFTER;
             return is_known.then_some(level);
         };
         let has_fallen_little =
             level < reported && level.number() + FALL_LEVELS_MIN > reported.number();
-        Some(if has_fallen_little { reported } else { level })
+        let stays_busy = is_idle && reported > LoadLevel::IDLE && rate >= BUSY_RATE_MIN;
+        Some(if has_fallen_little || stays_busy { reported } else { level })
     }
 }
--- a/crates/fleet/tests/fleet_load.rs
+++ b/crates/fleet/tests/fleet_load.rs
@@ -174,3 +174,24 @@
     assert_eq!(model.advertised_by(0).unwrap(), expected);
     assert_eq!(model.advertised_by(model.len() - 1).unwrap(), expected);
 }
+
+/// Guards against reports of load that take more than control may take of a link, where many entries are
+/// advertised for the assumed load and each gets a few requests a second.
+#[test]
+fn reports_of_few_requests_stay_within_the_budget_for_control() {
+    const ENTRIES: usize = 300;
+    const MEASURED_S: usize = 20;
+    /// Bytes of a membership update in a message.
+    const UPDATE_BYTES: usize = 130;
+    /// Bytes a second of an entry for control.
+    const CONTROL_BYTES_PER_S_MAX: usize = 6_000;
+    let mut model = Model::new(4, 3, &[(ENTRIES, 333)]);
+    model.target_count = 10 * ENTRIES;
+    model.start_all();
+    model.run_for(8_000);
+    model.sent_updates = 0;
+    model.bring_load(120.0, MEASURED_S as u64 * 1_000);
+    let bytes_per_s = model.sent_updates * UPDATE_BYTES / ENTRIES / MEASURED_S;
+    assert!(bytes_per_s <= CONTROL_BYTES_PER_S_MAX, "{bytes_per_s} B/s and entry");
+    assert!(model.advertised_by(0).unwrap().len() < 10);
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -125,7 +125,8 @@
         let (after, round) = (member.entry(), member.round);
         // A higher round refutes a suspicion that other entries may hold.
         if before != after || round_before != round {
-            self.record_change(&from.listed.vm, self.forwards_updates);
+            let sends_update = self.forwards_updates && !is_load_change(&before, &after);
+            self.record_change(&from.listed.vm, sends_update);
         }
         if before.state == EntryState::Suspected && after.state == EntryState::Live {
             self.has_returned_members = true;
@@ -145,10 +146,14 @@
             return;
         }
         let evidence_valid_for = self.config.evidence_valid_for;
-        let has_changed =
-            self.member(&update.about.listed, now).receive_update(update, evidence_valid_for, now);
+        let member = self.member(&update.about.listed, now);
+        let before = member.entry();
+        let has_changed = member.receive_update(update, evidence_valid_for, now);
+        let after = member.entry();
         if has_changed || !is_known {
-            self.record_change(&vm, self.forwards_updates);
+            let sends_update =
+                self.forwards_updates && !(is_known && is_load_change(&before, &after));
+            self.record_change(&vm, sends_update);
         }
     }
 
@@ -157,11 +162,15 @@
     /// The others have suspected it if it was paused or a partition has healed. Those that exchange
     /// heartbeats with it see that it is back; the rest would leave it out permanently.
     fn raise_own_round(&mut self) {
+        self.raise_own_round_with(true);
+    }
+
+    fn raise_own_round_with(&mut self, sends_update: bool) {
         let own = self.own.clone();
         if let Some(member) = self.members.get_mut(&own) {
             member.round = member.round.saturating_add(1);
         }
-        self.record_change(&own, true);
+        self.record_change(&own, sends_update);
     }
 
     /// Refutes a suspicion of this process, which it receives after a pause or a partition, by a
@@ -210,11 +219,14 @@
 
     /// Sets the load that this process states. This raises the round, so that it replaces what other
     /// entries know.
+    ///
+    /// No update is sent for it: heartbeats state it, and the comparison of digests of loads brings it to
+    /// all others once. With updates, each entry that forwards them would send each change several times.
     pub fn set_own_load(&mut self, load: LoadLevel) {
         let own = self.own.clone();
         if let Some(member) = self.members.get_mut(&own) {
             member.set_load(load);
-            self.raise_own_round();
+            self.raise_own_round_with(false);
         }
     }
 
@@ -361,6 +373,11 @@
     }
 }
 
+/// Returns whether a VM states another load, and nothing else of it has changed.
+fn is_load_change(before: &EntryVm, after: &EntryVm) -> bool {
+    before.load != after.load && *after == EntryVm { load: after.load, ..before.clone() }
+}
+
 /// Returns whether updates about a VM are propagated. They are if the VM is no longer live or is
 /// isolated, since it may have been propagated as usable before.
 fn is_propagated(propagated: &Option<BTreeSet<VmId>>, own: &VmId, member: &Member) -> bool {
--- a/crates/membership/tests/updates.rs
+++ b/crates/membership/tests/updates.rs
@@ -332,6 +332,32 @@
     assert_eq!((view.own_round(), view.is_own_isolated()), (2, false));
 }
 
+/// Guards against changes of load that each entry sends to each contact several times: in a fleet that
+/// advertises many entries they would cost more than all other updates.
+#[test]
+fn a_change_of_load_alone_is_sent_only_after_a_comparison() {
+    let own = announcement(0, false, 0);
+    let mut view = MembershipView::new(ViewConfig::default(), &own, Mono::ZERO);
+    view.receive_heartbeat(&announcement(1, false, 0), Mono::ZERO);
+    view.receive_update(&update_about(2, 0, None), Mono::ZERO);
+    while !view.take_due_updates().is_empty() {}
+    let version = view.version();
+    view.set_own_load(LoadLevel::IDLE);
+    let busy = Announcement { load: LoadLevel::new(9).ok(), ..announcement(1, false, 1) };
+    view.receive_heartbeat(&busy, Mono::ZERO);
+    view.receive_update(&update_about(2, 1, LoadLevel::new(5).ok()), Mono::ZERO);
+    assert_eq!(view.take_due_updates(), []);
+    assert_eq!(view.updates_since(version).len(), 3);
+    let isolated = Announcement { isolated: true, round: 2, ..busy };
+    view.receive_heartbeat(&isolated, Mono::ZERO);
+    assert_eq!(view.take_due_updates().len(), 1);
+}
+
+fn update_about(index: usize, round: u32, load: Option<LoadLevel>) -> MemberUpdate {
+    let about = Announcement { load, ..announcement(index, false, round) };
+    MemberUpdate { about, suspected: false }
+}
+
 /// Guards against a load that is lost where an entry of an older release forwards the update without it,
 /// and against an older load that replaces a later one.
 #[test]
--- a/crates/types/src/load_level.rs
+++ b/crates/types/src/load_level.rs
@@ -20,6 +20,9 @@
 impl LoadLevel {
     /// At most one request a second.
     pub const IDLE: Self = Self(1);
+    /// At most eight requests a second. A rate measured over a few seconds is not known within a step
+    /// below that.
+    pub const FEW_REQUESTS: Self = Self(7);
 
     /// Creates a level from its number on the wire.
     ///
