--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scripts of the review. `standin CASE FOLDER` plays a case and writes
 //! `FOLDER/record.txt`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod bulk_stop;
 mod client;
 mod deployment;
 mod entry;
@@ -41,6 +42,7 @@
         let (record, case) = (Arc::clone(&record), case.clone());
         std::thread::spawn(move || match case.as_str() {
             "pipelined-stop" => pipelined_stop::play(record, with_trouble),
+            "bulk-stop" => bulk_stop::play(record, with_trouble),
             _ => Verdict::NotRun,
         })
     };
