--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod deployment;
 mod entry;
+mod early_close;
 mod http;
 mod judge;
 mod pipelined_stop;
@@ -43,6 +44,7 @@
         std::thread::spawn(move || match case.as_str() {
             "pipelined-stop" => pipelined_stop::play(record, with_trouble),
             "bulk-stop" => bulk_stop::play(record, with_trouble),
+            "early-close" => early_close::play(record, with_trouble),
             _ => Verdict::NotRun,
         })
     };
