--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -63,10 +63,18 @@
 impl Deployment {
     /// Starts the store. The logs of the entries are written to a temporary folder.
     pub fn new(record: Arc<Record>) -> Self {
-        let folder = std::env::temp_dir().join(format!("shallotfork-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("shallotfork-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::start(&record);
-        Self { record, store, runs: Runs::default(), upstreams: Vec::new(), entries: Vec::new(), folder }
+        Self {
+            record,
+            store,
+            runs: Runs::default(),
+            upstreams: Vec::new(),
+            entries: Vec::new(),
+            folder,
+        }
     }
 
     pub fn add_upstreams(&mut self, service: &str, count: usize, slots: usize) {
@@ -84,8 +92,15 @@
         let seeds: Vec<_> = ports.iter().take(3).map(|ports| ports.control).collect();
         for (number, ports) in ports.into_iter().enumerate() {
             let name = format!("edge-zone-a-{}", number + 1);
-            let entry =
-                Entry::start(&name, "zone-a", ports, self.store.address, &seeds, terms, &self.folder);
+            let entry = Entry::start(
+                &name,
+                "zone-a",
+                ports,
+                self.store.address,
+                &seeds,
+                terms,
+                &self.folder,
+            );
             self.record.write(&format!("entry {name} pid {} front {}", entry.pid(), ports.front));
             self.entries.push(entry);
         }
--- a/review/standin/early_close.rs
+++ b/review/standin/early_close.rs
@@ -14,10 +14,12 @@
 
 const CALLERS: usize = 4;
 const DEADLINE_MS: u64 = 12_000;
+/// More than the caller's kernel takes unread, and less than the entry's kernel takes to send.
+const ANSWER_BYTES: usize = 300_000;
 /// Time from the large request to the next one; the caller reads nothing meanwhile.
-const NEXT_AFTER: Duration = Duration::from_millis(1500);
+const NEXT_AFTER: Duration = Duration::from_millis(700);
 /// Time from the next request until the caller reads.
-const READ_AFTER: Duration = Duration::from_millis(300);
+const READ_AFTER: Duration = Duration::from_millis(200);
 /// Time from the large requests to SIGTERM; they are at upstreams then.
 const STOP_AFTER: Duration = Duration::from_millis(100);
 
@@ -58,7 +60,7 @@
     let (large, next) = (format!("c{number}-large"), format!("c{number}-next"));
     let mut client = Client::connect(front, DEADLINE_MS, record).ok()?;
     let sent_ms = record.now_ms();
-    client.send(&format!("/bundles/size-540000/{large}/400"), &large).ok()?;
+    client.send(&format!("/bundles/size-{ANSWER_BYTES}/{large}/400"), &large).ok()?;
     thread::sleep(NEXT_AFTER);
     // Fails if the entry has reset the connection.
     let _ = client.send(&format!("/terms/{next}/20"), &next);
--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -2,8 +2,8 @@
 
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -37,7 +37,8 @@
     pub fn choose(number: usize) -> Self {
         let pid = std::process::id();
         let ip = format!("127.{}.{}.{}", pid / 250 % 250 + 2, pid % 250 + 1, number + 1);
-        let bind = |_| TcpListener::bind(format!("{ip}:0")).expect("a loopback address can be bound");
+        let bind =
+            |_| TcpListener::bind(format!("{ip}:0")).expect("a loopback address can be bound");
         let listeners: Vec<TcpListener> = (0..5).map(bind).collect();
         let address = |index: usize| listeners[index].local_addr().expect("it is bound");
         Self {
@@ -191,8 +192,16 @@
     terms: &Terms,
 ) -> String {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\n    - \"{seed}\"")).collect();
-    let Terms { grace_s, drain_ms, config_apply_ms, retry_budget_slack, cpu_share, memory_mb, max_fds, link_mbps } =
-        terms;
+    let Terms {
+        grace_s,
+        drain_ms,
+        config_apply_ms,
+        retry_budget_slack,
+        cpu_share,
+        memory_mb,
+        max_fds,
+        link_mbps,
+    } = terms;
     format!(
         r#"self:
   node: "{name}"
--- a/review/standin/judge.rs
+++ b/review/standin/judge.rs
@@ -35,7 +35,8 @@
         let begun = own.iter().map(|run| run.begun_ms).min();
         let answered = own.iter().filter_map(|run| run.ended_ms).min();
         let took_ms = ended_ms - sent_ms;
-        let is_lost = !is_complete && answered.is_some_and(|at| at < *ended_ms) && took_ms < TIMEOUT_MS;
+        let is_lost =
+            !is_complete && answered.is_some_and(|at| at < *ended_ms) && took_ms < TIMEOUT_MS;
         lost += usize::from(is_lost);
         let show = |at: Option<u64>| at.map_or("never".to_owned(), |at| at.to_string());
         record.write(&format!(
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,8 +4,8 @@
 mod bulk_stop;
 mod client;
 mod deployment;
-mod entry;
 mod early_close;
+mod entry;
 mod http;
 mod judge;
 mod pipelined_stop;
@@ -52,7 +52,11 @@
     while !played.is_finished() && started_at.elapsed() < TIME_LIMIT {
         std::thread::sleep(Duration::from_millis(20));
     }
-    let verdict = if played.is_finished() { played.join().unwrap_or(Verdict::NotRun) } else { Verdict::NotRun };
+    let verdict = if played.is_finished() {
+        played.join().unwrap_or(Verdict::NotRun)
+    } else {
+        Verdict::NotRun
+    };
     let (text, code) = match verdict {
         Verdict::Held => ("the rule held", 0),
         Verdict::Broken => ("the rule was broken", 1),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -1,7 +1,7 @@
 //! The record of a run: what was sent, answered and run, with times in milliseconds.
 
 use std::fs::File;
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -29,6 +29,7 @@
     /// Writes a line to the record and to standard output.
     pub fn say(&self, line: &str) {
         self.write(line);
-        println!("{line}");
+        // Whoever started the script may have stopped reading; its exit status still counts.
+        let _ = writeln!(io::stdout(), "{line}");
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -103,7 +103,8 @@
 
     fn watch(&self, target: &str) -> String {
         let prefix = query_value(target, "prefix").map(percent_decode).unwrap_or_default();
-        let number = |name| query_value(target, name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let number =
+            |name| query_value(target, name).and_then(|text| text.parse().ok()).unwrap_or(0);
         let (after, wait_ms): (u64, u64) = (number("after"), number("wait_ms"));
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let (items, changed) = &*self.shared;
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -41,7 +41,13 @@
 }
 
 impl Upstream {
-    pub fn start(name: &str, service: &str, slots: usize, runs: &Runs, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        name: &str,
+        service: &str,
+        slots: usize,
+        runs: &Runs,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let upstream = Arc::new(Self {
             name: name.to_owned(),
@@ -101,7 +107,8 @@
             let fields = format!("{echoed}X-Instance-Id: {}\r\n", self.name);
             return Some(message("421 Misdirected Request", &fields, ""));
         }
-        let deadline_ms = head.get("x-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(10_000);
+        let deadline_ms =
+            head.get("x-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(10_000);
         let deadline = Instant::now() + Duration::from_millis(deadline_ms);
         if !self.wait_for_slot(deadline, connection) {
             let fields = format!("{echoed}X-Not-Executed: 1\r\n{}", self.load_header());
@@ -123,12 +130,14 @@
         }
         self.load.lock().unwrap().running -= 1;
         if has_left {
-            self.record.write(&format!("upstream {} drops {id}: its connection was closed", self.name));
+            self.record
+                .write(&format!("upstream {} drops {id}: its connection was closed", self.name));
             return None;
         }
         self.runs.lock().unwrap()[index].ended_ms = Some(self.record.now_ms());
         self.record.write(&format!("upstream {} has run {id}", self.name));
-        let answer_body = answer_body(path, &format!("{} answers {id}, body of {} bytes", self.name, body.len()));
+        let answer_body =
+            answer_body(path, &format!("{} answers {id}, body of {} bytes", self.name, body.len()));
         let fields = format!(
             "{echoed}X-Upstream-Signature: 3e1b.07.{id}\r\nKeep-Alive: timeout=10\r\n{}",
             self.load_header()
