fix(exchange): a stop closes a connection after the answers that it holds

Callers saw: pipelined reads whose answers the entry already held got no answer when it stopped; the connection closed behind the slow answer ahead of them.

Cause: two rules ended a connection. After announce_close the last of the requests that had started early closed it; stop asked the HTTP library for a graceful end at once, which closes after the answer in progress and dispatches no further request. Started requests were not in flight either, so that the process did not wait for them.

That the process ended too early and that the close was announced too early are ruled out: it ran on, and the test of announce_close passed.

Change: a stop leaves a connection to its last started request, which closes it. A request is in flight from its start.

--- a/crates/exchange/src/pipeline.rs
+++ b/crates/exchange/src/pipeline.rs
@@ -6,13 +6,16 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::activity::RequestGuard;
+use crate::serve_control::CountGuard;
+
 /// Limit on the requests of one connection that are started before their turn.
 const STARTED_MAX: usize = 8;
 
 /// The pipelined requests of one connection.
 ///
-/// Dropping it aborts started requests that the HTTP library has not dispatched yet: their caller
-/// has disconnected, or will resend them because the connection closes before their answers.
+/// Dropping it aborts started requests that the HTTP library has not dispatched yet, since their
+/// caller has disconnected.
 #[derive(Debug, Default)]
 pub(crate) struct PipelinedRequests {
     state: Mutex<State>,
@@ -22,16 +25,39 @@
 struct State {
     /// Number of requests that the HTTP library has dispatched.
     dispatched: u64,
-    started: HashMap<u64, JoinHandle<poem::Response>>,
+    started: HashMap<u64, StartedRequest>,
     /// Arrival times of requests that were received but not dispatched yet.
     arrived_at: HashMap<u64, Instant>,
 }
 
+/// Counts a request as in progress, at its port and on its connection, until dropped.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    _in_flight: CountGuard,
+    _on_connection: RequestGuard,
+}
+
+impl InProgress {
+    pub(crate) fn new(in_flight: CountGuard, on_connection: RequestGuard) -> Self {
+        Self { _in_flight: in_flight, _on_connection: on_connection }
+    }
+}
+
+/// A request that was started before the HTTP library dispatched it.
+#[derive(Debug)]
+pub(crate) struct StartedRequest {
+    /// The task that makes the answer.
+    pub(crate) task: AbortOnDrop,
+    /// Held from the start, so that neither the connection nor the process ends while a finished
+    /// answer waits for its turn.
+    pub(crate) in_progress: InProgress,
+}
+
 /// What is known about a request when the HTTP library dispatches it.
 #[derive(Debug)]
 pub(crate) struct DispatchedRequest {
-    /// The task that makes the answer, if the request was started early.
-    pub(crate) started: Option<JoinHandle<poem::Response>>,
+    /// The request's task and guard, if it was started early.
+    pub(crate) started: Option<StartedRequest>,
     /// When the head arrived, if it was read ahead.
     pub(crate) arrived_at: Option<Instant>,
 }
@@ -52,7 +78,7 @@
     }
 
     /// Starts a request, unless the HTTP library has dispatched it already or too many are started.
-    pub(crate) fn start(&self, index: u64, start: impl FnOnce() -> JoinHandle<poem::Response>) {
+    pub(crate) fn start(&self, index: u64, start: impl FnOnce() -> StartedRequest) {
         let mut state = self.lock();
         // The first request is dispatched as soon as it is read.
         let waits_behind_another = index >= state.dispatched && index > 0;
@@ -87,15 +113,8 @@
     }
 }
 
-impl Drop for PipelinedRequests {
-    fn drop(&mut self) {
-        for (_, task) in self.lock().started.drain() {
-            task.abort();
-        }
-    }
-}
-
 /// Aborts the task that makes an answer when the caller disconnects before it is done.
+#[derive(Debug)]
 pub(crate) struct AbortOnDrop(pub(crate) JoinHandle<poem::Response>);
 
 impl Drop for AbortOnDrop {
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -24,7 +24,7 @@
 use crate::caller_connection::CallerConnection;
 use crate::delivered_body::DeliveredBody;
 use crate::headers::head_size;
-use crate::pipeline::{AbortOnDrop, ArrivedAt, PipelinedRequests};
+use crate::pipeline::{AbortOnDrop, ArrivedAt, InProgress, PipelinedRequests, StartedRequest};
 use crate::read_ahead::ReadAhead;
 use crate::serve::PipelineFn;
 use crate::serve_config::ServeConfig;
@@ -79,7 +79,11 @@
                 () = stalled.as_mut() => break TransferEnd::Stalled,
                 () = self.control.stop_token().cancelled(), if !is_stopping => {
                     is_stopping = true;
-                    connection.as_mut().graceful_shutdown();
+                    // The HTTP library would close after the answer in progress and drop the ones
+                    // that wait behind it. The last of those closes the connection.
+                    if !self.pipelined.has_started() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         };
@@ -92,9 +96,10 @@
 
     /// Reads ahead until the caller has disconnected, after which none of its remaining requests is
     /// started.
-    async fn wait_for_disconnect(&self, read_ahead: &ReadAhead, activity: &Activity) {
+    async fn wait_for_disconnect(&self, read_ahead: &ReadAhead, activity: &Arc<Activity>) {
         let caller = read_ahead.caller_connection();
-        read_ahead.drive(|index, head| self.handle_pipelined_head(index, head, &caller)).await;
+        let on_head = |index, head| self.handle_pipelined_head(index, head, (activity, &caller));
+        read_ahead.drive(on_head).await;
         if !activity.is_busy() && !read_ahead.has_buffered_bytes() {
             // The HTTP library detects the end of the connection by itself.
             std::future::pending::<()>().await;
@@ -105,7 +110,7 @@
         &self,
         index: u64,
         head: http::request::Parts,
-        caller: &CallerConnection,
+        (activity, caller): (&Arc<Activity>, &CallerConnection),
     ) {
         self.pipelined.record_arrival(index);
         // On a closing connection the request would reach a target, but its answer would be lost.
@@ -117,10 +122,17 @@
             let mut request = self.poem_request(http::Request::from_parts(head, ()));
             request.set_body(poem::Body::empty());
             request.extensions_mut().insert(caller.clone());
-            tokio::spawn(respond(endpoint, request, caller.clone()))
+            StartedRequest {
+                task: AbortOnDrop(tokio::spawn(respond(endpoint, request, caller.clone()))),
+                in_progress: self.start_request(activity),
+            }
         });
     }
 
+    fn start_request(&self, activity: &Arc<Activity>) -> InProgress {
+        InProgress::new(self.control.count_in_flight(), activity.start_request())
+    }
+
     /// Returns whether the connection closes once every started request has been answered.
     fn is_closing(&self) -> bool {
         self.control.is_closing() || self.control.renewals() > self.renewals_at_open
@@ -144,8 +156,6 @@
     {
         let endpoint = Arc::clone(&self.endpoint);
         let control = self.control.clone();
-        let in_flight = control.count_in_flight();
-        let in_progress = activity.start_request();
         let version = request.version();
         let dispatched = self.pipelined.dispatch_next();
         let mut request = request;
@@ -155,12 +165,15 @@
         request.extensions_mut().insert(caller.clone());
         let caller = caller.clone();
         let request = (request, self.local.clone(), self.remote.clone(), Scheme::HTTP).into();
-        let started = dispatched.started.map(AbortOnDrop);
+        let (started_task, in_progress) = match dispatched.started {
+            Some(started) => (Some(started.task), started.in_progress),
+            None => (None, self.start_request(activity)),
+        };
         let (renewals_at_open, pipelined) = (self.renewals_at_open, Arc::clone(&self.pipelined));
         let activity = Arc::clone(activity);
         async move {
-            let mut response = match started {
-                Some(mut started) => started_answer(&mut started).await,
+            let mut response = match started_task {
+                Some(mut task) => started_answer(&mut task).await,
                 None => respond(endpoint, request, caller).await,
             };
             let is_close_due = control.is_closing() && !pipelined.has_started();
@@ -169,7 +182,7 @@
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             let response = delivered_response(response, activity, control.count_writing(), version);
-            drop((in_flight, in_progress));
+            drop(in_progress);
             Ok(response)
         }
     }
--- a/crates/exchange/tests/pipelined.rs
+++ b/crates/exchange/tests/pipelined.rs
@@ -32,7 +32,8 @@
 }
 
 impl TestPort {
-    /// Starts a port that may start requests early whose path starts with `/early`.
+    /// Starts a port that may start requests early whose path starts with `/early`. Those whose path
+    /// ends with `/at-once` need no permit.
     async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
@@ -44,7 +45,9 @@
             async move {
                 started.fetch_add(1, Ordering::SeqCst);
                 let _end_guard = EndGuard(ended);
-                answer_permits.acquire().await.expect("open").forget();
+                if !request.uri().path().ends_with("/at-once") {
+                    answer_permits.acquire().await.expect("open").forget();
+                }
                 request.uri().path().to_owned()
             }
         });
@@ -217,3 +220,49 @@
     assert!(!answers.contains("/early/3"), "{answers}");
     port.wait_for_started(2).await;
 }
+
+/// Guards against answers lost when an entry stops while it holds those of pipelined requests. Their
+/// targets have run them, and they only wait for a slower one ahead of them.
+#[tokio::test]
+async fn held_answers_are_written_after_stop() {
+    let port = TestPort::start().await;
+    let mut caller = TcpStream::connect(port.address).await.expect("connect");
+    let sent = [get("/late/0"), get("/early/1"), get("/early/2")].concat();
+    caller.write_all(sent.as_bytes()).await.expect("writable");
+    port.wait_for_started(3).await;
+    port.control.stop();
+    caller.write_all(get("/early/3").as_bytes()).await.expect("writable");
+    port.wait_for_started(3).await;
+    port.answer_permits.add_permits(4);
+    let mut answers = String::new();
+    let reading = caller.read_to_string(&mut answers);
+    tokio::time::timeout(TIMEOUT, reading).await.expect("in time").expect("readable");
+    let positions = ["/late/0", "/early/1", "/early/2"].map(|path| answers.find(path));
+    assert!(positions.iter().all(Option::is_some) && positions.is_sorted(), "{answers}");
+    assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    assert!(!answers.contains("/early/3"), "{answers}");
+}
+
+/// Guards against a process that ends while it holds the finished answer of a pipelined request: the
+/// request is in flight until its answer can be written.
+#[tokio::test]
+async fn started_request_is_in_flight_until_its_turn() {
+    let port = TestPort::start().await;
+    let mut caller = TcpStream::connect(port.address).await.expect("connect");
+    let sent = [get("/late/0"), get("/early/at-once")].concat();
+    caller.write_all(sent.as_bytes()).await.expect("writable");
+    wait_for(&port.ended, 1).await;
+    assert_eq!(port.control.in_flight(), 2);
+    port.answer_permits.add_permits(1);
+    positions(&mut caller, &["/late/0", "/early/at-once"]).await;
+    wait_until_none_in_flight(&port.control).await;
+}
+
+async fn wait_until_none_in_flight(control: &ServeControl) {
+    let none_left = async {
+        while control.in_flight() > 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, none_left).await.expect("in time");
+}
