fix(exchange): a connection is read on after its last answer until the caller closes it

Callers saw: a large answer cut off by "connection reset", although the entry had written it whole, when their next request crossed the close of the connection.

Cause: the socket was dropped as soon as the HTTP exchange had ended. A closed socket that receives further bytes resets the connection, and the kernel drops what waits in its send buffer (RFC 9112, 9.6). Any Connection: close did this, not only a stop.

Change: the connection is closed for writing and read on until the caller closes it, for 10 s since the last written byte, 4 MiB at most, and 128 connections at most, of which the longest lingering gives way. All end when accept finds no descriptor. A stopping process waits for them.

Result: with the lingering switched off all four tests of closing.rs fail; without the end at a lack of descriptors the one of descriptors.rs takes 20 s in place of 0.07 s; without the wait in leave.rs the process test fails by a reset.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -1,7 +1,7 @@
 //! Detection of idle and of stalled connections of callers.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -24,6 +24,8 @@
     has_started: AtomicBool,
     in_progress: AtomicUsize,
     last_progress_ms: AtomicU64,
+    /// When the socket last accepted bytes; `None` if nothing was written.
+    last_write_at: Mutex<Option<Instant>>,
     /// Number of answers of which the connection has not taken the last byte.
     deliveries: AtomicUsize,
     /// Number of HTTP/2 answers that have bytes ready for the caller.
@@ -47,6 +49,7 @@
             has_started: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             last_progress_ms: AtomicU64::new(0),
+            last_write_at: Mutex::new(None),
             deliveries: AtomicUsize::new(0),
             ready_streams: AtomicUsize::new(0),
             is_write_blocked: AtomicBool::new(false),
@@ -104,11 +107,17 @@
     /// Records a write that was accepted.
     pub(crate) fn record_write(&self, size_bytes: u64) {
         self.record_progress();
+        *self.last_write_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         if self.is_write_blocked.swap(false, Ordering::Relaxed) {
             self.record_taken(size_bytes);
         }
     }
 
+    /// Returns when the socket last accepted bytes; `None` if nothing was written.
+    pub(crate) fn last_write_at(&self) -> Option<Instant> {
+        *self.last_write_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a write of which the socket accepted nothing.
     pub(crate) fn record_blocked_write(&self) {
         if !self.is_write_blocked.swap(true, Ordering::Relaxed) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -20,6 +20,7 @@
 mod gate;
 mod head_scanner;
 mod headers;
+mod lingering;
 mod opened_connections;
 mod paced_body;
 mod pipeline;
--- a/crates/exchange/src/pipeline.rs
+++ b/crates/exchange/src/pipeline.rs
@@ -108,6 +108,11 @@
         !self.lock().started.is_empty()
     }
 
+    /// Aborts the started requests that have not been dispatched yet.
+    pub(crate) fn abort_started(&self) {
+        self.lock().started.clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -71,6 +71,18 @@
         }
     }
 
+    /// Reads and drops bytes until the caller closes the connection, at most `size_max_bytes`.
+    pub(crate) async fn discard(&self, size_max_bytes: u64) {
+        let mut left_bytes = size_max_bytes;
+        loop {
+            let size = std::future::poll_fn(|cx| self.lock().poll_discard(cx)).await as u64;
+            if size == 0 || size > left_bytes {
+                return;
+            }
+            left_bytes -= size;
+        }
+    }
+
     /// Returns whether received bytes have not been consumed by the HTTP library yet.
     pub(crate) fn has_buffered_bytes(&self) -> bool {
         !self.lock().buffered.is_empty()
@@ -109,6 +121,19 @@
         }
     }
 
+    /// Drops received bytes; ready with their number, 0 once the connection has ended.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+        self.buffered = BytesMut::new();
+        if self.has_ended {
+            return Poll::Ready(0);
+        }
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut buffer = ReadBuf::new(&mut chunk);
+        let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
+        self.has_ended = read.is_err() || buffer.filled().is_empty();
+        Poll::Ready(buffer.filled().len())
+    }
+
     /// Buffers received bytes; ready with `true` once the connection has ended.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
         if self.has_ended {
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -7,10 +7,10 @@
 use poem::endpoint::ToDynEndpoint;
 use poem::web::{LocalAddr, RemoteAddr};
 use poem::{Addr, EndpointExt, IntoEndpoint};
+use rustix::io::Errno;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::pipeline::PipelinedRequests;
@@ -73,8 +73,7 @@
     let endpoint: AnyEndpoint = Arc::new(ToDynEndpoint(endpoint.into_endpoint().map_to_response()));
     let permits = Arc::new(Semaphore::new(config.connections_max));
     let tasks = TaskTracker::new();
-    let stop = control.stop_token().clone();
-    while let Some((stream, remote, permit)) = accept(&listener, &permits, &stop).await {
+    while let Some((stream, remote, permit)) = accept(&listener, &permits, &control).await {
         let connection = ServedConnection {
             endpoint: Arc::clone(&endpoint),
             local: local.clone(),
@@ -97,7 +96,7 @@
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
-    stop: &CancellationToken,
+    control: &ServeControl,
 ) -> Option<(TcpStream, RemoteAddr, OwnedSemaphorePermit)> {
     let accept_next = async {
         let permit = Arc::clone(permits).acquire_owned().await.ok()?;
@@ -106,13 +105,22 @@
                 Ok((stream, address)) => {
                     return Some((stream, RemoteAddr(Addr::SocketAddr(address)), permit));
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                Err(error) => {
+                    if is_out_of_descriptors(&error) {
+                        control.lingering_connections().end_all();
+                    }
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
         }
     };
     tokio::select! {
         biased;
-        () = stop.cancelled() => None,
+        () = control.stop_token().cancelled() => None,
         accepted = accept_next => accepted,
     }
 }
+
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    matches!(Errno::from_io_error(error), Some(Errno::MFILE | Errno::NFILE))
+}
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -12,6 +12,10 @@
 /// Carries 200 Mbit/s over a network delay of 10 ms.
 const DEFAULT_SEND_BUFFER: Bytes = Bytes::from_kib(256);
 const DEFAULT_HEADER_MAX: Bytes = Bytes::from_kib(64);
+/// Callers give up a request after about as long.
+const DEFAULT_LINGER_TIMEOUT: Duration = Duration::from_secs(10);
+/// With the send buffer above, they hold at most 32 MiB in the kernel.
+const DEFAULT_LINGERING_MAX: usize = 128;
 const DEFAULT_STREAMS_MAX: u32 = 200;
 
 /// Limits of a served port on connections, timeouts and headers.
@@ -33,6 +37,14 @@
     /// kernel's limit is lower. By itself the kernel lets it grow to megabytes for a caller that
     /// reads nothing, which no budget counts and which looks like progress of the caller.
     pub send_buffer: Bytes,
+    /// The time since the last written byte for which a connection is read on after its last answer,
+    /// until its caller closes it too; 10 s by default. A close while the caller still sends would
+    /// reset the connection and destroy what the caller has not read yet.
+    pub linger_timeout: Duration,
+    /// The maximum number of connections that linger like that; 128 by default. They count towards
+    /// `connections_max`. The longest lingering one is closed for each further one, and all of them
+    /// when the process is out of file descriptors.
+    pub lingering_max: usize,
     /// The maximum size of a request head; 64 KiB by default.
     pub header_max: Bytes,
     /// The maximum number of concurrent HTTP/2 requests on a connection; 200 by default.
@@ -47,6 +59,8 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             stall_timeout: DEFAULT_STALL_TIMEOUT,
             send_buffer: DEFAULT_SEND_BUFFER,
+            linger_timeout: DEFAULT_LINGER_TIMEOUT,
+            lingering_max: DEFAULT_LINGERING_MAX,
             header_max: DEFAULT_HEADER_MAX,
             streams_max: DEFAULT_STREAMS_MAX,
         }
--- a/crates/exchange/src/serve_control.rs
+++ b/crates/exchange/src/serve_control.rs
@@ -5,6 +5,8 @@
 
 use tokio_util::sync::CancellationToken;
 
+use crate::lingering::LingeringConnections;
+
 /// Monitors and stops a served port; clones refer to the same port.
 #[derive(Debug, Clone, Default)]
 pub struct ServeControl {
@@ -21,6 +23,7 @@
     in_flight: AtomicUsize,
     writing: AtomicUsize,
     stalled_connections: AtomicU64,
+    lingering: LingeringConnections,
 }
 
 impl ServeControl {
@@ -74,6 +77,16 @@
         self.shared.stalled_connections.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections whose last answer is written and that are read on until
+    /// their caller closes them, because it may not have read that answer yet.
+    pub fn lingering(&self) -> usize {
+        self.shared.lingering.count()
+    }
+
+    pub(crate) fn lingering_connections(&self) -> &LingeringConnections {
+        &self.shared.lingering
+    }
+
     pub(crate) fn record_stalled_connection(&self) {
         self.shared.stalled_connections.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -18,6 +18,7 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 
 use crate::activity::Activity;
 use crate::answer_transfer::TransferEnd;
@@ -25,13 +26,17 @@
 use crate::delivered_body::DeliveredBody;
 use crate::headers::head_size;
 use crate::pipeline::{AbortOnDrop, ArrivedAt, InProgress, PipelinedRequests, StartedRequest};
-use crate::read_ahead::ReadAhead;
+use crate::read_ahead::{ReadAhead, ReadAheadStream};
 use crate::serve::PipelineFn;
 use crate::serve_config::ServeConfig;
 use crate::serve_control::{CountGuard, ServeControl};
 use crate::tracked_stream::TrackedStream;
 use crate::transfer_state::TransferState;
 
+/// Limit on bytes read from a lingering connection: what a caller may have sent before it read that
+/// the connection closes. One that goes on sending is disconnected.
+const LINGER_READ_MAX_BYTES: u64 = 4 * 1024 * 1024;
+
 pub(crate) type AnyEndpoint = Arc<dyn DynEndpoint<Output = poem::Response>>;
 
 /// One accepted connection and what its requests need.
@@ -49,7 +54,7 @@
 
 impl ServedConnection {
     pub(crate) async fn run(self, stream: TcpStream, _permit: OwnedSemaphorePermit) {
-        let _open_connection = self.control.count_connection();
+        let open_connection = self.control.count_connection();
         let send_buffer_bytes = usize::try_from(self.config.send_buffer.value());
         let send_buffer_bytes = send_buffer_bytes.unwrap_or(usize::MAX);
         // Without a bound, a caller that reads nothing is disconnected later.
@@ -59,15 +64,33 @@
         }
         let activity = Arc::new(Activity::new());
         let (stream, read_ahead) = ReadAhead::new(stream);
-        let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(&activity)));
+        let end = self.serve_requests(stream, &read_ahead, &activity).await;
+        self.pipelined.abort_started();
+        drop(open_connection);
+        if end == TransferEnd::Stalled {
+            self.control.record_stalled_connection();
+            read_ahead.reset_on_close();
+        } else {
+            self.linger(&read_ahead, &activity).await;
+        }
+    }
+
+    /// Serves requests until the connection ends, and closes it for writing.
+    async fn serve_requests(
+        &self,
+        stream: ReadAheadStream,
+        read_ahead: &ReadAhead,
+        activity: &Arc<Activity>,
+    ) -> TransferEnd {
+        let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(activity)));
         let caller = read_ahead.caller_connection();
-        let service = service_fn(|request| self.handle(request, &activity, &caller));
+        let service = service_fn(|request| self.handle(request, activity, &caller));
         let builder = builder(&self.config);
         let mut connection = pin!(builder.serve_connection(io, service));
         // Dropped before the connection, so that transfers in progress learn their end from it.
-        let _end = EndOnDrop(&activity);
+        let _end = EndOnDrop(activity);
         let ServeConfig { header_timeout, idle_timeout, stall_timeout, .. } = self.config;
-        let mut disconnect = pin!(self.wait_for_disconnect(&read_ahead, &activity));
+        let mut disconnect = pin!(self.wait_for_disconnect(read_ahead, activity));
         let mut stalled = pin!(activity.wait_until_stalled(stall_timeout));
         let mut idle = pin!(activity.wait_until_idle(header_timeout, idle_timeout));
         let mut is_stopping = false;
@@ -88,9 +111,26 @@
             }
         };
         activity.record_end(end);
-        if end == TransferEnd::Stalled {
-            self.control.record_stalled_connection();
-            read_ahead.reset_on_close();
+        end
+    }
+
+    /// Reads on until the caller closes the connection too, or has had the time to read the last
+    /// answer.
+    ///
+    /// A closed socket that receives further bytes resets the connection, and the caller's kernel
+    /// may then drop what the caller has not read yet (RFC 9112, section 9.6).
+    async fn linger(&self, read_ahead: &ReadAhead, activity: &Activity) {
+        let Some(last_write_at) = activity.last_write_at() else { return };
+        let until = last_write_at + self.config.linger_timeout;
+        if Instant::now() >= until {
+            return;
+        }
+        let lingering = self.control.lingering_connections().register(self.config.lingering_max);
+        tokio::select! {
+            biased;
+            () = lingering.ended() => {}
+            () = read_ahead.discard(LINGER_READ_MAX_BYTES) => {}
+            () = tokio::time::sleep_until(until) => {}
         }
     }
 
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -55,12 +55,16 @@
     wait_until_idle(context, started_at.plus(grace.mul_f64(END_GRACE_FRACTION))).await;
 }
 
-/// Waits until no request is in flight and no answer is being written, at most until `end`.
+/// Waits until no request is in flight, no answer is being written, and callers have closed the
+/// connections on which the last answers were written, at most until `end`.
 async fn wait_until_idle(context: &Context, end: Mono) {
     let callers = &context.callers;
-    // A large answer that is paced is written long after it was ready.
-    let is_busy =
-        || callers.in_flight() + callers.writing() > 0 || context.large_answers.is_active();
+    // A large answer that is paced is written long after it was ready. A lingering connection may
+    // have unread bytes when the process ends, on which the kernel resets it.
+    let is_busy = || {
+        callers.in_flight() + callers.writing() + callers.lingering() > 0
+            || context.large_answers.is_active()
+    };
     while is_busy() && context.clock.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -32,6 +32,7 @@
         report_quarantine(&context);
         refused_count = report_large_answers(&context, refused_count);
         report_reach(&context);
+        gauge!("shallotfork_lingering_connections").set(context.callers.lingering() as f64);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
             slots.update_rejections();
