fix(exchange,gateway): kept connections stay open for the published idle timeout

Callers saw: a connection kept idle for 10.5 s was closed, although the operator lets them keep it for 15 s; their next request crossed the close and cost a retry.

Cause: the HTTP library's timeout for request heads runs from the moment at which it waits for a request, so that 10 s without one ended each connection. Behind it the published idle timeout was decoded and never read; the port had 60 s of its own.

Evidence: a port with a short timeout for heads closes kept connections after it, whatever its idle timeout is (port.rs on the code before).

Change: the timer given to the library starts with the first byte of a head. Each table in force sets the idle timeout of the callers' port.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -170,16 +170,22 @@
     }
 
     /// Waits until no request has started within `first_request_timeout`, or until no request was
-    /// in progress, no answer being written, and nothing was written for `timeout`.
+    /// in progress, no answer being written, and nothing was written for `idle_timeout`, which may
+    /// change meanwhile.
     ///
     /// A connection without any request has a timeout of its own, because opening many connections
     /// costs a client nothing and each one counts towards the connection limit.
-    pub(crate) async fn wait_until_idle(&self, first_request_timeout: Duration, timeout: Duration) {
+    pub(crate) async fn wait_until_idle(
+        &self,
+        first_request_timeout: Duration,
+        idle_timeout: impl Fn() -> Duration,
+    ) {
         tokio::time::sleep_until(self.opened_at + first_request_timeout).await;
         if !self.has_started.load(Ordering::Relaxed) {
             return;
         }
         loop {
+            let timeout = idle_timeout();
             if self.is_busy() || self.is_delivering() {
                 tokio::time::sleep(timeout).await;
                 continue;
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,6 +19,7 @@
 mod exchange_config;
 mod gate;
 mod head_scanner;
+mod head_timer;
 mod headers;
 mod lingering;
 mod opened_connections;
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -14,6 +14,7 @@
 
 use crate::caller_connection::CallerConnection;
 use crate::head_scanner::HeadScanner;
+use crate::head_timer::MessageReads;
 
 /// Limit on bytes read ahead; a caller that sends more waits until earlier requests are answered.
 const READ_AHEAD_MAX_BYTES: usize = 64 * 1024;
@@ -39,6 +40,7 @@
     /// Wakes the HTTP library's task when it waits for bytes.
     waker: Option<Waker>,
     head_scanner: HeadScanner,
+    message_reads: MessageReads,
 }
 
 impl ReadAhead {
@@ -51,6 +53,7 @@
             has_ended: false,
             waker: None,
             head_scanner: HeadScanner::new(),
+            message_reads: MessageReads::default(),
         };
         let ahead = Self { state: Arc::new(Mutex::new(state)) };
         (ReadAheadStream { ahead: ahead.clone(), write_half }, ahead)
@@ -95,6 +98,11 @@
         let _ = self.lock().socket.as_ref().set_zero_linger();
     }
 
+    /// Returns the reads by which the HTTP library has received bytes of requests.
+    pub(crate) fn message_reads(&self) -> MessageReads {
+        self.lock().message_reads.clone()
+    }
+
     /// Returns a handle by which requests can check whether their caller has disconnected.
     pub(crate) fn caller_connection(&self) -> CallerConnection {
         CallerConnection::new(Arc::downgrade(&self.state))
@@ -191,6 +199,7 @@
         }
         let size = state.buffered.len().min(buf.remaining());
         buf.put_slice(&state.buffered[..size]);
+        state.message_reads.record(&state.buffered[..size]);
         state.buffered.advance(size);
         Poll::Ready(Ok(()))
     }
--- a/crates/exchange/src/serve_config.rs
+++ b/crates/exchange/src/serve_config.rs
@@ -23,11 +23,11 @@
 pub struct ServeConfig {
     /// The maximum number of open connections; further ones wait in the kernel. 10,000 by default.
     pub connections_max: usize,
-    /// The timeout from the opening of a connection to the headers of its first request, and for
-    /// the headers of each HTTP/1 request; 10 s by default.
+    /// The timeout from the opening of a connection to the headers of its first request, and from
+    /// the first byte of each further HTTP/1 request to the end of its headers; 10 s by default.
     pub header_timeout: Duration,
-    /// The time without a request in progress, an answer being written or a written byte after which a connection is closed;
-    /// 60 s by default.
+    /// The time without a request in progress, an answer being written or a written byte after which
+    /// a connection is closed; 60 s by default.
     pub idle_timeout: Duration,
     /// The time after which a connection is closed if its caller takes no byte of an answer that is
     /// ready for it; 5 s by default. Any byte that is taken starts the time anew, and so do bytes
--- a/crates/exchange/src/serve_control.rs
+++ b/crates/exchange/src/serve_control.rs
@@ -1,7 +1,8 @@
 //! Monitors and stops a served port.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
@@ -24,6 +25,7 @@
     writing: AtomicUsize,
     stalled_connections: AtomicU64,
     lingering: LingeringConnections,
+    idle_timeout: Mutex<Option<Duration>>,
 }
 
 impl ServeControl {
@@ -49,6 +51,16 @@
         self.shared.renewals.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Replaces the [`idle_timeout`](crate::ServeConfig::idle_timeout), also for open connections.
+    pub fn set_idle_timeout(&self, timeout: Duration) {
+        let mut current = self.shared.idle_timeout.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = Some(timeout);
+    }
+
+    pub(crate) fn idle_timeout(&self) -> Option<Duration> {
+        *self.shared.idle_timeout.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Stops accepting connections and requests; requests in flight are completed.
     pub fn stop(&self) {
         self.announce_close();
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{CONNECTION, HeaderValue};
 use http::uri::Scheme;
@@ -24,6 +25,7 @@
 use crate::answer_transfer::TransferEnd;
 use crate::caller_connection::CallerConnection;
 use crate::delivered_body::DeliveredBody;
+use crate::head_timer::HeadTimer;
 use crate::headers::head_size;
 use crate::pipeline::{AbortOnDrop, ArrivedAt, InProgress, PipelinedRequests, StartedRequest};
 use crate::read_ahead::{ReadAhead, ReadAheadStream};
@@ -85,14 +87,14 @@
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(activity)));
         let caller = read_ahead.caller_connection();
         let service = service_fn(|request| self.handle(request, activity, &caller));
-        let builder = builder(&self.config);
+        let builder = builder(&self.config, HeadTimer::new(read_ahead.message_reads()));
         let mut connection = pin!(builder.serve_connection(io, service));
         // Dropped before the connection, so that transfers in progress learn their end from it.
         let _end = EndOnDrop(activity);
-        let ServeConfig { header_timeout, idle_timeout, stall_timeout, .. } = self.config;
+        let ServeConfig { header_timeout, stall_timeout, .. } = self.config;
         let mut disconnect = pin!(self.wait_for_disconnect(read_ahead, activity));
         let mut stalled = pin!(activity.wait_until_stalled(stall_timeout));
-        let mut idle = pin!(activity.wait_until_idle(header_timeout, idle_timeout));
+        let mut idle = pin!(activity.wait_until_idle(header_timeout, || self.idle_timeout()));
         let mut is_stopping = false;
         let end = loop {
             tokio::select! {
@@ -169,6 +171,10 @@
         });
     }
 
+    fn idle_timeout(&self) -> Duration {
+        self.control.idle_timeout().unwrap_or(self.config.idle_timeout)
+    }
+
     fn start_request(&self, activity: &Arc<Activity>) -> InProgress {
         InProgress::new(self.control.count_in_flight(), activity.start_request())
     }
@@ -273,12 +279,12 @@
     }
 }
 
-fn builder(config: &ServeConfig) -> auto::Builder<TokioExecutor> {
+fn builder(config: &ServeConfig, head_timer: HeadTimer) -> auto::Builder<TokioExecutor> {
     let header_max = usize::try_from(config.header_max.value()).unwrap_or(usize::MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(head_timer)
         .header_read_timeout(config.header_timeout)
         .max_buf_size(header_max);
     builder
--- a/crates/exchange/tests/port.rs
+++ b/crates/exchange/tests/port.rs
@@ -3,7 +3,7 @@
 #[path = "support/test_server.rs"]
 mod test_server;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use shallotfork_exchange::ServeConfig;
 use shallotfork_types::Bytes;
@@ -11,6 +11,8 @@
 use tokio::io::AsyncWriteExt;
 
 const HEADER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The idle timeout of a port by default.
+const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(60);
 const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const HOLD: &[u8] = b"GET /hold HTTP/1.1\r\nhost: a\r\n\r\n";
 
@@ -43,6 +45,61 @@
     assert_eq!(0, server.control.in_flight());
 }
 
+/// Guards against a kept connection that is closed before its idle timeout, because the timeout for
+/// headers runs while no request is being received. The caller's next request would be lost.
+#[tokio::test]
+async fn kept_connection_outlives_the_header_timeout() {
+    let config = ServeConfig { header_timeout: HEADER_TIMEOUT, ..ServeConfig::default() };
+    let server = TestServer::start(EchoEndpoint::new(), config).await;
+    let mut kept = server.connect().await;
+    for _ in 0..3 {
+        kept.write_all(GET).await.expect("write");
+        assert_eq!("200", status(&read_answer(&mut kept).await));
+        // Line ends between two requests do not start the headers of the second one.
+        kept.write_all(b"\r\n").await.expect("write");
+        tokio::time::sleep(2 * HEADER_TIMEOUT).await;
+    }
+}
+
+/// Guards against a sender that keeps a used connection open by sending part of a request, for which
+/// the timeout must still hold.
+#[tokio::test]
+async fn incomplete_head_on_a_kept_connection_times_out() {
+    let config = ServeConfig { header_timeout: HEADER_TIMEOUT, ..ServeConfig::default() };
+    let server = TestServer::start(EchoEndpoint::new(), config).await;
+    let mut kept = server.connect().await;
+    kept.write_all(GET).await.expect("write");
+    read_answer(&mut kept).await;
+    tokio::time::sleep(2 * HEADER_TIMEOUT).await;
+    let sent_at = Instant::now();
+    kept.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n").await.expect("write");
+    read_to_end(kept).await;
+    assert!(sent_at.elapsed() >= HEADER_TIMEOUT);
+    assert!(sent_at.elapsed() < IDLE_TIMEOUT_DEFAULT / 2, "{:?}", sent_at.elapsed());
+}
+
+/// Guards against connections that are closed by a fixed timeout although the operator allows callers
+/// to keep them idle for longer, or for less.
+#[tokio::test]
+async fn idle_timeout_can_be_replaced_while_connections_are_open() {
+    let config = ServeConfig {
+        header_timeout: HEADER_TIMEOUT,
+        idle_timeout: HEADER_TIMEOUT,
+        ..ServeConfig::default()
+    };
+    let server = TestServer::start(EchoEndpoint::new(), config).await;
+    let mut kept = server.connect().await;
+    kept.write_all(GET).await.expect("write");
+    read_answer(&mut kept).await;
+    server.control.set_idle_timeout(4 * HEADER_TIMEOUT);
+    tokio::time::sleep(3 * HEADER_TIMEOUT).await;
+    kept.write_all(GET).await.expect("write");
+    assert_eq!("200", status(&read_answer(&mut kept).await));
+    let answered_at = Instant::now();
+    read_to_end(kept).await;
+    assert!(answered_at.elapsed() >= 3 * HEADER_TIMEOUT, "{:?}", answered_at.elapsed());
+}
+
 #[tokio::test]
 async fn head_over_limit_is_rejected() {
     let config = ServeConfig { header_max: Bytes::from_kib(8), ..ServeConfig::default() };
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -281,6 +281,9 @@
 fn publish_routes(state: &ControlState) {
     let published = state.context.published.load();
     let table = state.configuration.borrow().table().cloned();
+    if let Some(table) = &table {
+        state.context.callers.set_idle_timeout(table.limits().idle_timeout);
+    }
     state.context.published.store(Arc::new(Published { table, ..Published::clone(&published) }));
     for (service, slots) in state.context.services.all() {
         slots.set_warmup(warmup_of(state, &service));
