fix(transfer,gateway): a stopping entry rejects downloads that it can't write in time

Callers saw: downloads cut off in the middle by a stop behind a link of 10 Mbit/s, although the entry had sent them to targets after SIGTERM.

Cause: room was granted if a transfer could end before the request's deadline. A stop moved the deadline only of requests that arrived after it; those that waited for room kept theirs.

Change: a stop sets the end of all transfers. Room is granted only if a transfer ends before it behind all that is unsent or waits ahead, by sizes that few answers exceed. Waiting requests that miss it are rejected at once, so that another entry serves them.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -140,6 +140,7 @@
     /// Sets the deadline for all answers, including those to requests whose own deadline is later.
     /// The process ends soon afterwards and would cut these off.
     pub fn set_answer_deadline(&self, deadline: Mono) {
+        self.large_answers.end_by(deadline);
         self.answer_deadline.send_replace(Some(deadline));
     }
 
--- a/crates/gateway/src/large/room.rs
+++ b/crates/gateway/src/large/room.rs
@@ -147,6 +147,12 @@
         lock(&self.inner).room.try_reserve(request, now).map(|id| self.guard(id))
     }
 
+    /// Sets when all transfers have to have ended, because the process stops. Requests whose answer
+    /// can't be written until then are rejected from now on.
+    pub fn end_by(self: &Arc<Self>, end: Mono) {
+        self.update(|room, now| room.end_by(end, now));
+    }
+
     /// Returns the expected size of a route's next answer.
     pub fn estimate(&self, route: &RouteName) -> SizeEstimate {
         lock(&self.inner).sizes.estimate(route, self.clock.now())
--- a/crates/transfer/src/reservation.rs
+++ b/crates/transfer/src/reservation.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Returns the number of bytes that the link has to send at most, if the answer is not larger than
+    /// the reserved size.
+    pub(crate) fn unsent_max(&self, stalled_after: Duration, now: Mono) -> Bytes {
+        if self.is_receiving() { self.size } else { self.outbound(stalled_after, now) }
+    }
+
     pub(crate) fn correct(&mut self, actual: Bytes) {
         if self.is_receiving() {
             self.size = actual;
--- a/crates/transfer/src/room.rs
+++ b/crates/transfer/src/room.rs
@@ -31,6 +31,8 @@
     waiting: BTreeMap<WaitKey, RoomRequest>,
     keys: BTreeMap<RoomTicket, WaitKey>,
     next_id: u64,
+    /// When all transfers have to have ended; `None` while the process is not asked to stop.
+    end: Option<Mono>,
 }
 
 impl AnswerRoom {
@@ -42,6 +44,7 @@
             waiting: BTreeMap::new(),
             keys: BTreeMap::new(),
             next_id: 0,
+            end: None,
         }
     }
 
@@ -50,7 +53,7 @@
         let ticket = RoomTicket(self.take_id());
         let key = (request.objective, request.arrived_at, ticket);
         let expected_at = now.plus(self.wait_estimate(&request, key));
-        if !self.late_by(&request, expected_at, now).is_zero() {
+        if self.is_late(&request, key, expected_at, now) {
             return RoomDecision::Rejected { retry_after: self.retry_after(&request, key, now) };
         }
         if self.waiting.range(..key).next().is_none() && self.fits(&request) {
@@ -68,7 +71,8 @@
     /// Reserves room for an answer if that needs no waiting.
     pub fn try_reserve(&mut self, request: &RoomRequest, now: Mono) -> Option<ReservationId> {
         let is_free = self.waiting.is_empty() && self.fits(request);
-        (is_free && self.late_by(request, now, now).is_zero()).then(|| self.reserve(request.size))
+        let key = (request.objective, request.arrived_at, RoomTicket(self.take_id()));
+        (is_free && !self.is_late(request, key, now, now)).then(|| self.reserve(request.size))
     }
 
     /// Removes a request that no longer waits, for example because its caller has disconnected.
@@ -123,8 +127,7 @@
 
     /// Rejects the waiting requests whose transfer can't end before their deadline any more.
     pub fn expire(&mut self, now: Mono) -> Vec<ResolvedWait> {
-        let hopeless =
-            self.waiting.iter().filter(|(_, one)| !self.late_by(one, now, now).is_zero());
+        let hopeless = self.waiting.iter().filter(|(key, one)| self.is_late(one, **key, now, now));
         let hopeless: Vec<WaitKey> = hopeless.map(|(key, _)| *key).collect();
         let mut resolved = Vec::new();
         for key in hopeless {
@@ -134,6 +137,13 @@
         resolved
     }
 
+    /// Sets when all transfers have to have ended, because the process stops. Rejects the waiting
+    /// requests whose transfer can't end until then.
+    pub fn end_by(&mut self, end: Mono, now: Mono) -> Vec<ResolvedWait> {
+        self.end = Some(end);
+        self.resolve(now)
+    }
+
     /// Returns a summary for logs and metrics.
     pub fn summary(&self) -> RoomSummary {
         RoomSummary {
@@ -147,10 +157,10 @@
     /// Grants room to the waiting requests in their order, up to the first one that does not fit.
     /// Later ones may be smaller, but large ones would never be granted if these went first.
     fn resolve(&mut self, now: Mono) -> Vec<ResolvedWait> {
-        let mut resolved = Vec::new();
+        let mut resolved = self.reject_unfinished_at_end(now);
         while let Some((key, request)) = self.waiting.first_key_value() {
             let (key, size) = (*key, request.size);
-            if !self.late_by(request, now, now).is_zero() {
+            if self.is_late(request, key, now, now) {
                 resolved.extend(self.reject_waiting(key, now));
                 continue;
             }
@@ -164,6 +174,24 @@
         resolved
     }
 
+    /// Rejects the waiting requests whose transfer would not have ended when the process stops.
+    /// Another entry can serve them if they learn of it early.
+    fn reject_unfinished_at_end(&mut self, now: Mono) -> Vec<ResolvedWait> {
+        if self.end.is_none() {
+            return Vec::new();
+        }
+        let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
+        let mut resolved = Vec::new();
+        for key in keys {
+            let Some(request) = self.waiting.get(&key) else { continue };
+            let expected_at = now.plus(self.wait_estimate(request, key));
+            if self.is_unfinished_at_end(request, key, expected_at, now) {
+                resolved.extend(self.reject_waiting(key, now));
+            }
+        }
+        resolved
+    }
+
     fn reject_waiting(&mut self, key: WaitKey, now: Mono) -> Option<ResolvedWait> {
         let request = self.waiting.get(&key).copied()?;
         let retry_after = self.retry_after(&request, key, now);
@@ -231,6 +259,33 @@
         saturating_mul(per_answer, answers)
     }
 
+    /// Returns whether the transfer of a request that is sent at `start` will probably miss its
+    /// deadline or the end of the process.
+    fn is_late(&self, request: &RoomRequest, key: WaitKey, start: Mono, now: Mono) -> bool {
+        !self.late_by(request, start, now).is_zero()
+            || self.is_unfinished_at_end(request, key, start, now)
+    }
+
+    /// Returns whether the transfer of a request that is sent at `start` may go on when the process
+    /// ends. What is cut off is lost, so sizes count that few answers exceed.
+    fn is_unfinished_at_end(
+        &self,
+        request: &RoomRequest,
+        key: WaitKey,
+        start: Mono,
+        now: Mono,
+    ) -> bool {
+        let Some(end) = self.end else { return false };
+        let stalled_after = self.config.stalled_after;
+        let unsent = sum(self.reservations.values().map(|one| one.unsent_max(stalled_after, now)));
+        let ahead = sum(self.waiting.range(..key).map(|(_, other)| other.size.reserved));
+        let backlog = Bytes::new(unsent.value() + ahead.value());
+        let backlog_sent_at = now.plus(self.config.large_rate.time_for(backlog));
+        let own_time = self.config.link.time_for(request.size.reserved);
+        let received_at = start.plus(request.work_time).plus(own_time);
+        received_at.max(backlog_sent_at).plus(own_time) > end
+    }
+
     /// Returns by how much the transfer of a request that is sent at `start` will probably miss its
     /// deadline, given the answers that the link has to send before it.
     fn late_by(&self, request: &RoomRequest, start: Mono, now: Mono) -> Duration {
@@ -252,6 +307,10 @@
 
     /// Returns the time until a request like this one would probably be granted.
     fn retry_after(&self, request: &RoomRequest, key: WaitKey, now: Mono) -> Duration {
+        if self.end.is_some() {
+            // Another entry can serve the request at once.
+            return self.config.retry_after_min;
+        }
         let expected_at = now.plus(self.wait_estimate(request, key));
         let late_by = self.late_by(request, expected_at, now);
         late_by.clamp(self.config.retry_after_min, self.config.retry_after_max)
--- a/crates/transfer/tests/room.rs
+++ b/crates/transfer/tests/room.rs
@@ -397,3 +397,47 @@
     let waiting = waits.filter(|decision| matches!(decision, RoomDecision::Wait { .. })).count();
     assert!((80..100).contains(&waiting), "{waiting}");
 }
+
+/// Guards against transfers that a stopping process cuts off: what can't be written until its end is
+/// rejected at once, whether it waits or arrives later.
+#[test]
+fn transfers_that_would_outlast_the_process_are_rejected() {
+    let mut room = room();
+    let held = fill(&mut room, 480_000);
+    let waiting: Vec<RoomTicket> =
+        (0..10).map(|_| expect_wait(room.request(request(480_000, 0), at(0)))).collect();
+    // The link sends about two answers of this size in a second, of which eight are reserved.
+    let resolved = room.end_by(at(6_000), at(0));
+    let rejected = rejected_tickets(&resolved);
+    assert!(granted_tickets(&resolved).is_empty());
+    assert!(!rejected.is_empty() && rejected.len() < waiting.len(), "{rejected:?}");
+    assert_eq!(rejected, waiting[waiting.len() - rejected.len()..], "the last ones have no time");
+    assert!(resolved.iter().all(|one| {
+        let retry_after = config().retry_after_min;
+        one.resolution == RoomResolution::Rejected { retry_after }
+    }));
+    let decision = room.request(request(480_000, 10), at(10));
+    assert!(matches!(decision, RoomDecision::Rejected { .. }), "{decision:?}");
+    assert_eq!(room.try_reserve(&request(480_000, 10), at(10)), None);
+    // The answers turn out to be as large as few are, and are written as fast as the link allows.
+    let mut sent_at = at(0);
+    let mut reserved: Vec<ReservationId> = held;
+    let mut written = 0;
+    while let Some(id) = reserved.pop() {
+        room.start_sending(id, Bytes::new(480_000), sent_at);
+        sent_at = sent_at.plus(config().large_rate.time_for(Bytes::new(480_000)));
+        written += 1;
+        let granted = room.release(id, sent_at);
+        reserved.extend(granted.iter().filter_map(|one| match one.resolution {
+            RoomResolution::Granted(id) => Some(id),
+            RoomResolution::Rejected { .. } => None,
+        }));
+    }
+    assert!(sent_at <= at(6_000), "{written} answers until {sent_at:?}");
+}
+
+fn rejected_tickets(resolved: &[ResolvedWait]) -> Vec<RoomTicket> {
+    let is_rejected =
+        |one: &&ResolvedWait| matches!(one.resolution, RoomResolution::Rejected { .. });
+    resolved.iter().filter(is_rejected).map(|one| one.ticket).collect()
+}
