fix(exchange): incomplete answers share half of the memory for bodies

Callers saw: with one service whose targets send bodies without end, most requests of another service refused with 503, and an entry of 260 MB that grows past its memory.

Cause: the budget for bodies counted answers and never refused any, each up to 32 MiB, and was full for all services. A declared length of 900 MB was read up to that limit. Bodies of unknown size were kept in buffers that double, whose copies stay allocated.

Change: incomplete answers may use half of the budget. Beyond that the one is broken off, as may-have-run, that exceeds its expected size the most; answers of up to 64 KiB never are. A declared length beyond that memory is refused at the head. Bodies of unknown size are kept in buffers that do not grow.

Interim answers without end are a fault of their own, open.

--- a/crates/exchange/src/body_buffer.rs
+++ b/crates/exchange/src/body_buffer.rs
@@ -3,6 +3,10 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::body_budget::BodyPermit;
+use crate::receiving_answers::{BrokenOffError, ReceivingAnswer};
+
+/// Size of a buffer for a body of unknown size.
+const SEGMENT_BYTES: usize = 64 * 1024;
 
 /// Why a chunk of a request's body was not buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,7 +15,7 @@
     BudgetFull,
 }
 
-/// An answer's body exceeds its size limit.
+/// An answer's body exceeds its size limit, or the memory that is left for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct AnswerTooLargeError;
 
@@ -30,7 +34,7 @@
 enum Chunks {
     None,
     One(Bytes),
-    Many(BytesMut),
+    Many(Segments),
 }
 
 impl BodyBuffer {
@@ -38,8 +42,8 @@
         Self { limit_bytes, expected_bytes: 0, permit, chunks: Chunks::None }
     }
 
-    /// Sets the declared size of the body, for which memory is allocated at once. A buffer that
-    /// grows would hold up to twice the bytes that the budget counts.
+    /// Sets the declared size of the body, for which memory is allocated at once, so that its parts
+    /// need not be joined.
     pub(crate) fn with_expected_size(mut self, size_bytes: u64) -> Self {
         self.expected_bytes = usize::try_from(size_bytes.min(self.limit_bytes)).unwrap_or(0);
         self
@@ -49,7 +53,7 @@
         let size = match &self.chunks {
             Chunks::None => 0,
             Chunks::One(chunk) => chunk.len(),
-            Chunks::Many(joined) => joined.len(),
+            Chunks::Many(segments) => segments.size_bytes(),
         };
         size as u64
     }
@@ -66,12 +70,18 @@
         Ok(())
     }
 
-    /// Adds a chunk of an answer, which is counted but not rejected for lack of budget: its request
-    /// has run.
-    pub(crate) fn push_answer(&mut self, chunk: Bytes) -> Result<(), AnswerTooLargeError> {
+    /// Adds a chunk of an answer. Its request has run, so the budget bounds only the memory that
+    /// incomplete answers use together.
+    pub(crate) fn push_answer(
+        &mut self,
+        chunk: Bytes,
+        receiving: &ReceivingAnswer,
+    ) -> Result<(), AnswerTooLargeError> {
         if self.exceeds_limit(&chunk) {
             return Err(AnswerTooLargeError);
         }
+        let held_bytes = self.size_bytes() + chunk.len() as u64;
+        receiving.set_held(held_bytes).map_err(|BrokenOffError| AnswerTooLargeError)?;
         self.permit.grow_unlimited(chunk.len() as u64);
         self.append(chunk);
         Ok(())
@@ -84,10 +94,15 @@
     fn append(&mut self, chunk: Bytes) {
         self.chunks = match std::mem::replace(&mut self.chunks, Chunks::None) {
             Chunks::None => Chunks::One(chunk),
-            Chunks::One(first) => join(first, &chunk, self.expected_bytes),
-            Chunks::Many(mut joined) => {
-                joined.extend_from_slice(&chunk);
-                Chunks::Many(joined)
+            Chunks::One(first) => {
+                let mut segments = Segments::new(self.expected_bytes);
+                segments.append(&first);
+                segments.append(&chunk);
+                Chunks::Many(segments)
+            }
+            Chunks::Many(mut segments) => {
+                segments.append(&chunk);
+                Chunks::Many(segments)
             }
         };
     }
@@ -98,7 +113,7 @@
         let bytes = match self.chunks {
             Chunks::None => return Bytes::new(),
             Chunks::One(chunk) => chunk,
-            Chunks::Many(joined) => joined.freeze(),
+            Chunks::Many(segments) => segments.join(),
         };
         if bytes.is_empty() {
             return bytes;
@@ -107,13 +122,50 @@
     }
 }
 
-fn join(first: Bytes, second: &Bytes, expected_bytes: usize) -> Chunks {
-    let size_bytes = first.len() + second.len();
-    let capacity_bytes = if expected_bytes < size_bytes { 2 * size_bytes } else { expected_bytes };
-    let mut joined = BytesMut::with_capacity(capacity_bytes);
-    joined.extend_from_slice(&first);
-    joined.extend_from_slice(second);
-    Chunks::Many(joined)
+/// A body of several chunks, in buffers that never grow.
+///
+/// A buffer that grows is copied, and the allocator keeps the memory of the earlier copies.
+#[derive(Debug)]
+struct Segments {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+}
+
+impl Segments {
+    /// Creates the buffers for a body of `expected_bytes`; 0 if its size is unknown.
+    fn new(expected_bytes: usize) -> Self {
+        Self { full: Vec::new(), last: BytesMut::with_capacity(expected_bytes.max(SEGMENT_BYTES)) }
+    }
+
+    fn size_bytes(&self) -> usize {
+        self.full.iter().map(BytesMut::len).sum::<usize>() + self.last.len()
+    }
+
+    fn append(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if self.last.len() == self.last.capacity() {
+                let full =
+                    std::mem::replace(&mut self.last, BytesMut::with_capacity(SEGMENT_BYTES));
+                self.full.push(full);
+            }
+            let free_bytes = self.last.capacity() - self.last.len();
+            let (fitting, rest) = bytes.split_at(bytes.len().min(free_bytes));
+            self.last.extend_from_slice(fitting);
+            bytes = rest;
+        }
+    }
+
+    fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut joined = BytesMut::with_capacity(self.size_bytes());
+        for segment in self.full {
+            joined.extend_from_slice(&segment);
+        }
+        joined.extend_from_slice(&self.last);
+        joined.freeze()
+    }
 }
 
 struct BudgetedBytes {
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -8,7 +8,7 @@
 use http::header::{FORWARDED, HOST, HeaderMap, HeaderValue, RETRY_AFTER, VIA};
 use http::{Method, StatusCode};
 use reqwest::{Client, Request, Response, Url};
-use shallotfork_types::Mono;
+use shallotfork_types::{Bytes, Mono};
 use thiserror::Error;
 
 use crate::answer::BufferedAnswer;
@@ -134,17 +134,23 @@
         }
         let mut headers = std::mem::take(response.headers_mut());
         let bodiless = is_bodiless(&attempt.request().method, status);
-        let limit_bytes = self.config.answer_max.value();
+        let limit_bytes = self.config.answer_max.min(self.budget.answer_max()).value();
         if !bodiless && declared_length(&headers) > limit_bytes {
             return Err(FailureCause::AnswerTooLarge);
         }
         let expected_bytes = if bodiless { 0 } else { declared_length(&headers) };
         let mut body_buffer =
             BodyBuffer::new(limit_bytes, self.budget.permit()).with_expected_size(expected_bytes);
-        while let Some(chunk) =
-            response.chunk().await.map_err(|_| FailureCause::AnswerIncomplete)?
-        {
-            body_buffer.push_answer(chunk).map_err(|_| FailureCause::AnswerTooLarge)?;
+        let receiving = self.budget.receive(Bytes::default());
+        loop {
+            let chunk = tokio::select! {
+                biased;
+                () = receiving.broken_off() => return Err(FailureCause::AnswerTooLarge),
+                chunk = response.chunk() => chunk.map_err(|_| FailureCause::AnswerIncomplete)?,
+            };
+            let Some(chunk) = chunk else { break };
+            let pushed = body_buffer.push_answer(chunk, &receiving);
+            pushed.map_err(|_| FailureCause::AnswerTooLarge)?;
         }
         let body = body_buffer.finish();
         if !bodiless {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -28,6 +28,7 @@
 mod problem;
 mod read_ahead;
 mod read_request;
+mod receiving_answers;
 mod rejection;
 mod send_state;
 mod serve;
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use shallotfork_types::{Endpoint, TargetId, Verdict};
+use shallotfork_types::{self as types, Endpoint, TargetId, Verdict};
 use tokio::time::Instant;
 
 use crate::answer::BufferedAnswer;
@@ -44,6 +44,9 @@
     pub request: Request<Full<Bytes>>,
     /// The time allowed for the complete answer.
     pub timeout: Duration,
+    /// The size that the answer's body is expected not to exceed. When memory is short, answers are
+    /// broken off by how far they exceed it; zero if nothing is known.
+    pub expected_size: types::Bytes,
     /// Whether the request may safely run twice.
     pub repeatable: bool,
     /// Decides whether an answer belongs to this request.
@@ -95,11 +98,15 @@
             // The future may have been dropped after the first byte was sent.
             Err(_) => return Err(may_have_run(FailureCause::Timeout)),
         };
+        if declared_size(&response) > self.answer_max_bytes() {
+            return Err(may_have_run(FailureCause::AnswerTooLarge));
+        }
         let (status, headers) = (response.status(), response.headers().clone());
         if (request.answer_match)(status, &headers) == AnswerMatch::Mismatch {
             return Err(may_have_run(FailureCause::AnswerMismatch));
         }
-        let reading = tokio::time::timeout_at(deadline, self.read_answer(response));
+        let reading =
+            tokio::time::timeout_at(deadline, self.read_answer(response, request.expected_size));
         let answer = match reading.await {
             Ok(Ok(answer)) => answer,
             Ok(Err(cause)) => return Err(may_have_run(cause)),
@@ -208,30 +215,48 @@
     async fn read_answer(
         &self,
         response: Response<Incoming>,
+        expected_size: types::Bytes,
     ) -> Result<BufferedAnswer, FailureCause> {
+        let declared_bytes = declared_size(&response);
         let (parts, mut body) = response.into_parts();
         if parts.status.is_informational() {
             return Err(FailureCause::AnswerNotFinal);
         }
-        // The size hint is that of the body itself, which an answer to `HEAD` does not have.
-        let expected_bytes = body.size_hint().exact().unwrap_or(0);
-        let mut body_buffer = BodyBuffer::new(self.config.answer_max.value(), self.budget.permit())
-            .with_expected_size(expected_bytes);
-        while let Some(frame) = body.frame().await {
+        let mut body_buffer = BodyBuffer::new(self.answer_max_bytes(), self.budget.permit())
+            .with_expected_size(declared_bytes);
+        let receiving = self.budget.receive(expected_size);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = receiving.broken_off() => return Err(FailureCause::AnswerTooLarge),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|_| FailureCause::AnswerIncomplete)?;
             let Ok(chunk) = frame.into_data() else { continue };
-            body_buffer.push_answer(chunk).map_err(|_| FailureCause::AnswerTooLarge)?;
+            let pushed = body_buffer.push_answer(chunk, &receiving);
+            pushed.map_err(|_| FailureCause::AnswerTooLarge)?;
         }
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers);
         Ok(BufferedAnswer { status: parts.status, headers, body: body_buffer.finish() })
     }
 
+    fn answer_max_bytes(&self) -> u64 {
+        self.config.answer_max.min(self.budget.answer_max()).value()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, Vec<TargetConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Returns the size that the answer declares for its body; 0 if it declares none. An answer to `HEAD`
+/// has no body, whatever length it declares.
+fn declared_size(response: &Response<Incoming>) -> u64 {
+    response.body().size_hint().exact().unwrap_or(0)
+}
+
 fn may_have_run(cause: FailureCause) -> AttemptFailure {
     AttemptFailure::new(Verdict::MayHaveRun, cause)
 }
--- a/crates/exchange/tests/support/forwarder.rs
+++ b/crates/exchange/tests/support/forwarder.rs
@@ -125,6 +125,7 @@
             endpoint: Address::new(self.target),
             request: forwarded,
             timeout: WAIT_MAX,
+            expected_size: Bytes::default(),
             repeatable: true,
             answer_match: &|_: StatusCode, _: &HeaderMap| AnswerMatch::Match,
             purpose: ConnectionPurpose::Request,
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -219,6 +219,11 @@
         let _ = self.stream.write_all(bytes).await;
     }
 
+    /// Writes all bytes; returns `false` if the peer has closed the connection.
+    pub async fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
     /// Closes the connection with a reset instead of an orderly close.
     pub fn reset(self) {
         self.stream.set_zero_linger().expect("linger");
--- a/crates/exchange/tests/target_connections.rs
+++ b/crates/exchange/tests/target_connections.rs
@@ -70,6 +70,7 @@
             endpoint: Endpoint::new(self.target.address),
             request,
             timeout: self.timeout,
+            expected_size: shallotfork_types::Bytes::default(),
             repeatable: self.repeatable,
             answer_match: &answer_match,
             purpose: ConnectionPurpose::Request,
--- a/crates/gateway/src/traffic/answer_room.rs
+++ b/crates/gateway/src/traffic/answer_room.rs
@@ -77,6 +77,15 @@
     routed.route.answer_size == AnswerSize::Large
 }
 
+/// Returns the size that the answer to a request is expected not to exceed; zero for routes whose
+/// answers are ordinary, of which nothing is known.
+pub fn expected_answer_size(routed: &RoutedRequest) -> Bytes {
+    if !is_large(routed) {
+        return Bytes::default();
+    }
+    routed.context.large_answers.estimate(&routed.route.name).reserved
+}
+
 fn room_request(routed: &RoutedRequest) -> RoomRequest {
     let large_answers = &routed.context.large_answers;
     let size = large_answers.estimate(&routed.route.name);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -14,6 +14,7 @@
 
 use crate::context::{Context, lock};
 use crate::traffic::answer_owner::answer_owner;
+use crate::traffic::answer_room::expected_answer_size;
 use crate::traffic::request_outcome::RequestOutcome;
 use crate::traffic::routed_request::RoutedRequest;
 use crate::transfer::{TransferKind, message_bytes};
@@ -89,6 +90,7 @@
         endpoint: entry.callers,
         request,
         timeout,
+        expected_size: expected_answer_size(routed),
         repeatable: routed.is_idempotent(),
         answer_match: &owner,
         purpose: ConnectionPurpose::Request,
--- a/crates/gateway/src/traffic/health_request.rs
+++ b/crates/gateway/src/traffic/health_request.rs
@@ -58,6 +58,7 @@
             endpoint,
             request,
             timeout,
+            expected_size: shallotfork_types::Bytes::default(),
             repeatable: true,
             answer_match: &|status: StatusCode, headers: &HeaderMap| {
                 record_statements(context, &StatedBy { run: &run, sent_at }, status, headers);
--- a/crates/gateway/src/traffic/send_attempt.rs
+++ b/crates/gateway/src/traffic/send_attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::context::{Context, lock};
 use crate::traffic::answer_owner::answer_owner;
-use crate::traffic::answer_room::{AnswerRoom, correct_room};
+use crate::traffic::answer_room::{AnswerRoom, correct_room, expected_answer_size};
 use crate::traffic::attempt_outcome::{
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
@@ -68,6 +68,7 @@
         endpoint,
         request,
         timeout,
+        expected_size: expected_answer_size(routed),
         repeatable,
         answer_match: &owner,
         purpose: ConnectionPurpose::Request,
