fix(exchange): interim answers and heads of targets are bounded

Callers saw: with one service whose targets send interim answers (103) without end, most requests of another service were not answered within a second, and those of the faulty service had no answer at their deadline.

Cause: the HTTP library parses interim answers in a loop that ends only when nothing is left to read. A target that sends faster than they are parsed keeps a thread of the runtime busy, and timers on it do not fire.

Change: the stream of a connection fails after 16 interim answers to one request, below that loop. A head, and one read of a body, have at most 64 KiB. Both causes are told apart from a lost connection, so that they are not taken for a crash of the target.

--- a/crates/exchange/src/attempt.rs
+++ b/crates/exchange/src/attempt.rs
@@ -154,11 +154,11 @@
     ConnectionLost,
     /// The connection ended within the answer's body, or the body's framing is invalid.
     AnswerIncomplete,
-    /// The answer's body exceeds the limit.
+    /// The answer's head or body exceeds the limit, or the memory that is left for it.
     AnswerTooLarge,
     /// The answer's body does not match its `Content-Digest`.
     AnswerDigestMismatch,
-    /// The answer is not a final response, for example a protocol switch.
+    /// There is no final answer, but for example a protocol switch or too many interim answers.
     AnswerNotFinal,
     /// The answer belongs to another request: the target sent more answers than it received
     /// requests.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -21,6 +21,7 @@
 mod head_scanner;
 mod head_timer;
 mod headers;
+mod interim_answers;
 mod lingering;
 mod opened_connections;
 mod paced_body;
--- a/crates/exchange/src/target_connection.rs
+++ b/crates/exchange/src/target_connection.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use shallotfork_types::Endpoint;
 use tokio::net::TcpStream;
@@ -17,9 +17,12 @@
 
 use crate::attempt::FailureCause;
 use crate::connection_config::ConnectionConfig;
+use crate::interim_answers::{InterimAnswers, InterimBoundedStream};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const TIMEOUT_PARAMETER: &str = "timeout=";
+/// Maximum size of an answer's head, and of one read of its body.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// A connection that carries one request at a time and is owned by the attempt that uses it.
 ///
@@ -29,6 +32,7 @@
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    interim_answers: InterimAnswers,
     last_used_at: Instant,
     idle_timeout: Duration,
 }
@@ -51,13 +55,17 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         set_unacknowledged_timeout(&stream, config.unacknowledged_timeout)?;
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let interim_answers = InterimAnswers::default();
+        let stream = InterimBoundedStream::new(stream, interim_answers.clone());
+        let handshake =
+            Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             // The attempt that uses the connection gets its errors from the future of the request.
             let _ended = connection.await;
         });
-        Ok(Self { sender, driver, last_used_at: Instant::now(), idle_timeout: config.idle_timeout })
+        let (last_used_at, idle_timeout) = (Instant::now(), config.idle_timeout);
+        Ok(Self { sender, driver, interim_answers, last_used_at, idle_timeout })
     }
 
     /// Returns whether a request can be sent now: nothing is left over from the previous request,
@@ -72,16 +80,27 @@
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.interim_answers.count_for(&mut request);
         self.sender.try_send_request(request).await.map_err(|mut error| {
             match error.take_message() {
                 Some(request) => SendError::Unsent(Box::new(request)),
-                None => SendError::Sent(FailureCause::ConnectionLost),
+                None => SendError::Sent(self.failure_cause(error.error())),
             }
         })
     }
 
+    fn failure_cause(&self, error: &hyper::Error) -> FailureCause {
+        if self.interim_answers.is_over_limit() {
+            FailureCause::AnswerNotFinal
+        } else if error.is_parse_too_large() {
+            FailureCause::AnswerTooLarge
+        } else {
+            FailureCause::ConnectionLost
+        }
+    }
+
     /// Applies the target's reported keep-alive timeout; returns `false` if the target closes the
     /// connection.
     pub(crate) fn update_keep_alive(
--- a/crates/exchange/tests/endless_answers.rs
+++ b/crates/exchange/tests/endless_answers.rs
@@ -16,6 +16,8 @@
 use support::{RawConnection, RawTarget};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time in which a connection whose answer has no end is closed.
+const SHORT: Duration = Duration::from_secs(5);
 /// Half of it is for answers that are being received.
 const BUDGET: Size = Size::from_mib(16);
 /// Size of the answers of a sound target.
@@ -140,3 +142,53 @@
     assert_eq!(caller.accepted_heads.load(Ordering::SeqCst), 0);
     assert_eq!(caller.budget.held(), Size::default());
 }
+
+/// Guards against interim answers without end, which are parsed in a loop that ends only when the
+/// target sends nothing.
+#[tokio::test]
+async fn interim_answers_are_bounded() {
+    let target = RawTarget::start(|_, connection| async move {
+        let interim = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1_000);
+        write_endlessly(connection, "", interim.as_bytes()).await;
+    })
+    .await;
+    let caller = Caller::new();
+    let sending = tokio::time::timeout(SHORT, caller.send(&target));
+    let failure = sending.await.expect("in time").expect_err("no final answer");
+    assert_eq!(failure.cause(), &FailureCause::AnswerNotFinal);
+    assert_eq!(failure.verdict(), Verdict::MayHaveRun);
+}
+
+/// Guards against dropping an answer because some interim ones come before it, for each request on a
+/// connection.
+#[tokio::test]
+async fn some_interim_answers_are_skipped() {
+    let target = RawTarget::start(|_, mut connection| async move {
+        while connection.request().await.is_some() {
+            let interim = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(10);
+            connection.write(interim.as_bytes()).await;
+            connection.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone").await;
+        }
+    })
+    .await;
+    let caller = Caller::new();
+    for _ in 0..3 {
+        assert_eq!(caller.send(&target).await.expect("an answer").body, "done");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(target.stats.connections(), 1);
+}
+
+/// Guards against a head without end that is buffered, and taken for the end of a connection.
+#[tokio::test]
+async fn head_is_bounded() {
+    let target = RawTarget::start(|_, connection| async move {
+        let fields = "filler: 0123456789\r\n".repeat(1_000);
+        write_endlessly(connection, "HTTP/1.1 200 OK\r\n", fields.as_bytes()).await;
+    })
+    .await;
+    let caller = Caller::new();
+    let sending = tokio::time::timeout(SHORT, caller.send(&target));
+    let failure = sending.await.expect("in time").expect_err("no whole head");
+    assert_eq!(failure.cause(), &FailureCause::AnswerTooLarge);
+}
