--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -68,6 +68,7 @@
     RANDOM_REJECTIONS = 5014 Warning "targets of a service reject requests at random";
     RANDOM_REJECTIONS_ENDED = 5015 Info "targets of a service no longer reject requests at random";
     SLOT_SHARE_CHANGED = 5016 Info "share of a service's slots changed";
+    TARGET_EXCLUDED = 5017 Warning "target left out: its answers do not end";
     PLATFORM_DISCONNECTED = 6001 Warning "platform unreachable";
     PLATFORM_RECONNECTED = 6002 Info "platform reachable again";
     PLATFORM_BEHIND = 6003 Warning "platform replica behind a revision seen before";
--- a/crates/exchange/src/attempt.rs
+++ b/crates/exchange/src/attempt.rs
@@ -154,11 +154,14 @@
     ConnectionLost,
     /// The connection ended within the answer's body, or the body's framing is invalid.
     AnswerIncomplete,
-    /// The answer's head or body exceeds the limit, or the memory that is left for it.
+    /// The answer's body exceeds the limit.
     AnswerTooLarge,
+    /// The answer's head or interim answers, or its body of no declared length, do not end within
+    /// the limits, or the body used up the memory for incomplete answers.
+    AnswerEndless,
     /// The answer's body does not match its `Content-Digest`.
     AnswerDigestMismatch,
-    /// There is no final answer, but for example a protocol switch or too many interim answers.
+    /// The answer is not a final response, for example a protocol switch.
     AnswerNotFinal,
     /// The answer belongs to another request: the target sent more answers than it received
     /// requests.
@@ -178,6 +181,7 @@
             Self::ConnectionLost => "the connection to the target was lost",
             Self::AnswerIncomplete => "the target's answer is incomplete",
             Self::AnswerTooLarge => "the target's answer is over the limit",
+            Self::AnswerEndless => "the target's answer does not end",
             Self::AnswerDigestMismatch => "the target's answer differs from its Content-Digest",
             Self::AnswerNotFinal => "the target's answer is not a final one",
             Self::AnswerMismatch => "the target's answer belongs to another request",
--- a/crates/exchange/src/target_connection.rs
+++ b/crates/exchange/src/target_connection.rs
@@ -92,10 +92,8 @@
     }
 
     fn failure_cause(&self, error: &hyper::Error) -> FailureCause {
-        if self.interim_answers.is_over_limit() {
-            FailureCause::AnswerNotFinal
-        } else if error.is_parse_too_large() {
-            FailureCause::AnswerTooLarge
+        if self.interim_answers.is_over_limit() || error.is_parse_too_large() {
+            FailureCause::AnswerEndless
         } else {
             FailureCause::ConnectionLost
         }
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -224,18 +224,22 @@
         }
         let mut body_buffer = BodyBuffer::new(self.answer_max_bytes(), self.budget.permit())
             .with_expected_size(declared_bytes);
+        let over_limit = match declared_bytes {
+            0 => FailureCause::AnswerEndless,
+            _ => FailureCause::AnswerTooLarge,
+        };
         let receiving = self.budget.receive(expected_size);
         loop {
             let frame = tokio::select! {
                 biased;
-                () = receiving.broken_off() => return Err(FailureCause::AnswerTooLarge),
+                () = receiving.broken_off() => return Err(over_limit),
                 frame = body.frame() => frame,
             };
             let Some(frame) = frame else { break };
             let frame = frame.map_err(|_| FailureCause::AnswerIncomplete)?;
             let Ok(chunk) = frame.into_data() else { continue };
             let pushed = body_buffer.push_answer(chunk, &receiving);
-            pushed.map_err(|_| FailureCause::AnswerTooLarge)?;
+            pushed.map_err(|_| over_limit.clone())?;
         }
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -14,7 +14,7 @@
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
 use shallotfork_reachability::PathMonitor;
 use shallotfork_routes::{Route, RouteName, Splitter};
-use shallotfork_statements::{LeavingTargets, Rests};
+use shallotfork_statements::{FaultyTargets, LeavingTargets, Rests};
 use shallotfork_timer::Clock;
 use shallotfork_types::{Incarnation, Mono, ServiceName};
 use tokio::sync::{Notify, watch};
@@ -100,6 +100,8 @@
     pub leaving_targets: Mutex<LeavingTargets>,
     /// Targets that have asked this process for rest.
     pub rests: Mutex<Rests>,
+    /// Targets whose answers do not end.
+    pub faulty_targets: Mutex<FaultyTargets>,
     /// Key for request fingerprints.
     pub fingerprint_key: FingerprintKey,
     /// Crash records of requests, shared by the traffic and control threads.
--- a/crates/gateway/src/control/heartbeat_messages.rs
+++ b/crates/gateway/src/control/heartbeat_messages.rs
@@ -6,14 +6,14 @@
 use shallotfork_membership::{Announcement, ListedVm, MemberUpdate};
 use shallotfork_peer::{Heartbeat, NO_LOAD, PeerId, PeerState, PeerUpdate, PlatformReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
-use shallotfork_statements::LeavingReport;
+use shallotfork_statements::{ExclusionReport, LeavingReport};
 use shallotfork_types::{Epoch, LoadLevel, VmId};
 
 use crate::context::lock;
 use crate::control::reader::update_platform_state;
 use crate::control::state::ControlState;
 use crate::log_budget::LogDecision;
-use crate::traffic::{apply_rate_limit, log_quarantined, stop_sending};
+use crate::traffic::{apply_rate_limit, exclude_target, log_quarantined, stop_sending};
 
 /// Builds the heartbeat to an entry, with the membership updates that are due to it. `peer_digest`
 /// is the digest in the heartbeat that is being answered, if any.
@@ -64,6 +64,7 @@
         quarantine_digest,
         rate_limits: lock(&state.context.rate_limits).reports(state.now()),
         leaving_targets: lock(&state.context.leaving_targets).reports(state.now()),
+        exclusions: lock(&state.context.faulty_targets).reports(state.now()),
         restart_safe: true,
         loads: Vec::new(),
         capacity: from.listed.capacity,
@@ -97,6 +98,7 @@
     merge_crash_reports(state, &heartbeat.crash_reports);
     merge_rate_limits(state, &heartbeat.rate_limits);
     merge_leaving_targets(state, &heartbeat.leaving_targets);
+    merge_exclusions(state, &heartbeat.exclusions);
 }
 
 fn quarantine_reports(
@@ -126,6 +128,15 @@
     }
 }
 
+fn merge_exclusions(state: &ControlState, reports: &[ExclusionReport]) {
+    for report in reports {
+        let excluded_until = lock(&state.context.faulty_targets).merge(report, state.now());
+        if let Some(until) = excluded_until {
+            exclude_target(&state.context, &report.run, until, "peer");
+        }
+    }
+}
+
 fn merge_crash_reports(state: &ControlState, reports: &[CrashReport]) {
     for report in reports {
         let newly_quarantined = lock(&state.context.quarantine).merge(report, state.now());
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -218,6 +218,7 @@
             context.services.all().iter().for_each(|(_, slots)| slots.reset_target(id));
             lock(&context.leaving_targets).forget(id);
             lock(&context.rests).forget(id);
+            lock(&context.faulty_targets).forget(id);
         }
     }
     publish_routes(state);
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -162,6 +162,7 @@
                 lock(&state.context.quarantine).expire(state.now());
                 expire_rate_limits(&state.context);
                 lock(&state.context.rests).expire(state.now());
+                lock(&state.context.faulty_targets).expire(state.now());
             }
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -139,6 +139,7 @@
         rate_limits: Mutex::default(),
         leaving_targets: Mutex::default(),
         rests: Mutex::default(),
+        faulty_targets: Mutex::default(),
         path_monitor: Mutex::new(PathMonitor::new(PathConfig::default())),
         path_suspected: Notify::new(),
         isolated: watch::Sender::new(false),
--- a/crates/gateway/src/traffic/health_request.rs
+++ b/crates/gateway/src/traffic/health_request.rs
@@ -12,6 +12,7 @@
 use shallotfork_types::{Endpoint, FailureDomain, TargetId};
 
 use crate::context::Context;
+use crate::traffic::endless_answers::record_endless_answer;
 use crate::traffic::reach::record_reach;
 use crate::traffic::target_statements::{StatedBy, record_statements, target_run};
 use crate::transfer::{TransferKind, message_bytes};
@@ -69,6 +70,7 @@
         };
         let result = context.target_connections.send(target_request).await;
         record_reach(context, target, is_opened.load(Ordering::Relaxed), &result);
+        record_endless_answer(context, &run, &result);
         if let Ok(answer) = &result {
             let size = message_bytes(&answer.headers, answer.body.len());
             TransferKind::Probes.record_bytes(&domain, size);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod caller_requests;
 mod configuration_report;
 mod directory;
+mod endless_answers;
 mod forward;
 mod health_request;
 mod hedge;
@@ -37,6 +38,7 @@
 
 pub use caller_requests::{handle_request, may_begin_early};
 pub use directory::{handle_directory, handle_readiness};
+pub use endless_answers::exclude_target;
 pub use path_checks::{request_path_check, run_path_checks};
 pub use probe_counters::{ProbeCounters, ProbeTotals};
 pub use probes::run_probes;
--- a/crates/gateway/src/traffic/send_attempt.rs
+++ b/crates/gateway/src/traffic/send_attempt.rs
@@ -21,6 +21,7 @@
 use crate::traffic::attempt_outcome::{
     AttemptOutcome, classify_attempt, parse_reported_load, slot_outcome, target_may_have_crashed,
 };
+use crate::traffic::endless_answers::record_endless_answer;
 use crate::traffic::path_checks::reaches_other_targets;
 use crate::traffic::quarantine::record_crash;
 use crate::traffic::rate_limit::record_rate_limit;
@@ -88,6 +89,7 @@
     let reported_load =
         result.as_ref().ok().and_then(|answer| parse_reported_load(&context.dialect, answer));
     record_reach(context, &target, is_opened.into_inner(), &result);
+    record_endless_answer(context, &run, &result);
     if let Ok(answer) = &result
         && outcome != SlotOutcome::Misdirected
     {
--- a/crates/peer/examples/peer_cost.rs
+++ b/crates/peer/examples/peer_cost.rs
@@ -169,6 +169,7 @@
         crash_reports: Vec::new(),
         rate_limits: Vec::new(),
         leaving_targets: Vec::new(),
+        exclusions: Vec::new(),
         quarantine_digest: Default::default(),
         is_overloaded: false,
         restart_safe: false,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -75,6 +75,8 @@
   loadsDigest @27 :UInt64;
   # Digest of the loads that the sender knows; 0 if it knows of no loads.
 
+  exclusions @28 :List(Exclusion);
+
   enum State {
     live @0;
     leaving @1;
@@ -119,6 +121,18 @@
   # Time since the last answer on which the record is based.
 }
 
+struct Exclusion {
+  # A target that is left out because its answers do not end.
+
+  target @0 :Text;
+  startedAtMs @1 :UInt64;
+  # Start of its process in Unix milliseconds; 0 if it is not known.
+  remainingMs @2 :UInt32;
+  # How much longer it is left out.
+  count @3 :UInt32;
+  # How many times it has been left out, this time included.
+}
+
 struct LeavingTarget {
   # A target that has said in an answer that it is leaving.
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,7 @@
 
 use shallotfork_measure::{DemandReport, RateLimitReport};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest};
-use shallotfork_statements::LeavingReport;
+use shallotfork_statements::{ExclusionReport, LeavingReport};
 use shallotfork_types::{
     Bytes, Endpoint, Epoch, FailureDomain, Incarnation, ListsDigest, PerSecond, Permille, Position,
     Revision, TargetId, VmId,
@@ -91,6 +91,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// Targets that have recently said that they are leaving.
     pub leaving_targets: Vec<LeavingReport>,
+    /// Targets that have recently been left out because their answers do not end.
+    pub exclusions: Vec<ExclusionReport>,
     /// Whether a sudden end of the sender would leave no operation as may-have-run.
     pub restart_safe: bool,
     /// Load of some targets; may be empty.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -5594,11 +5594,19 @@
         pub fn get_loads_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(10)
         }
+        #[inline]
+        pub fn get_exclusions(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::exclusion::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_exclusions(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 11, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5944,6 +5952,22 @@
         pub fn set_loads_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(10, value);
         }
+        #[inline]
+        pub fn get_exclusions(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::exclusion::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_exclusions(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::exclusion::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_exclusions(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::exclusion::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_exclusions(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5955,17 +5979,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 486] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 506] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(151, 166, 8, 114, 5, 144, 126, 239),
             ::capnp::word(11, 0, 0, 0, 1, 0, 11, 0),
             ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
-            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 39, 6, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 95, 6, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5975,203 +5999,210 @@
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(41, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(77, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 3, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(117, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(125, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(141, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(153, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(161, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(169, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(181, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(205, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(241, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(249, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(17, 4, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(25, 4, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(25, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 4, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 4, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(26, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 4, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(53, 4, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(27, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 4, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 4, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 4, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 193, 114, 230, 117, 105, 10, 180),
@@ -6442,6 +6473,19 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 108, 117, 115, 105, 111),
+            ::capnp::word(110, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 155, 218, 227, 124, 232, 234, 213),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6473,6 +6517,7 @@
                 25 => <::capnp::struct_list::Owned<crate::peer_capnp::demand_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 26 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 27 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                28 => <::capnp::struct_list::Owned<crate::peer_capnp::exclusion::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6486,9 +6531,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,25,16,5,21,22,10,26,4,27,9,7,13,15,11,19,20,14,3,24,8,1,0,12,23,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,6,18,25,16,28,5,21,22,10,26,4,27,9,7,13,15,11,19,20,14,3,24,8,1,0,12,23,2];
         pub(crate) const TYPE_ID: u64 = 0xef7e_9005_7208_a697;
     }
 
@@ -7640,6 +7685,299 @@
     }
 }
 
+pub mod exclusion {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_started_at_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_remaining_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_started_at_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_started_at_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_remaining_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_remaining_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(116, 155, 218, 227, 124, 232, 234, 213),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(81, 55, 185, 232, 166, 240, 193, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 120, 99, 108, 117),
+            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 65),
+            ::capnp::word(116, 77, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 97, 105, 110, 105, 110),
+            ::capnp::word(103, 77, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd5ea_e87c_e3da_9b74;
+    }
+}
+
 pub mod leaving_target {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/peer/src/wire/heartbeat.rs
+++ b/crates/peer/src/wire/heartbeat.rs
@@ -5,7 +5,7 @@
 use capnp::Result;
 use shallotfork_measure::{DemandReport, RateLimitReport, ServiceDemand};
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
-use shallotfork_statements::{LeavingReport, TargetRun};
+use shallotfork_statements::{ExclusionReport, LeavingReport, TargetRun};
 use shallotfork_types::{
     ListsDigest, PerSecond, Permille, RequestRate, Revision, ServiceKey, TargetId,
 };
@@ -63,6 +63,12 @@
             write_leaving_target(report, leaving_targets.reborrow().get(index));
         }
     }
+    if !heartbeat.exclusions.is_empty() {
+        let mut exclusions = to.reborrow().init_exclusions(list_length(heartbeat.exclusions.len()));
+        for (index, report) in (0..).zip(&heartbeat.exclusions) {
+            write_exclusion(report, exclusions.reborrow().get(index));
+        }
+    }
     if !heartbeat.updates.is_empty() {
         let mut updates = to.reborrow().init_news(list_length(heartbeat.updates.len()));
         for (index, update) in (0..).zip(&heartbeat.updates) {
@@ -184,6 +190,23 @@
     })
 }
 
+fn write_exclusion(report: &ExclusionReport, mut to: schema::exclusion::Builder<'_>) {
+    to.set_target(report.run.target.as_str());
+    to.set_started_at_ms(report.run.started_at_ms.unwrap_or(UNKNOWN_START_MS));
+    to.set_remaining_ms(write_age(Some(report.remaining)));
+    to.set_count(report.exclusions);
+}
+
+fn read_exclusion(from: schema::exclusion::Reader<'_>) -> Result<ExclusionReport> {
+    let target = TargetId::new(from.get_target()?.to_str()?).map_err(to_capnp_error)?;
+    let started_at_ms = from.get_started_at_ms();
+    Ok(ExclusionReport {
+        run: TargetRun::new(target, (started_at_ms != UNKNOWN_START_MS).then_some(started_at_ms)),
+        remaining: Duration::from_millis(from.get_remaining_ms().into()),
+        exclusions: from.get_count(),
+    })
+}
+
 fn write_state(state: PeerState) -> schema::heartbeat::State {
     match state {
         PeerState::Starting => schema::heartbeat::State::Starting,
@@ -234,6 +257,7 @@
             .iter()
             .map(read_leaving_target)
             .collect::<Result<_>>()?,
+        exclusions: from.get_exclusions()?.iter().map(read_exclusion).collect::<Result<_>>()?,
         restart_safe: from.get_restart_safe(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
         capacity: PerSecond::new(from.get_strength_per_s()),
--- a/crates/peer/tests/peer.rs
+++ b/crates/peer/tests/peer.rs
@@ -19,7 +19,7 @@
     encode_values,
 };
 use shallotfork_quarantine::{CrashReport, QuarantineDigest, RequestFingerprint};
-use shallotfork_statements::{LeavingReport, TargetRun};
+use shallotfork_statements::{ExclusionReport, LeavingReport, TargetRun};
 use shallotfork_types::{
     Bytes, Endpoint, Epoch, IdempotencyKey, Incarnation, ListsDigest, Mono, PerSecond, Permille,
     Position, RequestRate, Revision, ServiceKey, TargetId, VmId,
@@ -240,6 +240,11 @@
     LeavingReport { run, answered_ago: Duration::from_millis(25) }
 }
 
+fn exclusion(started_at_ms: Option<u64>) -> ExclusionReport {
+    let run = TargetRun::new(TargetId::new("t4").unwrap(), started_at_ms);
+    ExclusionReport { run, remaining: Duration::from_millis(9_000), exclusions: 2 }
+}
+
 fn demand_report() -> DemandReport {
     let demand = |service, milli_per_s| ServiceDemand {
         service: ServiceKey::new(service),
@@ -288,6 +293,7 @@
             rate_limit(None),
         ],
         leaving_targets: vec![leaving_target(Some(17)), leaving_target(None)],
+        exclusions: vec![exclusion(Some(18)), exclusion(None)],
         restart_safe: true,
         loads: vec![LoadHint { target, load: Permille::new(1200), age_ms: 40 }],
         capacity: PerSecond::new(700),
--- a/crates/shallotd/src/control/members.rs
+++ b/crates/shallotd/src/control/members.rs
@@ -134,6 +134,7 @@
         crash_reports: Vec::new(),
         rate_limits: Vec::new(),
         leaving_targets: Vec::new(),
+        exclusions: Vec::new(),
         quarantine_digest: Default::default(),
         is_overloaded: false,
         restart_safe: state.ledger.borrow().running() == 0,
