--- a/crates/exchange/src/body_buffer.rs
+++ b/crates/exchange/src/body_buffer.rs
@@ -128,25 +128,27 @@
 #[derive(Debug)]
 struct Segments {
     full: Vec<BytesMut>,
+    full_bytes: usize,
     last: BytesMut,
 }
 
 impl Segments {
     /// Creates the buffers for a body of `expected_bytes`; 0 if its size is unknown.
     fn new(expected_bytes: usize) -> Self {
-        Self { full: Vec::new(), last: BytesMut::with_capacity(expected_bytes.max(SEGMENT_BYTES)) }
+        let capacity_bytes = if expected_bytes == 0 { SEGMENT_BYTES } else { expected_bytes };
+        Self { full: Vec::new(), full_bytes: 0, last: BytesMut::with_capacity(capacity_bytes) }
     }
 
     fn size_bytes(&self) -> usize {
-        self.full.iter().map(BytesMut::len).sum::<usize>() + self.last.len()
+        self.full_bytes + self.last.len()
     }
 
     fn append(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             if self.last.len() == self.last.capacity() {
-                let full =
-                    std::mem::replace(&mut self.last, BytesMut::with_capacity(SEGMENT_BYTES));
-                self.full.push(full);
+                let next = BytesMut::with_capacity(SEGMENT_BYTES);
+                self.full_bytes += self.last.len();
+                self.full.push(std::mem::replace(&mut self.last, next));
             }
             let free_bytes = self.last.capacity() - self.last.len();
             let (fitting, rest) = bytes.split_at(bytes.len().min(free_bytes));
--- a/crates/exchange/src/head_timer.rs
+++ b/crates/exchange/src/head_timer.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use hyper::rt::{Sleep, Timer};
@@ -71,15 +71,12 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        if self.running.is_none() {
-            if self.reads.count() == self.reads_before {
-                // The read that brings the first byte wakes the task, which then polls again.
-                return Poll::Pending;
-            }
-            self.running = Some(Box::pin(tokio::time::sleep(self.timeout)));
+        if self.running.is_none() && self.reads.count() == self.reads_before {
+            // The read that brings the first byte wakes the task, which then polls again.
+            return Poll::Pending;
         }
-        let Some(running) = &mut self.running else { return Poll::Pending };
-        ready!(running.as_mut().poll(cx));
-        Poll::Ready(())
+        let timeout = self.timeout;
+        let running = self.running.get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        running.as_mut().poll(cx)
     }
 }
