test(exchange): the target of an early answer reads exactly the body that is due

Cause: the test's target reads 400 bytes more than the body and then closes. If the kernel's buffers take the whole upload before the second request is sent, the connection is free and is used again, as it may be. The target then reads the beginning of that request and closes on the rest, which resets the connection. With a pause of 300 ms between the requests the old test fails in the same way.

Change: the target reads each head, then exactly the declared body, and goes on; any byte of it that is not the upload's counts as foreign, where the old test looked for the start of a request only. It is played with and without the pause.

--- a/crates/exchange/tests/target_connections.rs
+++ b/crates/exchange/tests/target_connections.rs
@@ -15,7 +15,7 @@
     FailureCause, TargetConnections, TargetRequest,
 };
 use shallotfork_types::{Endpoint, TargetId, Verdict};
-use support::{BUDGET, RawTarget};
+use support::{BUDGET, RawConnection, RawTarget};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 const ROUNDS: usize = 300;
@@ -283,32 +283,50 @@
 }
 
 /// Guards against a request in the middle of the previous request's body. A target may answer a
-/// long upload early, keep the connection open and read the rest of the body.
+/// long upload early, keep the connection open and read the rest of the body. The next request may
+/// use that connection only once the body has been written.
 #[tokio::test]
 async fn early_answer_does_not_corrupt_next_request() {
     static UPLOAD: [u8; 4_000_000] = [b'x'; 4_000_000];
-    let misplaced = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&misplaced);
-    let target = RawTarget::start(move |_, mut connection| {
-        let counted = Arc::clone(&counted);
-        async move {
-            while connection.byte().await.is_some_and(|byte| byte != b'\n') {}
-            connection.write(b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\n\r\n").await;
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            let rest = connection.bytes(UPLOAD.len() + 400).await;
-            let text = String::from_utf8_lossy(&rest);
-            counted.fetch_add(text.matches("POST /orders").count(), Ordering::SeqCst);
+    for pause in [Duration::ZERO, Duration::from_millis(300)] {
+        let misplaced = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&misplaced);
+        let target = RawTarget::start(move |_, mut connection| {
+            let counted = Arc::clone(&counted);
+            async move {
+                while read_head(&mut connection).await {
+                    let answer = b"HTTP/1.1 413 Content Too Large\r\ncontent-length: 0\r\n\r\n";
+                    connection.write(answer).await;
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let body = connection.bytes(UPLOAD.len()).await;
+                    let foreign = body.iter().filter(|byte| **byte != b'x').count();
+                    counted.fetch_add(foreign, Ordering::SeqCst);
+                }
+            }
+        })
+        .await;
+        let connections = target_connections(ConnectionConfig::default());
+        for mark in 0..2 {
+            let request = MarkedRequest::new(&connections, &target).with_body(&UPLOAD);
+            let answer = request.send(mark).await.expect("an early answer");
+            assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+            tokio::time::sleep(pause).await;
         }
-    })
-    .await;
-    let connections = target_connections(ConnectionConfig::default());
-    for mark in 0..2 {
-        let answer = MarkedRequest::new(&connections, &target).with_body(&UPLOAD).send(mark).await;
-        assert_eq!(answer.expect("an early answer").status, StatusCode::PAYLOAD_TOO_LARGE);
+        drop(connections);
+        tokio::time::timeout(TIMEOUT, target.closed()).await.expect("the connections are closed");
+        assert_eq!(misplaced.load(Ordering::SeqCst), 0, "foreign bytes in a body");
+    }
+}
+
+/// Reads to the end of a request's head; returns `false` if the connection ends before.
+async fn read_head(connection: &mut RawConnection) -> bool {
+    let mut last = [0; 4];
+    while last != *b"\r\n\r\n" {
+        let Some(byte) = connection.byte().await else { return false };
+        last.rotate_left(1);
+        last[3] = byte;
     }
-    drop(connections);
-    tokio::time::timeout(TIMEOUT, target.closed()).await.expect("the connections are closed");
-    assert_eq!(misplaced.load(Ordering::SeqCst), 0);
+    true
 }
 
 #[tokio::test]
