--- a/crates/exchange/src/body_buffer.rs
+++ b/crates/exchange/src/body_buffer.rs
@@ -157,6 +157,8 @@
         }
     }
 
+    /// Joins the buffers into the whole body. One of unknown size is held twice for that time, which
+    /// the budget does not count.
     fn join(self) -> Bytes {
         if self.full.is_empty() {
             return self.last.freeze();
--- a/crates/gateway/src/control/pull.rs
+++ b/crates/gateway/src/control/pull.rs
@@ -10,6 +10,7 @@
 use crate::control::pulled_items::apply_response;
 use crate::control::serve_pulls::LOG_MIN_SIZE;
 use crate::control::state::ControlState;
+use crate::millis::millis;
 use crate::transfer::TransferKind;
 
 /// A pull that takes at least this long is logged, whatever its size.
@@ -151,7 +152,3 @@
         "items" => pull.items, "bytes" => pull.bytes, "took_ms" => millis(duration),
         "whole" => pull.is_snapshot, "gap" => pull.has_gap);
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod leave;
 mod log_budget;
 mod metrics_page;
+mod millis;
 mod reload;
 mod run;
 mod settings;
--- a/crates/gateway/src/traffic/caller_requests.rs
+++ b/crates/gateway/src/traffic/caller_requests.rs
@@ -15,6 +15,7 @@
 
 use crate::context::Context;
 use crate::log_budget::LogDecision;
+use crate::millis::millis;
 use crate::traffic::answer_response::answer_response;
 use crate::traffic::attempts::run_attempts;
 use crate::traffic::problem_responses::{bad_request, may_have_run, not_run};
@@ -154,7 +155,3 @@
         "left_out" => left_out,
     );
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/traffic/endless_answers.rs
+++ b/crates/gateway/src/traffic/endless_answers.rs
@@ -1,7 +1,5 @@
 //! Leaves out targets whose answers do not end.
 
-use std::time::Duration;
-
 use metrics::counter;
 use shallotfork_events::{TARGET_EXCLUDED, event};
 use shallotfork_exchange::{AttemptFailure, BufferedAnswer, FailureCause};
@@ -9,6 +7,7 @@
 use shallotfork_types::Mono;
 
 use crate::context::{Context, lock};
+use crate::millis::millis;
 
 /// Counts an answer that does not end. Its target is left out if that is not the first one.
 pub fn record_endless_answer(
@@ -40,7 +39,3 @@
         "source" => source,
         "excluded_ms" => millis(until.since(context.clock.now())));
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
