--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod server;
 mod setup;
+mod slow_reader;
 mod store;
 
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
     let record = PathBuf::from(record);
     let verdict = match case.as_str() {
         "false-refusal" => false_refusal::play(&record, has_trouble),
+        "slow-reader" => slow_reader::play(&record, has_trouble),
         other => Verdict::NotPlayed(format!("there is no case {other}")),
     };
     match verdict {
