--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -66,7 +66,11 @@
     pub fn bytes(&self) -> Vec<u8> {
         let Self { method, host, path, id, deadline, body } = self;
         let deadline_ms = deadline.as_millis();
-        let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
         format!(
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{length}\r\n{body}"
         )
--- a/review/standin-2/cut_watches.rs
+++ b/review/standin-2/cut_watches.rs
@@ -44,7 +44,8 @@
         max_attempts: 2,
     }];
     store.put("op/config", &manifest(7, &routes, &["order-desk"]));
-    let servers: Vec<Arc<Server>> = (0..SERVERS).map(|number| start_server(number, &record)).collect();
+    let servers: Vec<Arc<Server>> =
+        (0..SERVERS).map(|number| start_server(number, &record)).collect();
     for server in &servers {
         store.put(&format!("servers/{}", server.config.id), &server.item("ready"));
     }
@@ -123,7 +124,8 @@
         let id = format!("order-{client}-{number}");
         let path = format!("/orders/{id}");
         let deadline = Duration::from_millis(4000);
-        let request = Request { method: "POST", host: HOST, path: &path, id: &id, deadline, body: &id };
+        let request =
+            Request { method: "POST", host: HOST, path: &path, id: &id, deadline, body: &id };
         connection.send(&request, record);
     }
 }
--- a/review/standin-2/false_refusal.rs
+++ b/review/standin-2/false_refusal.rs
@@ -49,7 +49,8 @@
         max_attempts: 2,
     }];
     store.put("op/config", &manifest(7, &routes, &["order-desk"]));
-    let servers: Vec<Arc<Server>> = (0..SERVERS).map(|number| start_server(number, &record)).collect();
+    let servers: Vec<Arc<Server>> =
+        (0..SERVERS).map(|number| start_server(number, &record)).collect();
     for server in &servers {
         store.put(&format!("servers/{}", server.config.id), &server.item("ready"));
     }
@@ -125,12 +126,20 @@
         for attempt in 0..=RETRIES {
             let id = format!("{order}.{attempt}");
             let left = until.saturating_duration_since(Instant::now());
-            let request =
-                Request { method: "POST", host: HOST, path: &path, id: &id, deadline: left, body: &order };
+            let request = Request {
+                method: "POST",
+                host: HOST,
+                path: &path,
+                id: &id,
+                deadline: left,
+                body: &order,
+            };
             let Some(answer) = connection.send(&request, record) else { break };
-            let retry_after = answer.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+            let retry_after =
+                answer.header("retry-after").and_then(|text| text.parse::<f64>().ok());
             let left = until.saturating_duration_since(Instant::now());
-            let wait = Duration::from_secs_f64(retry_after.unwrap_or(0.05).clamp(0.0, 4.0)).min(left / 3);
+            let wait =
+                Duration::from_secs_f64(retry_after.unwrap_or(0.05).clamp(0.0, 4.0)).min(left / 3);
             if !PROMISES.contains(&answer.status()) || left < Duration::from_millis(200) {
                 break;
             }
@@ -157,7 +166,11 @@
     let doubled = runs_of_orders.values().filter(|count| **count > 1).count();
     let mut findings = vec![
         format!("disturbances: {}", if has_trouble { "yes" } else { "no" }),
-        format!("requests answered: {}, with success: {served}, refused as not run: {}", answers.len(), refused.len()),
+        format!(
+            "requests answered: {}, with success: {served}, refused as not run: {}",
+            answers.len(),
+            refused.len()
+        ),
         format!("late second copies of answers: {copies}"),
         format!("REFUSED: requests refused as not run that a server has run: {}", broken.len()),
         format!("orders that servers ran twice, since the client sent them again: {doubled}"),
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -98,8 +98,10 @@
         let head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
         self.buffer.drain(..end + 4);
         let mut lines = head.split("\r\n");
-        let mut message =
-            Message { first_line: lines.next().unwrap_or_default().to_owned(), ..Message::default() };
+        let mut message = Message {
+            first_line: lines.next().unwrap_or_default().to_owned(),
+            ..Message::default()
+        };
         for line in lines {
             if let Some((name, value)) = line.split_once(':') {
                 message.headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -47,7 +47,9 @@
         let at_ms = self.now_ms();
         let mut entries = self.entries.lock().unwrap();
         let signature = if signed { "with" } else { "without" };
-        entries.lines.push(format!("{at_ms:>7} ms  client gets {status} for {id}, {signature} signature"));
+        entries
+            .lines
+            .push(format!("{at_ms:>7} ms  client gets {status} for {id}, {signature} signature"));
         entries.answers.insert(id.to_owned(), Answered { status, signed, at_ms });
     }
 
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -108,7 +108,8 @@
             if is_slow {
                 if let Err(error) = self.serve_slowly(&mut connection, &mut request) {
                     let id = request.header("x-request-id").unwrap_or_default();
-                    let line = format!("server {}: connection of {id} ends: {error}", self.config.id);
+                    let line =
+                        format!("server {}: connection of {id} ends: {error}", self.config.id);
                     self.record.note(&line);
                     return;
                 }
@@ -197,7 +198,8 @@
                 return false;
             }
             load.waiting += 1;
-            load = self.slot_freed.wait_while(load, |load| load.running >= self.config.slots).unwrap();
+            load =
+                self.slot_freed.wait_while(load, |load| load.running >= self.config.slots).unwrap();
             load.waiting -= 1;
         }
         load.running += 1;
@@ -222,6 +224,7 @@
         value ^= value << 17;
         value
     };
-    let update = state.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |value| Some(next(value)));
+    let update =
+        state.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |value| Some(next(value)));
     next(update.unwrap_or(1)) >> 11
 }
--- a/review/standin-2/setup.rs
+++ b/review/standin-2/setup.rs
@@ -65,7 +65,10 @@
     resources.push(
         r#"{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#.to_owned(),
     );
-    format!(r#"{{"version":"r{version}","base_version":"r0","resources":[{}]}}"#, resources.join(","))
+    format!(
+        r#"{{"version":"r{version}","base_version":"r0","resources":[{}]}}"#,
+        resources.join(",")
+    )
 }
 
 /// Starts entries in the zones in turn and waits until they are ready.
--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -88,8 +88,14 @@
     let id = format!("upload-{client}");
     let path = format!("/uploads/{id}");
     let body = "x".repeat(UPLOAD_BYTES);
-    let request =
-        Request { method: "POST", host: HOST, path: &path, id: &id, deadline: TIME_LIMIT, body: &body };
+    let request = Request {
+        method: "POST",
+        host: HOST,
+        path: &path,
+        id: &id,
+        deadline: TIME_LIMIT,
+        body: &body,
+    };
     record.note(&format!("client sends {id}, {UPLOAD_BYTES} bytes, and waits for {TIME_LIMIT:?}"));
     Client::new(front).send(&request, record);
 }
@@ -104,20 +110,26 @@
         .filter(|id| {
             let has_run = runs.contains_key(id);
             let answer = answers.get(id);
-            has_run && answer.is_none_or(|answer| !answer.signed && answer.at_ms < stopped_ms + 3500)
+            has_run
+                && answer.is_none_or(|answer| !answer.signed && answer.at_ms < stopped_ms + 3500)
         })
         .collect();
     let mut findings = vec![
         format!("servers read late: {}", if has_trouble { "yes" } else { "no" }),
         format!("uploads: {CLIENTS}, at work at a server: {}, stored: {served}", runs.len()),
-        format!("LOST: uploads broken off during the planned stop, their server at work: {}", lost.len()),
+        format!(
+            "LOST: uploads broken off during the planned stop, their server at work: {}",
+            lost.len()
+        ),
     ];
     for id in &lost {
         let (server, ran_ms) = &runs[id][0];
         let end = answers.get(id).map_or("the connection ended".to_owned(), |answer| {
             format!("answered {} by the entry itself at {} ms", answer.status, answer.at_ms)
         });
-        findings.push(format!("  {id}: {server} at work from {ran_ms} ms; SIGTERM at {stopped_ms} ms; {end}"));
+        findings.push(format!(
+            "  {id}: {server} at work from {ran_ms} ms; SIGTERM at {stopped_ms} ms; {end}"
+        ));
     }
     println!("{}", findings.join("\n"));
     record.write(path, &findings);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -38,7 +38,8 @@
     pub fn start(ip: &str) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the store's port");
         let address = listener.local_addr().expect("the store's address").to_string();
-        let state = Arc::new((Mutex::new(State { revision: 100, ..State::default() }), Condvar::new()));
+        let state =
+            Arc::new((Mutex::new(State { revision: 100, ..State::default() }), Condvar::new()));
         let store = Self { state, cut_after_ms: Arc::default(), cuts: Arc::default(), address };
         let served = store.clone();
         thread::spawn(move || {
@@ -111,9 +112,7 @@
         let found: Vec<String> = state
             .items
             .iter()
-            .filter(|(key, item)| {
-                key.starts_with(&prefix) && **key > after && item.value.is_some()
-            })
+            .filter(|(key, item)| key.starts_with(&prefix) && **key > after && item.value.is_some())
             .map(|(key, item)| item_text(key, item))
             .collect();
         let page = &found[..found.len().min(PAGE)];
