--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of cases 4 to 6 start, with the compiler alone.
+# Builds the stand-ins that the scripts of cases 4 and 5 start, with the compiler alone.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,7 +3,6 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't be played.
 
 mod client;
-mod cut_watches;
 mod false_refusal;
 mod http;
 mod node;
@@ -45,7 +44,6 @@
     let verdict = match case.as_str() {
         "false-refusal" => false_refusal::play(&record, has_trouble),
         "slow-reader" => slow_reader::play(&record, has_trouble),
-        "cut-watches" => cut_watches::play(&record, has_trouble),
         other => Verdict::NotPlayed(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -1,7 +1,7 @@
 //! Stand-in of an upstream, with the faults that a case switches on.
 
 use std::io;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -41,8 +41,6 @@
     pub copied_permille: AtomicU64,
     random: AtomicU64,
     pub copies: AtomicU64,
-    has_exited: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
     /// Whether long requests are read late, by `late_ms`.
     pub reads_late: AtomicBool,
     pub late_ms: AtomicU64,
@@ -61,18 +59,12 @@
             copied_permille: AtomicU64::new(0),
             random: AtomicU64::new(seed | 1),
             copies: AtomicU64::new(0),
-            has_exited: AtomicBool::new(false),
-            connections: Mutex::default(),
             reads_late: AtomicBool::new(false),
             late_ms: AtomicU64::new(0),
         });
         let served = Arc::clone(&server);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if served.has_exited.load(Ordering::Relaxed) {
-                    return;
-                }
-                served.connections.lock().unwrap().extend(stream.try_clone());
                 let server = Arc::clone(&served);
                 thread::spawn(move || server.serve(stream));
             }
@@ -80,16 +72,6 @@
         server
     }
 
-    /// Closes the port and all connections, whatever runs.
-    pub fn exit(&self) {
-        self.has_exited.store(true, Ordering::Relaxed);
-        // Wakes the thread that accepts connections.
-        let _ = TcpStream::connect(&self.address);
-        for connection in self.connections.lock().unwrap().drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-    }
-
     /// Text of the server's entry in the store.
     pub fn item(&self, state: &str) -> String {
         let ServerConfig { service, zone, slots, .. } = &self.config;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,9 +27,6 @@
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
-    /// Time after which a waiting watch is cut; 0 for never.
-    cut_after_ms: Arc<AtomicU64>,
-    cuts: Arc<AtomicU64>,
     pub address: String,
 }
 
@@ -40,7 +36,7 @@
         let address = listener.local_addr().expect("the store's address").to_string();
         let state =
             Arc::new((Mutex::new(State { revision: 100, ..State::default() }), Condvar::new()));
-        let store = Self { state, cut_after_ms: Arc::default(), cuts: Arc::default(), address };
+        let store = Self { state, address };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -56,20 +52,6 @@
         self.change(key, Some(value.as_bytes().to_vec()))
     }
 
-    pub fn remove(&self, key: &str) -> u64 {
-        self.change(key, None)
-    }
-
-    /// Cuts each watch that has waited for this time, by closing its connection; 0 for never.
-    pub fn cut_watches_after(&self, time_ms: u64) {
-        self.cut_after_ms.store(time_ms, Ordering::Relaxed);
-    }
-
-    /// Number of watches that were cut.
-    pub fn cuts(&self) -> u64 {
-        self.cuts.load(Ordering::Relaxed)
-    }
-
     fn change(&self, key: &str, value: Option<Vec<u8>>) -> u64 {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
@@ -87,10 +69,7 @@
         while let Ok(Some(request)) = connection.read() {
             let body = match request.path() {
                 "/-/kv-range" => Some(self.range(&request)),
-                "/-/kv-watch" => match self.watch(&request) {
-                    Some(body) => Some(body),
-                    None => return,
-                },
+                "/-/kv-watch" => Some(self.watch(&request)),
                 _ => None,
             };
             let bytes = match body {
@@ -124,15 +103,11 @@
         )
     }
 
-    /// Answers a watch; `None` if it is cut.
-    fn watch(&self, request: &Message) -> Option<String> {
+    fn watch(&self, request: &Message) -> String {
         let prefix = request.query("prefix").unwrap_or_default();
         let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
         let after = number("after").unwrap_or(0);
         let wait_ms = number("wait_ms").unwrap_or(0).min(30_000);
-        let cut_after_ms = self.cut_after_ms.load(Ordering::Relaxed);
-        let is_cut = cut_after_ms > 0 && cut_after_ms < wait_ms;
-        let wait_ms = if is_cut { cut_after_ms } else { wait_ms };
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
@@ -144,18 +119,14 @@
                 .collect();
             newer.sort_by_key(|(_, item)| item.revision);
             let left = until.saturating_duration_since(Instant::now());
-            if is_cut && newer.is_empty() && left.is_zero() {
-                self.cuts.fetch_add(1, Ordering::Relaxed);
-                return None;
-            }
             if !newer.is_empty() || left.is_zero() {
                 let events: Vec<String> =
                     newer.into_iter().map(|(key, item)| item_text(key, item)).collect();
-                return Some(format!(
+                return format!(
                     r#"{{"events":[{}],"store_revision":{}}}"#,
                     events.join(","),
                     state.revision
-                ));
+                );
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
