fix(exchange): bodies of requests stay within their budget and give way when they stall

Callers saw an entry killed for its memory by many bodies of legal size at once, or were refused for seconds because some bodies stopped just before their end. The budget counted received bytes, not buffers: a body of unknown size to the code (every one, as declared lengths were not used) grew in 64 KiB buffers, was held twice while it was joined, and a single chunk kept all of the HTTP library's read buffer. Bodies that stopped kept their share until the timeout of 10 s, and two halves of many bodies could block each other.

A declared length is now reserved before a byte is taken, and refused at the head if there is no room. Buffers of the others are reserved before they are allocated. When memory is short, the bodies that lag furthest behind a rate of 32 KiB/s give way, after half a second, refused as not run; in calm a slow body is served as before. Bodies over 64 KiB leave a quarter of the budget to small ones.

--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use bytes::Bytes as BodyBytes;
 use shallotfork_types::{Bytes, Permille};
-use tokio::sync::Semaphore;
+use tokio::sync::futures::Notified;
+use tokio::sync::{Notify, Semaphore};
 
+use crate::incoming_bodies::IncomingBodies;
 use crate::receiving_answers::{ReceivingAnswer, ReceivingAnswers};
 
 /// Number of rejected bodies that are discarded at the same time; each uses a read buffer of its
@@ -19,11 +22,19 @@
 /// Memory for incomplete answers however small the budget is: some large answers.
 const RECEIVING_MIN: Bytes = Bytes::from_mib(4);
 
+/// Size from which a request's body counts as large.
+const LARGE_BODY: Bytes = Bytes::from_kib(64);
+
+/// Share of the budget beyond which no large body is accepted, so that callers with small ones are
+/// served beside any number of large ones.
+const LARGE_SHARE: Permille = Permille::new(750);
+
 /// Counts the bytes of all bodies held by the process, and rejects requests beyond its limit.
 ///
 /// Complete answers are counted but never rejected, because their requests have run. While they
 /// exceed the limit, no further request is accepted. Answers that are being received may use half of
-/// the budget; beyond that, the largest are broken off.
+/// the budget; beyond that, the largest are broken off. Requests that are being received give way to
+/// others when they make no progress.
 ///
 /// Without the limit, many callers that send large bodies at once could exhaust the VM's memory;
 /// the process would be killed together with every request in flight.
@@ -35,7 +46,11 @@
 #[derive(Debug)]
 struct Shared {
     limit_bytes: u64,
+    large_limit_bytes: u64,
     held_bytes: AtomicU64,
+    /// Notified when a body has released its share.
+    released: Notify,
+    incoming: Arc<IncomingBodies>,
     discard_permits: Arc<Semaphore>,
     receiving: Arc<ReceivingAnswers>,
 }
@@ -46,7 +61,10 @@
         let receiving = Bytes::new(RECEIVING_SHARE.of(limit.value())).max(RECEIVING_MIN);
         let shared = Shared {
             limit_bytes: limit.value(),
+            large_limit_bytes: LARGE_SHARE.of(limit.value()),
             held_bytes: AtomicU64::new(0),
+            released: Notify::new(),
+            incoming: Arc::default(),
             discard_permits: Arc::new(Semaphore::new(DISCARDS_MAX)),
             receiving: ReceivingAnswers::new(receiving.value()),
         };
@@ -78,6 +96,16 @@
         self.shared.receiving.start(expected.value())
     }
 
+    /// Returns the request bodies that are being received.
+    pub(crate) fn incoming(&self) -> &Arc<IncomingBodies> {
+        &self.shared.incoming
+    }
+
+    /// Waits until a body has released its share.
+    pub(crate) fn released(&self) -> Notified<'_> {
+        self.shared.released.notified()
+    }
+
     /// Creates an empty permit, to be grown as a body arrives.
     pub fn permit(&self) -> BodyPermit {
         BodyPermit { shared: Arc::clone(&self.shared), size_bytes: 0 }
@@ -92,26 +120,51 @@
 }
 
 impl BodyPermit {
-    /// Reserves `size_bytes` more of the budget; returns `false` if less than that is left.
-    #[must_use]
-    pub fn grow(&mut self, size_bytes: u64) -> bool {
-        let reserved = self.shared.held_bytes.fetch_update(
-            Ordering::Relaxed,
-            Ordering::Relaxed,
-            |held_bytes| {
+    /// Reserves `size_bytes` more of the budget for a request.
+    ///
+    /// # Errors
+    /// The number of bytes that have to be released first, if less than that is left.
+    pub(crate) fn grow(&mut self, size_bytes: u64) -> Result<(), u64> {
+        let shared = &self.shared;
+        let is_large = self.size_bytes.saturating_add(size_bytes) > LARGE_BODY.value();
+        let limit_bytes = if is_large { shared.large_limit_bytes } else { shared.limit_bytes };
+        let fits = |held_bytes: u64, grown: u64| {
+            // A single body may use all of the budget.
+            let is_alone = held_bytes == self.size_bytes;
+            grown <= limit_bytes || is_alone && grown <= shared.limit_bytes
+        };
+        let reserved =
+            shared.held_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |held_bytes| {
                 let grown = held_bytes.checked_add(size_bytes)?;
-                (grown <= self.shared.limit_bytes).then_some(grown)
-            },
-        );
-        if reserved.is_err() {
-            return false;
-        }
+                fits(held_bytes, grown).then_some(grown)
+            });
+        reserved.map_err(|held_bytes| held_bytes.saturating_add(size_bytes) - limit_bytes)?;
         self.size_bytes += size_bytes;
-        true
+        Ok(())
+    }
+
+    /// Returns the size of the share.
+    pub(crate) fn size_bytes(&self) -> u64 {
+        self.size_bytes
+    }
+
+    /// Releases what exceeds `size_bytes`.
+    pub(crate) fn shrink_to(&mut self, size_bytes: u64) {
+        let excess_bytes = self.size_bytes.saturating_sub(size_bytes);
+        self.size_bytes -= excess_bytes;
+        self.shared.held_bytes.fetch_sub(excess_bytes, Ordering::Relaxed);
+    }
+
+    /// Returns bytes that hold the share until their last clone or part is dropped.
+    pub(crate) fn attach_to(self, bytes: BodyBytes) -> BodyBytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        BodyBytes::from_owner(BudgetedBytes { bytes, _permit: self })
     }
 
     /// Counts `size_bytes` more, even beyond the limit.
-    pub fn grow_unlimited(&mut self, size_bytes: u64) {
+    pub(crate) fn grow_unlimited(&mut self, size_bytes: u64) {
         self.shared.held_bytes.fetch_add(size_bytes, Ordering::Relaxed);
         self.size_bytes += size_bytes;
     }
@@ -120,5 +173,17 @@
 impl Drop for BodyPermit {
     fn drop(&mut self) {
         self.shared.held_bytes.fetch_sub(self.size_bytes, Ordering::Relaxed);
+        self.shared.released.notify_waiters();
+    }
+}
+
+struct BudgetedBytes {
+    bytes: BodyBytes,
+    _permit: BodyPermit,
+}
+
+impl AsRef<[u8]> for BudgetedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
--- a/crates/exchange/src/read_request.rs
+++ b/crates/exchange/src/read_request.rs
@@ -7,15 +7,15 @@
 use futures::{Stream, StreamExt};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::uri::PathAndQuery;
-use http::{HeaderMap, HeaderValue, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, Uri, Version};
 use shallotfork_types::{Bytes as Size, ServiceName};
 
 use crate::body_budget::BodyBudget;
-use crate::body_buffer::{BodyBuffer, BodyBufferError};
 use crate::digest::{DigestCheck, check_digest};
 use crate::discard::{DiscardLimits, discard};
 use crate::headers::{ControlHeaders, strip_hop_by_hop};
 use crate::rejection::Rejection;
+use crate::request_body::{RequestBody, RequestBodyError};
 
 const ROOT: &str = "/";
 
@@ -60,9 +60,14 @@
     // Reading the body would send 100 Continue, which asks a waiting caller to send it.
     let expects_continue = parts.headers.contains_key(EXPECT);
     let read = read_parts(parts, &mut chunks, limits, budget).await;
-    let is_fully_read =
-        matches!(read, Ok(_) | Err(Rejection::BodyTimeout { .. } | Rejection::BodyIncomplete));
-    if !is_fully_read && !expects_continue {
+    let needs_no_discard = match &read {
+        Ok(_) => true,
+        Err(rejection) => matches!(
+            rejection,
+            Rejection::BodyTimeout { .. } | Rejection::BodyIncomplete | Rejection::BodyStalled
+        ),
+    };
+    if !needs_no_discard && !expects_continue {
         let size_max_bytes = limits.body_max.value();
         let limits = DiscardLimits { size_max_bytes, timeout: limits.body_timeout };
         discard(chunks, limits, budget.discard_permits());
@@ -78,7 +83,7 @@
 ) -> Result<BufferedRequest, Rejection> {
     let mut headers = parts.headers;
     check_method(&parts.method)?;
-    check_framing(&headers, limits)?;
+    let declared_bytes = declared_length(&headers, limits)?;
     let service = service_of(&parts.uri, &headers)?;
     set_host(&parts.uri, &mut headers)?;
     let control = ControlHeaders::take(&mut headers)?;
@@ -86,10 +91,15 @@
         // The answer to any request, even one without a body, would need more of the budget.
         return Err(Rejection::BudgetFull);
     }
-    let reading = read_body(chunks, limits, budget);
-    let body = tokio::time::timeout(limits.body_timeout, reading)
-        .await
-        .map_err(|_| Rejection::BodyTimeout { limit: limits.body_timeout })??;
+    // HTTP/2 declares no length for some bodies.
+    let has_body = declared_bytes > 0
+        || headers.contains_key(TRANSFER_ENCODING)
+        || parts.version >= Version::HTTP_2;
+    let body = if has_body {
+        read_body(chunks, limits, budget, declared_bytes).await?
+    } else {
+        Bytes::new()
+    };
     check_body(&headers, &body)?;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -112,12 +122,14 @@
     Ok(())
 }
 
+/// Returns the declared length of the body; 0 if none is declared.
+///
 /// Rejects a message with two lengths (RFC 9112, 6.1). They allow request smuggling, since the next
 /// hop might use the other length.
-fn check_framing(headers: &HeaderMap, limits: &BodyLimits) -> Result<(), Rejection> {
+fn declared_length(headers: &HeaderMap, limits: &BodyLimits) -> Result<u64, Rejection> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let Some(length) = lengths.next() else {
-        return Ok(());
+        return Ok(0);
     };
     if headers.contains_key(TRANSFER_ENCODING) || lengths.next().is_some() {
         return Err(Rejection::bad_header(&CONTENT_LENGTH, "the body's length is given twice"));
@@ -129,7 +141,7 @@
     if declared > limits.body_max.value() {
         return Err(Rejection::BodyTooLarge { limit: limits.body_max });
     }
-    Ok(())
+    Ok(declared)
 }
 
 /// Returns the service that a request names. The authority of an absolute request target takes
@@ -170,20 +182,36 @@
     name.parse().map_err(|error| Rejection::BadHost { reason: format!("{error}") })
 }
 
+/// Reads a body, until it has to give way to others.
 async fn read_body(
     chunks: &mut (impl Stream<Item = io::Result<Bytes>> + Unpin),
     limits: &BodyLimits,
     budget: &BodyBudget,
+    declared_bytes: u64,
 ) -> Result<Bytes, Rejection> {
-    let mut buffer = BodyBuffer::new(limits.body_max.value(), budget.permit());
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|_| Rejection::BodyIncomplete)?;
-        buffer.push_request(chunk).map_err(|error| match error {
-            BodyBufferError::TooLarge => Rejection::BodyTooLarge { limit: limits.body_max },
-            BodyBufferError::BudgetFull => Rejection::BudgetFull,
-        })?;
+    let registration = budget.incoming().start();
+    let give_way = registration.give_way();
+    let rejection = |error| match error {
+        RequestBodyError::TooLarge => Rejection::BodyTooLarge { limit: limits.body_max },
+        RequestBodyError::BudgetFull => Rejection::BudgetFull,
+    };
+    let reading = async {
+        let limit_bytes = limits.body_max.value();
+        let body = RequestBody::new(budget, registration, limit_bytes, declared_bytes).await;
+        let mut body = body.map_err(rejection)?;
+        while let Some(chunk) = chunks.next().await {
+            let chunk = chunk.map_err(|_| Rejection::BodyIncomplete)?;
+            body.push(&chunk).await.map_err(rejection)?;
+        }
+        Ok(body.finish())
+    };
+    tokio::select! {
+        biased;
+        () = give_way.cancelled() => Err(Rejection::BodyStalled),
+        read = tokio::time::timeout(limits.body_timeout, reading) => {
+            read.map_err(|_| Rejection::BodyTimeout { limit: limits.body_timeout })?
+        }
     }
-    Ok(buffer.finish())
 }
 
 fn check_body(headers: &HeaderMap, body: &Bytes) -> Result<(), Rejection> {
--- a/crates/exchange/src/rejection.rs
+++ b/crates/exchange/src/rejection.rs
@@ -54,6 +54,9 @@
     /// The body does not match its `Content-Digest`.
     #[error("the body differs from its Content-Digest")]
     DigestMismatch,
+    /// The body made no progress while others needed its memory.
+    #[error("the body made no progress while memory was short")]
+    BodyStalled,
     /// The process's memory budget for bodies is exhausted.
     #[error("too many bodies are held at the moment")]
     BudgetFull,
@@ -75,7 +78,7 @@
             Self::BadMethod { .. } => StatusCode::NOT_IMPLEMENTED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::BudgetFull => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BodyStalled | Self::BudgetFull => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -84,6 +87,7 @@
         let problem = Problem::new(self.status(), Verdict::NotRun).with_detail(&self.to_string());
         match self {
             Self::BudgetFull => problem.with_retry_after(BUDGET_RETRY_AFTER),
+            Self::BodyStalled => problem.with_retry_after(BUDGET_RETRY_AFTER).with_close(),
             // The rest of the body may still arrive; on a connection that stays open it would be
             // read as the next request.
             Self::BodyTooLarge { .. } | Self::BodyTimeout { .. } | Self::BodyIncomplete => {
--- a/crates/exchange/tests/requests.rs
+++ b/crates/exchange/tests/requests.rs
@@ -224,6 +224,53 @@
     server.echo.release.add_permits(holding.len());
 }
 
+/// Guards against bodies that stop just before their end and keep all others out until they time out.
+#[tokio::test]
+async fn stalled_body_gives_way_to_another() {
+    let echo = EchoEndpoint::new().with_body_max(Bytes::from_kib(6));
+    let server = TestServer::start(echo, ServeConfig::default()).await;
+    let mut stalled = server.connect().await;
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6000\r\n\r\n";
+    stalled.write_all(format!("{head}{}", "x".repeat(5999)).as_bytes()).await.expect("write");
+    let upload = format!("{head}{}", "x".repeat(6000));
+
+    let early = server.send(&upload).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let late = server.send(&upload).await;
+
+    assert_eq!(("503", "200"), (status(&early), status(&late)));
+    let answer = read_to_end(stalled).await;
+    assert_eq!("503", status(&answer));
+    assert!(answer.contains("shallotfork-verdict: not-run"));
+    assert_eq!(Bytes::new(0), server.echo.budget.held());
+}
+
+/// Guards against large bodies that keep out small ones.
+#[tokio::test]
+async fn small_bodies_have_room_beside_large_ones() {
+    let echo =
+        EchoEndpoint::new().with_body_max(Bytes::from_mib(1)).with_budget(Bytes::from_kib(400));
+    let server = TestServer::start(echo, ServeConfig::default()).await;
+    let head = |kib: u64| {
+        let size = Bytes::from_kib(kib).value();
+        format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n")
+    };
+    let mut large = Vec::new();
+    for _ in 0..3 {
+        let mut stream = server.connect().await;
+        stream.write_all(head(100).as_bytes()).await.expect("write");
+        large.push(stream);
+    }
+    let held = Bytes::from_kib(300);
+    while server.echo.budget.held() < held {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let body = |kib: u64| "x".repeat(usize::try_from(kib * 1024).expect("a size"));
+    let small = server.send(&format!("{}{}", head(50), body(50))).await;
+    let another = server.send(&format!("{}{}", head(70), body(70))).await;
+    assert_eq!(("200", "503"), (status(&small), status(&another)));
+}
+
 #[tokio::test]
 async fn sends_continue_before_body() {
     let server = TestServer::plain().await;
--- a/crates/exchange/tests/support/test_server.rs
+++ b/crates/exchange/tests/support/test_server.rs
@@ -46,6 +46,11 @@
         self
     }
 
+    pub fn with_budget(mut self, budget: Bytes) -> Self {
+        self.budget = BodyBudget::new(budget);
+        self
+    }
+
     pub fn with_body_timeout(mut self, timeout: Duration) -> Self {
         self.limits.body_timeout = timeout;
         self
