fix(exchange): refused bodies do not pile up in the kernel

A refused body is read on and dropped so that its caller gets the refusal, but only four at a time; all others waited unread, each with what the kernel takes for a connection, which counts toward the memory of the VM. They hold nothing in the process any more that needs the limit, so all are read at once.

--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -5,16 +5,12 @@
 
 use bytes::Bytes as BodyBytes;
 use shallotfork_types::{Bytes, Permille};
+use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use tokio::sync::{Notify, Semaphore};
 
 use crate::incoming_bodies::IncomingBodies;
 use crate::receiving_answers::{ReceivingAnswer, ReceivingAnswers};
 
-/// Number of rejected bodies that are discarded at the same time; each uses a read buffer of its
-/// connection, which the budget does not include.
-const DISCARDS_MAX: usize = 4;
-
 /// Share of the budget that answers may use together until they are complete. The rest is left to
 /// requests and to complete answers, so that other services go on when targets send without end.
 const RECEIVING_SHARE: Permille = Permille::new(500);
@@ -51,7 +47,6 @@
     /// Notified when a body has released its share.
     released: Notify,
     incoming: Arc<IncomingBodies>,
-    discard_permits: Arc<Semaphore>,
     receiving: Arc<ReceivingAnswers>,
 }
 
@@ -65,7 +60,6 @@
             held_bytes: AtomicU64::new(0),
             released: Notify::new(),
             incoming: Arc::default(),
-            discard_permits: Arc::new(Semaphore::new(DISCARDS_MAX)),
             receiving: ReceivingAnswers::new(receiving.value()),
         };
         Self { shared: Arc::new(shared) }
@@ -81,11 +75,6 @@
         self.shared.held_bytes.load(Ordering::Relaxed) >= self.shared.limit_bytes
     }
 
-    /// Returns the semaphore that limits how many rejected bodies are discarded at the same time.
-    pub(crate) fn discard_permits(&self) -> Arc<Semaphore> {
-        Arc::clone(&self.shared.discard_permits)
-    }
-
     /// Returns the maximum size of one answer.
     pub(crate) fn answer_max(&self) -> Bytes {
         Bytes::new(self.shared.receiving.limit_bytes())
--- a/crates/exchange/src/discard.rs
+++ b/crates/exchange/src/discard.rs
@@ -1,11 +1,9 @@
 //! Discards the rest of rejected bodies.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
-use tokio::sync::Semaphore;
 
 /// Limits for discarding a rejected body.
 #[derive(Debug, Clone, Copy)]
@@ -21,17 +19,15 @@
 /// This makes sure that the caller receives the rejection. When a server answers and closes before
 /// it has read the body, the kernel resets the connection on the bytes that still arrive. The reset
 /// removes the answer from the caller's receive buffer, and the caller sees a broken connection
-/// instead of a 413 or 503. Reading the whole body lets the connection close cleanly.
+/// instead of a 413 or 503. Reading the whole body lets the connection close cleanly. All rejected
+/// bodies are read at the same time, because the kernel would hold those that wait.
 pub(crate) fn discard<E>(
     body: impl Stream<Item = Result<Bytes, E>> + Send + Unpin + 'static,
     limits: DiscardLimits,
-    permits: Arc<Semaphore>,
 ) where
     E: Send + 'static,
 {
     let reading = async move {
-        // The semaphore is never closed. While waiting, the connection stays open but unread.
-        let _permit = permits.acquire().await;
         let reading = read_to_end(body, limits.size_max_bytes);
         let _timed_out = tokio::time::timeout(limits.timeout, reading).await;
     };
--- a/crates/exchange/src/read_request.rs
+++ b/crates/exchange/src/read_request.rs
@@ -70,7 +70,7 @@
     if !needs_no_discard && !expects_continue {
         let size_max_bytes = limits.body_max.value();
         let limits = DiscardLimits { size_max_bytes, timeout: limits.body_timeout };
-        discard(chunks, limits, budget.discard_permits());
+        discard(chunks, limits);
     }
     read
 }
