fix(exchange,gateway): published limits on heads bound what a connection buffers

Callers with unfinished heads, and those whose refused bodies are read on, ended an entry by its memory: the HTTP library's read buffer grew to 64 KiB and kept that size, 64 KiB were read ahead of it, and the buffer for that was never released. The published limits on heads (16 KiB, 3 s) were not applied; 64 KiB and 10 s held everywhere.

The published size now bounds the read buffer, the published timeout (and a second for an entry that is late itself) ends heads that have begun, 16 KiB are read ahead, and an empty buffer is released.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -66,6 +66,6 @@
 pub use rejection::Rejection;
 pub use serve::{PipelineFn, ServeError, serve, serve_pipelined};
 pub use serve_config::ServeConfig;
-pub use serve_control::ServeControl;
+pub use serve_control::{HeadLimits, ServeControl};
 pub use target_connections::{AnswerMatch, AnswerMatchFn, TargetConnections, TargetRequest};
 pub use write_pacer::WritePacer;
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -17,7 +17,7 @@
 use crate::head_timer::MessageReads;
 
 /// Limit on bytes read ahead; a caller that sends more waits until earlier requests are answered.
-const READ_AHEAD_MAX_BYTES: usize = 64 * 1024;
+const READ_AHEAD_MAX_BYTES: usize = 16 * 1024;
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 
 /// The read half of a connection: [`ReadAhead::drive`] buffers bytes as they arrive, and the HTTP
@@ -201,6 +201,10 @@
         buf.put_slice(&state.buffered[..size]);
         state.message_reads.record(&state.buffered[..size]);
         state.buffered.advance(size);
+        if state.buffered.is_empty() {
+            // An idle connection keeps no buffer.
+            state.buffered = BytesMut::new();
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/exchange/src/serve_control.rs
+++ b/crates/exchange/src/serve_control.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use shallotfork_types::Bytes;
 use tokio_util::sync::CancellationToken;
 
 use crate::lingering::LingeringConnections;
@@ -26,6 +27,16 @@
     stalled_connections: AtomicU64,
     lingering: LingeringConnections,
     idle_timeout: Mutex<Option<Duration>>,
+    head_limits: Mutex<Option<HeadLimits>>,
+}
+
+/// Limits on the heads of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// The maximum size of a head.
+    pub size_max: Bytes,
+    /// The timeout for receiving a head.
+    pub timeout: Duration,
 }
 
 impl ServeControl {
@@ -57,6 +68,18 @@
         *current = Some(timeout);
     }
 
+    /// Replaces [`header_max`](crate::ServeConfig::header_max), and
+    /// [`header_timeout`](crate::ServeConfig::header_timeout) for heads that have begun, on
+    /// connections that are opened from now on.
+    pub fn set_head_limits(&self, limits: HeadLimits) {
+        let mut current = self.shared.head_limits.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = Some(limits);
+    }
+
+    pub(crate) fn head_limits(&self) -> Option<HeadLimits> {
+        *self.shared.head_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn idle_timeout(&self) -> Option<Duration> {
         *self.shared.idle_timeout.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -31,7 +31,7 @@
 use crate::read_ahead::{ReadAhead, ReadAheadStream};
 use crate::serve::PipelineFn;
 use crate::serve_config::ServeConfig;
-use crate::serve_control::{CountGuard, ServeControl};
+use crate::serve_control::{CountGuard, HeadLimits, ServeControl};
 use crate::tracked_stream::TrackedStream;
 use crate::transfer_state::TransferState;
 
@@ -39,6 +39,9 @@
 /// the connection closes. One that goes on sending is disconnected.
 const LINGER_READ_MAX_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Smallest read buffer that the HTTP library accepts.
+const READ_BUFFER_MIN_BYTES: usize = 8 * 1024;
+
 pub(crate) type AnyEndpoint = Arc<dyn DynEndpoint<Output = poem::Response>>;
 
 /// One accepted connection and what its requests need.
@@ -87,7 +90,9 @@
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(activity)));
         let caller = read_ahead.caller_connection();
         let service = service_fn(|request| self.handle(request, activity, &caller));
-        let builder = builder(&self.config, HeadTimer::new(read_ahead.message_reads()));
+        let head_limits = self.head_limits();
+        let head_timer = HeadTimer::new(read_ahead.message_reads());
+        let builder = builder(head_limits, self.config.streams_max, head_timer);
         let mut connection = pin!(builder.serve_connection(io, service));
         // Dropped before the connection, so that transfers in progress learn their end from it.
         let _end = EndOnDrop(activity);
@@ -171,6 +176,12 @@
         });
     }
 
+    fn head_limits(&self) -> HeadLimits {
+        let ServeConfig { header_max, header_timeout, .. } = self.config;
+        let configured = HeadLimits { size_max: header_max, timeout: header_timeout };
+        self.control.head_limits().unwrap_or(configured)
+    }
+
     fn idle_timeout(&self) -> Duration {
         self.control.idle_timeout().unwrap_or(self.config.idle_timeout)
     }
@@ -279,18 +290,22 @@
     }
 }
 
-fn builder(config: &ServeConfig, head_timer: HeadTimer) -> auto::Builder<TokioExecutor> {
-    let header_max = usize::try_from(config.header_max.value()).unwrap_or(usize::MAX);
+fn builder(
+    head_limits: HeadLimits,
+    streams_max: u32,
+    head_timer: HeadTimer,
+) -> auto::Builder<TokioExecutor> {
+    let size_max = usize::try_from(head_limits.size_max.value()).unwrap_or(usize::MAX);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(head_timer)
-        .header_read_timeout(config.header_timeout)
-        .max_buf_size(header_max);
+        .header_read_timeout(head_limits.timeout)
+        .max_buf_size(size_max.max(READ_BUFFER_MIN_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_concurrent_streams(config.streams_max)
-        .max_header_list_size(u32::try_from(header_max).unwrap_or(u32::MAX));
+        .max_concurrent_streams(streams_max)
+        .max_header_list_size(u32::try_from(size_max).unwrap_or(u32::MAX));
     builder
 }
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use shallotfork_balance::{Sharer, SlotTarget};
 use shallotfork_evacuation::{EvacuationChange, EvacuationEvent, Evacuations};
@@ -9,6 +10,7 @@
     EVACUATION_ENDED, EVACUATION_INVALID, EVACUATION_STARTED, ITEMS_RETAINED, PLATFORM_RESTORED,
     PLATFORM_SETTLED, TARGET_CHANGED, TARGETS_CHANGED, event,
 };
+use shallotfork_exchange::HeadLimits;
 use shallotfork_history::Precedence;
 use shallotfork_roster::{Availability, RosterChange, TargetChange, TargetRecord};
 use shallotfork_statements::{LeavingTargets, TargetRun};
@@ -27,6 +29,8 @@
 use shallotfork_feed::{Decoded, FeedChanges, PullResponse, RawItem, precedence};
 use shallotfork_fleet::OwnState;
 
+/// Added to the published timeout for heads, since an overloaded process reads them late.
+const HEAD_TIMEOUT_SLACK: Duration = Duration::from_secs(1);
 /// Target changes in one read that are logged individually; more are summarized in one line.
 const LOGGED_CHANGES_MAX: usize = 20;
 
@@ -283,7 +287,12 @@
     let published = state.context.published.load();
     let table = state.configuration.borrow().table().cloned();
     if let Some(table) = &table {
-        state.context.callers.set_idle_timeout(table.limits().idle_timeout);
+        let limits = table.limits();
+        state.context.callers.set_idle_timeout(limits.idle_timeout);
+        state.context.callers.set_head_limits(HeadLimits {
+            size_max: limits.header_max,
+            timeout: limits.header_timeout + HEAD_TIMEOUT_SLACK,
+        });
     }
     state.context.published.store(Arc::new(Published { table, ..Published::clone(&published) }));
     for (service, slots) in state.context.services.all() {
