fix(exchange,gateway): memory and descriptors of callers' connections are limited

Callers with many connections ended an entry by its memory, or by its descriptors: connections were limited to 10,000 whatever the VM has, further ones waited unseen in the kernel, and nothing counted heads, bytes that are read ahead, and what the kernel takes of a connection that is not read (131 kB at first and up to megabytes) or of an answer that nobody reads (half a megabyte).

All ports now share one registry of connections. Their memory may use a quarter of the VM's, their number three quarters of the descriptors. Beyond that, the connection is closed that has made no progress for longest, and never one whose request is being processed, unless its caller takes no answers or sends more than is read ahead. The next connection is accepted once an evicted one has closed. The kernel's receive buffer is 64 KiB, and callers of an entry get at most 64 KiB of an answer beyond what can be sent. No pipelined request starts early behind answers that are not taken, and while the budget for bodies is full, the connection gives way that holds up its answers for longest. Connections of HTTP/2 have a window of 64 KiB, and each request on them counts.

connections_over_limit_wait checked that a further connection waits until another one closes. connection_over_limit_replaces_the_longest_idle_one takes its place: the limit is held as before, and the further caller is served although nobody closes; with connection_over_limit_is_refused_while_all_ others_are_busy.

Tried and left out: a receive buffer of 8 KiB that grows with the message; a body of 32 MiB took over 30 s on loopback.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -1,18 +1,23 @@
 //! Detection of idle and of stalled connections of callers.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::answer_transfer::TransferEnd;
+use crate::progress::Progress;
 
 /// Number of checks within the stall timeout. A process that was suspended or overloaded misses
 /// checks, so that its delay is not taken for the caller's.
 const STALL_CHECKS: u32 = 5;
 
+/// Lag after which a connection may be closed although a request is being processed, because its
+/// caller does not take the answers before.
+const PROCESSING_HELD_UP_AFTER: Duration = Duration::from_millis(500);
+
 /// Tracks the requests in progress on a connection, the answers being written, and the time of its
 /// last progress.
 ///
@@ -40,6 +45,12 @@
     /// Notified when bytes start to wait for the caller.
     bytes_waiting: Notify,
     end: OnceLock<TransferEnd>,
+    /// Number of requests in progress whose body is still being received.
+    receiving: AtomicUsize,
+    /// Whether the caller has sent more than is read ahead of its requests.
+    is_read_blocked: AtomicBool,
+    /// Progress of the requests and answers, by which connections give way to others.
+    progress: Mutex<Progress>,
 }
 
 impl Activity {
@@ -57,12 +68,54 @@
             is_write_check_due: AtomicBool::new(false),
             bytes_waiting: Notify::new(),
             end: OnceLock::new(),
+            receiving: AtomicUsize::new(0),
+            is_read_blocked: AtomicBool::new(false),
+            progress: Mutex::new(Progress::new(Instant::now())),
         }
     }
 
+    /// Returns how far the connection lags behind; `None` if it must stay open, because a request is
+    /// being processed.
+    pub(crate) fn evictable_lag(&self, now: Instant) -> Option<Duration> {
+        let lag = self.lag(now);
+        let receiving = self.receiving.load(Ordering::Relaxed);
+        let is_processing = self.in_progress.load(Ordering::Relaxed) > receiving;
+        let is_held_up =
+            self.is_write_blocked.load(Ordering::Relaxed) && lag >= PROCESSING_HELD_UP_AFTER;
+        let is_flooding = self.is_read_blocked.load(Ordering::Relaxed);
+        (!is_processing || is_held_up || is_flooding).then_some(lag)
+    }
+
+    /// Returns how far the connection lags behind a slow one.
+    pub(crate) fn lag(&self, now: Instant) -> Duration {
+        self.lock_progress().lag(now)
+    }
+
+    /// Records that the body of a request in progress is being received, until the returned guard is
+    /// dropped.
+    pub(crate) fn receive_body(self: &Arc<Self>) -> ReceivingGuard {
+        self.receiving.fetch_add(1, Ordering::Relaxed);
+        ReceivingGuard { activity: Arc::clone(self) }
+    }
+
+    /// Records whether the caller has sent more than is read ahead of its requests.
+    pub(crate) fn set_read_blocked(&self, is_blocked: bool) {
+        self.is_read_blocked.store(is_blocked, Ordering::Relaxed);
+    }
+
+    /// Returns whether the socket accepted nothing at the last write.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
+    fn lock_progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records the start of a request, which is in progress until the returned guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
         self.has_started.store(true, Ordering::Relaxed);
+        *self.lock_progress() = Progress::new(Instant::now());
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         RequestGuard { activity: Arc::clone(self) }
     }
@@ -107,6 +160,7 @@
     /// Records a write that was accepted.
     pub(crate) fn record_write(&self, size_bytes: u64) {
         self.record_progress();
+        self.lock_progress().record(size_bytes, Instant::now());
         *self.last_write_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         if self.is_write_blocked.swap(false, Ordering::Relaxed) {
             self.record_taken(size_bytes);
@@ -210,6 +264,26 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.activity.record_progress();
+        *self.activity.lock_progress() = Progress::new(Instant::now());
         self.activity.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Marks the body of a request as being received until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ReceivingGuard {
+    activity: Arc<Activity>,
+}
+
+impl ReceivingGuard {
+    /// Records bytes of the body.
+    pub(crate) fn record_received(&self, size_bytes: u64) {
+        self.activity.lock_progress().record(size_bytes, Instant::now());
+    }
+}
+
+impl Drop for ReceivingGuard {
+    fn drop(&mut self) {
+        self.activity.receiving.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -2,14 +2,17 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes as BodyBytes;
 use shallotfork_types::{Bytes, Permille};
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
+use tokio::time::Instant;
 
 use crate::incoming_bodies::IncomingBodies;
 use crate::receiving_answers::{ReceivingAnswer, ReceivingAnswers};
+use crate::served_connections::ServedConnections;
 
 /// Share of the budget that answers may use together until they are complete. The rest is left to
 /// requests and to complete answers, so that other services go on when targets send without end.
@@ -25,6 +28,9 @@
 /// served beside any number of large ones.
 const LARGE_SHARE: Permille = Permille::new(750);
 
+/// Longest wait for the memory of bodies and answers that give way.
+pub(crate) const ROOM_WAIT: Duration = Duration::from_millis(200);
+
 /// Counts the bytes of all bodies held by the process, and rejects requests beyond its limit.
 ///
 /// Complete answers are counted but never rejected, because their requests have run. While they
@@ -37,6 +43,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyBudget {
     shared: Arc<Shared>,
+    /// Connections whose answers use the budget.
+    connections: ServedConnections,
 }
 
 #[derive(Debug)]
@@ -62,7 +70,14 @@
             incoming: Arc::default(),
             receiving: ReceivingAnswers::new(receiving.value()),
         };
-        Self { shared: Arc::new(shared) }
+        Self { shared: Arc::new(shared), connections: ServedConnections::default() }
+    }
+
+    /// Sets the connections whose callers give way if they do not take their answers.
+    #[must_use]
+    pub fn with_connections(mut self, connections: ServedConnections) -> Self {
+        self.connections = connections;
+        self
     }
 
     /// Returns the number of bytes held now.
@@ -85,6 +100,30 @@
         self.shared.receiving.start(expected.value())
     }
 
+    /// Waits until a request can be accepted, which may need the memory of answers that their callers
+    /// do not take; returns `false` if there is none.
+    pub(crate) async fn wait_for_room(&self) -> bool {
+        let deadline = Instant::now() + ROOM_WAIT;
+        loop {
+            let mut released = std::pin::pin!(self.released());
+            released.as_mut().enable();
+            if !self.is_full() {
+                return true;
+            }
+            if !self.connections.evict_held_up()
+                || tokio::time::timeout_at(deadline, released).await.is_err()
+            {
+                return false;
+            }
+        }
+    }
+
+    /// Asks bodies and answers that make no progress to give way until `needed_bytes` are about to be
+    /// released; returns `false` if none does.
+    pub(crate) fn make_room(&self, needed_bytes: u64) -> bool {
+        self.shared.incoming.make_room(needed_bytes) || self.connections.evict_held_up()
+    }
+
     /// Returns the request bodies that are being received.
     pub(crate) fn incoming(&self) -> &Arc<IncomingBodies> {
         &self.shared.incoming
--- a/crates/exchange/src/caller_connection.rs
+++ b/crates/exchange/src/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Mutex, PoisonError, Weak};
 
+use crate::activity::{Activity, ReceivingGuard};
 use crate::read_ahead::ReadState;
 
 /// Request extension that refers to the caller's connection.
@@ -9,11 +10,17 @@
 pub struct CallerConnection {
     /// Weak, because a request in progress must not keep the socket of a closed connection open.
     state: Weak<Mutex<ReadState>>,
+    activity: Weak<Activity>,
 }
 
 impl CallerConnection {
-    pub(crate) fn new(state: Weak<Mutex<ReadState>>) -> Self {
-        Self { state }
+    pub(crate) fn new(state: Weak<Mutex<ReadState>>, activity: Weak<Activity>) -> Self {
+        Self { state, activity }
+    }
+
+    /// Records that the body of a request is being received, until the returned guard is dropped.
+    pub(crate) fn receive_body(&self) -> Option<ReceivingGuard> {
+        self.activity.upgrade().map(|activity| activity.receive_body())
     }
 
     /// Returns whether the caller has closed its connection, according to the kernel.
--- a/crates/exchange/src/head_scanner.rs
+++ b/crates/exchange/src/head_scanner.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns the number of bytes held of an incomplete head.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the heads found since the last call, each with its index on the connection.
     pub(crate) fn take(&mut self) -> Vec<(u64, http::request::Parts)> {
         std::mem::take(&mut self.heads)
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -12,7 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use crate::activity::Activity;
 use crate::caller_connection::CallerConnection;
+use crate::connection_memory::{ConnectionMemory, ReadLevel, SMALL_BYTES};
 use crate::head_scanner::HeadScanner;
 use crate::head_timer::MessageReads;
 
@@ -41,11 +43,19 @@
     waker: Option<Waker>,
     head_scanner: HeadScanner,
     message_reads: MessageReads,
+    /// Bytes that the HTTP library has received since the last request ended.
+    message_bytes: usize,
+    activity: Arc<Activity>,
+    memory: Arc<ConnectionMemory>,
 }
 
 impl ReadAhead {
     /// Splits a connection into the stream for the HTTP library and the handle that reads ahead.
-    pub(crate) fn new(stream: TcpStream) -> (ReadAheadStream, Self) {
+    pub(crate) fn new(
+        stream: TcpStream,
+        activity: Arc<Activity>,
+        memory: Arc<ConnectionMemory>,
+    ) -> (ReadAheadStream, Self) {
         let (socket, write_half) = stream.into_split();
         let state = ReadState {
             socket,
@@ -54,6 +64,9 @@
             waker: None,
             head_scanner: HeadScanner::new(),
             message_reads: MessageReads::default(),
+            message_bytes: 0,
+            activity,
+            memory,
         };
         let ahead = Self { state: Arc::new(Mutex::new(state)) };
         (ReadAheadStream { ahead: ahead.clone(), write_half }, ahead)
@@ -77,6 +90,7 @@
     /// Reads and drops bytes until the caller closes the connection, at most `size_max_bytes`.
     pub(crate) async fn discard(&self, size_max_bytes: u64) {
         let mut left_bytes = size_max_bytes;
+        self.lock().release_buffers();
         loop {
             let size = std::future::poll_fn(|cx| self.lock().poll_discard(cx)).await as u64;
             if size == 0 || size > left_bytes {
@@ -105,7 +119,15 @@
 
     /// Returns a handle by which requests can check whether their caller has disconnected.
     pub(crate) fn caller_connection(&self) -> CallerConnection {
-        CallerConnection::new(Arc::downgrade(&self.state))
+        let activity = Arc::downgrade(&self.lock().activity);
+        CallerConnection::new(Arc::downgrade(&self.state), activity)
+    }
+
+    /// Records that a request has ended, whose bytes the HTTP library releases.
+    pub(crate) fn end_message(&self) {
+        let mut state = self.lock();
+        state.message_bytes = 0;
+        state.report_memory();
     }
 
     fn lock(&self) -> MutexGuard<'_, ReadState> {
@@ -129,9 +151,29 @@
         }
     }
 
+    fn report_memory(&self) {
+        let is_blocked = self.buffered.len() >= READ_AHEAD_MAX_BYTES;
+        let held_bytes =
+            self.buffered.len().max(self.message_bytes).max(self.head_scanner.held_bytes());
+        let level = match held_bytes {
+            _ if is_blocked => ReadLevel::Blocked,
+            0..=SMALL_BYTES => ReadLevel::Small,
+            _ => ReadLevel::Extended,
+        };
+        self.activity.set_read_blocked(is_blocked);
+        self.memory.set_read_level(level);
+    }
+
+    /// Drops all bytes that are held.
+    fn release_buffers(&mut self) {
+        self.buffered = BytesMut::new();
+        self.message_bytes = 0;
+        self.head_scanner = HeadScanner::new();
+        self.report_memory();
+    }
+
     /// Drops received bytes; ready with their number, 0 once the connection has ended.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
-        self.buffered = BytesMut::new();
         if self.has_ended {
             return Poll::Ready(0);
         }
@@ -158,6 +200,7 @@
         self.has_ended = read.is_err() || bytes.is_empty();
         self.buffered.extend_from_slice(bytes);
         self.head_scanner.push(bytes);
+        self.report_memory();
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
@@ -205,6 +248,8 @@
             // An idle connection keeps no buffer.
             state.buffered = BytesMut::new();
         }
+        state.message_bytes = state.message_bytes.saturating_add(size);
+        state.report_memory();
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/exchange/src/read_request.rs
+++ b/crates/exchange/src/read_request.rs
@@ -10,7 +10,9 @@
 use http::{HeaderMap, HeaderValue, Method, Uri, Version};
 use shallotfork_types::{Bytes as Size, ServiceName};
 
+use crate::activity::ReceivingGuard;
 use crate::body_budget::BodyBudget;
+use crate::caller_connection::CallerConnection;
 use crate::digest::{DigestCheck, check_digest};
 use crate::discard::{DiscardLimits, discard};
 use crate::headers::{ControlHeaders, strip_hop_by_hop};
@@ -87,7 +89,7 @@
     let service = service_of(&parts.uri, &headers)?;
     set_host(&parts.uri, &mut headers)?;
     let control = ControlHeaders::take(&mut headers)?;
-    if budget.is_full() {
+    if budget.is_full() && !budget.wait_for_room().await {
         // The answer to any request, even one without a body, would need more of the budget.
         return Err(Rejection::BudgetFull);
     }
@@ -96,7 +98,9 @@
         || headers.contains_key(TRANSFER_ENCODING)
         || parts.version >= Version::HTTP_2;
     let body = if has_body {
-        read_body(chunks, limits, budget, declared_bytes).await?
+        let caller = parts.extensions.get::<CallerConnection>();
+        let receiving = caller.and_then(CallerConnection::receive_body);
+        read_body(chunks, limits, budget, (declared_bytes, receiving)).await?
     } else {
         Bytes::new()
     };
@@ -187,7 +191,7 @@
     chunks: &mut (impl Stream<Item = io::Result<Bytes>> + Unpin),
     limits: &BodyLimits,
     budget: &BodyBudget,
-    declared_bytes: u64,
+    (declared_bytes, receiving): (u64, Option<ReceivingGuard>),
 ) -> Result<Bytes, Rejection> {
     let registration = budget.incoming().start();
     let give_way = registration.give_way();
@@ -201,6 +205,9 @@
         let mut body = body.map_err(rejection)?;
         while let Some(chunk) = chunks.next().await {
             let chunk = chunk.map_err(|_| Rejection::BodyIncomplete)?;
+            if let Some(receiving) = &receiving {
+                receiving.record_received(chunk.len() as u64);
+            }
             body.push(&chunk).await.map_err(rejection)?;
         }
         Ok(body.finish())
--- a/crates/exchange/src/request_body.rs
+++ b/crates/exchange/src/request_body.rs
@@ -1,16 +1,11 @@
 //! The body of a request while it is being received.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 
-use crate::body_budget::{BodyBudget, BodyPermit};
+use crate::body_budget::{BodyBudget, BodyPermit, ROOM_WAIT};
 use crate::incoming_bodies::IncomingGuard;
 use crate::segments::Segments;
 
-/// Longest wait for the memory of bodies that give way.
-const ROOM_WAIT: Duration = Duration::from_millis(200);
-
 /// Why a chunk of a request's body was not buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestBodyError {
@@ -83,7 +78,7 @@
             let mut released = std::pin::pin!(self.budget.released());
             released.as_mut().enable();
             let Err(missing_bytes) = self.permit.grow(size_bytes) else { break };
-            if !self.budget.incoming().make_room(missing_bytes) {
+            if !self.budget.make_room(missing_bytes) {
                 return Err(RequestBodyError::BudgetFull);
             }
             let waiting = tokio::time::timeout_at(deadline, released);
--- a/crates/exchange/src/serve.rs
+++ b/crates/exchange/src/serve.rs
@@ -8,11 +8,13 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use poem::{Addr, EndpointExt, IntoEndpoint};
 use rustix::io::Errno;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::task::TaskTracker;
 
+use crate::activity::Activity;
+use crate::connection_memory::ConnectionMemory;
 use crate::pipeline::PipelinedRequests;
 use crate::serve_config::ServeConfig;
 use crate::serve_control::ServeControl;
@@ -71,9 +73,17 @@
 {
     let local = LocalAddr(Addr::SocketAddr(listener.local_addr()?));
     let endpoint: AnyEndpoint = Arc::new(ToDynEndpoint(endpoint.into_endpoint().map_to_response()));
-    let permits = Arc::new(Semaphore::new(config.connections_max));
     let tasks = TaskTracker::new();
-    while let Some((stream, remote, permit)) = accept(&listener, &permits, &control).await {
+    let receive_buffer_bytes = usize::try_from(config.receive_buffer.value()).unwrap_or(usize::MAX);
+    // Inherited by accepted connections. On failure the kernel chooses the size.
+    let _unbounded = set_socket_recv_buffer_size(&listener, receive_buffer_bytes);
+    while let Some((stream, remote)) = accept(&listener, &control).await {
+        let activity = Arc::new(Activity::new());
+        let registered = control
+            .served_connections()
+            .register(Arc::clone(&activity), ConnectionMemory::INITIAL_BYTES);
+        let Some(guard) = registered else { continue };
+        let memory = ConnectionMemory::new(guard, config.receive_buffer);
         let connection = ServedConnection {
             endpoint: Arc::clone(&endpoint),
             local: local.clone(),
@@ -83,8 +93,10 @@
             may_start_early: Arc::clone(&may_start_early),
             renewals_at_open: control.renewals(),
             pipelined: Arc::new(PipelinedRequests::default()),
+            activity,
+            memory: Arc::new(memory),
         };
-        tasks.spawn(connection.run(stream, permit));
+        tasks.spawn(connection.run(stream));
     }
     drop(listener);
     tasks.close();
@@ -92,22 +104,19 @@
     Ok(())
 }
 
-/// Accepts the next connection once the connection limit permits it; returns `None` after a stop.
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-    control: &ServeControl,
-) -> Option<(TcpStream, RemoteAddr, OwnedSemaphorePermit)> {
+/// Accepts the next connection; returns `None` after a stop.
+async fn accept(listener: &TcpListener, control: &ServeControl) -> Option<(TcpStream, RemoteAddr)> {
     let accept_next = async {
-        let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+        control.served_connections().wait_for_evicted().await;
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
-                    return Some((stream, RemoteAddr(Addr::SocketAddr(address)), permit));
+                    return Some((stream, RemoteAddr(Addr::SocketAddr(address))));
                 }
                 Err(error) => {
                     if is_out_of_descriptors(&error) {
                         control.lingering_connections().end_all();
+                        control.served_connections().evict_one();
                     }
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
--- a/crates/exchange/src/serve_control.rs
+++ b/crates/exchange/src/serve_control.rs
@@ -8,11 +8,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::lingering::LingeringConnections;
+use crate::served_connections::ServedConnections;
 
 /// Monitors and stops a served port; clones refer to the same port.
 #[derive(Debug, Clone, Default)]
 pub struct ServeControl {
     shared: Arc<Shared>,
+    served: ServedConnections,
 }
 
 #[derive(Debug, Default)]
@@ -45,6 +47,17 @@
         Self::default()
     }
 
+    /// Sets the registry of open connections, which several ports may share.
+    #[must_use]
+    pub fn with_connections(mut self, connections: ServedConnections) -> Self {
+        self.served = connections;
+        self
+    }
+
+    pub(crate) fn served_connections(&self) -> &ServedConnections {
+        &self.served
+    }
+
     /// Adds `Connection: close` to HTTP/1 answers from now on, so that callers with open
     /// connections move to another entry before this one stops. Pipelined requests that have
     /// already started are answered first.
--- a/crates/exchange/src/served_connection.rs
+++ b/crates/exchange/src/served_connection.rs
@@ -17,13 +17,14 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use poem::{Endpoint, IntoResponse};
 use rustix::net::sockopt::set_socket_send_buffer_size;
+use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use crate::activity::Activity;
 use crate::answer_transfer::TransferEnd;
 use crate::caller_connection::CallerConnection;
+use crate::connection_memory::ConnectionMemory;
 use crate::delivered_body::DeliveredBody;
 use crate::head_timer::HeadTimer;
 use crate::headers::head_size;
@@ -42,6 +43,9 @@
 /// Smallest read buffer that the HTTP library accepts.
 const READ_BUFFER_MIN_BYTES: usize = 8 * 1024;
 
+/// Bytes of bodies that an HTTP/2 connection accepts before they are read.
+const HTTP2_WINDOW_BYTES: u32 = 64 * 1024;
+
 pub(crate) type AnyEndpoint = Arc<dyn DynEndpoint<Output = poem::Response>>;
 
 /// One accepted connection and what its requests need.
@@ -55,20 +59,27 @@
     /// Value of the renewal counter when this connection was opened.
     pub(crate) renewals_at_open: u64,
     pub(crate) pipelined: Arc<PipelinedRequests>,
+    pub(crate) activity: Arc<Activity>,
+    pub(crate) memory: Arc<ConnectionMemory>,
 }
 
 impl ServedConnection {
-    pub(crate) async fn run(self, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+    pub(crate) async fn run(self, stream: TcpStream) {
         let open_connection = self.control.count_connection();
         let send_buffer_bytes = usize::try_from(self.config.send_buffer.value());
         let send_buffer_bytes = send_buffer_bytes.unwrap_or(usize::MAX);
         // Without a bound, a caller that reads nothing is disconnected later.
         let _unbounded = set_socket_send_buffer_size(&stream, send_buffer_bytes);
+        if let Some(unsent_max) = self.config.unsent_max {
+            let unsent_max_bytes = u32::try_from(unsent_max.value()).unwrap_or(u32::MAX);
+            let _unbounded = SockRef::from(&stream).set_tcp_notsent_lowat(unsent_max_bytes);
+        }
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let activity = Arc::new(Activity::new());
-        let (stream, read_ahead) = ReadAhead::new(stream);
+        let activity = Arc::clone(&self.activity);
+        let (stream, read_ahead) =
+            ReadAhead::new(stream, Arc::clone(&activity), Arc::clone(&self.memory));
         let end = self.serve_requests(stream, &read_ahead, &activity).await;
         self.pipelined.abort_started();
         drop(open_connection);
@@ -89,7 +100,7 @@
     ) -> TransferEnd {
         let io = TokioIo::new(TrackedStream::new(stream, Arc::clone(activity)));
         let caller = read_ahead.caller_connection();
-        let service = service_fn(|request| self.handle(request, activity, &caller));
+        let service = service_fn(|request| self.handle(request, (activity, &caller), read_ahead));
         let head_limits = self.head_limits();
         let head_timer = HeadTimer::new(read_ahead.message_reads());
         let builder = builder(head_limits, self.config.streams_max, head_timer);
@@ -107,6 +118,7 @@
                 () = idle.as_mut() => break TransferEnd::CallerLeft,
                 () = disconnect.as_mut() => break TransferEnd::CallerLeft,
                 () = stalled.as_mut() => break TransferEnd::Stalled,
+                () = self.memory.evicted() => break evicted_end(activity),
                 () = self.control.stop_token().cancelled(), if !is_stopping => {
                     is_stopping = true;
                     // The HTTP library would close after the answer in progress and drop the ones
@@ -136,6 +148,7 @@
         tokio::select! {
             biased;
             () = lingering.ended() => {}
+            () = self.memory.evicted() => {}
             () = read_ahead.discard(LINGER_READ_MAX_BYTES) => {}
             () = tokio::time::sleep_until(until) => {}
         }
@@ -160,8 +173,9 @@
         (activity, caller): (&Arc<Activity>, &CallerConnection),
     ) {
         self.pipelined.record_arrival(index);
-        // On a closing connection the request would reach a target, but its answer would be lost.
-        if self.is_closing() || !(self.may_start_early)(&head) {
+        // On a closing connection the request would reach a target, but its answer would be lost. One
+        // behind answers that the caller does not take would only add to them.
+        if self.is_closing() || activity.is_write_blocked() || !(self.may_start_early)(&head) {
             return;
         }
         self.pipelined.start(index, || {
@@ -207,8 +221,8 @@
     fn handle(
         &self,
         request: http::Request<Incoming>,
-        activity: &Arc<Activity>,
-        caller: &CallerConnection,
+        (activity, caller): (&Arc<Activity>, &CallerConnection),
+        read_ahead: &ReadAhead,
     ) -> impl Future<Output = Result<http::Response<DeliveredBody>, Infallible>> + Send + use<>
     {
         let endpoint = Arc::clone(&self.endpoint);
@@ -228,6 +242,8 @@
         };
         let (renewals_at_open, pipelined) = (self.renewals_at_open, Arc::clone(&self.pipelined));
         let activity = Arc::clone(activity);
+        let read_ahead = read_ahead.clone();
+        let stream_memory = (version >= Version::HTTP_2).then(|| self.memory.start_stream());
         async move {
             let mut response = match started_task {
                 Some(mut task) => started_answer(&mut task).await,
@@ -240,6 +256,8 @@
             }
             let response = delivered_response(response, activity, control.count_writing(), version);
             drop(in_progress);
+            drop(stream_memory);
+            read_ahead.end_message();
             Ok(response)
         }
     }
@@ -273,6 +291,11 @@
     response.map(|body| DeliveredBody::new(body, activity, transfer, writing, is_http2))
 }
 
+/// Returns the end of a connection that gave way to others.
+fn evicted_end(activity: &Activity) -> TransferEnd {
+    if activity.is_delivering() { TransferEnd::Stalled } else { TransferEnd::CallerLeft }
+}
+
 /// Records that the process stopped serving if the connection ends without another cause.
 struct EndOnDrop<'a>(&'a Activity);
 
@@ -306,6 +329,8 @@
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(streams_max)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES)
         .max_header_list_size(u32::try_from(size_max).unwrap_or(u32::MAX));
     builder
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use shallotfork_balance::{PriorWaitEstimator, SlotPoolConfig};
 use shallotfork_events::slog::Logger;
-use shallotfork_exchange::{BodyBudget, ServeControl, TargetConnections};
+use shallotfork_exchange::{BodyBudget, ServeControl, ServedConnections, TargetConnections};
 use shallotfork_lifecycle::Phase;
 use shallotfork_measure::{RateLimits, SchedulingDelay};
 use shallotfork_quarantine::{FingerprintKey, Quarantine};
@@ -52,6 +52,8 @@
     pub published: ArcSwap<Published>,
     /// View of the fleet.
     pub fleet: ArcSwap<FleetSnapshot>,
+    /// Open connections of all ports but the one for other entries.
+    pub connections: ServedConnections,
     /// Control of the callers' port.
     pub callers: ServeControl,
     /// Connections to targets.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,8 +11,8 @@
 use rand::RngExt;
 use shallotfork_events::{LogConfig, LogOutput, logger};
 use shallotfork_exchange::{
-    BodyBudget, ConnectionConfig, ServeConfig, ServeControl, TargetConnections, serve,
-    serve_pipelined,
+    BodyBudget, ConnectionConfig, ServeConfig, ServeControl, ServedConnections, ServedLimits,
+    TargetConnections, serve, serve_pipelined,
 };
 use shallotfork_lifecycle::{Process, Starting};
 use shallotfork_peer::PeerKey;
@@ -20,7 +20,7 @@
 use shallotfork_reachability::{PathConfig, PathMonitor};
 use shallotfork_routes::Splitter;
 use shallotfork_timer::{Clock, TimerService, unix_time_ms};
-use shallotfork_types::{Endpoint, Incarnation, PerSecond};
+use shallotfork_types::{Bytes, Endpoint, Incarnation, PerSecond};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -58,6 +58,13 @@
 /// forwards all of them.
 const ENTRY_IDLE_MAX: usize = 32;
 
+/// Maximum of an answer's bytes that the kernel takes of a connection beyond those that it can send.
+const UNSENT_MAX: Bytes = Bytes::from_kib(64);
+/// Maximum size of the heads of requests at the ports for readiness checks, the directory and metrics.
+const INTERNAL_HEADER_MAX: Bytes = Bytes::from_kib(8);
+/// Size of the kernel's receive buffers at these ports, whose requests have no bodies.
+const INTERNAL_RECEIVE_BUFFER: Bytes = Bytes::from_kib(8);
+
 /// What [`run`] needs from the program for a platform.
 pub struct PlatformAdapter {
     /// Settings of the entry.
@@ -99,7 +106,11 @@
     let fingerprint_key = FingerprintKey::new(&settings.fleet_key);
     let metrics = MetricsPage::install()?;
     let process = Process::new(log.clone());
-    let body_budget = BodyBudget::new(settings.body_budget);
+    let connections = ServedConnections::new(ServedLimits {
+        count_max: settings.connections_max,
+        memory_max: settings.connection_budget,
+    });
+    let body_budget = BodyBudget::new(settings.body_budget).with_connections(connections.clone());
     let clock = Clock::new();
     let large_answers = LargeAnswers::new(settings.body_budget, settings.link_bandwidth, clock);
     let threads = settings.traffic_threads.max(1);
@@ -112,7 +123,8 @@
         phase: process.watch(),
         published: ArcSwap::from_pointee(Published::default()),
         fleet: ArcSwap::from_pointee(FleetSnapshot::default()),
-        callers: ServeControl::new(),
+        callers: ServeControl::new().with_connections(connections.clone()),
+        connections,
         target_connections: TargetConnections::new(
             ConnectionConfig::default(),
             body_budget.clone(),
@@ -195,22 +207,24 @@
     tokio::spawn(watch_settings(Arc::clone(&context), control.clone(), reload)?);
     let shared = Arc::clone(&context);
     serve_without_drain(
+        &context,
         listeners.readiness,
         make_sync(move |request| handle_readiness(&shared, &request)),
     )?;
     let shared = Arc::clone(&context);
     serve_without_drain(
+        &context,
         listeners.directory,
         make_sync(move |request| handle_directory(&shared, &request)),
     )?;
-    serve_without_drain(listeners.metrics, make_sync(move |_| metrics.render()))?;
+    serve_without_drain(&context, listeners.metrics, make_sync(move |_| metrics.render()))?;
     let callers = context.callers.clone();
     let shared = Arc::clone(&context);
     let endpoint = make(move |request| handle_request(Arc::clone(&shared), request));
     let listener = TcpListener::from_std(listeners.callers)?;
     let shared = Arc::clone(&context);
     let early = Arc::new(move |head: &http::request::Parts| may_begin_early(&shared, head));
-    let config = ServeConfig::default();
+    let config = ServeConfig { unsent_max: Some(UNSENT_MAX), ..ServeConfig::default() };
     tokio::spawn(serve_pipelined(listener, endpoint, config, callers, early));
     tokio::spawn(run_probes(Arc::clone(&context)));
     tokio::spawn(run_path_checks(Arc::clone(&context)));
@@ -232,13 +246,20 @@
 }
 
 /// Serves a port that needs no planned stop.
-fn serve_without_drain<E>(listener: StdListener, endpoint: E) -> Result<()>
+fn serve_without_drain<E>(context: &Context, listener: StdListener, endpoint: E) -> Result<()>
 where
     E: IntoEndpoint + Send + 'static,
     E::Endpoint: 'static,
 {
     let listener = TcpListener::from_std(listener)?;
-    tokio::spawn(serve(listener, endpoint, ServeConfig::default(), ServeControl::new()));
+    let control = ServeControl::new().with_connections(context.connections.clone());
+    let config = ServeConfig {
+        header_max: INTERNAL_HEADER_MAX,
+        receive_buffer: INTERNAL_RECEIVE_BUFFER,
+        unsent_max: Some(UNSENT_MAX),
+        ..ServeConfig::default()
+    };
+    tokio::spawn(serve(listener, endpoint, config, control));
     Ok(())
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,11 @@
     pub traffic_threads: usize,
     /// Most bytes of bodies held in memory at one time.
     pub body_budget: Bytes,
+    /// Most memory of callers' connections, for heads, for bytes that are read ahead and for those that
+    /// wait in the kernel.
+    pub connection_budget: Bytes,
+    /// Most connections of callers at one time.
+    pub connections_max: usize,
     /// Longest time between the request to stop and the end of the process.
     pub shutdown_grace: Duration,
     /// How long callers may cache a directory answer.
--- a/crates/settings/src/sections/callers.rs
+++ b/crates/settings/src/sections/callers.rs
@@ -16,7 +16,7 @@
         advertise: Option<Endpoint> = "advertise", Optional, "203.0.113.7:8080";
         /// How long callers may cache an answer that advertises entries.
         keep_for: Duration = "keep_for_ms", Default("2000"), "2000";
-        /// Maximum number of open connections of callers; further ones wait.
+        /// Maximum number of open connections of callers; a further one replaces the one that has made no progress for longest.
         connections_max: usize = "connections_max", Default("4096"), "4096";
         /// Maximum size of the body of one request or answer.
         body_max: Bytes = "body_max", Default("8MiB"), "8MiB";
--- a/crates/shallotd/src/context.rs
+++ b/crates/shallotd/src/context.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use shallotfork_events::slog::Logger;
-use shallotfork_exchange::{BodyBudget, Exchange};
+use shallotfork_exchange::{BodyBudget, Exchange, ServedConnections};
 use shallotfork_settings::Settings;
 use shallotfork_timer::Clock;
 
@@ -35,6 +35,8 @@
     pub connection_gate: TargetGate,
     /// Memory budget for bodies.
     pub body_budget: BodyBudget,
+    /// Open connections of callers.
+    pub connections: ServedConnections,
     /// Requests in flight.
     pub in_flight: InFlight,
     /// Counter that rotates the entries advertised in answers.
--- a/crates/shallotd/src/run.rs
+++ b/crates/shallotd/src/run.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 use shallotfork_events::{LogConfig, LogOutput, logger};
 use shallotfork_exchange::{
-    BodyBudget, Exchange, ExchangeConfig, ServeConfig, ServeControl, serve,
+    BodyBudget, Exchange, ExchangeConfig, ServeConfig, ServeControl, ServedConnections,
+    ServedLimits, serve,
 };
 use shallotfork_measure::{ConnectionBudget, ConnectionLimits, FleetShare};
 use shallotfork_once::{SECRET_BYTES, Secret};
@@ -85,7 +86,12 @@
     let process = Process::new(log.clone());
     let (control, commands) = ControlHandle::new();
     let clock = Clock::new();
-    let body_budget = BodyBudget::new(settings.callers.bodies_total_max);
+    let connections = ServedConnections::new(ServedLimits {
+        count_max: settings.callers.connections_max,
+        ..ServedLimits::default()
+    });
+    let body_budget =
+        BodyBudget::new(settings.callers.bodies_total_max).with_connections(connections.clone());
     let exchange_config =
         ExchangeConfig { answer_max: settings.callers.body_max, ..ExchangeConfig::default() };
     let connection_gate = TargetGate::new(connection_budget(&settings), clock);
@@ -109,6 +115,7 @@
         exchange,
         connection_gate,
         body_budget,
+        connections,
         in_flight: InFlight::default(),
         entry_rotation: AtomicU64::new(initial_rotation),
         claim_counter: AtomicU64::new(0),
@@ -210,7 +217,7 @@
         operator_control.clone(),
     );
     tokio::spawn(operators_server);
-    let callers_control = ServeControl::new();
+    let callers_control = ServeControl::new().with_connections(context.connections.clone());
     let shared_context = Arc::clone(&context);
     let endpoint = make(move |request| handle_request(Arc::clone(&shared_context), request));
     let callers_server = serve(
@@ -233,11 +240,7 @@
 
 fn serve_config(context: &Context) -> ServeConfig {
     let callers = &context.settings.callers;
-    ServeConfig {
-        connections_max: callers.connections_max,
-        header_timeout: callers.header_timeout,
-        ..ServeConfig::default()
-    }
+    ServeConfig { header_timeout: callers.header_timeout, ..ServeConfig::default() }
 }
 
 /// Signals that request a planned stop.
