fix(exchange,gateway): connections that were not read yet give way last; what gave way is logged

A caller whose request had arrived could be closed in favour of newer connections because the busy process had not read it yet. Its lack of progress counts from the first read on. Line 7023 and two metrics tell when connections give way.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -86,5 +86,6 @@
     REQUEST_QUARANTINED = 7008 Error "request quarantined: it crashes the targets that run it";
     TRANSFER_BROKEN = 7021 Warning "transfer of a large answer ended before its last byte";
     LARGE_ANSWERS = 7022 Info "room for large answers";
+    CONNECTIONS_EVICTED = 7023 Warning "connections of callers gave way to others";
     OPERATOR_REFUSED = 8001 Warning "operator refused: wrong token";
 }
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -195,7 +195,9 @@
         }
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut buffer = ReadBuf::new(&mut chunk);
-        let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
+        let read = Pin::new(&mut self.socket).poll_read(cx, &mut buffer);
+        self.activity.record_read();
+        let read = ready!(read);
         let bytes = buffer.filled();
         self.has_ended = read.is_err() || bytes.is_empty();
         self.buffered.extend_from_slice(bytes);
--- a/crates/gateway/src/traffic/service_load.rs
+++ b/crates/gateway/src/traffic/service_load.rs
@@ -7,7 +7,8 @@
 use metrics::gauge;
 use shallotfork_balance::SlotSummary;
 use shallotfork_events::{
-    EVACUATION_RUNNING, LARGE_ANSWERS, OVERLOADED, SERVICE_LOAD, TARGET_CONNECTIONS, event,
+    CONNECTIONS_EVICTED, EVACUATION_RUNNING, LARGE_ANSWERS, OVERLOADED, SERVICE_LOAD,
+    TARGET_CONNECTIONS, event,
 };
 use shallotfork_exchange::OpenedConnections;
 use shallotfork_timer::{Schedule, TimerService};
@@ -25,14 +26,14 @@
 pub async fn report_service_load(context: Arc<Context>, timer: TimerService) {
     let mut ticks = timer.subscribe(Schedule::new(REPORT_INTERVAL));
     let mut counts = TargetCounts::default();
-    let mut refused_count = 0;
+    let (mut refused_count, mut evicted_count) = (0, 0);
     while ticks.tick().await.is_some() {
         report_scheduling_delay(&context);
         counts = report_connections(&context, counts);
         report_quarantine(&context);
         refused_count = report_large_answers(&context, refused_count);
+        evicted_count = report_caller_connections(&context, evicted_count);
         report_reach(&context);
-        gauge!("shallotfork_lingering_connections").set(context.callers.lingering() as f64);
         report_evacuations(&context);
         for (service, slots) in context.services.all() {
             slots.update_rejections();
@@ -81,6 +82,27 @@
     now
 }
 
+/// Reports the connections of callers. Returns the number of those that gave way so far.
+fn report_caller_connections(context: &Context, evicted_before: u64) -> u64 {
+    let connections = &context.connections;
+    let (memory, evicted_count) = (connections.memory(), connections.evicted_count());
+    gauge!("shallotfork_lingering_connections").set(context.callers.lingering() as f64);
+    gauge!("shallotfork_connection_bytes").set(memory.value() as f64);
+    gauge!("shallotfork_connections_evicted").set(evicted_count as f64);
+    if evicted_count == evicted_before {
+        return evicted_count;
+    }
+    event!(context.log, CONNECTIONS_EVICTED,
+        "evicted" => evicted_count - evicted_before,
+        "connections" => context.callers.connections(),
+        "memory_bytes" => memory.value(),
+        "memory_max_bytes" => context.settings.connection_budget.value(),
+        "connections_max" => context.settings.connections_max,
+        "body_bytes" => context.body_budget.held().value(),
+    );
+    evicted_count
+}
+
 fn report_quarantine(context: &Context) {
     let quarantined = lock(&context.quarantine).quarantined(context.clock.now());
     gauge!("shallotfork_quarantined_requests").set(quarantined as f64);
