fix(exchange): a request that was read and not yet handled keeps its connection

Lack of progress now counts from the first time that the process waits for the caller, and among connections without any lack the newest is refused.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -49,8 +49,8 @@
     receiving: AtomicUsize,
     /// Whether the caller has sent more than is read ahead of its requests.
     is_read_blocked: AtomicBool,
-    /// Whether the connection has been read for the first time.
-    has_been_read: AtomicBool,
+    /// Whether the process has waited for bytes of the caller.
+    is_awaited: AtomicBool,
     /// Progress of the requests and answers, by which connections give way to others.
     progress: Mutex<Progress>,
 }
@@ -72,7 +72,7 @@
             end: OnceLock::new(),
             receiving: AtomicUsize::new(0),
             is_read_blocked: AtomicBool::new(false),
-            has_been_read: AtomicBool::new(false),
+            is_awaited: AtomicBool::new(false),
             progress: Mutex::new(Progress::new(Instant::now())),
         }
     }
@@ -80,8 +80,8 @@
     /// Returns how far the connection lags behind; `None` if it must stay open, because a request is
     /// being processed.
     pub(crate) fn evictable_lag(&self, now: Instant) -> Option<Duration> {
-        if !self.has_been_read.load(Ordering::Relaxed) {
-            // Its request may have arrived; a busy process has not looked yet.
+        if !self.is_awaited.load(Ordering::Relaxed) {
+            // Its request may have arrived; a busy process has not handled it yet.
             return Some(Duration::ZERO);
         }
         let lag = self.lag(now);
@@ -93,10 +93,10 @@
         (!is_processing || is_held_up || is_flooding).then_some(lag)
     }
 
-    /// Records that the connection has been read, from which on its caller counts as the cause if it
-    /// makes no progress.
-    pub(crate) fn record_read(&self) {
-        if !self.has_been_read.swap(true, Ordering::Relaxed) {
+    /// Records that all bytes of the caller were read, from which on it counts as the cause if the
+    /// connection makes no progress.
+    pub(crate) fn record_awaited(&self) {
+        if !self.is_awaited.swap(true, Ordering::Relaxed) {
             *self.lock_progress() = Progress::new(Instant::now());
         }
     }
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -196,7 +196,9 @@
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut buffer = ReadBuf::new(&mut chunk);
         let read = Pin::new(&mut self.socket).poll_read(cx, &mut buffer);
-        self.activity.record_read();
+        if read.is_pending() {
+            self.activity.record_awaited();
+        }
         let read = ready!(read);
         let bytes = buffer.filled();
         self.has_ended = read.is_err() || bytes.is_empty();
--- a/crates/exchange/src/served_connections.rs
+++ b/crates/exchange/src/served_connections.rs
@@ -158,10 +158,11 @@
 
     fn longest_without_progress(&self) -> Option<u64> {
         let now = Instant::now();
-        let evictable = self.connections.iter().filter_map(|(number, served)| {
-            Some((served.activity.evictable_lag(now)?, std::cmp::Reverse(*number)))
-        });
-        evictable.max().map(|(_, number)| number.0)
+        let evictable = self
+            .connections
+            .iter()
+            .filter_map(|(number, served)| Some((served.activity.evictable_lag(now)?, *number)));
+        evictable.max().map(|(_, number)| number)
     }
 
     fn evict(&mut self, number: u64) {
