fix(exchange): an answer that ends with its connection before the upload is sent is not complete

A target that answers an upload early with a 200 of no length, sends a part and closes its side gave the caller that part as a complete answer: the end of the connection was taken for the end of the body. A reset was detected before; an orderly end with unread bytes of the upload was not.

The bytes of a request are tracked until its connection has taken them. An answer whose body ends with its connection before that is incomplete, and its request may have run. Answers through other entries, hedges and health requests use the same connections. The client of shallotd cannot tell which bytes were sent and is not changed.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -37,6 +37,7 @@
 mod request_body;
 mod segments;
 mod send_state;
+mod sent_body;
 mod serve;
 mod serve_config;
 mod serve_control;
--- a/crates/exchange/src/target_connection.rs
+++ b/crates/exchange/src/target_connection.rs
@@ -3,10 +3,8 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{CONNECTION, HeaderMap, HeaderName};
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -18,6 +16,7 @@
 use crate::attempt::FailureCause;
 use crate::connection_config::ConnectionConfig;
 use crate::interim_answers::{InterimAnswers, InterimBoundedStream};
+use crate::sent_body::SentBody;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const TIMEOUT_PARAMETER: &str = "timeout=";
@@ -30,7 +29,7 @@
 /// the request has been abandoned.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SentBody>,
     driver: JoinHandle<()>,
     interim_answers: InterimAnswers,
     last_used_at: Instant,
@@ -41,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) enum SendError {
     /// No byte of the request has been sent.
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<SentBody>>),
     /// The request may have reached the target.
     Sent(FailureCause),
 }
@@ -80,7 +79,7 @@
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<SentBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.interim_answers.count_for(&mut request);
         self.sender.try_send_request(request).await.map_err(|mut error| {
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::HeaderMap;
+use http::header::{HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -20,6 +20,7 @@
 use crate::connection_config::ConnectionConfig;
 use crate::headers::strip_hop_by_hop;
 use crate::opened_connections::{ConnectionCounters, ConnectionPurpose, OpenedConnections};
+use crate::sent_body::SentBody;
 use crate::target_connection::{SendError, TargetConnection};
 
 /// Whether an answer belongs to the request that waits for it.
@@ -91,7 +92,9 @@
     /// run.
     pub async fn send(&self, request: TargetRequest<'_>) -> Result<BufferedAnswer, AttemptFailure> {
         let deadline = Instant::now() + request.timeout;
-        let sending = tokio::time::timeout_at(deadline, self.send_on_connection(&request));
+        let message = request.request.clone().map(SentBody::new);
+        let unsent = message.body().unsent();
+        let sending = tokio::time::timeout_at(deadline, self.send_on_connection(&request, message));
         let (mut connection, response) = match sending.await {
             Ok(Ok(sent)) => sent,
             Ok(Err(failure)) => return Err(failure),
@@ -102,6 +105,7 @@
             return Err(may_have_run(FailureCause::AnswerTooLarge));
         }
         let (status, headers) = (response.status(), response.headers().clone());
+        let ends_with_connection = ends_with_connection(&response);
         if (request.answer_match)(status, &headers) == AnswerMatch::Mismatch {
             return Err(may_have_run(FailureCause::AnswerMismatch));
         }
@@ -112,6 +116,10 @@
             Ok(Err(cause)) => return Err(may_have_run(cause)),
             Err(_) => return Err(may_have_run(FailureCause::Timeout)),
         };
+        // The target has given up the request; the end of its connection is not that of an answer.
+        if ends_with_connection && !unsent.is_all_sent() {
+            return Err(may_have_run(FailureCause::AnswerIncomplete));
+        }
         if connection.update_keep_alive(&headers, &self.config) {
             self.return_idle(request.target, connection);
         }
@@ -168,8 +176,8 @@
     async fn send_on_connection(
         &self,
         request: &TargetRequest<'_>,
+        mut message: Request<SentBody>,
     ) -> Result<(TargetConnection, Response<Incoming>), AttemptFailure> {
-        let mut message = request.request.clone();
         while let Some(mut connection) = self.take_idle(request) {
             match connection.send(message).await {
                 Ok(response) => return Ok((connection, response)),
@@ -261,6 +269,13 @@
     response.body().size_hint().exact().unwrap_or(0)
 }
 
+/// Returns whether only the end of the connection ends the body.
+fn ends_with_connection(response: &Response<Incoming>) -> bool {
+    let has_framing = response.headers().contains_key(TRANSFER_ENCODING)
+        || response.body().size_hint().exact().is_some();
+    !has_framing
+}
+
 fn may_have_run(cause: FailureCause) -> AttemptFailure {
     AttemptFailure::new(Verdict::MayHaveRun, cause)
 }
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -229,6 +229,11 @@
         self.stream.set_zero_linger().expect("linger");
     }
 
+    /// Closes the connection for writing; what arrives stays unread.
+    pub async fn end_writing(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
     /// Reads and counts bytes until the other side closes the connection.
     pub async fn drain(mut self) {
         while self.byte().await.is_some() {}
--- a/crates/exchange/tests/target_connections.rs
+++ b/crates/exchange/tests/target_connections.rs
@@ -354,3 +354,46 @@
     drop(listener);
     assert!(connections.refuses_connections(endpoint).await);
 }
+
+/// More than the kernel buffers of a connection hold.
+static LARGE_UPLOAD: [u8; 16 * 1024 * 1024] = [b'u'; 16 * 1024 * 1024];
+
+/// Guards against a truncated answer that looks complete: its target gives up an upload that it has not
+/// read, and the end of the connection is also the end of the body.
+#[tokio::test]
+async fn answer_ended_by_the_connection_before_the_upload_is_incomplete() {
+    for head in [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\n",
+    ] {
+        let target = RawTarget::start(move |_, mut connection| async move {
+            connection.bytes(16).await;
+            connection.write(head.as_bytes()).await;
+            connection.write(&[b'a'; 3_000]).await;
+            connection.end_writing().await;
+            tokio::time::sleep(TIMEOUT).await;
+        })
+        .await;
+        let connections = target_connections(ConnectionConfig::default());
+        let request = MarkedRequest::new(&connections, &target).with_body(&LARGE_UPLOAD);
+        let failure = request.send(1).await.expect_err("the answer is not forwarded");
+        assert_eq!(*failure.cause(), FailureCause::AnswerIncomplete);
+        assert_eq!(failure.verdict(), Verdict::MayHaveRun);
+    }
+}
+
+/// Guards against rejecting an answer without a length to a request that was sent completely.
+#[tokio::test]
+async fn answer_ended_by_the_connection_after_the_upload_is_complete() {
+    let target = RawTarget::start(|_, mut connection| async move {
+        connection.request().await;
+        connection.write(b"HTTP/1.1 200 OK\r\n\r\nmilled").await;
+        connection.end_writing().await;
+        connection.drain().await;
+    })
+    .await;
+    let connections = target_connections(ConnectionConfig::default());
+    let request = MarkedRequest::new(&connections, &target).with_body(&LARGE_UPLOAD);
+    assert_eq!(request.send(1).await.expect("an answer").body, "milled");
+}
