fix(exchange): answers with a status beyond 599 are not forwarded

Statuses of 600 to 999 reached the caller as an answer of the target. HTTP defines 100 to 599; a target that sends another one is in trouble, and the answer is none. 000 to 099, letters, signs and other lengths were refused before and are part of the test, which failed at 600.

--- a/crates/exchange/src/attempt.rs
+++ b/crates/exchange/src/attempt.rs
@@ -163,6 +163,8 @@
     AnswerDigestMismatch,
     /// The answer is not a final response, for example a protocol switch.
     AnswerNotFinal,
+    /// The answer's status is not one of HTTP, from 100 to 599.
+    AnswerStatusInvalid,
     /// The answer belongs to another request: the target sent more answers than it received
     /// requests.
     AnswerMismatch,
@@ -184,6 +186,7 @@
             Self::AnswerEndless => "the target's answer does not end",
             Self::AnswerDigestMismatch => "the target's answer differs from its Content-Digest",
             Self::AnswerNotFinal => "the target's answer is not a final one",
+            Self::AnswerStatusInvalid => "the target's answer has no valid status",
             Self::AnswerMismatch => "the target's answer belongs to another request",
         })
     }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -23,6 +23,7 @@
 };
 use crate::read_request::BufferedRequest;
 use crate::send_state::{DeadlinePassedError, SendState, TrackedBody};
+use crate::target_connections::STATUS_MAX;
 
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 shallotfork");
 
@@ -132,6 +133,9 @@
         if status.is_informational() {
             return Err(FailureCause::AnswerNotFinal);
         }
+        if status.as_u16() > STATUS_MAX {
+            return Err(FailureCause::AnswerStatusInvalid);
+        }
         let mut headers = std::mem::take(response.headers_mut());
         let bodiless = is_bodiless(&attempt.request().method, status);
         let limit_bytes = self.config.answer_max.min(self.budget.answer_max()).value();
--- a/crates/exchange/src/target_connections.rs
+++ b/crates/exchange/src/target_connections.rs
@@ -23,6 +23,9 @@
 use crate::sent_body::SentBody;
 use crate::target_connection::{SendError, TargetConnection};
 
+/// Largest status that HTTP defines (RFC 9110, section 15).
+pub(crate) const STATUS_MAX: u16 = 599;
+
 /// Whether an answer belongs to the request that waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerMatch {
@@ -105,6 +108,9 @@
             return Err(may_have_run(FailureCause::AnswerTooLarge));
         }
         let (status, headers) = (response.status(), response.headers().clone());
+        if status.as_u16() > STATUS_MAX {
+            return Err(may_have_run(FailureCause::AnswerStatusInvalid));
+        }
         let ends_with_connection = ends_with_connection(&response);
         if (request.answer_match)(status, &headers) == AnswerMatch::Mismatch {
             return Err(may_have_run(FailureCause::AnswerMismatch));
--- a/crates/exchange/tests/target_connections.rs
+++ b/crates/exchange/tests/target_connections.rs
@@ -397,3 +397,21 @@
     let request = MarkedRequest::new(&connections, &target).with_body(&LARGE_UPLOAD);
     assert_eq!(request.send(1).await.expect("an answer").body, "milled");
 }
+
+/// Guards against an answer that is forwarded although its target gave it no valid status.
+#[tokio::test]
+async fn answer_without_a_valid_status_is_not_forwarded() {
+    for status in ["000", "001", "099", "600", "999", "2OO", "+20", "-20", "20", "2000"] {
+        let target = RawTarget::start(move |_, mut connection| async move {
+            connection.request().await;
+            let head = format!("HTTP/1.1 {status} Trouble\r\ncontent-length: 6\r\n\r\nmilled");
+            connection.write(head.as_bytes()).await;
+            connection.drain().await;
+        })
+        .await;
+        let connections = target_connections(ConnectionConfig::default());
+        let failure = MarkedRequest::new(&connections, &target).send(1).await;
+        let failure = failure.expect_err(status);
+        assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{status}");
+    }
+}
