fix(exchange): a busy process does not evict connections whose requests it has not handled

Bytes that the HTTP library has not taken now keep a connection from counting as lagging, unless its caller sends more than is read ahead.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -18,6 +18,20 @@
 /// caller does not take the answers before.
 const PROCESSING_HELD_UP_AFTER: Duration = Duration::from_millis(500);
 
+/// Time within which the request on an idle connection may be on its way.
+const REQUEST_EXPECTED_WITHIN: Duration = Duration::from_secs(1);
+
+/// Order in which connections give way to others, the greatest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum EvictionRank {
+    /// Its request may have arrived; a busy process has not handled it yet.
+    NotHandled,
+    /// Its request may be on its way.
+    Expected(Duration),
+    /// It makes no progress for this time.
+    Lagging(Duration),
+}
+
 /// Tracks the requests in progress on a connection, the answers being written, and the time of its
 /// last progress.
 ///
@@ -49,8 +63,12 @@
     receiving: AtomicUsize,
     /// Whether the caller has sent more than is read ahead of its requests.
     is_read_blocked: AtomicBool,
-    /// Whether the process has waited for bytes of the caller.
-    is_awaited: AtomicBool,
+    /// Whether bytes of the caller may have arrived that the HTTP library has not taken.
+    is_unhandled: AtomicBool,
+    /// Whether that was not so once since the last request started.
+    has_been_handled: AtomicBool,
+    /// Whether bytes were received since the last request started.
+    has_received: AtomicBool,
     /// Progress of the requests and answers, by which connections give way to others.
     progress: Mutex<Progress>,
 }
@@ -72,31 +90,44 @@
             end: OnceLock::new(),
             receiving: AtomicUsize::new(0),
             is_read_blocked: AtomicBool::new(false),
-            is_awaited: AtomicBool::new(false),
+            is_unhandled: AtomicBool::new(true),
+            has_been_handled: AtomicBool::new(false),
+            has_received: AtomicBool::new(false),
             progress: Mutex::new(Progress::new(Instant::now())),
         }
     }
 
-    /// Returns how far the connection lags behind; `None` if it must stay open, because a request is
-    /// being processed.
-    pub(crate) fn evictable_lag(&self, now: Instant) -> Option<Duration> {
-        if !self.is_awaited.load(Ordering::Relaxed) {
-            // Its request may have arrived; a busy process has not handled it yet.
-            return Some(Duration::ZERO);
-        }
+    /// Returns in which order the connection gives way to others, the greatest first; `None` if it must
+    /// stay open, because a request is being processed.
+    pub(crate) fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let lag = self.lag(now);
         let receiving = self.receiving.load(Ordering::Relaxed);
         let is_processing = self.in_progress.load(Ordering::Relaxed) > receiving;
         let is_held_up =
             self.is_write_blocked.load(Ordering::Relaxed) && lag >= PROCESSING_HELD_UP_AFTER;
         let is_flooding = self.is_read_blocked.load(Ordering::Relaxed);
-        (!is_processing || is_held_up || is_flooding).then_some(lag)
+        if is_processing && !is_held_up && !is_flooding {
+            return None;
+        }
+        if self.is_unhandled.load(Ordering::Relaxed) && !is_flooding {
+            return Some(EvictionRank::NotHandled);
+        }
+        let is_expected =
+            !self.has_received.load(Ordering::Relaxed) && lag < REQUEST_EXPECTED_WITHIN;
+        Some(if is_expected { EvictionRank::Expected(lag) } else { EvictionRank::Lagging(lag) })
+    }
+
+    /// Records bytes of the caller, which the HTTP library has not taken yet.
+    pub(crate) fn record_received(&self) {
+        self.is_unhandled.store(true, Ordering::Relaxed);
+        self.has_received.store(true, Ordering::Relaxed);
     }
 
-    /// Records that all bytes of the caller were read, from which on it counts as the cause if the
-    /// connection makes no progress.
-    pub(crate) fn record_awaited(&self) {
-        if !self.is_awaited.swap(true, Ordering::Relaxed) {
+    /// Records that the HTTP library has taken all bytes of the caller, from which on the caller counts
+    /// as the cause if the connection makes no progress.
+    pub(crate) fn record_handled(&self) {
+        let is_first = !self.has_been_handled.swap(true, Ordering::Relaxed);
+        if self.is_unhandled.swap(false, Ordering::Relaxed) && is_first {
             *self.lock_progress() = Progress::new(Instant::now());
         }
     }
@@ -130,6 +161,8 @@
     /// Records the start of a request, which is in progress until the returned guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
         self.has_started.store(true, Ordering::Relaxed);
+        self.has_received.store(false, Ordering::Relaxed);
+        self.has_been_handled.store(false, Ordering::Relaxed);
         *self.lock_progress() = Progress::new(Instant::now());
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         RequestGuard { activity: Arc::clone(self) }
--- a/crates/exchange/src/read_ahead.rs
+++ b/crates/exchange/src/read_ahead.rs
@@ -196,12 +196,13 @@
         let mut chunk = [0; READ_CHUNK_BYTES];
         let mut buffer = ReadBuf::new(&mut chunk);
         let read = Pin::new(&mut self.socket).poll_read(cx, &mut buffer);
-        if read.is_pending() {
-            self.activity.record_awaited();
+        if read.is_pending() && self.buffered.is_empty() {
+            self.activity.record_handled();
         }
         let read = ready!(read);
         let bytes = buffer.filled();
         self.has_ended = read.is_err() || bytes.is_empty();
+        self.activity.record_received();
         self.buffered.extend_from_slice(bytes);
         self.head_scanner.push(bytes);
         self.report_memory();
@@ -251,6 +252,7 @@
         if state.buffered.is_empty() {
             // An idle connection keeps no buffer.
             state.buffered = BytesMut::new();
+            state.activity.record_handled();
         }
         state.message_bytes = state.message_bytes.saturating_add(size);
         state.report_memory();
--- a/crates/exchange/src/served_connections.rs
+++ b/crates/exchange/src/served_connections.rs
@@ -161,7 +161,7 @@
         let evictable = self
             .connections
             .iter()
-            .filter_map(|(number, served)| Some((served.activity.evictable_lag(now)?, *number)));
+            .filter_map(|(number, served)| Some((served.activity.eviction_rank(now)?, *number)));
         evictable.max().map(|(_, number)| number)
     }
 
