fix(gateway): unread answers hold at most 16 KiB each in the kernel beyond what can be sent

With 64 KiB, the connections that the smallest VM allows could hold 112 MB of answers that nobody reads, which no budget counts. With 16 KiB they add up with the other bounds to less than the VM's memory (docs/CAPACITY.md).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -59,7 +59,7 @@
 const ENTRY_IDLE_MAX: usize = 32;
 
 /// Maximum of an answer's bytes that the kernel takes of a connection beyond those that it can send.
-const UNSENT_MAX: Bytes = Bytes::from_kib(64);
+const UNSENT_MAX: Bytes = Bytes::from_kib(16);
 /// Maximum size of the heads of requests at the ports for readiness checks, the directory and metrics.
 const INTERNAL_HEADER_MAX: Bytes = Bytes::from_kib(8);
 /// Size of the kernel's receive buffers at these ports, whose requests have no bodies.
