fix(exchange): shallotd does not take the end of a connection for the end of an answer either

The client that shallotd uses gave its caller 4 bytes of an answer as complete, where the target had answered an upload early without a length and closed its side. It can't see what a connection has written, so a body of more than 64 KiB is handed over in parts, each after the connection has released the one before, the last of a single byte. An answer that ends with its connection before that byte was handed over is incomplete. answer_cut_before_the_end_of_an_upload_is_incomplete failed before; status_beyond_those_of_http_is_no_answer holds for this client as well.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{FORWARDED, HOST, HeaderMap, HeaderValue, RETRY_AFTER, VIA};
-use http::{Method, StatusCode};
+use http::header::{
+    CONTENT_LENGTH, FORWARDED, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING, VIA,
+};
+use http::{Method, StatusCode, Version};
 use reqwest::{Client, Request, Response, Url};
 use shallotfork_types::{Bytes, Mono};
 use thiserror::Error;
@@ -92,8 +94,14 @@
             Ok(Err(error)) => Err(classify_error(attempt, &send_state, &error)),
             Ok(Ok(response)) => {
                 let attempt = attempt.into_sent();
-                match tokio::time::timeout_at(deadline, self.read_answer(&attempt, response)).await
-                {
+                let ends_with_connection = ends_with_connection(&attempt, &response);
+                let reading = self.read_answer(&attempt, response);
+                match tokio::time::timeout_at(deadline, reading).await {
+                    // The target has given up the request; the end of its connection is not that of
+                    // an answer.
+                    Ok(Ok(_)) if ends_with_connection && !send_state.is_handed_over() => {
+                        Err(attempt.may_have_run(FailureCause::AnswerIncomplete))
+                    }
                     Err(_) => Err(attempt.may_have_run(FailureCause::Timeout)),
                     Ok(Err(cause)) => Err(attempt.may_have_run(cause)),
                     Ok(Ok(answer)) => check_shed_status(attempt, answer),
@@ -197,6 +205,15 @@
     headers
 }
 
+/// Returns whether only the end of the connection ends the answer's body.
+fn ends_with_connection(attempt: &Attempt<Sent>, response: &Response) -> bool {
+    let headers = response.headers();
+    let has_framing = headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || response.version() >= Version::HTTP_2;
+    !has_framing && !is_bodiless(&attempt.request().method, response.status())
+}
+
 fn is_bodiless(method: &Method, status: StatusCode) -> bool {
     method == Method::HEAD || status == StatusCode::NOT_MODIFIED || status == StatusCode::NO_CONTENT
 }
--- a/crates/exchange/tests/answers.rs
+++ b/crates/exchange/tests/answers.rs
@@ -231,6 +231,35 @@
     assert_eq!(REQUESTS, arrived.load(Ordering::SeqCst));
 }
 
+/// More than the kernel buffers of a connection hold.
+static LARGE_UPLOAD: [u8; 16 * 1024 * 1024] = [b'u'; 16 * 1024 * 1024];
+
+/// Guards against a truncated answer that looks complete: its target gives up an upload that it has not
+/// read, and the end of the connection is also the end of the body.
+#[tokio::test]
+async fn answer_cut_before_the_end_of_an_upload_is_incomplete() {
+    let target = RawTarget::start(|_, mut connection| async move {
+        connection.bytes(16).await;
+        connection.write(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+        connection.end_writing().await;
+        tokio::time::sleep(Duration::from_secs(20)).await;
+    })
+    .await;
+    let upload = RequestBuilder::new(Method::POST).with_body(&LARGE_UPLOAD);
+    let result = exchange().send(upload.attempt(target.target())).await;
+    assert_eq!(&FailureCause::AnswerIncomplete, result.expect_err("part of an answer").cause());
+}
+
+/// Guards against an answer that is forwarded although its target gave it no valid status.
+#[tokio::test]
+async fn status_beyond_those_of_http_is_no_answer() {
+    for status in ["000", "099", "600", "999", "2OO", "+20"] {
+        let answered = format!("HTTP/1.1 {status} Trouble\r\ncontent-length: 0\r\n\r\n");
+        let result = send_for_answer(&exchange(), Method::POST, answered).await;
+        assert_eq!(Verdict::MayHaveRun, result.expect_err(status).verdict(), "{status}");
+    }
+}
+
 async fn until(condition: impl Fn() -> bool) {
     while !condition() {
         tokio::task::yield_now().await;
