--- a/crates/exchange/src/read_request.rs
+++ b/crates/exchange/src/read_request.rs
@@ -62,14 +62,14 @@
     // Reading the body would send 100 Continue, which asks a waiting caller to send it.
     let expects_continue = parts.headers.contains_key(EXPECT);
     let read = read_parts(parts, &mut chunks, limits, budget).await;
-    let needs_no_discard = match &read {
-        Ok(_) => true,
-        Err(rejection) => matches!(
+    let is_rest_expected = match &read {
+        Ok(_) => false,
+        Err(rejection) => !matches!(
             rejection,
             Rejection::BodyTimeout { .. } | Rejection::BodyIncomplete | Rejection::BodyStalled
         ),
     };
-    if !needs_no_discard && !expects_continue {
+    if is_rest_expected && !expects_continue {
         let size_max_bytes = limits.body_max.value();
         let limits = DiscardLimits { size_max_bytes, timeout: limits.body_timeout };
         discard(chunks, limits);
