fix(exchange): a transfer that waits for its pacer does not give way to other connections

At a limit on connections, or with the budget for bodies full, a large answer was cut off whose caller took all it was given: an answer being written counted as without progress, although its rest waited for the pacing of the VM's own link. Found by reading; waiting_for_pacer_does_not_give_way failed before (the answer ended early), after 0.7 s at a limit of one connection.

An answer is held up only from when bytes wait for the caller and it takes none, half a second at least. A connection whose answer is being written and not held up stays open, and the new one is refused. untaken_answer_gives_way_to_a_new_connection held before and is its counterpart.

--- a/crates/exchange/src/activity.rs
+++ b/crates/exchange/src/activity.rs
@@ -14,9 +14,9 @@
 /// checks, so that its delay is not taken for the caller's.
 const STALL_CHECKS: u32 = 5;
 
-/// Lag after which a connection may be closed although a request is being processed, because its
-/// caller does not take the answers before.
-const PROCESSING_HELD_UP_AFTER: Duration = Duration::from_millis(500);
+/// Time without a byte taken after which a caller holds up its answers. Shorter gaps occur in the
+/// network.
+const HELD_UP_AFTER: Duration = Duration::from_millis(500);
 
 /// Time within which the request on an idle connection may be on its way.
 const REQUEST_EXPECTED_WITHIN: Duration = Duration::from_secs(1);
@@ -63,6 +63,8 @@
     receiving: AtomicUsize,
     /// Whether the caller has sent more than is read ahead of its requests.
     is_read_blocked: AtomicBool,
+    /// Since when bytes wait for the caller and it takes none; `None` while none wait.
+    held_up_since: Mutex<Option<Instant>>,
     /// Whether bytes of the caller may have arrived that the HTTP library has not taken.
     is_unhandled: AtomicBool,
     /// Whether that was not so once since the last request started.
@@ -90,6 +92,7 @@
             end: OnceLock::new(),
             receiving: AtomicUsize::new(0),
             is_read_blocked: AtomicBool::new(false),
+            held_up_since: Mutex::new(None),
             is_unhandled: AtomicBool::new(true),
             has_been_handled: AtomicBool::new(false),
             has_received: AtomicBool::new(false),
@@ -100,13 +103,15 @@
     /// Returns in which order the connection gives way to others, the greatest first; `None` if it must
     /// stay open, because a request is being processed.
     pub(crate) fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
+        if let Some(held_up_for) = self.held_up_for(now) {
+            return Some(EvictionRank::Lagging(held_up_for));
+        }
         let lag = self.lag(now);
         let receiving = self.receiving.load(Ordering::Relaxed);
         let is_processing = self.in_progress.load(Ordering::Relaxed) > receiving;
-        let is_held_up =
-            self.is_write_blocked.load(Ordering::Relaxed) && lag >= PROCESSING_HELD_UP_AFTER;
         let is_flooding = self.is_read_blocked.load(Ordering::Relaxed);
-        if is_processing && !is_held_up && !is_flooding {
+        // The rest of an answer that is not held up waits for this process, not for the caller.
+        if (is_processing && !is_flooding) || self.is_delivering() {
             return None;
         }
         if self.is_unhandled.load(Ordering::Relaxed) && !is_flooding {
@@ -132,8 +137,24 @@
         }
     }
 
+    /// Returns for how long the caller has taken nothing of the answers that wait for it; `None` if it
+    /// takes them, or if none waits.
+    pub(crate) fn held_up_for(&self, now: Instant) -> Option<Duration> {
+        let since = (*self.lock_held_up_since())?;
+        Some(now.saturating_duration_since(since)).filter(|held_up| *held_up >= HELD_UP_AFTER)
+    }
+
+    /// Records that the caller has taken bytes, or that some begin to wait for it.
+    fn restart_held_up(&self) {
+        *self.lock_held_up_since() = self.has_waiting_bytes().then(Instant::now);
+    }
+
+    fn lock_held_up_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.held_up_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns how far the connection lags behind a slow one.
-    pub(crate) fn lag(&self, now: Instant) -> Duration {
+    fn lag(&self, now: Instant) -> Duration {
         self.lock_progress().lag(now)
     }
 
@@ -192,17 +213,24 @@
     /// socket accepts bytes.
     pub(crate) fn add_ready_stream(&self) {
         if self.ready_streams.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.restart_held_up();
             self.bytes_waiting.notify_one();
         }
     }
 
     pub(crate) fn remove_ready_stream(&self) {
         self.ready_streams.fetch_sub(1, Ordering::Relaxed);
+        if !self.has_waiting_bytes() {
+            self.restart_held_up();
+        }
     }
 
     /// Records bytes of answers that the connection has taken.
     pub(crate) fn record_taken(&self, size_bytes: u64) {
         self.progress_bytes.fetch_add(size_bytes, Ordering::Relaxed);
+        if self.has_waiting_bytes() {
+            self.restart_held_up();
+        }
     }
 
     /// Records a write that was accepted.
@@ -212,6 +240,7 @@
         *self.last_write_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         if self.is_write_blocked.swap(false, Ordering::Relaxed) {
             self.record_taken(size_bytes);
+            self.restart_held_up();
         }
     }
 
@@ -223,6 +252,7 @@
     /// Records a write of which the socket accepted nothing.
     pub(crate) fn record_blocked_write(&self) {
         if !self.is_write_blocked.swap(true, Ordering::Relaxed) {
+            self.restart_held_up();
             self.bytes_waiting.notify_one();
         }
     }
--- a/crates/exchange/src/served_connections.rs
+++ b/crates/exchange/src/served_connections.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use shallotfork_types::Bytes;
 use tokio::sync::Notify;
@@ -13,10 +12,6 @@
 
 const DEFAULT_COUNT_MAX: usize = 10_000;
 
-/// Lag after which a connection gives way whose answers use up the memory for bodies. Shorter gaps
-/// occur in the network.
-const HELD_UP_AFTER: Duration = Duration::from_millis(500);
-
 /// Limits on the open connections of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServedLimits {
@@ -121,9 +116,7 @@
         let held_up = state
             .connections
             .iter()
-            .filter(|(_, served)| served.activity.is_delivering())
-            .map(|(number, served)| (served.activity.lag(now), *number))
-            .filter(|(lag, _)| *lag >= HELD_UP_AFTER)
+            .filter_map(|(number, served)| Some((served.activity.held_up_for(now)?, *number)))
             .max();
         let Some((_, number)) = held_up else { return false };
         state.evict(number);
--- a/crates/exchange/tests/support/forwarder.rs
+++ b/crates/exchange/tests/support/forwarder.rs
@@ -13,8 +13,8 @@
 use poem::{Endpoint, Response};
 use shallotfork_exchange::{
     AnswerMatch, AnswerTransfer, BodyBudget, BodyLimits, ConnectionConfig, ConnectionPurpose,
-    ServeConfig, ServeControl, TargetConnections, TargetRequest, TransferEnd, TransferReport,
-    WritePacer, read_request, serve,
+    ServeConfig, ServeControl, ServedConnections, ServedLimits, TargetConnections, TargetRequest,
+    TransferEnd, TransferReport, WritePacer, read_request, serve,
 };
 use shallotfork_types::{Bytes, Endpoint as Address, TargetId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -177,6 +177,7 @@
 pub struct ForwarderConfig {
     pub serve: ServeConfig,
     pub budget: Bytes,
+    pub connections: ServedConnections,
     pub writing: Writing,
 }
 
@@ -184,7 +185,15 @@
     pub fn new(writing: Writing) -> Self {
         let send_buffer = Bytes::new(SMALL_BUFFER_BYTES.into());
         let serve = ServeConfig { send_buffer, ..ServeConfig::default() };
-        Self { serve, budget: Bytes::from_mib(64), writing }
+        let connections = ServedConnections::default();
+        Self { serve, budget: Bytes::from_mib(64), connections, writing }
+    }
+
+    /// Limits the number of connections.
+    pub fn with_connections_max(mut self, count_max: usize) -> Self {
+        let limits = ServedLimits { count_max, ..ServedLimits::default() };
+        self.connections = ServedConnections::new(limits);
+        self
     }
 
     /// Sets all timeouts of the port.
@@ -221,7 +230,7 @@
             writing: config.writing,
             reports: Arc::clone(&reports),
         };
-        let control = ServeControl::new();
+        let control = ServeControl::new().with_connections(config.connections);
         let serving = serve(listener, endpoint, config.serve, control.clone());
         let has_ended = Arc::new(AtomicBool::new(false));
         let ended = Arc::clone(&has_ended);
--- a/crates/exchange/tests/transfers.rs
+++ b/crates/exchange/tests/transfers.rs
@@ -18,6 +18,8 @@
 const LARGE: usize = 2 * 1024 * 1024;
 /// Time in which a fault would show.
 const SETTLE: Duration = Duration::from_millis(200);
+/// Longer than the time after which an answer that nobody takes gives way.
+const HELD_UP: Duration = Duration::from_millis(700);
 
 fn all_writings() -> [Writing; 3] {
     [Writing::Plain, Writing::Unpaced, Writing::paced()]
@@ -257,3 +259,32 @@
         wait_until("the budget is free", || port.budget.held() == Bytes::new(0)).await;
     }
 }
+
+/// Guards against a transfer that is cut off in favour of a new connection while its pacer lets it wait.
+#[tokio::test]
+async fn waiting_for_pacer_does_not_give_way() {
+    let pacer = Arc::new(TestPacer::new(1));
+    let config = ForwarderConfig::new(Writing::Paced(Arc::clone(&pacer))).with_connections_max(1);
+    let port = Forwarder::start(config).await;
+    let mut caller = port.connect().await;
+    caller.send(&[LARGE]).await;
+    caller.head().await.expect("a head");
+    tokio::time::sleep(HELD_UP).await;
+    let mut refused = port.connect().await;
+    assert_eq!(0, refused.stream.read(&mut [0; 1]).await.unwrap_or(0));
+    pacer.chunks.add_permits(LARGE);
+    let mut answer = vec![0; LARGE];
+    caller.stream.read_exact(&mut answer).await.expect("the whole answer");
+}
+
+/// Guards against an answer that nobody takes and that keeps new callers out.
+#[tokio::test]
+async fn untaken_answer_gives_way_to_a_new_connection() {
+    let config = ForwarderConfig::new(Writing::Plain).with_connections_max(1);
+    let port = Forwarder::start(config).await;
+    let mut untaken = port.connect().await;
+    untaken.send(&[LARGE]).await;
+    port.wait_for_written(1).await;
+    tokio::time::sleep(HELD_UP).await;
+    assert_eq!(200, port.get(5000).await.status);
+}
