fix(gateway): requests that waited for a slot do not run into a full budget for bodies

An entry on a VM of 60 MB took 138 MB in a release build while 300 callers pipelined 20 reads of 200,000 bytes each and read nothing (unread_answers_stay_within_memory; the debug build is too slow to show it). The budget was checked when a request was read. Thousands passed while it was empty, waited for slots, and ran although the answers before them had filled it.

The budget is checked again once a request has its slot, and so is whether its caller takes its earlier answers. If there is no room after answers that nobody takes gave way, the request is refused as not run (outcome no-room), with the same retry delay as at its head.

--- a/crates/exchange/src/body_budget.rs
+++ b/crates/exchange/src/body_budget.rs
@@ -102,7 +102,7 @@
 
     /// Waits until a request can be accepted, which may need the memory of answers that their callers
     /// do not take; returns `false` if there is none.
-    pub(crate) async fn wait_for_room(&self) -> bool {
+    pub async fn wait_for_room(&self) -> bool {
         let deadline = Instant::now() + ROOM_WAIT;
         loop {
             let mut released = std::pin::pin!(self.released());
--- a/crates/exchange/src/caller_connection.rs
+++ b/crates/exchange/src/caller_connection.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Mutex, PoisonError, Weak};
 
+use tokio::time::Instant;
+
 use crate::activity::{Activity, ReceivingGuard};
 use crate::read_ahead::ReadState;
 
@@ -23,6 +25,13 @@
         self.activity.upgrade().map(|activity| activity.receive_body())
     }
 
+    /// Returns whether earlier answers wait for the caller and it takes none of them, so that a further
+    /// answer would only be held with them.
+    pub fn is_held_up(&self) -> bool {
+        let activity = self.activity.upgrade();
+        activity.is_some_and(|activity| activity.held_up_for(Instant::now()).is_some())
+    }
+
     /// Returns whether the caller has closed its connection, according to the kernel.
     ///
     /// In an overloaded process the async runtime detects a closed connection late, and work would
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -66,7 +66,7 @@
 pub use pipeline::ArrivedAt;
 pub use problem::Problem;
 pub use read_request::{BodyLimits, BufferedRequest, read_request};
-pub use rejection::Rejection;
+pub use rejection::{BUDGET_RETRY_AFTER, Rejection};
 pub use serve::{PipelineFn, ServeError, serve, serve_pipelined};
 pub use serve_config::ServeConfig;
 pub use serve_control::{HeadLimits, ServeControl};
--- a/crates/exchange/src/rejection.rs
+++ b/crates/exchange/src/rejection.rs
@@ -11,7 +11,7 @@
 
 /// Retry delay for callers when the body budget is exhausted; long enough for most of the bodies in
 /// progress to be finished.
-const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Why a caller's request was rejected; no byte of it has been sent to a target.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/gateway/src/traffic/answer_room.rs
+++ b/crates/gateway/src/traffic/answer_room.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use shallotfork_balance::{Shed, ShedReason};
+use shallotfork_exchange::BUDGET_RETRY_AFTER;
 use shallotfork_routes::AnswerSize;
 use shallotfork_transfer::RoomRequest;
 use shallotfork_types::Bytes;
@@ -54,6 +55,26 @@
     pending.wait().await.map(|room| Some(Arc::new(room))).map_err(shed_no_room)
 }
 
+/// Whether the memory for bodies has room for the answer to a request that has waited for a slot.
+///
+/// # Errors
+/// Returns the rejection if the caller takes none of its earlier answers.
+pub fn check_memory(routed: &RoutedRequest) -> Result<bool, Shed> {
+    if routed.caller.is_held_up() {
+        return Err(shed_no_room(BUDGET_RETRY_AFTER));
+    }
+    Ok(!routed.context.body_budget.is_full())
+}
+
+/// Waits until the memory for bodies has room for the answer.
+///
+/// # Errors
+/// Returns the rejection if there is none.
+pub async fn wait_for_memory(routed: &RoutedRequest) -> Result<(), Shed> {
+    let has_room = routed.context.body_budget.wait_for_room().await;
+    has_room.then_some(()).ok_or_else(|| shed_no_room(BUDGET_RETRY_AFTER))
+}
+
 /// Reserves room for the answer to a hedge. Returns `None` if that would need waiting: a hedge
 /// doubles what the request occupies, and must not delay other requests.
 pub fn try_reserve_hedge(routed: &RoutedRequest) -> Option<AnswerRoom> {
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -4,7 +4,9 @@
 
 use shallotfork_balance::Shed;
 
-use crate::traffic::answer_room::{RoomCheck, check_room, wait_for_room};
+use crate::traffic::answer_room::{
+    RoomCheck, check_memory, check_room, wait_for_memory, wait_for_room,
+};
 use crate::traffic::attempt_history::AttemptHistory;
 use crate::traffic::attempt_outcome::AttemptOutcome;
 use crate::traffic::forward::{forward, reject_without_path, should_forward, wait_until_forwarded};
@@ -58,6 +60,18 @@
         if routed.caller.is_closed() {
             return history.complete(RequestOutcome::CallerLeft);
         }
+        // Answers may have used up the memory while the request waited for its slot.
+        match check_memory(routed) {
+            Ok(true) => {}
+            Ok(false) => {
+                drop(slot);
+                match wait_for_memory(routed).await {
+                    Ok(()) => continue,
+                    Err(shed) => return history.complete_without_slot(shed),
+                }
+            }
+            Err(shed) => return history.complete_without_slot(shed),
+        }
         match check_room(routed, history.room.take()) {
             Ok(RoomCheck::Send(room)) => history.room = room,
             Ok(RoomCheck::Wait(pending)) => {
